--- /dev/null
+++ b/admin/admin.go
@@ -0,0 +1,293 @@
+// Package admin is the operators' side of a box: apply, read back, explain,
+// health and metrics, over HTTP.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"leverdrum/fleet"
+	"leverdrum/internal/conf"
+	"leverdrum/ledger"
+	"leverdrum/meter"
+	"leverdrum/reason"
+	"leverdrum/record"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+// Paths of the operators' interface.
+const (
+	FleetPath   = "/v1/fleet"
+	StatusPath  = "/v1/status"
+	ExplainPath = "/v1/explain/"
+)
+
+// HeaderOperator names who applies a file.
+const HeaderOperator = "X-Operator"
+
+// Cluster passes operators' calls on to the leader.
+type Cluster interface {
+	// Forward returns the leader's answer. The reason is set when there is none.
+	Forward(ctx context.Context, f *wire.Forward) (*wire.ForwardAnswer, *reason.Reason)
+}
+
+// Options make an Admin.
+type Options struct {
+	Box     string
+	Cluster Cluster
+	View    func() *state.State
+	Ready   func() (bool, string)
+	Records *record.Book
+	Meters  *meter.Meters
+}
+
+// Admin serves operators.
+type Admin struct {
+	opts   Options
+	router chi.Router
+}
+
+// New returns an Admin.
+func New(opts Options) *Admin {
+	a := &Admin{opts: opts}
+	r := chi.NewRouter()
+	r.Put(FleetPath, a.apply)
+	r.Get(FleetPath, a.show)
+	r.Get(StatusPath, a.status)
+	r.Get(ExplainPath+"{name}", a.explain)
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	r.Get("/readyz", a.ready)
+	r.Handle("/metrics", opts.Meters.Handler())
+	r.NotFound(func(w http.ResponseWriter, _ *http.Request) { a.refuse(w, reason.NotFound, nil) })
+	a.router = r
+	return a
+}
+
+// ServeHTTP routes a call.
+func (a *Admin) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.router.ServeHTTP(w, r) }
+
+// Version describes an accepted file.
+type Version struct {
+	Number   uint64    `json:"number"`
+	Digest   string    `json:"digest"`
+	Operator string    `json:"operator,omitempty"`
+	Since    time.Time `json:"since"`
+}
+
+func version(v *wire.FleetVersion) *Version {
+	if v == nil {
+		return nil
+	}
+	return &Version{v.Number, v.Digest, v.Operator, time.UnixMilli(v.UnixMs).UTC()}
+}
+
+// ApplyAnswer is the answer to an apply.
+type ApplyAnswer struct {
+	// Outcome is accepted, resent, superseded, conflict, older, invalid,
+	// refused or unknown.
+	Outcome string   `json:"outcome"`
+	Winner  *Version `json:"winner,omitempty"`
+	// InForce counts the boxes that had the file when this answer was made.
+	InForce int `json:"in_force"`
+	Boxes   int `json:"boxes"`
+	// Reason and Text are set when the file was not accepted.
+	Reason string       `json:"reason,omitempty"`
+	Text   string       `json:"text,omitempty"`
+	Faults []conf.Fault `json:"faults,omitempty"`
+}
+
+func (a *Admin) reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(body)
+}
+
+func (a *Admin) refuse(w http.ResponseWriter, why *reason.Reason, answer *ApplyAnswer) {
+	a.opts.Meters.Refuse(why)
+	if answer == nil {
+		answer = &ApplyAnswer{Outcome: "refused"}
+	}
+	answer.Reason, answer.Text = why.Code, why.Title+" "+why.Text
+	a.reply(w, why.Status, answer)
+}
+
+// applyTimeout bounds one apply.
+const applyTimeout = 6 * time.Second
+
+func (a *Admin) apply(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(io.LimitReader(r.Body, conf.MaxBytes+1))
+	if err != nil {
+		a.refuse(w, reason.FileInvalid, nil)
+		return
+	}
+	f, err := fleet.Parse("fleet", text)
+	if err != nil {
+		faults, _ := err.(conf.Faults)
+		a.refuse(w, reason.FileInvalid, &ApplyAnswer{Outcome: string(state.Invalid), Faults: faults})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), applyTimeout)
+	defer cancel()
+	answer, why := a.opts.Cluster.Forward(ctx, &wire.Forward{
+		Kind: wire.ForwardKind_FORWARD_APPLY, DeadlineMs: uint32(applyTimeout.Milliseconds()),
+		Apply: &wire.ApplyFleet{Number: f.Number, Digest: fleet.Digest(text), Text: string(text), Operator: r.Header.Get(HeaderOperator)},
+	})
+	if why != nil {
+		a.refuse(w, why, &ApplyAnswer{Outcome: outcomeOf(why)})
+		return
+	}
+	a.applied(w, answer.Apply)
+}
+
+func outcomeOf(why *reason.Reason) string {
+	if why.Outcome == reason.Unknown {
+		return "unknown"
+	}
+	return "refused"
+}
+
+func (a *Admin) applied(w http.ResponseWriter, result *wire.ApplyResult) {
+	answer := &ApplyAnswer{Outcome: result.Outcome, Winner: version(result.Winner), InForce: int(result.InForce), Boxes: int(result.Boxes)}
+	switch state.ApplyOutcome(result.Outcome) {
+	case state.Conflict:
+		a.refuse(w, reason.FileConflict, answer)
+	case state.Older:
+		a.refuse(w, reason.FileOlder, answer)
+	case state.Invalid:
+		a.refuse(w, reason.FileInvalid, answer)
+	default:
+		status := http.StatusOK
+		if answer.InForce <= answer.Boxes/2 {
+			// Agreed, but not yet in force on a majority of the boxes.
+			status = http.StatusAccepted
+		}
+		a.reply(w, status, answer)
+	}
+}
+
+// BoxRow is one box in the status.
+type BoxRow struct {
+	Box     string `json:"box"`
+	Member  string `json:"member"`
+	Hall    string `json:"hall"`
+	Disk    bool   `json:"disk"`
+	Voter   bool   `json:"voter"`
+	Leader  bool   `json:"leader"`
+	Leaving bool   `json:"leaving,omitempty"`
+	// State is in-force, behind or silent.
+	State string `json:"state"`
+	Index uint64 `json:"index"`
+	// AgeMs is how long ago the box was heard, in milliseconds.
+	AgeMs uint32 `json:"age_ms"`
+}
+
+// ModelRow is one model or adapter in the status.
+type ModelRow struct {
+	Name    string   `json:"name"`
+	Version string   `json:"version"`
+	Ready   []string `json:"ready"`
+	Coming  []string `json:"coming,omitempty"`
+}
+
+// Status is what is in force, read from the leader.
+type Status struct {
+	Fleet  *Version   `json:"fleet"`
+	Index  uint64     `json:"index"`
+	Term   uint64     `json:"term"`
+	Leader string     `json:"leader"`
+	Voters []string   `json:"voters"`
+	Boxes  []BoxRow   `json:"boxes"`
+	Models []ModelRow `json:"models"`
+	Orders int        `json:"open_orders"`
+	Moves  uint64     `json:"moves"`
+}
+
+func (a *Admin) read(ctx context.Context) (*wire.ReadResult, *reason.Reason) {
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	answer, why := a.opts.Cluster.Forward(ctx, &wire.Forward{Kind: wire.ForwardKind_FORWARD_READ, DeadlineMs: uint32(applyTimeout.Milliseconds())})
+	if why != nil {
+		return nil, why
+	}
+	return answer.Read, nil
+}
+
+// show answers the text of the file in force.
+func (a *Admin) show(w http.ResponseWriter, r *http.Request) {
+	result, why := a.read(r.Context())
+	if why != nil {
+		a.refuse(w, why, nil)
+		return
+	}
+	if result.State.Fleet == nil {
+		a.refuse(w, reason.NoFleet, nil)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_, _ = io.WriteString(w, result.State.FleetText)
+}
+
+func (a *Admin) status(w http.ResponseWriter, r *http.Request) {
+	result, why := a.read(r.Context())
+	if why != nil {
+		a.refuse(w, why, nil)
+		return
+	}
+	s, err := summarize(result)
+	if err != nil {
+		a.refuse(w, reason.Busy, nil)
+		return
+	}
+	a.reply(w, http.StatusOK, s)
+}
+
+func summarize(result *wire.ReadResult) (*Status, error) {
+	st, err := state.Decode(result.State)
+	if err != nil {
+		return nil, err
+	}
+	s := &Status{
+		Fleet: version(st.Version), Index: result.Index, Term: result.Term, Leader: result.Leader, Voters: result.Voters,
+		Orders: len(st.Orders), Moves: st.Moves, Boxes: boxRows(st, result), Models: modelRows(st),
+	}
+	return s, nil
+}
+
+// Explanation is the answer to explain.
+type Explanation struct {
+	Box       string            `json:"box"`
+	About     string            `json:"about"`
+	Now       []string          `json:"now,omitempty"`
+	Decisions []record.Decision `json:"decisions"`
+}
+
+func (a *Admin) explain(w http.ResponseWriter, r *http.Request) {
+	name := chi.URLParam(r, "name")
+	e := &Explanation{Box: a.opts.Box, About: name, Decisions: a.opts.Records.About(name)}
+	for _, res := range a.opts.View().Encode().Residents {
+		if res.Item.Adapter == name || res.Item.Adapter == "" && res.Item.Model == name || res.Server == name {
+			e.Now = append(e.Now, ledger.Describe(res.Item)+" on "+res.Server+": "+phaseName(res.Phase))
+		}
+	}
+	if len(e.Decisions) == 0 && len(e.Now) == 0 {
+		a.refuse(w, reason.NotFound, nil)
+		return
+	}
+	a.reply(w, http.StatusOK, e)
+}
+
+func (a *Admin) ready(w http.ResponseWriter, _ *http.Request) {
+	ok, why := a.opts.Ready()
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_, _ = io.WriteString(w, why+"\n")
+}
--- /dev/null
+++ b/admin/rows.go
@@ -0,0 +1,86 @@
+package admin
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"leverdrum/fleet"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+// silentAfter is the age of a report at which a box is shown as silent.
+const silentAfter = 3 * time.Second
+
+func phaseName(p wire.Phase) string {
+	switch p {
+	case wire.Phase_PHASE_READY:
+		return "ready"
+	case wire.Phase_PHASE_LOADING:
+		return "loading"
+	case wire.Phase_PHASE_UNLOADING:
+		return "unloading"
+	}
+	return "unknown"
+}
+
+func boxRows(st *state.State, result *wire.ReadResult) []BoxRow {
+	holdings := map[string]*wire.Holding{}
+	for _, h := range result.Holdings {
+		holdings[h.Member] = h
+	}
+	var rows []BoxRow
+	for _, name := range slices.Sorted(maps.Keys(st.Members)) {
+		m := st.Members[name]
+		id := state.MemberID(m)
+		row := BoxRow{
+			Box: name, Member: id, Hall: m.Hall, Disk: m.Disk, Leaving: m.Leaving,
+			Voter: slices.Contains(result.Voters, id), Leader: id == result.Leader, State: "silent",
+		}
+		if h := holdings[id]; h != nil && h.AgeMs < uint32(silentAfter.Milliseconds()) {
+			row.Index, row.AgeMs, row.State = h.Index, h.AgeMs, "behind"
+			if h.Index >= st.Version.GetIndex() {
+				row.State = "in-force"
+			}
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+func modelRows(st *state.State) []ModelRow {
+	if st.Fleet == nil {
+		return nil
+	}
+	rows := map[string]*ModelRow{}
+	for name, m := range st.Fleet.Models {
+		rows[name] = &ModelRow{Name: name, Version: m.Version, Ready: []string{}}
+	}
+	for name, ad := range st.Fleet.Adapters {
+		rows[name] = &ModelRow{Name: name, Version: ad.Version, Ready: []string{}}
+	}
+	for _, r := range st.Encode().Residents {
+		row := rows[cmp.Or(r.Item.Adapter, r.Item.Model)]
+		if row == nil || !serving(st.Fleet, r) {
+			continue
+		}
+		if r.Phase == wire.Phase_PHASE_READY {
+			row.Ready = append(row.Ready, r.Server)
+		} else if r.Phase == wire.Phase_PHASE_LOADING {
+			row.Coming = append(row.Coming, r.Server)
+		}
+	}
+	var list []ModelRow
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		list = append(list, *rows[name])
+	}
+	return list
+}
+
+// serving reports whether a resident item is of a server that takes work.
+func serving(f *fleet.Fleet, r *wire.Resident) bool {
+	s := f.Servers[r.Server]
+	return s != nil && !s.Leaving
+}
--- /dev/null
+++ b/box/answer.go
@@ -0,0 +1,210 @@
+package box
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"leverdrum/peer"
+	"leverdrum/reason"
+	"leverdrum/replica"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+const (
+	// forwardTimeout bounds one call to another box that is not an operator's.
+	forwardTimeout = 2 * time.Second
+	// forwardPause is the wait before the leader is looked for again.
+	forwardPause = 50 * time.Millisecond
+	// majorityWait is how long an apply waits for a majority of the boxes.
+	majorityWait = 4 * time.Second
+	// joinEvery is the time between two looks at the own row in the list.
+	joinEvery = 500 * time.Millisecond
+)
+
+func notReady() *wire.Response {
+	return &wire.Response{Refusal: &wire.Refusal{Code: reason.PeerNotLeader.Code, Text: "the box has not found its cluster yet"}}
+}
+
+func (b *Box) answer(ctx context.Context, p *parts, from *wire.Member, r *wire.Request) *wire.Response {
+	switch k := r.Kind.(type) {
+	case *wire.Request_Follow:
+		u, err := p.spread.Answer(ctx, from, k.Follow)
+		if err != nil {
+			return notReady()
+		}
+		return &wire.Response{Kind: &wire.Response_Follow{Follow: u}}
+	case *wire.Request_Probe:
+		return &wire.Response{Kind: &wire.Response_Probe{Probe: p.spread.AnswerProbe()}}
+	case *wire.Request_Forward:
+		return b.answerForward(ctx, p, k.Forward)
+	}
+	return nil
+}
+
+func (b *Box) answerForward(ctx context.Context, p *parts, f *wire.Forward) *wire.Response {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(f.DeadlineMs)*time.Millisecond)
+	defer cancel()
+	a, err := lead(ctx, p, f)
+	switch {
+	case errors.Is(err, replica.ErrNotLeader):
+		return &wire.Response{Refusal: &wire.Refusal{Code: reason.PeerNotLeader.Code, Text: reason.PeerNotLeader.Title}}
+	case err != nil:
+		why := reasonOf(err)
+		a = &wire.ForwardAnswer{Code: why.Code, Text: why.Title}
+	}
+	return &wire.Response{Kind: &wire.Response_Forward{Forward: a}}
+}
+
+func reasonOf(err error) *reason.Reason {
+	switch {
+	case errors.Is(err, replica.ErrFull):
+		return reason.DiskFull
+	case errors.Is(err, replica.ErrBusy):
+		return reason.Busy
+	case errors.Is(err, replica.ErrNotLeader):
+		return reason.NoLeader
+	}
+	return reason.ApplyUnknown
+}
+
+// lead carries out a call on the leader.
+func lead(ctx context.Context, p *parts, f *wire.Forward) (*wire.ForwardAnswer, error) {
+	switch f.Kind {
+	case wire.ForwardKind_FORWARD_APPLY:
+		return leadApply(ctx, p, f.Apply)
+	case wire.ForwardKind_FORWARD_READ:
+		return leadRead(ctx, p)
+	case wire.ForwardKind_FORWARD_JOIN:
+		_, err := p.replica.Propose(ctx, &wire.Command{Kind: &wire.Command_Join{Join: f.Member}})
+		return &wire.ForwardAnswer{}, err
+	case wire.ForwardKind_FORWARD_LEAVE:
+		l := &wire.Leave{Box: f.Member.GetBox(), Incarnation: f.Member.GetIncarnation()}
+		_, err := p.replica.Propose(ctx, &wire.Command{Kind: &wire.Command_Leave{Leave: l}})
+		return &wire.ForwardAnswer{}, err
+	}
+	return nil, Error.New("unknown call")
+}
+
+// leadApply has the file agreed, and then waits until it is in force on a
+// majority of the boxes: from then on a box that hears from a majority knows of
+// it, whatever becomes of the control boxes.
+func leadApply(ctx context.Context, p *parts, a *wire.ApplyFleet) (*wire.ForwardAnswer, error) {
+	result, err := p.replica.Propose(ctx, &wire.Command{Kind: &wire.Command_Apply{Apply: a}})
+	if err != nil {
+		return nil, err
+	}
+	answer := &wire.ApplyResult{Outcome: string(result.Apply), Winner: result.Winner, Index: result.Winner.GetIndex()}
+	if result.Apply == state.Accepted || result.Apply == state.Resent {
+		ctx, cancel := context.WithTimeout(ctx, majorityWait)
+		defer cancel()
+		have, boxes := p.spread.AwaitMajority(ctx, answer.Index)
+		answer.InForce, answer.Boxes = uint32(have), uint32(boxes)
+	}
+	return &wire.ForwardAnswer{Apply: answer}, nil
+}
+
+func leadRead(ctx context.Context, p *parts) (*wire.ForwardAnswer, error) {
+	if err := p.replica.Barrier(ctx); err != nil {
+		return nil, err
+	}
+	view, status := p.replica.View(), p.replica.Status()
+	return &wire.ForwardAnswer{Read: &wire.ReadResult{
+		Index: view.Index, State: view.Encode(), Holdings: p.spread.Holdings(),
+		Leader: p.replica.ID(), Term: status.Term, Voters: status.Voters,
+	}}, nil
+}
+
+// forwarder passes calls on to the leader. It implements admin.Cluster.
+type forwarder struct {
+	box   *Box
+	parts *parts
+}
+
+// Forward looks for the leader until the context ends. All calls may be sent
+// again: a file's number and digest settle what became of an earlier sending.
+func (f *forwarder) Forward(ctx context.Context, call *wire.Forward) (*wire.ForwardAnswer, *reason.Reason) {
+	sent := false
+	for ctx.Err() == nil {
+		answer, err := f.once(ctx, call)
+		if err == nil {
+			if why := reason.ByCode(answer.Code); why != nil && why.Code != reason.ApplyUnknown.Code && why.Code != reason.NoLeader.Code {
+				return nil, why
+			}
+			if answer.Code == "" {
+				return answer, nil
+			}
+		}
+		sent = sent || mayHaveRun(err)
+		pause(ctx, forwardPause)
+	}
+	if sent && call.Kind == wire.ForwardKind_FORWARD_APPLY {
+		return nil, reason.ApplyUnknown
+	}
+	return nil, reason.NoLeader
+}
+
+// mayHaveRun reports whether a failed call may have been carried out.
+func mayHaveRun(err error) bool {
+	var refused *peer.RefusedError
+	if errors.As(err, &refused) || errors.Is(err, replica.ErrNotLeader) || errors.Is(err, errNoLeader) {
+		return false
+	}
+	return true
+}
+
+var errNoLeader = errors.New("no box is known to lead")
+
+func (f *forwarder) once(ctx context.Context, call *wire.Forward) (*wire.ForwardAnswer, error) {
+	leader := f.parts.spread.Leader()
+	if leader == "" {
+		return nil, errNoLeader
+	}
+	if leader == f.parts.replica.ID() {
+		return lead(ctx, f.parts, call)
+	}
+	name, _, _ := strings.Cut(leader, "/")
+	response, err := f.box.pool.Call(ctx, name, &wire.Request{Kind: &wire.Request_Forward{Forward: call}})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if response.GetForward() == nil {
+		return nil, Error.New("the leader gave another answer than asked for")
+	}
+	return response.GetForward(), nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// keepMembership sees to it that the agreed list shows this box as it is.
+func (b *Box) keepMembership(ctx context.Context, p *parts) {
+	f := &forwarder{b, p}
+	for ctx.Err() == nil {
+		self := b.id.Self()
+		if !proto.Equal(p.replica.View().Members[self.Box], self) {
+			b.join(ctx, f, self)
+		}
+		pause(ctx, joinEvery)
+	}
+}
+
+func (b *Box) join(ctx context.Context, f *forwarder, self *wire.Member) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	call := &wire.Forward{Kind: wire.ForwardKind_FORWARD_JOIN, Member: self, DeadlineMs: uint32(forwardTimeout.Milliseconds())}
+	if _, why := f.Forward(ctx, call); why == nil {
+		b.log.Info("listed", zap.Bool("leaving", self.Leaving))
+	}
+}
--- /dev/null
+++ b/box/box.go
@@ -0,0 +1,349 @@
+// Package box puts the parts of one box together and runs them until it is
+// stopped. The daemon is a few lines over it.
+package box
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"leverdrum/admin"
+	"leverdrum/consensus"
+	"leverdrum/control"
+	"leverdrum/engine"
+	"leverdrum/entry"
+	"leverdrum/meter"
+	"leverdrum/peer"
+	"leverdrum/platform"
+	"leverdrum/proxy"
+	"leverdrum/record"
+	"leverdrum/replica"
+	"leverdrum/route"
+	"leverdrum/settings"
+	"leverdrum/spread"
+	"leverdrum/wal"
+	"leverdrum/wire"
+)
+
+const (
+	// recordLimit is how many decisions of each kind a box remembers.
+	recordLimit = 4096
+	// readHeaderTimeout bounds operators' headers.
+	readHeaderTimeout = 5 * time.Second
+	maxHeaderBytes    = 64 << 10
+)
+
+// Box is one running box.
+type Box struct {
+	settings *settings.Settings
+	log      *zap.Logger
+	meters   *meter.Meters
+	records  *record.Book
+	store    *wal.Store
+	id       *identity
+	pool     *peer.Pool
+	peers    *peer.Server
+	parts    atomic.Pointer[parts]
+	stopping atomic.Bool
+
+	operatorHTTP *http.Server
+	entryHTTP    *http.Server
+	fatal        chan error
+	cancel       context.CancelFunc
+	wg           sync.WaitGroup
+}
+
+// parts are what works once the box belongs to a cluster.
+type parts struct {
+	replica   *replica.Replica
+	spread    *spread.Spreader
+	directory *route.Directory
+	entry     *entry.Entry
+	admin     *admin.Admin
+	control   *control.Controller
+}
+
+// Start opens everything and returns once the box listens. It goes on in the
+// background until Stop or Kill; Fatal tells when it cannot go on.
+func Start(s *settings.Settings, tls peer.TLS, log *zap.Logger) (*Box, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &Box{
+		settings: s, log: log, meters: meter.New(), records: record.NewBook(recordLimit),
+		fatal: make(chan error, 1), cancel: cancel,
+	}
+	if err := b.open(tls); err != nil {
+		cancel()
+		return nil, err
+	}
+	b.wg.Go(func() { b.run(ctx) })
+	return b, nil
+}
+
+// open opens the data folder and all listeners.
+func (b *Box) open(tls peer.TLS) error {
+	if b.settings.Control() {
+		store, err := wal.Open(wal.Options{
+			Folder: b.settings.DataFolder, Box: b.settings.Box, Cluster: b.settings.Cluster,
+			Limit: b.settings.DataLimit, Incarnation: newIncarnation(),
+		})
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		b.store = store
+		if store.Loaded().Torn {
+			b.log.Warn("an unacknowledged last record was cut off")
+		}
+	}
+	b.id = newIdentity(b.settings, b.store)
+	b.pool = peer.NewPool(b.id, tls, b.lookup, b.meters)
+	l, err := net.Listen("tcp", b.settings.PeerListen)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	b.peers = peer.Serve(l, b.id, tls, b, b.meters)
+	return b.listenHTTP(tls)
+}
+
+func (b *Box) listenHTTP(tls peer.TLS) error {
+	b.operatorHTTP = &http.Server{
+		Handler: http.HandlerFunc(b.serveOperator), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, TLSConfig: tls.Server(),
+	}
+	if err := b.serveHTTP(b.operatorHTTP, b.settings.OperatorListen); err != nil {
+		return err
+	}
+	if !b.settings.Entry() {
+		return nil
+	}
+	b.entryHTTP = &http.Server{
+		Handler: http.HandlerFunc(b.serveEntry), ReadHeaderTimeout: b.settings.HeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	return b.serveHTTP(b.entryHTTP, b.settings.EntryListen)
+}
+
+func (b *Box) serveHTTP(s *http.Server, address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	b.wg.Go(func() {
+		serve := func() error { return s.Serve(l) }
+		if s.TLSConfig != nil {
+			serve = func() error { return s.ServeTLS(l, "", "") }
+		}
+		if err := serve(); !errors.Is(err, http.ErrServerClosed) {
+			b.fail(Error.Wrap(err))
+		}
+	})
+	return nil
+}
+
+func (b *Box) serveOperator(w http.ResponseWriter, r *http.Request) {
+	if p := b.parts.Load(); p != nil {
+		p.admin.ServeHTTP(w, r)
+		return
+	}
+	starting(w, r)
+}
+
+func (b *Box) serveEntry(w http.ResponseWriter, r *http.Request) {
+	if p := b.parts.Load(); p != nil {
+		p.entry.ServeHTTP(w, r)
+		return
+	}
+	starting(w, r)
+}
+
+// starting answers while the box has not found its cluster.
+func starting(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		return
+	}
+	w.Header().Set(entry.HeaderOutcome, "not-run")
+	w.Header().Set("Retry-After", "1")
+	http.Error(w, "the box has not found its cluster yet", http.StatusServiceUnavailable)
+}
+
+// lookup returns the box-to-box address of a box: as agreed, else as set.
+func (b *Box) lookup(box string) string {
+	if p := b.parts.Load(); p != nil {
+		if m := p.replica.View().Members[box]; m != nil {
+			return m.PeerAddress
+		}
+	}
+	return b.settings.Boxes[box]
+}
+
+// run finds the cluster and then keeps all parts going until the context ends.
+func (b *Box) run(ctx context.Context) {
+	if err := b.awaitCluster(ctx); err != nil {
+		if ctx.Err() == nil {
+			b.fail(err)
+		}
+		return
+	}
+	p, err := b.assemble()
+	if err != nil {
+		b.fail(err)
+		return
+	}
+	b.parts.Store(p)
+	b.log.Info("box in its cluster", zap.String("member", p.replica.ID()))
+	if b.store != nil {
+		b.tellFormed(ctx)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { p.spread.Run(ctx) })
+	wg.Go(func() { p.control.Run(ctx) })
+	wg.Go(func() { b.keepDirectory(ctx, p) })
+	wg.Go(func() { b.keepMembership(ctx, p) })
+	wg.Go(func() { b.readPlatform(ctx, p) })
+	wg.Wait()
+	p.replica.Close()
+}
+
+func (b *Box) assemble() (*parts, error) {
+	s := b.settings
+	self := b.id.Self()
+	var storage replica.Storage = replica.Memory{}
+	if b.store != nil {
+		storage = b.store
+	}
+	r, err := replica.New(replica.Options{
+		Core: consensus.Options{
+			ID: self.Box + "/" + self.Incarnation, ElectionMin: s.Election, Heartbeat: s.Heartbeat, Lease: s.Lease, Seed: uint64(time.Now().UnixNano()),
+		},
+		Storage: storage, Send: b.pool.Send, CompactAfter: s.CompactAfter, Fatal: b.fail, Log: b.log,
+	})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	p := &parts{replica: r, directory: route.NewDirectory(s.Hall)}
+	p.spread = spread.New(spread.Options{
+		Replica: r, Caller: b.pool, Self: self, Seeds: slices.Sorted(maps.Keys(s.Boxes)), ConfigLease: s.ConfigLease,
+	})
+	engines := engine.NewClient(func() bool { _, held := r.Lease(); return held })
+	p.control = control.New(control.Options{
+		Replica: r, Spread: p.spread, Engines: engines.At, Demand: func() map[string]float64 { return nil },
+		Gone: p.directory.Gone, Wanted: len(s.FirstMembers), RepairAfter: s.RepairAfter,
+		Records: b.records, Meters: b.meters, Log: b.log,
+	})
+	p.entry = entry.New(entry.Options{
+		Directory: p.directory, View: r.View, Current: p.spread.Current, Sender: proxy.NewSender(),
+		Meters: b.meters, Records: b.records, MaxBody: s.MaxBody,
+	})
+	p.admin = admin.New(admin.Options{
+		Box: s.Box, Cluster: &forwarder{b, p}, View: r.View, Ready: b.ready, Records: b.records, Meters: b.meters,
+	})
+	return p, nil
+}
+
+// keepDirectory makes the routes follow the agreed state.
+func (b *Box) keepDirectory(ctx context.Context, p *parts) {
+	for {
+		changed := p.replica.Changed()
+		view := p.replica.View()
+		p.directory.Update(view)
+		b.meters.Gauge(meter.StateIndex).Set(float64(view.Index))
+		b.meters.Gauge(meter.FleetNumber).Set(float64(view.Version.GetNumber()))
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// readPlatform takes over the platform's word on who leaves.
+func (b *Box) readPlatform(ctx context.Context, p *parts) {
+	if b.settings.PlatformAddress == "" {
+		return
+	}
+	var list platform.List = platform.HTTP{Address: b.settings.PlatformAddress}
+	ticker := time.NewTicker(b.settings.PlatformEvery)
+	defer ticker.Stop()
+	for {
+		b.readMachines(ctx, p, list)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (b *Box) readMachines(ctx context.Context, p *parts, list platform.List) {
+	ctx, cancel := context.WithTimeout(ctx, b.settings.PlatformEvery)
+	defer cancel()
+	machines, err := list.Machines(ctx)
+	if err != nil {
+		return // the last word stands
+	}
+	gone := map[string]bool{}
+	for _, m := range machines {
+		if m.Leaving {
+			gone[m.Name] = true
+		}
+	}
+	if p.directory.SetGone(gone) {
+		p.directory.Update(p.replica.View())
+	}
+}
+
+// ready says whether the balancer should send requests here.
+func (b *Box) ready() (bool, string) {
+	p := b.parts.Load()
+	switch {
+	case b.stopping.Load():
+		return false, "stopping"
+	case p == nil:
+		return false, "no cluster"
+	case p.replica.View().Fleet == nil:
+		return false, "no fleet file"
+	case !p.spread.Current():
+		b.meters.Gauge(meter.Current).Set(0)
+		return false, "not current"
+	}
+	b.meters.Gauge(meter.Current).Set(1)
+	return true, "ready"
+}
+
+func (b *Box) fail(err error) {
+	select {
+	case b.fatal <- err:
+	default:
+	}
+}
+
+// Fatal tells when the box cannot go on.
+func (b *Box) Fatal() <-chan error { return b.fatal }
+
+// OperatorAddress returns where operators reach the box.
+func (b *Box) OperatorAddress() string { return b.settings.OperatorListen }
+
+// Answer answers another box. It implements peer.Handler.
+func (b *Box) Answer(ctx context.Context, from *wire.Member, r *wire.Request) *wire.Response {
+	if f := r.GetForm(); f != nil {
+		err := b.id.Adopt(f.ClusterId)
+		return &wire.Response{Kind: &wire.Response_Form{Form: &wire.FormAnswer{Formed: err == nil}}}
+	}
+	p := b.parts.Load()
+	if p == nil {
+		return notReady()
+	}
+	return b.answer(ctx, p, from, r)
+}
+
+// Receive hands a message to the agreement. It implements peer.Handler.
+func (b *Box) Receive(m *wire.Message) {
+	if p := b.parts.Load(); p != nil {
+		p.replica.Receive(m)
+	}
+}
--- /dev/null
+++ b/box/identity.go
@@ -0,0 +1,85 @@
+package box
+
+import (
+	"crypto/rand"
+	"strings"
+	"sync"
+
+	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
+
+	"leverdrum/settings"
+	"leverdrum/wal"
+	"leverdrum/wire"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("box")
+
+// incarnationLength is the length of an incarnation in characters; drawn from
+// 32 letters and digits, it is unlike all others.
+const incarnationLength = 12
+
+func newIncarnation() string { return strings.ToLower(rand.Text()[:incarnationLength]) }
+
+// identity is who this box is to others. It implements peer.Identity.
+type identity struct {
+	mu        sync.Mutex
+	self      *wire.Member
+	cluster   string
+	clusterID string
+	store     *wal.Store // nil without a disk
+	adopted   chan struct{}
+}
+
+func newIdentity(s *settings.Settings, store *wal.Store) *identity {
+	id := &identity{cluster: s.Cluster, store: store, adopted: make(chan struct{})}
+	id.self = &wire.Member{
+		Box: s.Box, Incarnation: newIncarnation(), Hall: s.Hall, PeerAddress: s.PeerListen, EntryAddress: s.EntryListen, Disk: store != nil,
+	}
+	if store != nil {
+		id.self.Incarnation = store.Identity().Incarnation
+		id.clusterID = store.Identity().ClusterId
+	}
+	if id.clusterID != "" {
+		close(id.adopted)
+	}
+	return id
+}
+
+// Self returns the member.
+func (i *identity) Self() *wire.Member {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return proto.CloneOf(i.self)
+}
+
+func (i *identity) setLeaving() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.self.Leaving = true
+}
+
+// Cluster returns the cluster's name and id.
+func (i *identity) Cluster() (name, id string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.cluster, i.clusterID
+}
+
+// Adopt makes the cluster's id this box's own, durably where it has a disk.
+func (i *identity) Adopt(id string) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.clusterID != "" || id == "" {
+		return nil
+	}
+	if i.store != nil {
+		if err := i.store.SetClusterID(id); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	i.clusterID = id
+	close(i.adopted)
+	return nil
+}
--- /dev/null
+++ b/box/stop.go
@@ -0,0 +1,78 @@
+package box
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// closeTimeout bounds the end of operators' calls.
+const closeTimeout = 2 * time.Second
+
+// Stop ends the box without cutting off anything:
+//
+//  1. The readiness check fails; requests are still taken for as long as the
+//     balancer may lag. Kept connections are closed after their next answer.
+//  2. The list shows the box as leaving, and leadership is handed over.
+//  3. Further requests are refused as not run; those in flight are finished.
+//  4. Everything is closed.
+//
+// The error tells that requests were still in flight when the time was up.
+func (b *Box) Stop() error {
+	b.stopping.Store(true) // (1)
+	b.log.Info("stopping")
+	b.id.setLeaving() // (2)
+	if b.entryHTTP != nil {
+		b.entryHTTP.SetKeepAlivesEnabled(false)
+	}
+	p := b.parts.Load()
+	if p != nil {
+		p.replica.Transfer()
+	}
+	if b.entryHTTP != nil {
+		time.Sleep(b.settings.BalancerLag)
+	}
+	err := b.drain(p) // (3)
+	b.Kill()          // (4)
+	return err
+}
+
+func (b *Box) drain(p *parts) error {
+	if b.entryHTTP == nil {
+		return nil
+	}
+	if p != nil {
+		p.entry.Stop()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), b.settings.StopTimeout)
+	defer cancel()
+	if err := b.entryHTTP.Shutdown(ctx); err != nil {
+		b.log.Warn("requests were cut off by the stop", zap.Error(err))
+		return Error.Wrap(err)
+	}
+	return nil
+}
+
+// Kill closes everything at once.
+func (b *Box) Kill() {
+	b.cancel()
+	for _, s := range []*http.Server{b.operatorHTTP, b.entryHTTP} {
+		if s == nil {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		if err := s.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
+			s.Close()
+		}
+		cancel()
+	}
+	b.peers.Close()
+	b.pool.Close()
+	b.wg.Wait()
+	if b.store != nil {
+		b.store.Close()
+	}
+}
--- /dev/null
+++ b/cmd/leverdrum/main.go
@@ -0,0 +1,10 @@
+// Command leverdrum is the operators' command.
+package main
+
+import (
+	"os"
+
+	"leverdrum/command"
+)
+
+func main() { os.Exit(command.Main(os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,376 @@
+// Package control is what only the leading box does: it watches the model
+// servers, decides placement, gives orders, repairs the voters, and keeps the
+// list of boxes.
+//
+// Rules for orders:
+//
+//  1. An order is agreed before it is sent, and sent only while the lease
+//     holds; the connection asks again right before the bytes leave.
+//  2. An order's id is its index in the log, so ids rise across leaders; it is
+//     the fence.
+//  3. To a server that checks fences an order without an answer is sent again
+//     under the same id. The server's answer closes it.
+//  4. To a server that does not, an order is sent once. Without an answer it
+//     stays open until it cannot arrive any more, and then the server's state,
+//     read after that, closes it.
+//  5. A new leader treats all open orders as sent and unanswered.
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"leverdrum/engine"
+	"leverdrum/fleet"
+	"leverdrum/ledger"
+	"leverdrum/membership"
+	"leverdrum/meter"
+	"leverdrum/placement"
+	"leverdrum/record"
+	"leverdrum/replica"
+	"leverdrum/spread"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+const (
+	// round is the time between two looks at everything.
+	round = 250 * time.Millisecond
+	// stateTimeout bounds reading one server's state.
+	stateTimeout = time.Second
+	// orderTimeout bounds one sending of an order; loads take long.
+	orderTimeout = 2 * time.Minute
+	// proposeTimeout bounds waiting for agreement.
+	proposeTimeout = 3 * time.Second
+	// downAfter is the silence after which a server counts as down.
+	downAfter = 3 * time.Second
+	// forgetBox is the silence after which a box is taken off the list, if a
+	// majority of all boxes is heard meanwhile.
+	forgetBox = time.Minute
+	// resendPause is the wait before an order is sent again (3).
+	resendPause = 500 * time.Millisecond
+)
+
+// Options make a Controller.
+type Options struct {
+	Replica     *replica.Replica
+	Spread      *spread.Spreader
+	Engines     func(address string) engine.Server
+	Demand      func() map[string]float64
+	Gone        func() map[string]bool
+	Wanted      int // voters
+	RepairAfter time.Duration
+	Records     *record.Book
+	Meters      *meter.Meters
+	Log         *zap.Logger
+}
+
+// Controller acts while its box leads.
+type Controller struct {
+	opts Options
+
+	mu       sync.Mutex
+	reports  map[string]report
+	reading  map[string]bool
+	sending  map[uint64]bool
+	short    map[string]string
+	leading  bool
+	ledSince time.Time
+	limiter  *rate.Limiter
+}
+
+type report struct {
+	state *engine.State
+	began time.Time // when the reading began
+}
+
+// New returns a controller; Run makes it work.
+func New(opts Options) *Controller {
+	return &Controller{opts: opts, reports: map[string]report{}, reading: map[string]bool{}, sending: map[uint64]bool{}, short: map[string]string{}}
+}
+
+// Run acts whenever the box leads, until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(round)
+	defer ticker.Stop()
+	for {
+		changed := c.opts.Replica.Changed()
+		c.step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-changed:
+		}
+	}
+}
+
+func (c *Controller) step(ctx context.Context) {
+	_, held := c.opts.Replica.Lease()
+	leads := held && c.opts.Replica.Status().Established
+	if leads != c.leading {
+		c.turn(leads)
+	}
+	if !leads {
+		return
+	}
+	c.repairVoters()
+	c.forgetBoxes(ctx)
+	view := c.opts.Replica.View()
+	if view.Fleet == nil {
+		return
+	}
+	c.readStates(ctx, view)
+	c.noteServers(ctx, c.opts.Replica.View())
+	c.decide(ctx, c.opts.Replica.View())
+	c.drive(ctx, c.opts.Replica.View())
+}
+
+// turn notes that the box began or ceased to lead.
+func (c *Controller) turn(leads bool) {
+	c.leading = leads
+	value := 0.0
+	if leads {
+		value = 1
+		c.ledSince = time.Now()
+		c.mu.Lock()
+		c.reports = map[string]report{}
+		c.mu.Unlock()
+		c.opts.Meters.Count(meter.Elections).Inc()
+	}
+	c.opts.Meters.Gauge(meter.Leads).Set(value)
+	c.opts.Log.Info("leadership changed", zap.Bool("leads", leads), zap.Uint64("term", c.opts.Replica.Status().Term))
+}
+
+func (c *Controller) propose(ctx context.Context, cmd *wire.Command) (state.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	return c.opts.Replica.Propose(ctx, cmd)
+}
+
+// repairVoters follows package membership.
+func (c *Controller) repairVoters() {
+	status := c.opts.Replica.Status()
+	in := membership.Input{
+		Self: c.opts.Replica.ID(), Voters: status.Voters, Wanted: c.opts.Wanted, RepairAfter: c.opts.RepairAfter,
+		Members: c.opts.Replica.View().Members, Silent: map[string]time.Duration{}, HoldsAll: status.Holding,
+		ReportAge: c.reportAges(),
+	}
+	now := c.opts.Replica.Now()
+	for id, at := range status.Heard {
+		in.Silent[id] = now - at
+	}
+	action := membership.Plan(in)
+	switch {
+	case action.Learn != "":
+		c.opts.Replica.Learn(action.Learn)
+	case action.Voters != nil:
+		if err := c.opts.Replica.ChangeVoters(action.Voters); err == nil {
+			c.opts.Log.Info("voters changed", zap.Strings("from", status.Voters), zap.Strings("to", action.Voters), zap.String("why", action.Reason))
+		}
+	}
+}
+
+func (c *Controller) reportAges() map[string]time.Duration {
+	ages := map[string]time.Duration{}
+	for _, h := range c.opts.Spread.Holdings() {
+		ages[h.Member] = time.Duration(h.AgeMs) * time.Millisecond
+	}
+	return ages
+}
+
+// forgetBoxes takes silent boxes off the list, but only while a majority of the
+// listed boxes is heard: else a cut-off leader could shrink the list until it
+// is the majority of what is left.
+func (c *Controller) forgetBoxes(ctx context.Context) {
+	if time.Since(c.ledSince) < forgetBox {
+		return
+	}
+	ages := c.reportAges()
+	members := c.opts.Replica.View().Members
+	heard := 0
+	var silent []*wire.Member
+	for _, m := range members {
+		if age, ok := ages[state.MemberID(m)]; ok && age < downAfter {
+			heard++
+		} else if !ok || age > forgetBox/2 {
+			silent = append(silent, m)
+		}
+	}
+	if heard <= len(members)/2 || len(silent) == 0 {
+		return
+	}
+	m := silent[0]
+	cmd := &wire.Command{Kind: &wire.Command_Leave{Leave: &wire.Leave{Box: m.Box, Incarnation: m.Incarnation}}}
+	if _, err := c.propose(ctx, cmd); err == nil {
+		c.opts.Log.Info("box taken off the list", zap.String("member", state.MemberID(m)))
+	}
+}
+
+// readStates begins to read the state of each server that is due. A server that
+// does not answer holds up nobody.
+func (c *Controller) readStates(ctx context.Context, view *state.State) {
+	for _, s := range view.Fleet.Servers {
+		c.mu.Lock()
+		due := !c.reading[s.Name] && time.Since(c.reports[s.Name].began) >= round
+		if due {
+			c.reading[s.Name] = true
+		}
+		c.mu.Unlock()
+		if due {
+			go c.readState(ctx, s)
+		}
+	}
+}
+
+func (c *Controller) readState(ctx context.Context, s *fleet.Server) {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	began := time.Now()
+	st, err := c.opts.Engines(s.Address).State(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.reading, s.Name)
+	if err == nil {
+		c.reports[s.Name] = report{st, began}
+	}
+}
+
+func (c *Controller) report(server string) (report, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.reports[server]
+	return r, ok
+}
+
+// noteServers puts changes of incarnation and leaving into the agreed state.
+func (c *Controller) noteServers(ctx context.Context, view *state.State) {
+	for _, s := range view.Fleet.SortedServers() {
+		r, ok := c.report(s.Name)
+		if !ok {
+			continue
+		}
+		known := view.Servers[s.Name]
+		if known.GetIncarnation() == r.state.Incarnation && known.GetLeaving() == r.state.Leaving {
+			continue
+		}
+		seen := &wire.ServerSeen{Server: s.Name, Incarnation: r.state.Incarnation, Leaving: r.state.Leaving, Residents: residents(s.Name, r.state)}
+		if _, err := c.propose(ctx, &wire.Command{Kind: &wire.Command_Server{Server: seen}}); err != nil {
+			return
+		}
+		c.opts.Records.Note(record.Server, s.Name, "incarnation "+r.state.Incarnation, "the server's own word")
+	}
+}
+
+func residents(server string, st *engine.State) []*wire.Resident {
+	var list []*wire.Resident
+	for _, r := range st.Residents {
+		if r.Loading {
+			continue
+		}
+		list = append(list, &wire.Resident{
+			Server: server, Accelerator: r.Accelerator, Memory: r.Memory, Phase: wire.Phase_PHASE_READY,
+			Item: &wire.Item{Model: r.Model, Adapter: r.Adapter, Version: r.Version},
+		})
+	}
+	return list
+}
+
+func (c *Controller) down(view *state.State) map[string]bool {
+	down := map[string]bool{}
+	gone := c.opts.Gone()
+	for name := range view.Fleet.Servers {
+		r, ok := c.report(name)
+		if gone[name] || ok && time.Since(r.began) > downAfter || !ok && time.Since(c.ledSince) > downAfter {
+			down[name] = true
+		}
+	}
+	return down
+}
+
+// decide issues what placement asks for, at the rate of the weight store.
+func (c *Controller) decide(ctx context.Context, view *state.State) {
+	plan := placement.Decide(placement.Input{State: view, Demand: c.opts.Demand(), Down: c.down(view)})
+	c.noteShortages(plan.Shortages)
+	for _, d := range plan.Decisions {
+		if d.Order.Action == wire.OrderAction_ORDER_LOAD && !c.allowLoad(view.Fleet) {
+			continue
+		}
+		d.Order.First = firstPlacement(c.opts.Replica.View(), d.Order)
+		result, err := c.propose(ctx, &wire.Command{Kind: &wire.Command_Issue{Issue: &wire.IssueOrder{Order: d.Order}}})
+		if err != nil {
+			return
+		}
+		c.noteOrder(d, result)
+	}
+}
+
+func (c *Controller) noteOrder(d placement.Decision, result state.Result) {
+	what := actionName(d.Order.Action) + " " + ledger.Describe(d.Order.Item) + " on " + d.Order.Server
+	if result.Err != nil {
+		what, d.Reason = "not issued: "+what, result.Err.Error()
+	}
+	c.opts.Records.Note(record.Model, nameOf(d.Order.Item), what, d.Reason)
+}
+
+func nameOf(i *wire.Item) string {
+	if i.Adapter != "" {
+		return i.Adapter
+	}
+	return i.Model
+}
+
+func (c *Controller) noteShortages(list []placement.Shortage) {
+	next := map[string]string{}
+	for _, s := range list {
+		next[s.Model] = s.Why
+		if c.short[s.Model] == "" {
+			c.opts.Records.Note(record.Model, s.Model, "not placed", s.Why)
+		}
+	}
+	c.short = next
+}
+
+// firstPlacement reports whether an item has never had a copy, so that loading
+// it is no move.
+func firstPlacement(view *state.State, o *wire.Order) bool {
+	for p := range view.Residents {
+		if p.Model == o.Item.Model && p.Adapter == o.Item.Adapter {
+			return false
+		}
+	}
+	return true
+}
+
+// allowLoad keeps loads to the rate of the weight store.
+func (c *Controller) allowLoad(f *fleet.Fleet) bool {
+	limit := rate.Limit(f.LoadsPerSecond)
+	if c.limiter == nil {
+		c.limiter = rate.NewLimiter(limit, f.LoadsAtOnce)
+	}
+	if c.limiter.Limit() != limit {
+		c.limiter.SetLimit(limit)
+	}
+	return c.limiter.Allow()
+}
+
+// drive sees to it that each open order comes to its end.
+func (c *Controller) drive(ctx context.Context, view *state.State) {
+	for id, o := range view.Orders {
+		s := view.Fleet.Servers[o.Server]
+		c.mu.Lock()
+		busy := c.sending[id]
+		if !busy && s != nil {
+			c.sending[id] = true
+		}
+		c.mu.Unlock()
+		if busy || s == nil {
+			continue
+		}
+		go c.finish(ctx, o, s)
+	}
+}
--- /dev/null
+++ b/control/orders.go
@@ -0,0 +1,144 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"leverdrum/engine"
+	"leverdrum/fleet"
+	"leverdrum/ledger"
+	"leverdrum/meter"
+	"leverdrum/wire"
+)
+
+func actionName(a wire.OrderAction) string {
+	if a == wire.OrderAction_ORDER_LOAD {
+		return engine.Load
+	}
+	return engine.Unload
+}
+
+// finish sends an order and closes it once its outcome is known. It gives up
+// when the box does not lead any more; the next leader goes on (5).
+func (c *Controller) finish(ctx context.Context, o *wire.Order, s *fleet.Server) {
+	defer func() {
+		c.mu.Lock()
+		delete(c.sending, o.Id)
+		c.mu.Unlock()
+	}()
+	mine := o.Term == c.opts.Replica.Status().Term
+	if s.Kind.ChecksFences {
+		c.finishFenced(ctx, o, s)
+		return
+	}
+	c.finishUnfenced(ctx, o, s, mine)
+}
+
+// finishFenced is rule 3.
+func (c *Controller) finishFenced(ctx context.Context, o *wire.Order, s *fleet.Server) {
+	for c.mayGoOn(ctx, o) {
+		out, err := c.send(ctx, o, s)
+		if err == nil {
+			c.close(ctx, o, out)
+			return
+		}
+		sleep(ctx, resendPause)
+	}
+}
+
+// finishUnfenced is rule 4.
+func (c *Controller) finishUnfenced(ctx context.Context, o *wire.Order, s *fleet.Server, mine bool) {
+	if mine {
+		out, err := c.send(ctx, o, s)
+		if err == nil {
+			c.close(ctx, o, out)
+			return
+		}
+		c.opts.Log.Warn("order without an answer", zap.Uint64("order", o.Id), zap.String("server", o.Server), zap.Error(err))
+	}
+	latest := time.Now().Add(s.Kind.OrderLate)
+	for c.mayGoOn(ctx, o) {
+		sleep(ctx, round)
+		r, ok := c.report(o.Server)
+		if !ok || r.began.Before(latest) || loading(r.state, o) {
+			continue
+		}
+		done := holds(r.state, o) == (o.Action == wire.OrderAction_ORDER_LOAD)
+		c.close(ctx, o, engine.Outcome{Done: done, Detail: "by the server's state"})
+		return
+	}
+}
+
+// mayGoOn reports whether the box still leads and the order is still open.
+func (c *Controller) mayGoOn(ctx context.Context, o *wire.Order) bool {
+	_, held := c.opts.Replica.Lease()
+	return ctx.Err() == nil && held && c.opts.Replica.View().Orders[o.Id] != nil
+}
+
+func (c *Controller) send(ctx context.Context, o *wire.Order, s *fleet.Server) (engine.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	out, err := c.opts.Engines(s.Address).Order(ctx, &engine.Order{
+		ID: o.Id, Incarnation: o.ServerIncarnation, Action: actionName(o.Action), Accelerator: o.Accelerator,
+		Model: o.Item.Model, Adapter: o.Item.Adapter, Version: o.Item.Version, Memory: o.Memory,
+	})
+	c.opts.Meters.Count(meter.Orders, actionName(o.Action), outcomeName(out, err)).Inc()
+	return out, err
+}
+
+func outcomeName(out engine.Outcome, err error) string {
+	switch {
+	case err != nil:
+		return "unknown"
+	case out.Done:
+		return "done"
+	}
+	return "not-run"
+}
+
+func (c *Controller) close(ctx context.Context, o *wire.Order, out engine.Outcome) {
+	outcome := wire.OrderOutcome_OUTCOME_NOT_RUN
+	if out.Done {
+		outcome = wire.OrderOutcome_OUTCOME_DONE
+	}
+	cmd := &wire.Command{Kind: &wire.Command_Close{Close: &wire.CloseOrder{Id: o.Id, Outcome: outcome, Detail: out.Detail}}}
+	for c.mayGoOn(ctx, o) {
+		if _, err := c.propose(ctx, cmd); err == nil {
+			return
+		}
+		sleep(ctx, resendPause)
+	}
+}
+
+func holds(st *engine.State, o *wire.Order) bool {
+	for _, r := range st.Residents {
+		if !r.Loading && placeOf(o.Server, r) == ledger.PlaceOf(o) {
+			return true
+		}
+	}
+	return false
+}
+
+func loading(st *engine.State, o *wire.Order) bool {
+	for _, r := range st.Residents {
+		if r.Loading && placeOf(o.Server, r) == ledger.PlaceOf(o) {
+			return true
+		}
+	}
+	return false
+}
+
+func placeOf(server string, r engine.Resident) ledger.Place {
+	return ledger.Place{Server: server, Accelerator: r.Accelerator, Model: r.Model, Adapter: r.Adapter, Version: r.Version}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,145 @@
+// Package daemon is the command line of a box: it reads the settings, starts
+// the box, and stops it on a signal.
+package daemon
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"leverdrum/box"
+	"leverdrum/certs"
+	"leverdrum/peer"
+	"leverdrum/settings"
+)
+
+// Main runs the daemon's command line and returns the exit status: 0 after a
+// planned stop, 1 when the box could not start or go on, 2 for a wrong command
+// line or faulty settings, 3 when a planned stop cut requests off.
+func Main() int {
+	commander := subcommands.NewCommander(flag.CommandLine, "leverdrumd")
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(&runCommand{}, "")
+	commander.Register(&checkCommand{}, "")
+	flag.Parse()
+	return int(commander.Execute(context.Background()))
+}
+
+// Exit statuses beside those of package subcommands.
+const exitCutOff subcommands.ExitStatus = 3
+
+func load(f *flag.FlagSet) (*settings.Settings, bool) {
+	if f.NArg() != 1 {
+		fmt.Fprintln(os.Stderr, "one settings file must be named")
+		return nil, false
+	}
+	s, err := settings.Load(f.Arg(0))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return nil, false
+	}
+	return s, true
+}
+
+type checkCommand struct{}
+
+func (*checkCommand) Name() string             { return "check" }
+func (*checkCommand) Synopsis() string         { return "check a settings file" }
+func (*checkCommand) Usage() string            { return "check FILE\n  Lists every fault of the file.\n" }
+func (*checkCommand) SetFlags(_ *flag.FlagSet) {}
+
+func (*checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if _, ok := load(f); !ok {
+		return subcommands.ExitUsageError
+	}
+	fmt.Println("ok")
+	return subcommands.ExitSuccess
+}
+
+type runCommand struct{}
+
+func (*runCommand) Name() string             { return "run" }
+func (*runCommand) Synopsis() string         { return "run the box of a settings file" }
+func (*runCommand) Usage() string            { return "run FILE\n  Runs until SIGTERM or SIGINT.\n" }
+func (*runCommand) SetFlags(_ *flag.FlagSet) {}
+
+func (*runCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	s, ok := load(f)
+	if !ok {
+		return subcommands.ExitUsageError
+	}
+	log := newLog(s)
+	defer func() { _ = log.Sync() }()
+	return run(s, log)
+}
+
+func newLog(s *settings.Settings) *zap.Logger {
+	config := zap.NewProductionConfig()
+	config.Level = zap.NewAtomicLevelAt(level(s.LogLevel))
+	config.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	config.DisableCaller, config.DisableStacktrace = true, true
+	log, err := config.Build()
+	if err != nil {
+		return zap.NewNop()
+	}
+	return log.With(zap.String("box", s.Box), zap.String("hall", s.Hall))
+}
+
+func level(name string) zapcore.Level {
+	l, err := zapcore.ParseLevel(name)
+	if err != nil {
+		return zapcore.InfoLevel
+	}
+	return l
+}
+
+func openTLS(s *settings.Settings, log *zap.Logger, done <-chan struct{}) (peer.TLS, error) {
+	if !s.TLS.On() {
+		if s.PlainAnywhere {
+			log.Warn("box-to-box and operators' traffic goes in plain text by [peer] plain-text = anywhere")
+		}
+		return peer.Plain{}, nil
+	}
+	source, err := certs.Open(certs.Files(s.TLS), log)
+	if err != nil {
+		return nil, err
+	}
+	go source.Watch(done)
+	return source, nil
+}
+
+func run(s *settings.Settings, log *zap.Logger) subcommands.ExitStatus {
+	done := make(chan struct{})
+	defer close(done)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	tls, err := openTLS(s, log, done)
+	if err != nil {
+		log.Error("cannot start", zap.Error(err))
+		return subcommands.ExitFailure
+	}
+	b, err := box.Start(s, tls, log)
+	if err != nil {
+		log.Error("cannot start", zap.Error(err))
+		return subcommands.ExitFailure
+	}
+	log.Info("started", zap.Strings("roles", s.Roles))
+	select {
+	case err := <-b.Fatal():
+		log.Error("cannot go on", zap.Error(err))
+		return subcommands.ExitFailure
+	case <-signals:
+	}
+	if err := b.Stop(); err != nil {
+		return exitCutOff
+	}
+	log.Info("stopped")
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,148 @@
+// Package entry takes callers' requests, chooses a backend server for each, and
+// answers with the whole answer or with a reason and an outcome.
+package entry
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"leverdrum/meter"
+	"leverdrum/proxy"
+	"leverdrum/reason"
+	"leverdrum/record"
+	"leverdrum/route"
+	"leverdrum/state"
+)
+
+// Headers of answers.
+const (
+	// HeaderOutcome carries the outcome of the request.
+	HeaderOutcome = "X-Leverdrum-Outcome"
+	// HeaderReason carries the code of a refusal.
+	HeaderReason = "X-Leverdrum-Reason"
+	// HeaderRequestID names the request; a caller may send its own.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderCaller names the caller, for fair shares.
+	HeaderCaller = "X-Caller"
+)
+
+// Options make an Entry.
+type Options struct {
+	Directory *route.Directory
+	View      func() *state.State
+	// Current reports whether the box may act on its configuration.
+	Current func() bool
+	Sender  *proxy.Sender
+	Meters  *meter.Meters
+	Records *record.Book
+	MaxBody int64
+}
+
+// Entry is the callers' side of a box.
+type Entry struct {
+	opts     Options
+	inFlight atomic.Int64
+	stopping atomic.Bool
+	router   chi.Router
+}
+
+// New returns an Entry.
+func New(opts Options) *Entry {
+	e := &Entry{opts: opts}
+	r := chi.NewRouter()
+	r.Post("/v1/chat/completions", e.chat)
+	r.Get("/v1/models", e.models)
+	r.HandleFunc("/services/{service}/*", e.service)
+	r.NotFound(func(w http.ResponseWriter, r *http.Request) { e.refuse(w, requestID(r), reason.UnknownPath, "") })
+	r.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) { e.refuse(w, requestID(r), reason.UnknownPath, "") })
+	e.router = r
+	return e
+}
+
+// ServeHTTP counts the request in and routes it.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	if e.stopping.Load() {
+		e.refuse(w, requestID(r), reason.Stopping, "")
+		return
+	}
+	e.router.ServeHTTP(w, r)
+}
+
+// InFlight returns the count of requests being served.
+func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
+
+// Stop refuses all further requests.
+func (e *Entry) Stop() { e.stopping.Store(true) }
+
+const maxRequestID = 128
+
+// requestID takes over the caller's id or draws one.
+func requestID(r *http.Request) string {
+	id := r.Header.Get(HeaderRequestID)
+	if id == "" || len(id) > maxRequestID {
+		return rand.Text()
+	}
+	return id
+}
+
+// ErrorBody is the body of every refusal.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail says what was refused and why.
+type ErrorDetail struct {
+	// Code is stable, see docs/REASONS.md.
+	Code string `json:"code"`
+	// Type is the outcome: not-run, failed or unknown.
+	Type string `json:"type"`
+	// Message is for people.
+	Message   string `json:"message"`
+	RequestID string `json:"request_id"`
+	// RetryAfter is in seconds, 0 when the request should not be repeated as it is.
+	RetryAfter int `json:"retry_after,omitempty"`
+}
+
+func errorBody(id string, why *reason.Reason, detail string) ErrorBody {
+	message := why.Title + " " + why.Text
+	if detail != "" {
+		message += " (" + detail + ")"
+	}
+	return ErrorBody{ErrorDetail{why.Code, string(why.Outcome), message, id, int(why.RetryAfter / time.Second)}}
+}
+
+// refuse answers at once with a reason.
+func (e *Entry) refuse(w http.ResponseWriter, id string, why *reason.Reason, detail string) {
+	e.opts.Meters.Refuse(why)
+	e.opts.Records.Note(record.Request, id, "refused: "+why.Code, why.Title+" "+detail)
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderRequestID, id)
+	h.Set(HeaderOutcome, string(why.Outcome))
+	h.Set(HeaderReason, why.Code)
+	if why.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(why.RetryAfter/time.Second)))
+	}
+	w.WriteHeader(why.Status)
+	// A caller that has gone does not read its answer; nothing is left to do then.
+	_ = json.NewEncoder(w).Encode(errorBody(id, why, detail))
+}
+
+// usable refuses what this box must not serve now, and returns the table.
+func (e *Entry) usable() (*route.Table, *reason.Reason) {
+	if e.opts.View().Fleet == nil {
+		return nil, reason.NoFleet
+	}
+	if !e.opts.Current() {
+		return nil, reason.NotCurrent
+	}
+	return e.opts.Directory.Table(), nil
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,304 @@
+// Package fleet reads and checks the operators' complete description of what is
+// to run where.
+package fleet
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"leverdrum/internal/conf"
+)
+
+// Fleet is a checked fleet file.
+type Fleet struct {
+	Number           uint64
+	AttainmentWeight float64
+	MoveWeight       float64
+	LoadsPerSecond   float64
+	LoadsAtOnce      int
+
+	Halls     map[string]*Hall
+	Classes   map[string]*Class
+	Servers   map[string]*Server
+	Models    map[string]*Model
+	Adapters  map[string]*Adapter
+	Services  map[string]*Service
+	Instances map[string]*Instance
+	kinds     map[string]*Kind
+}
+
+// Hall is a data hall.
+type Hall struct{ Name, Region string }
+
+// Class is a service class.
+type Class struct {
+	Name       string
+	Deadline   time.Duration
+	FirstToken time.Duration
+	Priority   int
+}
+
+// Kind is a kind of model server.
+type Kind struct {
+	Name         string
+	ChecksFences bool
+	OrderLate    time.Duration
+	Accelerators int
+	Memory       uint64 // bytes of one accelerator
+	KVReserve    uint64 // bytes of one accelerator
+	Concurrency  int
+}
+
+// Usable returns the bytes of one accelerator that models and adapters may take.
+func (k *Kind) Usable() uint64 { return k.Memory - k.KVReserve }
+
+// Server is a model server.
+type Server struct {
+	Name    string
+	Address string
+	Hall    string
+	Kind    *Kind
+	Leaving bool
+}
+
+// Model is a model.
+type Model struct {
+	Name      string
+	Version   string
+	Memory    uint64 // bytes
+	Class     *Class
+	Priority  int
+	Halls     []string
+	Copies    int
+	MaxCopies int
+	Expected  float64 // requests a second
+	Adapters  []*Adapter
+}
+
+// Footprint returns the bytes that one copy takes with all its adapters.
+func (m *Model) Footprint() uint64 {
+	sum := m.Memory
+	for _, a := range m.Adapters {
+		sum += a.Memory
+	}
+	return sum
+}
+
+// MayRunIn reports whether a copy may stand in the hall.
+func (m *Model) MayRunIn(hall string) bool {
+	return len(m.Halls) == 0 || slices.Contains(m.Halls, hall)
+}
+
+// Adapter is an adapter of a model.
+type Adapter struct {
+	Name    string
+	Model   string
+	Version string
+	Memory  uint64 // bytes
+}
+
+// Service is a plain service.
+type Service struct {
+	Name          string
+	Class         *Class
+	NonRepeatable []Call
+	KeyHeader     string
+	Instances     []*Instance
+}
+
+// Call names calls by method and path.
+type Call struct {
+	Method string
+	Path   string // without the trailing *
+	Prefix bool
+}
+
+// Covers reports whether the call is meant.
+func (c Call) Covers(method, path string) bool {
+	if c.Method != method {
+		return false
+	}
+	if c.Prefix {
+		return strings.HasPrefix(path, c.Path)
+	}
+	return path == c.Path
+}
+
+// Repeatable reports whether a call may be sent again when its outcome is not
+// known.
+func (s *Service) Repeatable(method, path string) bool {
+	return !slices.ContainsFunc(s.NonRepeatable, func(c Call) bool { return c.Covers(method, path) })
+}
+
+// Instance is a backend server of a service.
+type Instance struct {
+	Name        string
+	Service     string
+	Address     string
+	Hall        string
+	Leaving     bool
+	Concurrency int
+}
+
+// Digest names a file's content.
+func Digest(text []byte) string {
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:])
+}
+
+// Parse checks a fleet file; path is for the faults only. The error is
+// conf.Faults.
+func Parse(path string, text []byte) (*Fleet, error) {
+	d := conf.Read(path, text, Schema)
+	r := &reader{doc: d, fleet: newFleet()}
+	r.read()
+	if len(d.Faults()) == 0 {
+		r.checkRoom()
+	}
+	if faults := d.Faults(); len(faults) > 0 {
+		return nil, faults
+	}
+	return r.fleet, nil
+}
+
+func newFleet() *Fleet {
+	return &Fleet{
+		Halls: map[string]*Hall{}, Classes: map[string]*Class{}, kinds: map[string]*Kind{},
+		Servers: map[string]*Server{}, Models: map[string]*Model{}, Adapters: map[string]*Adapter{},
+		Services: map[string]*Service{}, Instances: map[string]*Instance{},
+	}
+}
+
+type reader struct {
+	doc   *conf.Document
+	fleet *Fleet
+}
+
+func (r *reader) read() {
+	head := r.doc.Part("fleet")
+	f := r.fleet
+	f.Number = uint64(head.Int("number"))
+	f.AttainmentWeight, f.MoveWeight = head.Float("attainment-weight"), head.Float("move-weight")
+	f.LoadsPerSecond, f.LoadsAtOnce = head.Float("loads-per-second"), head.Int("loads-at-once")
+	for _, p := range r.doc.Parts("hall") {
+		f.Halls[p.Name] = &Hall{p.Name, p.String("region")}
+	}
+	for _, p := range r.doc.Parts("class") {
+		f.Classes[p.Name] = &Class{p.Name, p.Duration("deadline"), p.Duration("first-token"), p.Int("priority")}
+	}
+	r.readServers()
+	r.readModels()
+	r.readServices()
+}
+
+func (r *reader) readServers() {
+	f := r.fleet
+	for _, p := range r.doc.Parts("kind") {
+		k := &Kind{
+			Name: p.Name, ChecksFences: p.Bool("checks-fences"), OrderLate: p.Duration("order-late"),
+			Accelerators: p.Int("accelerators"), Memory: p.Bytes("memory"), KVReserve: p.Bytes("kv-reserve"), Concurrency: p.Int("concurrency"),
+		}
+		if k.KVReserve >= k.Memory {
+			p.Fault("kv-reserve", "leaves no memory for models", "less than memory")
+		}
+		f.kinds[p.Name] = k
+	}
+	for _, p := range r.doc.Parts("server") {
+		s := &Server{Name: p.Name, Address: p.String("address"), Hall: p.String("hall"), Leaving: p.Bool("leaving")}
+		s.Kind = refer(p, "kind", f.kinds)
+		refer(p, "hall", f.Halls)
+		f.Servers[p.Name] = s
+	}
+}
+
+func (r *reader) readModels() {
+	f := r.fleet
+	for _, p := range r.doc.Parts("model") {
+		m := &Model{
+			Name: p.Name, Version: p.String("version"), Memory: p.Bytes("memory"), Class: refer(p, "class", f.Classes),
+			Priority: p.Int("priority"), Halls: p.List("halls"), Copies: p.Int("copies"), MaxCopies: p.Int("max-copies"), Expected: p.Float("expected"),
+		}
+		if m.MaxCopies < m.Copies {
+			p.Fault("max-copies", "is below copies", fmt.Sprintf("at least %d", m.Copies))
+		}
+		for _, hall := range m.Halls {
+			if f.Halls[hall] == nil {
+				p.Fault("halls", fmt.Sprintf("%q is no hall of this file", hall), names(f.Halls))
+			}
+		}
+		f.Models[p.Name] = m
+	}
+	for _, p := range r.doc.Parts("adapter") {
+		a := &Adapter{p.Name, p.String("model"), p.String("version"), p.Bytes("memory")}
+		if f.Models[p.Name] != nil {
+			p.Fault("", "a model has the same name", "a name of its own")
+		}
+		if m := refer(p, "model", f.Models); m != nil {
+			m.Adapters = append(m.Adapters, a)
+		}
+		f.Adapters[p.Name] = a
+	}
+}
+
+func (r *reader) readServices() {
+	f := r.fleet
+	for _, p := range r.doc.Parts("service") {
+		s := &Service{Name: p.Name, Class: refer(p, "class", f.Classes), KeyHeader: p.String("key-header")}
+		for _, text := range p.List("non-repeatable") {
+			c, ok := parseCall(text)
+			if !ok {
+				p.Fault("non-repeatable", fmt.Sprintf("%q names no call", text), "METHOD /path, METHOD /path*")
+			}
+			s.NonRepeatable = append(s.NonRepeatable, c)
+		}
+		f.Services[p.Name] = s
+	}
+	for _, p := range r.doc.Parts("instance") {
+		i := &Instance{
+			Name: p.Name, Service: p.String("service"), Address: p.String("address"), Hall: p.String("hall"),
+			Leaving: p.Bool("leaving"), Concurrency: p.Int("concurrency"),
+		}
+		refer(p, "hall", f.Halls)
+		if s := refer(p, "service", f.Services); s != nil {
+			s.Instances = append(s.Instances, i)
+		}
+		if f.Servers[p.Name] != nil {
+			p.Fault("", "a model server has the same name", "a name of its own")
+		}
+		f.Instances[p.Name] = i
+	}
+}
+
+func parseCall(text string) (Call, bool) {
+	method, path, ok := strings.Cut(text, " ")
+	path = strings.TrimSpace(path)
+	if !ok || method == "" || method != strings.ToUpper(method) || !strings.HasPrefix(path, "/") {
+		return Call{}, false
+	}
+	c := Call{Method: method, Path: path}
+	c.Path, c.Prefix = strings.CutSuffix(path, "*")
+	return c, true
+}
+
+// refer looks up the section that a key names and notes a fault if there is none.
+func refer[T any](p *conf.Part, key string, in map[string]*T) *T {
+	name := p.String(key)
+	if v := in[name]; v != nil || name == "" {
+		return v
+	}
+	p.Fault(key, fmt.Sprintf("%q is not in this file", name), names(in))
+	return nil
+}
+
+func names[T any](m map[string]*T) string {
+	const most = 8
+	list := sorted(m)
+	if len(list) > most {
+		return strings.Join(list[:most], ", ") + ", …"
+	}
+	return strings.Join(list, ", ")
+}
--- /dev/null
+++ b/fleet/schema.go
@@ -0,0 +1,63 @@
+package fleet
+
+import "leverdrum/internal/conf"
+
+// Schema is the table of all keys of a fleet file.
+var Schema = []conf.Section{
+	{Kind: "fleet", Required: true, Text: "The file as a whole.", Keys: []conf.Key{
+		{Name: "number", Type: conf.Int, Min: 1, Required: true, Text: "The file's number. A file replaces one of a lower number only."},
+		{Name: "attainment-weight", Type: conf.Float, Default: "1", Text: "Worth of one request a second answered in time."},
+		{Name: "move-weight", Type: conf.Float, Default: "1", Text: "Price of one move, in requests answered in time."},
+		{Name: "loads-per-second", Type: conf.Float, Default: "2", Min: 0.01, Text: "Loads that the weight store takes a second."},
+		{Name: "loads-at-once", Type: conf.Int, Default: "8", Min: 1, Text: "Loads that the weight store serves at full speed at once."},
+	}},
+	{Kind: "hall", Named: true, Text: "A data hall.", Keys: []conf.Key{
+		{Name: "region", Type: conf.Name, Default: "main", Text: "The region that it belongs to."},
+	}},
+	{Kind: "class", Named: true, Text: "A service class of requests.", Keys: []conf.Key{
+		{Name: "deadline", Type: conf.Duration, Required: true, Text: "Time from the arrival of a request to the end of its answer."},
+		{Name: "first-token", Type: conf.Duration, Default: "0s", Text: "Time to the first event of a stream; 0 means the deadline."},
+		{Name: "priority", Type: conf.Int, Default: "0", Text: "Higher goes first."},
+	}},
+	{Kind: "kind", Named: true, Text: "A kind of model server.", Keys: []conf.Key{
+		{Name: "checks-fences", Type: conf.Bool, Default: "false", Text: "Whether it refuses orders behind a newer one."},
+		{Name: "order-late", Type: conf.Duration, Default: "30s", Text: "How late an order may still arrive."},
+		{Name: "accelerators", Type: conf.Int, Default: "1", Min: 1, Text: "Accelerators in a server."},
+		{Name: "memory", Type: conf.Bytes, Required: true, Text: "Memory of one accelerator."},
+		{Name: "kv-reserve", Type: conf.Bytes, Default: "0B", Text: "Memory of one accelerator kept for KV cache."},
+		{Name: "concurrency", Type: conf.Int, Default: "16", Min: 1, Text: "Requests that one server batches well."},
+	}},
+	{Kind: "server", Named: true, Text: "A model server.", Keys: []conf.Key{
+		{Name: "address", Type: conf.Address, Required: true, Text: "Its address."},
+		{Name: "hall", Type: conf.Name, Required: true, Text: "The data hall that it stands in."},
+		{Name: "kind", Type: conf.Name, Required: true, Text: "Its kind."},
+		{Name: "leaving", Type: conf.Bool, Default: "false", Text: "Whether it is to get no new work."},
+	}},
+	{Kind: "model", Named: true, Text: "A model.", Keys: []conf.Key{
+		{Name: "version", Type: conf.Name, Required: true, Text: "The version to serve."},
+		{Name: "memory", Type: conf.Bytes, Required: true, Text: "Accelerator memory of one copy."},
+		{Name: "class", Type: conf.Name, Required: true, Text: "Service class of its requests."},
+		{Name: "priority", Type: conf.Int, Default: "0", Text: "Higher is placed first."},
+		{Name: "halls", Type: conf.Names, Default: "", Text: "Where it may run; none: anywhere."},
+		{Name: "copies", Type: conf.Int, Default: "1", Min: 1, Text: "Least number of copies."},
+		{Name: "max-copies", Type: conf.Int, Default: "4", Min: 1, Text: "Most copies."},
+		{Name: "expected", Type: conf.Float, Default: "0", Text: "Requests a second expected before any were seen."},
+	}},
+	{Kind: "adapter", Named: true, Text: "An adapter; it is resident beside each copy of its model.", Keys: []conf.Key{
+		{Name: "model", Type: conf.Name, Required: true, Text: "The model that it adapts."},
+		{Name: "version", Type: conf.Name, Required: true, Text: "The version to serve."},
+		{Name: "memory", Type: conf.Bytes, Required: true, Text: "Accelerator memory that it takes."},
+	}},
+	{Kind: "service", Named: true, Text: "A plain service, reached under /services/NAME/.", Keys: []conf.Key{
+		{Name: "class", Type: conf.Name, Required: true, Text: "Service class of its requests."},
+		{Name: "non-repeatable", Type: conf.Lines, Default: "", Text: "Calls that run at most once, as `METHOD /path`; a path ending in * covers what begins so."},
+		{Name: "key-header", Type: conf.Name, Default: "Idempotency-Key", Text: "Header that carries a caller's key."},
+	}},
+	{Kind: "instance", Named: true, Text: "A backend server of a service.", Keys: []conf.Key{
+		{Name: "service", Type: conf.Name, Required: true, Text: "The service that it serves."},
+		{Name: "address", Type: conf.Address, Required: true, Text: "Its address."},
+		{Name: "hall", Type: conf.Name, Required: true, Text: "The data hall that it stands in."},
+		{Name: "leaving", Type: conf.Bool, Default: "false", Text: "Whether it is to get no new work."},
+		{Name: "concurrency", Type: conf.Int, Default: "64", Min: 1, Text: "Requests that it serves well at once."},
+	}},
+}
--- /dev/null
+++ b/internal/conf/conf.go
@@ -0,0 +1,312 @@
+// Package conf reads INI files against a table of sections and keys, and finds
+// every fault of a file in one run.
+//
+// The tables are data: the same entries check a file and yield its page in the
+// docs.
+package conf
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Key describes one setting.
+type Key struct {
+	// Name is the key as it is written.
+	Name string
+	// Type says how the value is read.
+	Type Type
+	// Text tells an operator what the setting does.
+	Text string
+	// Default is the value when the key is left out.
+	Default string
+	// Required keys have no default.
+	Required bool
+	// Choices are the allowed values of the types Choice and Choices.
+	Choices []string
+	// Min is the least value of the numeric types.
+	Min float64
+}
+
+// Section describes one kind of section. A named kind is written
+// "[kind name]" and may come any number of times.
+type Section struct {
+	Kind string
+	Text string
+	// Named sections carry a name of their own.
+	Named bool
+	// Required sections must be in the file.
+	Required bool
+	Keys     []Key
+}
+
+// Fault is one thing wrong with a file.
+type Fault struct {
+	File    string `json:"file"`
+	Section string `json:"section"`
+	Key     string `json:"key,omitempty"`
+	Problem string `json:"problem"`
+	Allowed string `json:"allowed,omitempty"`
+}
+
+// String renders the fault on one line.
+func (f Fault) String() string {
+	var b strings.Builder
+	b.WriteString(f.File)
+	if f.Section != "" {
+		fmt.Fprintf(&b, ": [%s]", f.Section)
+	}
+	if f.Key != "" {
+		fmt.Fprintf(&b, " %s", f.Key)
+	}
+	fmt.Fprintf(&b, ": %s", f.Problem)
+	if f.Allowed != "" {
+		fmt.Fprintf(&b, " (allowed: %s)", f.Allowed)
+	}
+	return b.String()
+}
+
+// Faults is a list of faults that is an error.
+type Faults []Fault
+
+// Error lists the faults, one a line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, fault := range f {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Document is a file that was read, with the faults found so far.
+type Document struct {
+	file   string
+	parts  []*Part
+	faults Faults
+}
+
+// Part is one section of a document.
+type Part struct {
+	// Name is the section's own name, "" for kinds without.
+	Name string
+
+	doc    *Document
+	kind   Section
+	title  string
+	values map[string]any
+	set    map[string]bool
+}
+
+// MaxBytes bounds the size of a file.
+const MaxBytes = 4 << 20
+
+// Read checks data against the schema. The document always comes back; its
+// faults are in Faults.
+func Read(file string, data []byte, schema []Section) *Document {
+	d := &Document{file: file}
+	if len(data) > MaxBytes {
+		d.fault("", "", fmt.Sprintf("the file has %d bytes", len(data)), fmt.Sprintf("up to %d", MaxBytes))
+		return d
+	}
+	if bytes.IndexByte(data, 0) >= 0 {
+		d.fault("", "", "the file holds a zero byte", "text in UTF-8")
+		return d
+	}
+	raw, err := ini.LoadSources(ini.LoadOptions{
+		AllowNonUniqueSections:     true,
+		AllowShadows:               true,
+		SkipUnrecognizableLines:    false,
+		IgnoreInlineComment:        true,
+		UnescapeValueDoubleQuotes:  false,
+		AllowDuplicateShadowValues: true,
+	}, data)
+	if err != nil {
+		d.fault("", "", err.Error(), "sections, keys and values in INI")
+		return d
+	}
+	for _, s := range raw.Sections() {
+		d.section(s, schema)
+	}
+	d.missing(schema)
+	return d
+}
+
+func (d *Document) fault(section, key, problem, allowed string) {
+	d.faults = append(d.faults, Fault{d.file, section, key, problem, allowed})
+}
+
+// Faults returns all faults, nil when there is none.
+func (d *Document) Faults() Faults { return d.faults }
+
+// Fault adds a fault that the caller found in a part's key.
+func (p *Part) Fault(key, problem, allowed string) { p.doc.fault(p.title, key, problem, allowed) }
+
+// Fault adds a fault of the document as a whole.
+func (d *Document) Fault(problem, allowed string) { d.fault("", "", problem, allowed) }
+
+func (d *Document) section(s *ini.Section, schema []Section) {
+	title := s.Name()
+	if title == ini.DefaultSection {
+		if len(s.Keys()) > 0 {
+			d.fault("", s.Keys()[0].Name(), "a key before the first section", "keys inside a section")
+		}
+		return
+	}
+	kindName, name, _ := strings.Cut(title, " ")
+	i := slices.IndexFunc(schema, func(k Section) bool { return k.Kind == kindName })
+	if i < 0 {
+		d.fault(title, "", "unknown section", kinds(schema))
+		return
+	}
+	kind := schema[i]
+	name = strings.TrimSpace(name)
+	if kind.Named && !ValidName(name) {
+		d.fault(title, "", "the section needs a name", kind.Kind+" NAME, the name of letters, digits and . _ -")
+		return
+	}
+	if !kind.Named && name != "" {
+		d.fault(title, "", "the section takes no name", "["+kind.Kind+"]")
+		return
+	}
+	if slices.ContainsFunc(d.parts, func(p *Part) bool { return p.kind.Kind == kind.Kind && p.Name == name }) {
+		d.fault(title, "", "the section stands twice", "once")
+		return
+	}
+	d.parts = append(d.parts, d.part(s, kind, title, name))
+}
+
+func (d *Document) part(s *ini.Section, kind Section, title, name string) *Part {
+	p := &Part{Name: name, doc: d, kind: kind, title: title, values: map[string]any{}, set: map[string]bool{}}
+	for _, k := range s.Keys() {
+		i := slices.IndexFunc(kind.Keys, func(x Key) bool { return x.Name == k.Name() })
+		if i < 0 {
+			d.fault(title, k.Name(), "unknown key", keyNames(kind))
+			continue
+		}
+		p.set[k.Name()] = true
+		if len(k.ValueWithShadows()) > 1 {
+			d.fault(title, k.Name(), "the key stands twice", "once")
+			continue
+		}
+		p.read(kind.Keys[i], k.String())
+	}
+	for _, k := range kind.Keys {
+		if p.set[k.Name] {
+			continue
+		}
+		if k.Required {
+			d.fault(title, k.Name, "the key is missing", k.allowed())
+			continue
+		}
+		p.read(k, k.Default)
+	}
+	return p
+}
+
+func (p *Part) read(k Key, text string) {
+	if text == "" && !k.Required {
+		p.values[k.Name] = k.zero()
+		return
+	}
+	v, err := k.parse(text)
+	if err != nil {
+		p.Fault(k.Name, fmt.Sprintf("%q %s", text, err), k.allowed())
+		return
+	}
+	p.values[k.Name] = v
+}
+
+func (d *Document) missing(schema []Section) {
+	for _, k := range schema {
+		found := slices.ContainsFunc(d.parts, func(p *Part) bool { return p.kind.Kind == k.Kind })
+		if found || k.Named {
+			continue
+		}
+		if k.Required {
+			d.fault(k.Kind, "", "the section is missing", "")
+			continue
+		}
+		d.parts = append(d.parts, d.defaults(k))
+	}
+}
+
+// defaults stands in for an optional section that was left out.
+func (d *Document) defaults(k Section) *Part {
+	p := &Part{doc: d, kind: k, title: k.Kind, values: map[string]any{}, set: map[string]bool{}}
+	for _, key := range k.Keys {
+		if !key.Required {
+			p.read(key, key.Default)
+		}
+	}
+	return p
+}
+
+// Parts returns the sections of a kind in the order of the file.
+func (d *Document) Parts(kind string) []*Part {
+	var list []*Part
+	for _, p := range d.parts {
+		if p.kind.Kind == kind {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// Part returns the only section of a kind without names. One that is missing
+// although required comes back empty; its fault is noted already.
+func (d *Document) Part(kind string) *Part {
+	if list := d.Parts(kind); len(list) > 0 {
+		return list[0]
+	}
+	return &Part{doc: d, title: kind, values: map[string]any{}, set: map[string]bool{}}
+}
+
+// Set reports whether the file itself names the key.
+func (p *Part) Set(key string) bool { return p.set[key] }
+
+func get[T any](p *Part, key string) T {
+	v, _ := p.values[key].(T)
+	return v
+}
+
+// String returns the value of a Text, Name, Address or Choice key.
+func (p *Part) String(key string) string { return get[string](p, key) }
+
+// List returns the value of a key that lists several words.
+func (p *Part) List(key string) []string { return get[[]string](p, key) }
+
+// Duration returns the value of a Duration key.
+func (p *Part) Duration(key string) time.Duration { return get[time.Duration](p, key) }
+
+// Int returns the value of an Int key.
+func (p *Part) Int(key string) int { return get[int](p, key) }
+
+// Float returns the value of a Float key.
+func (p *Part) Float(key string) float64 { return get[float64](p, key) }
+
+// Bytes returns the value of a Bytes key.
+func (p *Part) Bytes(key string) uint64 { return get[uint64](p, key) }
+
+// Bool returns the value of a Bool key.
+func (p *Part) Bool(key string) bool { return get[bool](p, key) }
+
+func kinds(schema []Section) string {
+	var names []string
+	for _, s := range schema {
+		names = append(names, s.Kind)
+	}
+	return strings.Join(names, ", ")
+}
+
+func keyNames(s Section) string {
+	var names []string
+	for _, k := range s.Keys {
+		names = append(names, k.Name)
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/internal/conf/types.go
@@ -0,0 +1,184 @@
+package conf
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dustin/go-humanize"
+)
+
+// Type says how a value is written.
+type Type int
+
+// The types of values.
+const (
+	// Text is any text on one line.
+	Text Type = iota
+	// Name is of letters, digits and . _ -
+	Name
+	// Names is a list of names, separated by commas.
+	Names
+	// Address is an IP number and a port.
+	Address
+	// Addresses is a list of name=address, separated by commas.
+	Addresses
+	// Duration is a number with a unit, such as 250ms.
+	Duration
+	// Bytes is a number with a unit, such as 14GiB.
+	Bytes
+	// Int is a whole number.
+	Int
+	// Float is a number.
+	Float
+	// Bool is true or false.
+	Bool
+	// Choice is one of the key's choices.
+	Choice
+	// Choices is a list of the key's choices, separated by commas.
+	Choices
+	// Lines is a list of any texts, separated by commas.
+	Lines
+)
+
+var typeTexts = map[Type]string{
+	Text:      "text",
+	Name:      "letters, digits and . _ -",
+	Names:     "names, separated by commas",
+	Address:   "IP number:port",
+	Addresses: "name=IP number:port, separated by commas",
+	Duration:  "a duration such as 250ms or 2s",
+	Bytes:     "bytes with a unit, such as 14GiB",
+	Int:       "a whole number",
+	Float:     "a number",
+	Bool:      "true or false",
+	Lines:     "texts, separated by commas",
+}
+
+const maxName = 128
+
+// ValidName reports whether s can name a box, hall, model or the like.
+func ValidName(s string) bool {
+	if s == "" || len(s) > maxName {
+		return false
+	}
+	for _, c := range s {
+		ok := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || strings.ContainsRune("._-", c)
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
+
+func (k Key) allowed() string {
+	switch {
+	case k.Type == Choice:
+		return "one of " + strings.Join(k.Choices, ", ")
+	case k.Type == Choices:
+		return "of " + strings.Join(k.Choices, ", ")
+	case k.numeric():
+		return fmt.Sprintf("%s, at least %v", typeTexts[k.Type], k.Min)
+	}
+	return typeTexts[k.Type]
+}
+
+func (k Key) numeric() bool { return k.Type == Int || k.Type == Float }
+
+func (k Key) zero() any {
+	switch k.Type {
+	case Names, Addresses, Choices, Lines:
+		return []string(nil)
+	case Duration:
+		return time.Duration(0)
+	case Bytes:
+		return uint64(0)
+	case Int:
+		return 0
+	case Float:
+		return 0.0
+	case Bool:
+		return false
+	}
+	return ""
+}
+
+func (k Key) parse(text string) (any, error) {
+	switch k.Type {
+	case Name:
+		return text, check(ValidName(text), "is no name")
+	case Address:
+		return text, parseAddress(text)
+	case Choice:
+		return text, check(slices.Contains(k.Choices, text), "is unknown")
+	case Names, Choices, Addresses, Lines:
+		return k.parseList(text)
+	case Duration:
+		d, err := time.ParseDuration(text)
+		return d, check(err == nil && d >= 0, "is no duration")
+	case Bytes:
+		n, err := humanize.ParseBytes(text)
+		return n, check(err == nil, "is no size")
+	case Int:
+		n, err := strconv.Atoi(text)
+		return n, check(err == nil && float64(n) >= k.Min, "is out of range")
+	case Float:
+		f, err := strconv.ParseFloat(text, 64)
+		return f, check(err == nil && f >= k.Min && f < 1e18, "is out of range")
+	case Bool:
+		b, err := strconv.ParseBool(text)
+		return b, check(err == nil, "is neither true nor false")
+	}
+	return text, nil
+}
+
+func (k Key) parseList(text string) ([]string, error) {
+	var list []string
+	for item := range strings.SplitSeq(text, ",") {
+		item = strings.TrimSpace(item)
+		if item == "" {
+			continue
+		}
+		if slices.Contains(list, item) {
+			return nil, fmt.Errorf("names %q twice", item)
+		}
+		if err := k.checkItem(item); err != nil {
+			return nil, err
+		}
+		list = append(list, item)
+	}
+	return list, nil
+}
+
+func (k Key) checkItem(item string) error {
+	switch k.Type {
+	case Names:
+		return check(ValidName(item), "holds something that is no name")
+	case Choices:
+		return check(slices.Contains(k.Choices, item), "holds an unknown word")
+	case Addresses:
+		name, address, ok := strings.Cut(item, "=")
+		if !ok || !ValidName(name) {
+			return errors.New("holds something other than name=address")
+		}
+		return parseAddress(address)
+	}
+	return nil
+}
+
+// parseAddress takes IP numbers only: the boxes look up no names.
+func parseAddress(text string) error {
+	a, err := netip.ParseAddrPort(text)
+	return check(err == nil && a.IsValid(), "is no IP number with a port")
+}
+
+func check(ok bool, problem string) error {
+	if ok {
+		return nil
+	}
+	return errors.New(problem)
+}
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,199 @@
+// Package ledger counts the memory of each accelerator and says which orders
+// it leaves room for.
+//
+// Rules:
+//
+//  1. Counted is what is resident, being loaded, ordered and unanswered, or
+//     ordered away and not confirmed gone. Two versions of one model count both.
+//  2. An order is checked when it is agreed, in the order of the log, so that
+//     no two boxes can spend the same room.
+//  3. An item has one open order at a time. A server that does not check fences
+//     has one open order an accelerator.
+//  4. The last ready copy of an item that is wanted is not ordered away.
+//  5. An order names the incarnation of the server that it was decided for.
+package ledger
+
+import (
+	"fmt"
+
+	"github.com/zeebo/errs"
+
+	"leverdrum/fleet"
+	"leverdrum/wire"
+)
+
+// Error is the class of this package's errors: an order that must not be issued.
+var Error = errs.Class("ledger")
+
+// Place is where an item stands.
+type Place struct {
+	Server      string
+	Accelerator uint32
+	Model       string
+	Adapter     string
+	Version     string
+}
+
+// PlaceOf returns the place that an order is about.
+func PlaceOf(o *wire.Order) Place {
+	return Place{o.Server, o.Accelerator, o.Item.GetModel(), o.Item.GetAdapter(), o.Item.GetVersion()}
+}
+
+// PlaceOfResident returns the place of a resident item.
+func PlaceOfResident(r *wire.Resident) Place {
+	return Place{r.Server, r.Accelerator, r.Item.GetModel(), r.Item.GetAdapter(), r.Item.GetVersion()}
+}
+
+// Book is what an order is checked against.
+type Book struct {
+	Fleet     *fleet.Fleet
+	Servers   map[string]*wire.ServerState
+	Residents map[Place]*wire.Resident
+	Orders    map[uint64]*wire.Order
+}
+
+// Used returns the bytes counted on an accelerator (1).
+func (b *Book) Used(server string, accelerator uint32) uint64 {
+	sum := uint64(0)
+	for p, r := range b.Residents {
+		if p.Server == server && p.Accelerator == accelerator {
+			sum += r.Memory
+		}
+	}
+	return sum
+}
+
+// Check says why an order must not be issued, nil when it may be (2).
+func (b *Book) Check(o *wire.Order) error {
+	s := b.server(o.Server)
+	if s == nil {
+		return Error.New("server %s is not in the fleet", o.Server)
+	}
+	if seen := b.Servers[o.Server]; seen.GetIncarnation() == "" || seen.Incarnation != o.ServerIncarnation { // (5)
+		return Error.New("server %s is not known under incarnation %q", o.Server, o.ServerIncarnation)
+	}
+	if int(o.Accelerator) >= s.Kind.Accelerators {
+		return Error.New("server %s has no accelerator %d", o.Server, o.Accelerator)
+	}
+	if err := b.checkOpen(s, o); err != nil {
+		return err
+	}
+	if o.Action == wire.OrderAction_ORDER_LOAD {
+		return b.checkLoad(s, o)
+	}
+	return b.checkUnload(o)
+}
+
+func (b *Book) server(name string) *fleet.Server {
+	if b.Fleet == nil {
+		return nil
+	}
+	return b.Fleet.Servers[name]
+}
+
+// checkOpen is rule 3.
+func (b *Book) checkOpen(s *fleet.Server, o *wire.Order) error {
+	place := PlaceOf(o)
+	for _, open := range b.Orders {
+		if open.Server != o.Server || open.Accelerator != o.Accelerator {
+			continue
+		}
+		if PlaceOf(open) == place || !s.Kind.ChecksFences {
+			return Error.New("order %d is open on accelerator %d of server %s", open.Id, open.Accelerator, open.Server)
+		}
+	}
+	return nil
+}
+
+func (b *Book) checkLoad(s *fleet.Server, o *wire.Order) error {
+	if s.Leaving || b.Servers[o.Server].Leaving {
+		return Error.New("server %s is leaving", o.Server)
+	}
+	if b.Residents[PlaceOf(o)] != nil {
+		return Error.New("%s is resident there already", Describe(o.Item))
+	}
+	if o.Memory == 0 {
+		return Error.New("%s has no size", Describe(o.Item))
+	}
+	used := b.Used(o.Server, o.Accelerator)
+	if usable := s.Kind.Usable(); used > usable || o.Memory > usable-used {
+		return Error.New("accelerator %d of server %s has %d of %d bytes counted, %s takes %d", o.Accelerator, o.Server, used, usable, Describe(o.Item), o.Memory)
+	}
+	return b.checkBase(o)
+}
+
+// checkBase wants an adapter's model ready on the same accelerator.
+func (b *Book) checkBase(o *wire.Order) error {
+	if o.Item.Adapter == "" {
+		return nil
+	}
+	for p, r := range b.Residents {
+		if p.Server == o.Server && p.Accelerator == o.Accelerator && p.Model == o.Item.Model && p.Adapter == "" && r.Phase == wire.Phase_PHASE_READY {
+			return nil
+		}
+	}
+	return Error.New("model %s is not ready beside %s", o.Item.Model, Describe(o.Item))
+}
+
+func (b *Book) checkUnload(o *wire.Order) error {
+	r := b.Residents[PlaceOf(o)]
+	if r == nil {
+		return Error.New("%s is not resident there", Describe(o.Item))
+	}
+	if r.Phase != wire.Phase_PHASE_READY {
+		return Error.New("%s is not ready there", Describe(o.Item))
+	}
+	if b.Wanted(o.Item) && !b.ReadyElsewhere(PlaceOf(o)) { // (4)
+		return Error.New("%s has no other ready copy", Describe(o.Item))
+	}
+	return nil
+}
+
+// Wanted reports whether the fleet file names the item's model or adapter, in
+// whatever version.
+func (b *Book) Wanted(item *wire.Item) bool {
+	if item.Adapter != "" {
+		return b.Fleet.Adapters[item.Adapter] != nil
+	}
+	return b.Fleet.Models[item.Model] != nil
+}
+
+// ReadyElsewhere reports whether another copy of the item is ready on a server
+// that takes work. A copy of an old version is replaced by one of the wanted
+// version only.
+func (b *Book) ReadyElsewhere(place Place) bool {
+	for p, r := range b.Residents {
+		if p == place || r.Phase != wire.Phase_PHASE_READY || p.Model != place.Model || p.Adapter != place.Adapter {
+			continue
+		}
+		if p.Version != b.version(place) {
+			continue
+		}
+		if s := b.server(p.Server); s != nil && !s.Leaving && !b.Servers[p.Server].GetLeaving() {
+			return true
+		}
+	}
+	return false
+}
+
+// version returns the version that the fleet file wants of a place's item.
+func (b *Book) version(p Place) string {
+	if p.Adapter != "" {
+		if a := b.Fleet.Adapters[p.Adapter]; a != nil {
+			return a.Version
+		}
+		return ""
+	}
+	if m := b.Fleet.Models[p.Model]; m != nil {
+		return m.Version
+	}
+	return ""
+}
+
+// Describe names an item in a message.
+func Describe(i *wire.Item) string {
+	if i.GetAdapter() != "" {
+		return fmt.Sprintf("adapter %s@%s", i.Adapter, i.Version)
+	}
+	return fmt.Sprintf("model %s@%s", i.GetModel(), i.GetVersion())
+}
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,134 @@
+// Package meter holds the metrics of a box. The table below is the only place
+// where a metric is defined; the docs are made from it.
+package meter
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"leverdrum/reason"
+)
+
+// Kind is a metric's kind.
+type Kind string
+
+// The kinds.
+const (
+	Counter   Kind = "counter"
+	Gauge     Kind = "gauge"
+	Histogram Kind = "histogram"
+)
+
+// Metric describes one metric.
+type Metric struct {
+	Name   string
+	Kind   Kind
+	Text   string
+	Labels []string
+}
+
+// The metrics.
+var (
+	Refusals     = Metric{"leverdrum_refusals_total", Counter, "Refusals by reason; see the table of reasons.", []string{"reason"}}
+	RetriesMade  = Metric{"leverdrum_retries_total", Counter, "Requests sent once more, by reason.", []string{"reason"}}
+	RetriesSpent = Metric{"leverdrum_retries_denied_total", Counter, "Retries that the budget did not allow.", nil}
+	Requests     = Metric{"leverdrum_requests_total", Counter, "Requests by class and outcome.", []string{"class", "outcome"}}
+	InTime       = Metric{"leverdrum_requests_in_time_total", Counter, "Requests answered whole within the deadline of their class.", []string{"class"}}
+	Duration     = Metric{"leverdrum_request_seconds", Histogram, "Time from arrival to the end of the answer.", []string{"class"}}
+	InFlight     = Metric{"leverdrum_requests_in_flight", Gauge, "Requests being served.", nil}
+	StateIndex   = Metric{"leverdrum_state_index", Gauge, "Index of the agreed state in force on this box.", nil}
+	FleetNumber  = Metric{"leverdrum_fleet_number", Gauge, "Number of the fleet file in force on this box.", nil}
+	Leads        = Metric{"leverdrum_leads", Gauge, "1 on the box that leads.", nil}
+	Current      = Metric{"leverdrum_current", Gauge, "1 while the box may act on its configuration.", nil}
+	Elections    = Metric{"leverdrum_leaderships_total", Counter, "Times that this box became leader.", nil}
+	Orders       = Metric{"leverdrum_orders_total", Counter, "Orders to model servers by action and outcome.", []string{"action", "outcome"}}
+	Ejections    = Metric{"leverdrum_ejections_total", Counter, "Times that a backend server was taken out for failing.", nil}
+	PeerBytes    = Metric{"leverdrum_peer_bytes_total", Counter, "Bytes between boxes, by direction.", []string{"direction"}}
+	PeerCalls    = Metric{"leverdrum_peer_messages_total", Counter, "Messages between boxes, by direction.", []string{"direction"}}
+	Claims       = Metric{"leverdrum_claims_total", Counter, "Claims on keyed calls by verdict.", []string{"verdict"}}
+)
+
+// All returns the table.
+func All() []Metric {
+	return []Metric{
+		Refusals, RetriesMade, RetriesSpent, Requests, InTime, Duration, InFlight, StateIndex, FleetNumber,
+		Leads, Current, Elections, Orders, Ejections, PeerBytes, PeerCalls, Claims,
+	}
+}
+
+// Meters are the metrics of one box.
+type Meters struct {
+	registry   *prometheus.Registry
+	counters   map[string]*prometheus.CounterVec
+	gauges     map[string]*prometheus.GaugeVec
+	histograms map[string]*prometheus.HistogramVec
+}
+
+// durationBuckets are in seconds.
+var durationBuckets = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 30, 60}
+
+// New registers all metrics, and shows each reason's counter from the start.
+func New() *Meters {
+	m := &Meters{
+		registry: prometheus.NewRegistry(), counters: map[string]*prometheus.CounterVec{},
+		gauges: map[string]*prometheus.GaugeVec{}, histograms: map[string]*prometheus.HistogramVec{},
+	}
+	for _, d := range All() {
+		m.register(d)
+	}
+	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	for _, r := range reason.All() {
+		if r.Audience == reason.Retries {
+			m.Count(RetriesMade, r.Code).Add(0)
+			continue
+		}
+		m.Count(Refusals, r.Code).Add(0)
+	}
+	return m
+}
+
+func (m *Meters) register(d Metric) {
+	switch d.Kind {
+	case Counter:
+		v := prometheus.NewCounterVec(prometheus.CounterOpts{Name: d.Name, Help: d.Text}, d.Labels)
+		m.registry.MustRegister(v)
+		m.counters[d.Name] = v
+	case Gauge:
+		v := prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: d.Name, Help: d.Text}, d.Labels)
+		m.registry.MustRegister(v)
+		m.gauges[d.Name] = v
+	case Histogram:
+		v := prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: d.Name, Help: d.Text, Buckets: durationBuckets}, d.Labels)
+		m.registry.MustRegister(v)
+		m.histograms[d.Name] = v
+	}
+}
+
+// Count returns a counter.
+func (m *Meters) Count(d Metric, labels ...string) prometheus.Counter {
+	return m.counters[d.Name].WithLabelValues(labels...)
+}
+
+// Gauge returns a gauge.
+func (m *Meters) Gauge(d Metric, labels ...string) prometheus.Gauge {
+	return m.gauges[d.Name].WithLabelValues(labels...)
+}
+
+// Observe returns a histogram's observer.
+func (m *Meters) Observe(d Metric, labels ...string) prometheus.Observer {
+	return m.histograms[d.Name].WithLabelValues(labels...)
+}
+
+// Refuse counts a refusal.
+func (m *Meters) Refuse(r *reason.Reason) { m.Count(Refusals, r.Code).Inc() }
+
+// Retry counts a retry.
+func (m *Meters) Retry(r *reason.Reason) { m.Count(RetriesMade, r.Code).Inc() }
+
+// Handler serves the metrics.
+func (m *Meters) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/proxy/proxy.go
@@ -0,0 +1,262 @@
+// Package proxy sends one request to one backend server and says what became
+// of it.
+//
+// Rules:
+//
+//  1. An attempt is sent at most once. The transport is kept from sending it
+//     again: each request has a body that it cannot rewind.
+//  2. Not run is claimed only when no connection was had, so that no byte can
+//     have left, or when the backend server itself says so.
+//  3. An answer counts as whole when its length or its last chunk came, and a
+//     stream only with its last event besides.
+//  4. An answer that names another attempt is not this one's and is dropped
+//     with its connection.
+//  5. Calls that may not be repeated go on new connections, because one that
+//     was kept may be dead already, and then the outcome would be unknown.
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"leverdrum/engine"
+	"leverdrum/reason"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("proxy")
+
+const (
+	dialTimeout = time.Second
+	idleTimeout = 30 * time.Second
+	// idlePerHost is how many idle connections are kept to a backend server.
+	idlePerHost = 256
+	// bufferLimit is the size in bytes up to which an answer is read whole
+	// before it is passed on.
+	bufferLimit = 1 << 20
+)
+
+// Attempt is one sending of a request.
+type Attempt struct {
+	ID      string
+	Method  string
+	Address string
+	// Path holds the query too.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Once marks a call that may not be repeated (5).
+	Once bool
+}
+
+// Answer is what came back. Either Body is the whole body, or Rest still has to
+// be read and closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Rest   io.ReadCloser
+	// Stream tells that Rest is a stream of events.
+	Stream bool
+}
+
+// Failure says why there is no answer.
+type Failure struct {
+	Outcome reason.Outcome
+	Reason  *reason.Reason
+	Cause   error
+}
+
+// Error returns the cause.
+func (f *Failure) Error() string { return f.Reason.Code + ": " + f.Cause.Error() }
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Cause }
+
+// Sender sends attempts.
+type Sender struct {
+	kept  *http.Transport
+	fresh *http.Transport
+}
+
+// NewSender returns a sender with its own connections.
+func NewSender() *Sender {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	base := http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true,
+		MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout, ForceAttemptHTTP2: false,
+	}
+	fresh := base.Clone()
+	fresh.DisableKeepAlives = true
+	return &Sender{kept: base.Clone(), fresh: fresh}
+}
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Connection",
+}
+
+// PassHeaders copies the headers that are for the other end.
+func PassHeaders(to, from http.Header) {
+	named := strings.Split(from.Get("Connection"), ",")
+	for k, v := range from {
+		to[k] = v
+	}
+	for _, k := range hopHeaders {
+		to.Del(k)
+	}
+	for _, k := range named {
+		to.Del(strings.TrimSpace(k))
+	}
+}
+
+// onceBody is a body that the transport cannot rewind (1).
+type onceBody struct{ *bytes.Reader }
+
+// Close does nothing.
+func (onceBody) Close() error { return nil }
+
+// Send sends the attempt and waits for the answer, or its beginning if it is a
+// stream or large. The context bounds the reading of Rest too.
+func (s *Sender) Send(ctx context.Context, a *Attempt) (*Answer, *Failure) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), a.Method, "http://"+a.Address+a.Path, onceBody{bytes.NewReader(a.Body)})
+	if err != nil {
+		return nil, &Failure{reason.NotRun, reason.BadRequest, Error.Wrap(err)}
+	}
+	req.ContentLength = int64(len(a.Body))
+	PassHeaders(req.Header, a.Header)
+	req.Header.Set(engine.HeaderID, a.ID)
+	transport := s.kept
+	if a.Once {
+		transport = s.fresh // (5)
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return nil, classify(err, connected.Load())
+	}
+	return s.receive(a, resp)
+}
+
+// classify is rule 2.
+func classify(err error, connected bool) *Failure {
+	switch {
+	case !connected:
+		return &Failure{reason.NotRun, reason.NotReached, Error.Wrap(err)}
+	case errors.Is(err, context.DeadlineExceeded):
+		return &Failure{reason.Unknown, reason.BackendLate, Error.Wrap(err)}
+	}
+	return &Failure{reason.Unknown, reason.BackendBroke, Error.Wrap(err)}
+}
+
+func (s *Sender) receive(a *Attempt, resp *http.Response) (*Answer, *Failure) {
+	if id := resp.Header.Get(engine.HeaderID); id != "" && id != a.ID { // (4)
+		resp.Body.Close()
+		return nil, &Failure{reason.Unknown, reason.BackendBroke, Error.New("the answer is of attempt %q", id)}
+	}
+	if resp.Header.Get(engine.HeaderRan) == "true" {
+		resp.Body.Close()
+		return nil, &Failure{reason.NotRun, reason.BackendRefused, Error.New("the backend server answered %d, not run", resp.StatusCode)}
+	}
+	answer := &Answer{Status: resp.StatusCode, Header: http.Header{}}
+	PassHeaders(answer.Header, resp.Header)
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		answer.Rest, answer.Stream = resp.Body, true
+		return answer, nil
+	}
+	return s.buffer(resp, answer)
+}
+
+// buffer reads an answer whole if it is small (3).
+func (s *Sender) buffer(resp *http.Response, answer *Answer) (*Answer, *Failure) {
+	if resp.ContentLength > bufferLimit {
+		answer.Rest = resp.Body
+		return answer, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, bufferLimit+1))
+	if err != nil {
+		resp.Body.Close()
+		return nil, classify(err, true)
+	}
+	if len(body) > bufferLimit {
+		answer.Rest = joined{io.MultiReader(bytes.NewReader(body), resp.Body), resp.Body}
+		return answer, nil
+	}
+	resp.Body.Close()
+	answer.Body = body
+	return answer, nil
+}
+
+type joined struct {
+	io.Reader
+	io.Closer
+}
+
+// ErrTruncated: the stream ended without its last event.
+var ErrTruncated = Error.New("the stream ended without its last event")
+
+const copyBuffer = 16 << 10
+
+// CopyRest passes the rest of an answer on as it comes. The answer was whole
+// only if no error comes back (3).
+func CopyRest(w http.ResponseWriter, answer *Answer) error {
+	defer answer.Rest.Close()
+	flusher := http.NewResponseController(w)
+	buf := make([]byte, copyBuffer)
+	var tail tail
+	for {
+		n, err := answer.Rest.Read(buf)
+		if n > 0 {
+			tail.add(buf[:n])
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return Error.Wrap(errors.Join(ErrCallerGone, werr))
+			}
+			if answer.Stream {
+				flusher.Flush()
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return tail.judge(answer.Stream)
+		}
+		if err != nil {
+			return Error.Wrap(err)
+		}
+	}
+}
+
+// ErrCallerGone: the caller hung up.
+var ErrCallerGone = errors.New("the caller hung up")
+
+// tail keeps the last bytes of a stream.
+type tail struct{ last []byte }
+
+const tailLength = 32
+
+func (t *tail) add(b []byte) {
+	if len(b) >= tailLength {
+		t.last = append(t.last[:0], b[len(b)-tailLength:]...)
+		return
+	}
+	t.last = append(t.last, b...)
+	if over := len(t.last) - tailLength; over > 0 {
+		t.last = t.last[over:]
+	}
+}
+
+func (t *tail) judge(stream bool) error {
+	if !stream || bytes.HasSuffix(bytes.TrimSpace(t.last), []byte(engine.StreamDone)) {
+		return nil
+	}
+	return ErrTruncated
+}
--- /dev/null
+++ b/replica/follow.go
@@ -0,0 +1,67 @@
+package replica
+
+import (
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+// maxUpdateBytes bounds the entries of one update, in bytes.
+const maxUpdateBytes = 1 << 20
+
+// Since returns what a box that has applied index lacks: entries, or the whole
+// state when the entries are not kept any more. Both are empty when it lacks
+// nothing.
+func (r *Replica) Since(index uint64) (entries []*wire.Entry, snapshot *wire.State, err error) {
+	err = r.ask(func() error {
+		if index >= r.master.Index {
+			return nil
+		}
+		first := r.master.Index + 1 - uint64(len(r.recent))
+		if index+1 < first {
+			snapshot = r.master.Encode()
+			return nil
+		}
+		entries = limitBytes(r.recent[index+1-first:])
+		return nil
+	})
+	return entries, snapshot, err
+}
+
+func limitBytes(entries []*wire.Entry) []*wire.Entry {
+	size := 0
+	for i, e := range entries {
+		size += len(e.Data)
+		if i > 0 && size > maxUpdateBytes {
+			return append([]*wire.Entry(nil), entries[:i]...)
+		}
+	}
+	return append([]*wire.Entry(nil), entries...)
+}
+
+// Advance takes over agreed entries or a whole agreed state from a parent. What
+// the box has already is passed over.
+func (r *Replica) Advance(entries []*wire.Entry, snapshot *wire.State) error {
+	var next *state.State
+	if snapshot != nil {
+		st, err := state.Decode(snapshot)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		next = st
+	}
+	return r.ask(func() error {
+		if next != nil {
+			r.jumpTo(next)
+		}
+		before := r.master.Index
+		for _, e := range entries {
+			if e.Index == r.master.Index+1 {
+				r.applyOne(e)
+			}
+		}
+		if r.master.Index > before {
+			r.publish()
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/replica/replica.go
@@ -0,0 +1,538 @@
+// Package replica runs one member: it feeds the consensus core with time and
+// messages, makes durable what the core asks for, applies what is agreed, and
+// answers those who wait for it.
+//
+// A box without a vote runs a replica too. It gets the agreed entries from its
+// parent (package spread) and, while it is being made a voter, from the leader;
+// whichever comes first counts, since both carry the same entries.
+package replica
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"leverdrum/consensus"
+	"leverdrum/state"
+	"leverdrum/wal"
+	"leverdrum/wire"
+)
+
+// Storage keeps what must survive a restart. A box without a disk uses Memory.
+type Storage interface {
+	// Append makes a batch durable, or keeps nothing and returns wal.ErrFull,
+	// or fails for good.
+	Append(*wire.Batch) error
+	// SaveSnapshot replaces the log up to the snapshot.
+	SaveSnapshot(snapshot *wire.Snapshot, hard *wire.HardState, tail []*wire.Entry) error
+	// Reload reads again what is durable.
+	Reload() error
+	// Loaded returns what was durable at the last Reload.
+	Loaded() wal.Loaded
+	// Room reports whether so many more bytes can be kept.
+	Room(bytes int64) bool
+}
+
+// Options make a replica.
+type Options struct {
+	Core    consensus.Options
+	Storage Storage
+	// Send passes a message on; it must not block.
+	Send func(*wire.Message)
+	// CompactAfter is the count of log entries that a snapshot is taken at.
+	CompactAfter int
+	// Fatal is called once when the process must not go on.
+	Fatal func(error)
+	Log   *zap.Logger
+}
+
+const (
+	// tick is the time between two looks at the clock.
+	tick = 10 * time.Millisecond
+	// queueLength bounds the events that wait for the loop.
+	queueLength = 4096
+	// batchLength bounds the events that share one write to the disk.
+	batchLength = 256
+	// recentLength is how many agreed entries are kept for boxes that follow.
+	recentLength = 2048
+	// reserve is the room in bytes that a proposal must leave in the folder, for
+	// votes and the entries of other leaders.
+	reserve = 64 << 10
+	// fullPause is the wait before a member whose disk was full reads its folder
+	// and takes part again.
+	fullPause = time.Second
+)
+
+// Replica is one running member.
+type Replica struct {
+	opts   Options
+	start  time.Time
+	core   *consensus.Node
+	master *state.State
+	events chan func()
+	stop   chan struct{}
+	done   chan struct{}
+
+	waiting   map[uint64]*proposal
+	reads     map[uint64]chan error
+	nextToken uint64
+	pausedTil time.Time
+	recent    []*wire.Entry
+
+	view    atomic.Pointer[state.State]
+	status  atomic.Pointer[Status]
+	changed atomic.Pointer[chan struct{}]
+}
+
+type proposal struct {
+	term   uint64
+	answer chan outcome
+}
+
+type outcome struct {
+	result state.Result
+	err    error
+}
+
+// Status is what a replica knows of the agreement.
+type Status struct {
+	Role   consensus.Role
+	Term   uint64
+	Leader string
+	Commit uint64
+	Voters []string
+	// LeaseFrom is when the leader's last answered round was sent, on the
+	// replica's own clock (Now); LeaseHeld is false for others.
+	LeaseFrom time.Duration
+	LeaseHeld bool
+	// Established leaders have an agreed entry of their own term.
+	Established bool
+	// Heard maps peers to when they were heard last; Holding to whether they
+	// hold all that is agreed. Both are filled on a leader only.
+	Heard   map[string]time.Duration
+	Holding map[string]bool
+}
+
+// New starts a replica from what its storage holds.
+func New(opts Options) (*Replica, error) {
+	r := &Replica{
+		opts: opts, start: time.Now(),
+		events: make(chan func(), queueLength), stop: make(chan struct{}), done: make(chan struct{}),
+		waiting: map[uint64]*proposal{}, reads: map[uint64]chan error{},
+	}
+	if err := r.restore(); err != nil {
+		return nil, err
+	}
+	first := make(chan struct{})
+	r.changed.Store(&first)
+	r.view.Store(r.master.Clone())
+	r.publishStatus()
+	go r.run()
+	return r, nil
+}
+
+// restore builds core and state from the storage. The agreed state that is in
+// memory already is kept: it never reverts.
+func (r *Replica) restore() error {
+	l := r.opts.Storage.Loaded()
+	restored, err := decodeSnapshot(l.Snapshot)
+	if err != nil {
+		return err
+	}
+	if r.master == nil || restored.Index > r.master.Index {
+		r.master = restored
+	}
+	r.core = consensus.New(r.opts.Core, r.Now(), l.Hard, l.Snapshot, l.Entries)
+	return nil
+}
+
+func decodeSnapshot(s *wire.Snapshot) (*state.State, error) {
+	if len(s.GetState()) == 0 {
+		st := state.New()
+		st.Index = s.GetIndex()
+		return st, nil
+	}
+	w := &wire.State{}
+	if err := proto.Unmarshal(s.State, w); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	st, err := state.Decode(w)
+	return st, Error.Wrap(err)
+}
+
+// Now returns the time on the replica's monotonic clock.
+func (r *Replica) Now() time.Duration { return time.Since(r.start) }
+
+// ID returns the member's id.
+func (r *Replica) ID() string { return r.opts.Core.ID }
+
+// View returns the newest agreed state that this box has applied. It must not
+// be changed.
+func (r *Replica) View() *state.State { return r.view.Load() }
+
+// Status returns what is known of the agreement.
+func (r *Replica) Status() *Status { return r.status.Load() }
+
+// Changed returns a channel that is closed at the next change of View.
+func (r *Replica) Changed() <-chan struct{} { return *r.changed.Load() }
+
+// Lease returns how long ago this box was last certain to lead, and whether
+// it still is. It is to be asked last thing before an act that only a leader
+// may do.
+func (r *Replica) Lease() (time.Duration, bool) {
+	s := r.Status()
+	age := r.Now() - s.LeaseFrom
+	return age, s.LeaseHeld && age < r.opts.Core.Lease
+}
+
+// Receive hands a peer's message to the core.
+func (r *Replica) Receive(m *wire.Message) {
+	r.post(func() { r.core.Receive(r.Now(), m) })
+}
+
+// post queues an event; it drops it when the loop is far behind, as a network
+// would.
+func (r *Replica) post(f func()) bool {
+	select {
+	case r.events <- f:
+		return true
+	case <-r.stop:
+	default:
+	}
+	return false
+}
+
+// Propose puts a command into the log and waits until it is applied here. The
+// errors ErrNotLeader and ErrFull tell that it was not proposed; ErrUnknown
+// tells that it may or may not become agreed.
+func (r *Replica) Propose(ctx context.Context, c *wire.Command) (state.Result, error) {
+	c.UnixMs = time.Now().UnixMilli()
+	data, err := proto.Marshal(c)
+	if err != nil {
+		return state.Result{}, Error.Wrap(err)
+	}
+	p := &proposal{answer: make(chan outcome, 1)}
+	if !r.post(func() { r.propose(data, p) }) {
+		return state.Result{}, ErrBusy
+	}
+	select {
+	case o := <-p.answer:
+		return o.result, o.err
+	case <-ctx.Done():
+		return state.Result{}, ErrUnknown
+	case <-r.done:
+		return state.Result{}, ErrUnknown
+	}
+}
+
+func (r *Replica) propose(data []byte, p *proposal) {
+	if !r.opts.Storage.Room(reserve + int64(len(data))) {
+		p.answer <- outcome{err: ErrFull}
+		return
+	}
+	index, term, err := r.core.Propose(data)
+	if err != nil {
+		p.answer <- outcome{err: ErrNotLeader}
+		return
+	}
+	p.term = term
+	r.waiting[index] = p
+}
+
+// Barrier returns once View is at least as new as everything that was agreed
+// when it was called. It fails on a box that does not lead.
+func (r *Replica) Barrier(ctx context.Context) error {
+	answer := make(chan error, 1)
+	ok := r.post(func() {
+		r.nextToken++
+		if err := r.core.Read(r.nextToken); err != nil {
+			answer <- ErrNotLeader
+			return
+		}
+		r.reads[r.nextToken] = answer
+	})
+	if !ok {
+		return ErrBusy
+	}
+	select {
+	case err := <-answer:
+		return err
+	case <-ctx.Done():
+		return ErrUnknown
+	case <-r.done:
+		return ErrNotLeader
+	}
+}
+
+// ChangeVoters starts a change of the voters.
+func (r *Replica) ChangeVoters(voters []string) error {
+	return r.ask(func() error { return r.core.ChangeVoters(voters) })
+}
+
+// Learn makes the leader send the log to a member without a vote.
+func (r *Replica) Learn(id string) {
+	r.post(func() { r.core.Learn(id) })
+}
+
+// Unlearn ends what Learn began.
+func (r *Replica) Unlearn(id string) {
+	r.post(func() { r.core.Unlearn(id) })
+}
+
+// Transfer hands leadership over, if this box has it.
+func (r *Replica) Transfer() {
+	r.post(func() { r.core.Transfer() })
+}
+
+func (r *Replica) ask(f func() error) error {
+	answer := make(chan error, 1)
+	if !r.post(func() { answer <- f() }) {
+		return ErrBusy
+	}
+	select {
+	case err := <-answer:
+		return Error.Wrap(err)
+	case <-r.done:
+		return ErrNotLeader
+	}
+}
+
+// Close stops the replica without handing anything over.
+func (r *Replica) Close() {
+	close(r.stop)
+	<-r.done
+}
+
+func (r *Replica) run() {
+	defer close(r.done)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.stop:
+			return
+		case <-ticker.C:
+		case f := <-r.events:
+			f()
+			r.drain()
+		}
+		if time.Now().Before(r.pausedTil) {
+			continue
+		}
+		r.core.Tick(r.Now())
+		if err := r.settle(); err != nil {
+			r.opts.Fatal(err)
+			return
+		}
+	}
+}
+
+func (r *Replica) drain() {
+	for range batchLength {
+		select {
+		case f := <-r.events:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// settle carries out the core's effects in the order that they need.
+func (r *Replica) settle() error {
+	out := r.core.Take()
+	if err := r.persist(&out); err != nil {
+		if errors.Is(err, wal.ErrFull) {
+			return r.withdraw(err)
+		}
+		return err
+	}
+	for _, m := range out.Messages {
+		r.opts.Send(m)
+	}
+	if err := r.applyTo(out.Commit); err != nil {
+		return err
+	}
+	r.answerReads(&out)
+	r.publishStatus()
+	return r.compact()
+}
+
+func (r *Replica) persist(out *consensus.Output) error {
+	if out.Snapshot != nil {
+		return r.installSnapshot(out)
+	}
+	if out.Hard == nil && len(out.Entries) == 0 {
+		return nil
+	}
+	return r.opts.Storage.Append(&wire.Batch{Entries: out.Entries, HardState: out.Hard})
+}
+
+func (r *Replica) installSnapshot(out *consensus.Output) error {
+	st, err := decodeSnapshot(out.Snapshot)
+	if err != nil {
+		return err
+	}
+	hard := out.Hard
+	if hard == nil {
+		hard = &wire.HardState{Term: r.core.Term(), Vote: r.core.Vote()}
+	}
+	if err := r.opts.Storage.SaveSnapshot(out.Snapshot, hard, out.Entries); err != nil {
+		return err
+	}
+	r.jumpTo(st)
+	return nil
+}
+
+// jumpTo takes over a newer state as a whole.
+func (r *Replica) jumpTo(st *state.State) {
+	if st.Index <= r.master.Index {
+		return
+	}
+	r.master = st
+	r.recent = nil
+	r.publish()
+}
+
+// withdraw takes the member out until its disk has room, and then lets it start
+// again from what is durable, as after a crash.
+func (r *Replica) withdraw(cause error) error {
+	r.opts.Log.Warn("data folder full, member paused", zap.Error(cause))
+	r.failWaiting()
+	r.pausedTil = time.Now().Add(fullPause)
+	if err := r.opts.Storage.Reload(); err != nil {
+		return err
+	}
+	if err := r.restore(); err != nil {
+		return err
+	}
+	r.publishStatus()
+	return nil
+}
+
+func (r *Replica) failWaiting() {
+	for index, p := range r.waiting {
+		p.answer <- outcome{err: ErrUnknown}
+		delete(r.waiting, index)
+	}
+	for token, answer := range r.reads {
+		answer <- ErrNotLeader
+		delete(r.reads, token)
+	}
+}
+
+// applyTo applies what the core holds as agreed and the state has not seen yet.
+func (r *Replica) applyTo(commit uint64) error {
+	before := r.master.Index
+	for r.master.Index < commit {
+		e := r.core.Entry(r.master.Index + 1)
+		if e == nil {
+			return Error.New("the agreed entry %d is missing", r.master.Index+1)
+		}
+		r.applyOne(e)
+	}
+	r.dropStale()
+	if r.master.Index > before {
+		r.publish()
+	}
+	return nil
+}
+
+func (r *Replica) applyOne(e *wire.Entry) {
+	result := r.master.Apply(e)
+	r.remember(e)
+	p := r.waiting[e.Index]
+	if p == nil {
+		return
+	}
+	delete(r.waiting, e.Index)
+	if p.term != e.Term {
+		p.answer <- outcome{err: ErrUnknown}
+		return
+	}
+	p.answer <- outcome{result: result}
+}
+
+// dropStale tells those whose proposal cannot be watched any more: the box
+// leads no longer and another leader decides what becomes of it.
+func (r *Replica) dropStale() {
+	if r.core.Role() == consensus.Leader || len(r.waiting) == 0 {
+		return
+	}
+	for index, p := range r.waiting {
+		p.answer <- outcome{err: ErrUnknown}
+		delete(r.waiting, index)
+	}
+}
+
+func (r *Replica) remember(e *wire.Entry) {
+	r.recent = append(r.recent, e)
+	if len(r.recent) >= 2*recentLength {
+		r.recent = append([]*wire.Entry(nil), r.recent[recentLength:]...)
+	}
+}
+
+func (r *Replica) answerReads(out *consensus.Output) {
+	for _, ready := range out.Reads {
+		if answer := r.reads[ready.Token]; answer != nil {
+			delete(r.reads, ready.Token)
+			answer <- nil
+		}
+	}
+	for _, token := range out.DroppedReads {
+		if answer := r.reads[token]; answer != nil {
+			delete(r.reads, token)
+			answer <- ErrNotLeader
+		}
+	}
+}
+
+// publish shows the new state to readers and wakes those who wait for it.
+func (r *Replica) publish() {
+	r.view.Store(r.master.Clone())
+	next := make(chan struct{})
+	close(*r.changed.Swap(&next))
+}
+
+func (r *Replica) publishStatus() {
+	now := r.Now()
+	s := &Status{
+		Role: r.core.Role(), Term: r.core.Term(), Leader: r.core.Leader(), Commit: r.core.Commit(),
+		Voters: r.core.Config().Voters, Established: r.core.Established(),
+	}
+	if age, held := r.core.LeaseAge(now); held {
+		s.LeaseFrom, s.LeaseHeld = now-age, true
+	}
+	if s.Role == consensus.Leader {
+		s.Heard, s.Holding = map[string]time.Duration{}, map[string]bool{}
+		for _, id := range r.core.Peers() {
+			ago, holds := r.core.Heard(id)
+			s.Heard[id], s.Holding[id] = now-ago, holds
+		}
+	}
+	r.status.Store(s)
+}
+
+func (r *Replica) compact() error {
+	if r.core.LogLength() < r.opts.CompactAfter || r.core.Commit() != r.master.Index {
+		return nil
+	}
+	data, err := proto.Marshal(r.master.Encode())
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	snapshot, err := r.core.Compact(r.master.Index, data)
+	if err != nil {
+		return nil // nothing new to compact
+	}
+	hard := &wire.HardState{Term: r.core.Term(), Vote: r.core.Vote()}
+	err = r.opts.Storage.SaveSnapshot(snapshot, hard, r.core.Tail())
+	if errors.Is(err, wal.ErrFull) {
+		return r.withdraw(err)
+	}
+	return err
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,312 @@
+// Package route chooses the backend server for a request.
+//
+// Rules:
+//
+//  1. A backend that leaves, by whichever word, gets nothing new.
+//  2. An ejected backend gets nothing until its time is up, unless all are
+//     ejected.
+//  3. Of two backends drawn at random the one with less work for its size is
+//     taken. Drawing two keeps the boxes from running together to the one that
+//     looked idle in an old report.
+//  4. Work is counted from this box's own requests in flight, which it knows at
+//     once, plus what the backend reported beyond them, which lags.
+//  5. A backend in this box's own hall is preferred while its load is about the
+//     same.
+package route
+
+import (
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"leverdrum/fleet"
+	"leverdrum/ledger"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+// Backend is one backend server as this box sees it. Its counters live on from
+// table to table.
+type Backend struct {
+	Name        string
+	Address     string
+	Hall        string
+	Concurrency int
+
+	inFlight     atomic.Int64
+	reported     atomic.Int64 // work of others, from the last report
+	ejectedUntil atomic.Int64 // unix nanoseconds
+	failures     atomic.Int32 // in a row
+	leaving      atomic.Bool
+}
+
+// Begin counts a request in; the returned function counts it out.
+func (b *Backend) Begin() (end func()) {
+	b.inFlight.Add(1)
+	return func() { b.inFlight.Add(-1) }
+}
+
+// InFlight returns this box's own requests in flight.
+func (b *Backend) InFlight() int64 { return b.inFlight.Load() }
+
+// Report takes over what the backend says it runs and queues (4).
+func (b *Backend) Report(work int) { b.reported.Store(max(0, int64(work)-b.inFlight.Load())) }
+
+// SetLeaving takes over the backend's own or the platform's word.
+func (b *Backend) SetLeaving(v bool) { b.leaving.Store(v) }
+
+// load is the work for the backend's size (4).
+func (b *Backend) load() float64 {
+	return float64(b.inFlight.Load()+b.reported.Load()) / float64(b.Concurrency)
+}
+
+const (
+	// ejectAfter is how many failures in a row take a backend out.
+	ejectAfter = 3
+	// ejectFor is how long it stays out the first time; it doubles from time to
+	// time up to ejectMost.
+	ejectFor  = 500 * time.Millisecond
+	ejectMost = 30 * time.Second
+)
+
+// Failed notes a failure, and reports whether it took the backend out (2).
+func (b *Backend) Failed(now time.Time) bool {
+	n := b.failures.Add(1)
+	if n < ejectAfter {
+		return false
+	}
+	out := min(ejectFor<<min(n-ejectAfter, 8), ejectMost)
+	b.ejectedUntil.Store(now.Add(out).UnixNano())
+	return true
+}
+
+// Succeeded notes an answer.
+func (b *Backend) Succeeded() { b.failures.Store(0) }
+
+func (b *Backend) ejected(now time.Time) bool { return b.ejectedUntil.Load() > now.UnixNano() }
+
+// Target is what a request may go to.
+type Target struct {
+	Name     string
+	Class    *fleet.Class
+	Service  *fleet.Service // nil for models
+	Backends []*Backend
+}
+
+// Table maps names to targets. It does not change.
+type Table struct {
+	Models   map[string]*Target // models and adapters
+	Services map[string]*Target
+	Index    uint64
+}
+
+// Directory makes tables and keeps the backends between them.
+type Directory struct {
+	hall string
+
+	mu       sync.Mutex
+	backends map[string]*Backend
+	gone     map[string]bool // machines that leave, by the platform's list
+	table    atomic.Pointer[Table]
+}
+
+// NewDirectory returns an empty directory for a box in the hall.
+func NewDirectory(hall string) *Directory {
+	d := &Directory{hall: hall, backends: map[string]*Backend{}, gone: map[string]bool{}}
+	d.table.Store(&Table{})
+	return d
+}
+
+// Table returns the newest table.
+func (d *Directory) Table() *Table { return d.table.Load() }
+
+// Backends returns the backends of the newest table.
+func (d *Directory) Backends() map[string]*Backend {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := make(map[string]*Backend, len(d.backends))
+	for k, v := range d.backends {
+		m[k] = v
+	}
+	return m
+}
+
+// SetGone takes over the platform's word on who leaves, and reports whether it
+// changed.
+func (d *Directory) SetGone(names map[string]bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed := !maps.Equal(d.gone, names)
+	d.gone = names
+	return changed
+}
+
+// Gone returns the machines that leave, by the platform's list. The map must
+// not be changed.
+func (d *Directory) Gone() map[string]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gone
+}
+
+// Update makes a table from the agreed state.
+func (d *Directory) Update(view *state.State) {
+	if view.Fleet == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refresh(view.Fleet)
+	t := &Table{Models: map[string]*Target{}, Services: map[string]*Target{}, Index: view.Index}
+	for name, m := range view.Fleet.Models {
+		t.Models[name] = &Target{Name: name, Class: m.Class}
+	}
+	for name, a := range view.Fleet.Adapters {
+		t.Models[name] = &Target{Name: name, Class: view.Fleet.Models[a.Model].Class}
+	}
+	for name, s := range view.Fleet.Services {
+		t.Services[name] = d.serviceTarget(name, s)
+	}
+	d.placeResidents(t, view)
+	d.table.Store(t)
+}
+
+// refresh makes the list of backends match the fleet file.
+func (d *Directory) refresh(f *fleet.Fleet) {
+	next := map[string]*Backend{}
+	for name, s := range f.Servers {
+		next[name] = d.keep(name, s.Address, s.Hall, s.Kind.Concurrency)
+	}
+	for name, i := range f.Instances {
+		next[name] = d.keep(name, i.Address, i.Hall, i.Concurrency)
+	}
+	d.backends = next
+}
+
+func (d *Directory) keep(name, address, hall string, concurrency int) *Backend {
+	if b := d.backends[name]; b != nil && b.Address == address && b.Hall == hall && b.Concurrency == concurrency {
+		return b
+	}
+	return &Backend{Name: name, Address: address, Hall: hall, Concurrency: concurrency}
+}
+
+func (d *Directory) serviceTarget(name string, s *fleet.Service) *Target {
+	t := &Target{Name: name, Class: s.Class, Service: s}
+	for _, i := range s.Instances {
+		if !i.Leaving && !d.gone[i.Name] {
+			t.Backends = append(t.Backends, d.backends[i.Name])
+		}
+	}
+	return t
+}
+
+// placeResidents lists, under each model and adapter, the servers where it is
+// ready. Copies of an old version serve until one of the wanted is ready.
+func (d *Directory) placeResidents(t *Table, view *state.State) {
+	wanted := map[string]bool{}
+	for p, r := range view.Residents {
+		if d.serves(view, p, r) && p.Version == wantedVersion(view.Fleet, p) {
+			wanted[nameOf(p)] = true
+		}
+	}
+	for p, r := range view.Residents {
+		target := t.Models[nameOf(p)]
+		if target == nil || !d.serves(view, p, r) {
+			continue
+		}
+		if wanted[nameOf(p)] && p.Version != wantedVersion(view.Fleet, p) {
+			continue
+		}
+		target.Backends = append(target.Backends, d.backends[p.Server])
+	}
+}
+
+func nameOf(p ledger.Place) string {
+	if p.Adapter != "" {
+		return p.Adapter
+	}
+	return p.Model
+}
+
+func wantedVersion(f *fleet.Fleet, p ledger.Place) string {
+	if a := f.Adapters[p.Adapter]; a != nil {
+		return a.Version
+	}
+	if m := f.Models[p.Model]; m != nil && p.Adapter == "" {
+		return m.Version
+	}
+	return ""
+}
+
+func (d *Directory) serves(view *state.State, p ledger.Place, r *wire.Resident) bool {
+	s := view.Fleet.Servers[p.Server]
+	if r.Phase != wire.Phase_PHASE_READY || s == nil || s.Leaving { // (1)
+		return false
+	}
+	return !view.Servers[p.Server].GetLeaving() && !d.gone[p.Server]
+}
+
+// hallBonus is how much more load, as a share of its size, a backend in the
+// own hall may have and still be preferred (5).
+const hallBonus = 0.1
+
+// Choose picks a backend, nil when none may be taken. Backends in tried are
+// passed over.
+func (d *Directory) Choose(t *Target, now time.Time, tried []*Backend) *Backend {
+	if b := d.draw(t.Backends, now, tried, false); b != nil {
+		return b
+	}
+	return d.draw(t.Backends, now, tried, true) // (2)
+}
+
+func (d *Directory) draw(list []*Backend, now time.Time, tried []*Backend, ejectedToo bool) *Backend {
+	if len(list) == 0 {
+		return nil
+	}
+	may := func(b *Backend) bool {
+		return !b.leaving.Load() && !contains(tried, b) && (ejectedToo || !b.ejected(now))
+	}
+	first := firstFrom(list, rand.IntN(len(list)), nil, may)
+	second := firstFrom(list, rand.IntN(len(list)), first, may)
+	if first == nil || second == nil {
+		return first
+	}
+	return d.less(first, second) // (3)
+}
+
+// firstFrom returns the first backend that may be taken, beginning at start and
+// passing over one.
+func firstFrom(list []*Backend, start int, not *Backend, may func(*Backend) bool) *Backend {
+	for i := range list {
+		b := list[(start+i)%len(list)]
+		if b != not && may(b) {
+			return b
+		}
+	}
+	return nil
+}
+
+func (d *Directory) less(a, b *Backend) *Backend {
+	loadA, loadB := a.load(), b.load()
+	if a.Hall == d.hall && b.Hall != d.hall { // (5)
+		loadA -= hallBonus
+	}
+	if b.Hall == d.hall && a.Hall != d.hall {
+		loadB -= hallBonus
+	}
+	if loadB < loadA {
+		return b
+	}
+	return a
+}
+
+func contains(list []*Backend, b *Backend) bool {
+	for _, x := range list {
+		if x == b {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,216 @@
+// Package settings reads the INI file of one box.
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"leverdrum/internal/conf"
+)
+
+// Roles of a box.
+const (
+	// RoleControl boxes keep the agreed state in a data folder.
+	RoleControl = "control"
+	// RoleEntry boxes take callers' requests.
+	RoleEntry = "entry"
+)
+
+// Schema is the table of all settings of a box.
+var Schema = []conf.Section{
+	{Kind: "box", Required: true, Text: "Who this box is.", Keys: []conf.Key{
+		{Name: "name", Type: conf.Name, Required: true, Text: "The box's name, unlike that of all others."},
+		{Name: "hall", Type: conf.Name, Required: true, Text: "The data hall that it stands in."},
+		{Name: "roles", Type: conf.Choices, Choices: []string{RoleControl, RoleEntry}, Default: "entry", Text: "What it does. `control` needs a data folder."},
+	}},
+	{Kind: "cluster", Required: true, Text: "Whom it belongs to.", Keys: []conf.Key{
+		{Name: "name", Type: conf.Name, Required: true, Text: "The cluster's name; boxes of another one are refused."},
+		{Name: "first-members", Type: conf.Names, Required: true, Text: "The control boxes that form the cluster together once, when all of them are new."},
+		{Name: "boxes", Type: conf.Addresses, Required: true, Text: "Box-to-box addresses known at the start: the control boxes at least."},
+	}},
+	{Kind: "peer", Required: true, Text: "Box-to-box traffic.", Keys: []conf.Key{
+		{Name: "listen", Type: conf.Address, Required: true, Text: "Where other boxes reach this one."},
+		{Name: "plain-text", Type: conf.Choice, Choices: []string{"loopback", "anywhere"}, Default: "loopback", Text: "Where box-to-box and operators' traffic may go without TLS."},
+	}},
+	{Kind: "entry", Text: "Callers' traffic.", Keys: []conf.Key{
+		{Name: "listen", Type: conf.Address, Default: "", Text: "Where callers reach this box; needed by the role entry."},
+		{Name: "max-body", Type: conf.Bytes, Default: "8MiB", Text: "Largest body of a request."},
+		{Name: "header-timeout", Type: conf.Duration, Default: "5s", Text: "How long a caller may take to send the headers."},
+		{Name: "balancer-lag", Type: conf.Duration, Default: "3s", Text: "How long requests are still taken after the readiness check failed at a planned stop."},
+		{Name: "stop-timeout", Type: conf.Duration, Default: "10m", Text: "How long a planned stop waits for requests in flight."},
+	}},
+	{Kind: "operator", Text: "Operators' traffic, metrics and health.", Keys: []conf.Key{
+		{Name: "listen", Type: conf.Address, Required: true, Text: "Where operators reach this box."},
+	}},
+	{Kind: "data", Text: "The data folder.", Keys: []conf.Key{
+		{Name: "folder", Type: conf.Text, Default: "", Text: "Folder for the agreed state; needed by the role control."},
+		{Name: "limit", Type: conf.Bytes, Default: "1GiB", Text: "Most bytes that the folder may take; beyond, applies are refused."},
+		{Name: "compact-after", Type: conf.Int, Default: "1024", Min: 8, Text: "Log entries after which a snapshot is taken."},
+	}},
+	{Kind: "tls", Text: "Certificates for box-to-box and operators' traffic. Read again when the files change.", Keys: []conf.Key{
+		{Name: "certificate", Type: conf.Text, Default: "", Text: "File with this box's certificate; its name must be the box's."},
+		{Name: "key", Type: conf.Text, Default: "", Text: "File with the certificate's key."},
+		{Name: "authority", Type: conf.Text, Default: "", Text: "File with the certificates that peers and operators are checked against."},
+	}},
+	{Kind: "platform", Text: "The platform's list of live and leaving machines.", Keys: []conf.Key{
+		{Name: "address", Type: conf.Address, Default: "", Text: "Where the list is read; none: no list."},
+		{Name: "every", Type: conf.Duration, Default: "1s", Text: "Time between two reads."},
+	}},
+	{Kind: "timing", Text: "Timings of agreement; the same on all boxes.", Keys: []conf.Key{
+		{Name: "election", Type: conf.Duration, Default: "600ms", Text: "Least time without a leader before another is elected."},
+		{Name: "heartbeat", Type: conf.Duration, Default: "100ms", Text: "Time between two heartbeats of a leader."},
+		{Name: "lease", Type: conf.Duration, Default: "450ms", Text: "How long a heartbeat that a quorum answered lets its sender lead. Below `election`."},
+		{Name: "config-lease", Type: conf.Duration, Default: "3s", Text: "How old the news from a leader may be before a box must ask other boxes whether it is current."},
+		{Name: "repair-after", Type: conf.Duration, Default: "5s", Text: "Silence after which a voter is replaced."},
+	}},
+	{Kind: "log", Text: "Logs.", Keys: []conf.Key{
+		{Name: "level", Type: conf.Choice, Choices: []string{"debug", "info", "warn", "error"}, Default: "info", Text: "Least level that is written."},
+	}},
+}
+
+// Settings are the checked settings of a box.
+type Settings struct {
+	Box   string
+	Hall  string
+	Roles []string
+
+	Cluster      string
+	FirstMembers []string
+	// Boxes maps names to box-to-box addresses.
+	Boxes map[string]string
+
+	PeerListen    string
+	PlainAnywhere bool
+
+	EntryListen   string
+	MaxBody       int64
+	HeaderTimeout time.Duration
+	BalancerLag   time.Duration
+	StopTimeout   time.Duration
+
+	OperatorListen string
+
+	DataFolder   string
+	DataLimit    int64
+	CompactAfter int
+
+	TLS TLS
+
+	PlatformAddress string
+	PlatformEvery   time.Duration
+
+	Election    time.Duration
+	Heartbeat   time.Duration
+	Lease       time.Duration
+	ConfigLease time.Duration
+	RepairAfter time.Duration
+
+	LogLevel string
+}
+
+// TLS names certificate files; all empty means plain text.
+type TLS struct{ Certificate, Key, Authority string }
+
+// On reports whether TLS is set up.
+func (t TLS) On() bool { return t.Certificate != "" }
+
+// Control reports whether the box keeps the agreed state.
+func (s *Settings) Control() bool { return slices.Contains(s.Roles, RoleControl) }
+
+// Entry reports whether the box takes callers' requests.
+func (s *Settings) Entry() bool { return slices.Contains(s.Roles, RoleEntry) }
+
+// Load reads and checks a file. The error is conf.Faults when the file is at
+// fault.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, conf.Faults{{File: path, Problem: "cannot be read: " + err.Error()}}
+	}
+	return Parse(path, data)
+}
+
+// Parse checks the settings in data; path is for the faults only.
+func Parse(path string, data []byte) (*Settings, error) {
+	d := conf.Read(path, data, Schema)
+	s := decode(d)
+	crossCheck(d, s)
+	if faults := d.Faults(); len(faults) > 0 {
+		return nil, faults
+	}
+	return s, nil
+}
+
+func decode(d *conf.Document) *Settings {
+	box, cluster, peer := d.Part("box"), d.Part("cluster"), d.Part("peer")
+	entry, data, tls := d.Part("entry"), d.Part("data"), d.Part("tls")
+	timing, platform := d.Part("timing"), d.Part("platform")
+	return &Settings{
+		Box: box.String("name"), Hall: box.String("hall"), Roles: box.List("roles"),
+		Cluster: cluster.String("name"), FirstMembers: cluster.List("first-members"), Boxes: addresses(cluster.List("boxes")),
+		PeerListen: peer.String("listen"), PlainAnywhere: peer.String("plain-text") == "anywhere",
+		EntryListen: entry.String("listen"), MaxBody: int64(entry.Bytes("max-body")),
+		HeaderTimeout: entry.Duration("header-timeout"), BalancerLag: entry.Duration("balancer-lag"), StopTimeout: entry.Duration("stop-timeout"),
+		OperatorListen: d.Part("operator").String("listen"),
+		DataFolder:     data.String("folder"), DataLimit: int64(data.Bytes("limit")), CompactAfter: data.Int("compact-after"),
+		TLS:             TLS{tls.String("certificate"), tls.String("key"), tls.String("authority")},
+		PlatformAddress: platform.String("address"), PlatformEvery: platform.Duration("every"),
+		Election: timing.Duration("election"), Heartbeat: timing.Duration("heartbeat"), Lease: timing.Duration("lease"),
+		ConfigLease: timing.Duration("config-lease"), RepairAfter: timing.Duration("repair-after"),
+		LogLevel: d.Part("log").String("level"),
+	}
+}
+
+func addresses(list []string) map[string]string {
+	m := map[string]string{}
+	for _, item := range list {
+		name, address, _ := strings.Cut(item, "=")
+		m[name] = address
+	}
+	return m
+}
+
+// crossCheck finds the faults that concern several keys.
+func crossCheck(d *conf.Document, s *Settings) {
+	if s.Control() && s.DataFolder == "" {
+		d.Part("data").Fault("folder", "the role control needs a data folder", "a path")
+	}
+	if s.Entry() && s.EntryListen == "" {
+		d.Part("entry").Fault("listen", "the role entry needs an address for callers", "IP number:port")
+	}
+	if s.Lease >= s.Election {
+		d.Part("timing").Fault("lease", "is not below election", "less than "+s.Election.String())
+	}
+	if s.Heartbeat*3 > s.Lease {
+		d.Part("timing").Fault("heartbeat", "leaves no room for a lost heartbeat in the lease", "at most a third of lease")
+	}
+	if s.ConfigLease <= s.Election*2 {
+		d.Part("timing").Fault("config-lease", "ends before a new leader can be elected", "more than "+(s.Election*2).String())
+	}
+	for _, name := range s.FirstMembers {
+		if s.Boxes[name] == "" {
+			d.Part("cluster").Fault("boxes", "lacks the first member "+name, "an address for each first member")
+		}
+	}
+	set := []bool{s.TLS.Certificate != "", s.TLS.Key != "", s.TLS.Authority != ""}
+	if slices.Contains(set, true) && slices.Contains(set, false) {
+		d.Part("tls").Fault("certificate", "only some of the TLS files are named", "certificate, key and authority, or none")
+	}
+	s.checkPlain(d)
+}
+
+// checkPlain refuses plain text beyond loopback unless it was asked for.
+func (s *Settings) checkPlain(d *conf.Document) {
+	if s.TLS.On() || s.PlainAnywhere {
+		return
+	}
+	for section, address := range map[string]string{"peer": s.PeerListen, "operator": s.OperatorListen} {
+		a, err := netip.ParseAddrPort(address)
+		if err == nil && !a.Addr().IsLoopback() {
+			d.Part(section).Fault("listen", address+" is open to others in plain text", "loopback, or TLS, or [peer] plain-text = anywhere")
+		}
+	}
+}
--- /dev/null
+++ b/spread/follow.go
@@ -0,0 +1,225 @@
+package spread
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"leverdrum/consensus"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("spread")
+
+func boxOf(member string) string {
+	box, _, _ := strings.Cut(member, "/")
+	return box
+}
+
+func (s *Spreader) followLoop(ctx context.Context) {
+	skip := 0
+	for ctx.Err() == nil {
+		if s.opts.Replica.Status().Role == consensus.Leader {
+			pause(ctx, hold)
+			continue
+		}
+		parents := s.parents()
+		if len(parents) == 0 {
+			pause(ctx, hold)
+			continue
+		}
+		if s.parentOutdated() {
+			skip = 0
+		}
+		if err := s.ask(ctx, parents[skip%len(parents)]); err != nil {
+			skip++
+			s.markParent("")
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Spreader) markParent(box string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if box != s.parent {
+		s.parent, s.parentAt = box, time.Now()
+	}
+}
+
+// parentOutdated reports whether it is time to go back to the tree's parent.
+func (s *Spreader) parentOutdated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.parent != "" && time.Since(s.parentAt) > preferAgain {
+		s.parentAt = time.Now()
+		return true
+	}
+	return false
+}
+
+// parents lists the boxes to ask, the tree's parent first (2).
+func (s *Spreader) parents() []string {
+	var list []string
+	add := func(box string) {
+		if box != "" && box != s.opts.Self.Box && !slices.Contains(list, box) {
+			list = append(list, box)
+		}
+	}
+	view, status := s.opts.Replica.View(), s.opts.Replica.Status()
+	leader := boxOf(s.Leader())
+	if slices.Contains(status.Voters, s.opts.Replica.ID()) {
+		add(leader)
+	} else {
+		add(s.treeParent(view, status.Voters))
+	}
+	add(leader)
+	for _, id := range status.Voters {
+		add(boxOf(id))
+	}
+	for _, seed := range s.opts.Seeds {
+		add(seed)
+	}
+	for _, m := range hallMates(view, s.opts.Self.Hall, nil) {
+		add(m)
+	}
+	return list
+}
+
+// treeParent is rule 2 for a box without a vote, "" when the list does not
+// tell.
+func (s *Spreader) treeParent(view *state.State, voters []string) string {
+	mates := hallMates(view, s.opts.Self.Hall, voters)
+	i := slices.Index(mates, s.opts.Self.Box)
+	if i > 0 {
+		return mates[(i-1)/fanOut]
+	}
+	for _, id := range voters {
+		if m := view.Members[boxOf(id)]; m != nil && m.Hall == s.opts.Self.Hall {
+			return m.Box
+		}
+	}
+	return ""
+}
+
+// hallMates returns the boxes of a hall that have no vote, by name.
+func hallMates(view *state.State, hall string, voters []string) []string {
+	var list []string
+	for _, m := range view.Members {
+		if m.Hall == hall && !m.Leaving && !slices.Contains(voters, state.MemberID(m)) {
+			list = append(list, m.Box)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// ask puts one question to a parent and takes over its news.
+func (s *Spreader) ask(ctx context.Context, parent string) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	sent := s.opts.Replica.Now()
+	question := &wire.Follow{Member: s.opts.Replica.ID(), Index: s.opts.Replica.View().Index, Subtree: s.subtree()}
+	response, err := s.opts.Caller.Call(ctx, parent, &wire.Request{Kind: &wire.Request_Follow{Follow: question}})
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	u := response.GetFollow()
+	if u == nil {
+		return Error.New("box %s gave another answer than asked for", parent)
+	}
+	if slices.Contains(u.Path, s.opts.Self.Box) {
+		return Error.New("box %s asks through this box", parent)
+	}
+	if err := s.opts.Replica.Advance(u.Entries, u.Snapshot); err != nil {
+		return Error.Wrap(err)
+	}
+	return s.noteNews(parent, sent, u)
+}
+
+// noteNews is rule 3. Without fresh news the parent counts as failed.
+func (s *Spreader) noteNews(parent string, sent time.Duration, u *wire.FollowUpdate) error {
+	age := time.Duration(u.AgeMs) * time.Millisecond
+	at := sent + time.Duration(u.HeldMs)*time.Millisecond - age
+	s.markParent(parent)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if u.Fresh && (!s.fresh || at > s.freshAt) {
+		s.fresh, s.freshAt, s.path = true, at, u.Path
+		s.leader = u.Leader
+	}
+	if !u.Fresh || age > staleParent {
+		return Error.New("box %s has no fresh news", parent)
+	}
+	return nil
+}
+
+// subtree is rule 4 on the side of the asker.
+func (s *Spreader) subtree() []*wire.Holding {
+	own := s.opts.Replica.ID()
+	return slices.DeleteFunc(s.Holdings(), func(h *wire.Holding) bool { return h.Member == own })
+}
+
+// probeLoop looks at all boxes while there is no fresh news (5).
+func (s *Spreader) probeLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if age, fresh := s.Age(); !fresh || age > s.opts.ConfigLease/2 {
+			s.probeAll(ctx)
+		}
+		pause(ctx, probeEvery)
+	}
+}
+
+func (s *Spreader) probeAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	done := make(chan struct{})
+	count := 0
+	for _, m := range s.opts.Replica.View().Members {
+		if state.MemberID(m) == s.opts.Replica.ID() {
+			continue
+		}
+		count++
+		go func() {
+			s.probe(ctx, m.Box)
+			done <- struct{}{}
+		}()
+	}
+	for range count {
+		<-done
+	}
+}
+
+func (s *Spreader) probe(ctx context.Context, box string) {
+	sent := s.opts.Replica.Now()
+	request := &wire.Request{Kind: &wire.Request_Probe{Probe: &wire.Probe{Member: s.opts.Replica.ID()}}}
+	response, err := s.opts.Caller.Call(ctx, box, request)
+	if err != nil || response.GetProbe() == nil {
+		return
+	}
+	a := response.GetProbe()
+	s.mu.Lock()
+	s.probes[a.Member] = probe{a.Index, sent}
+	if a.Leader {
+		s.leader = a.Member
+	}
+	s.mu.Unlock()
+	if a.Index > s.opts.Replica.View().Index {
+		// Its news need not be fresh to be newer; an error changes nothing here.
+		_ = s.ask(ctx, box)
+	}
+}
--- /dev/null
+++ b/spread/spread.go
@@ -0,0 +1,286 @@
+// Package spread carries the agreed state from the leader to all boxes, and
+// what each box has in force back to the leader.
+//
+// Rules:
+//
+//  1. A box asks one parent for what it lacks. The parent holds the question
+//     until it has news, at most for a short time.
+//  2. The parents form a tree: voters ask the leader; in each data hall the
+//     first other box by name asks a voter, and the rest ask boxes of their
+//     hall. A parent that fails or has no fresh news is passed over.
+//  3. News carries its age: how long ago a leader was certain to lead. A box
+//     counts the age from before it asked, less the time that the parent held
+//     the question, so that news that was stuck on the way is old news.
+//  4. Each question carries the index in force on the asker and on those that
+//     ask through it, so that the leader knows where a file is in force.
+//  5. A box is current while its news is younger than the configuration lease.
+//     Without such news it is current only while it hears from a majority of
+//     all boxes and none of them is ahead of it. A file counts as accepted once
+//     a majority has it, so one of that majority would know of a newer one.
+package spread
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"leverdrum/consensus"
+	"leverdrum/replica"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+const (
+	// hold is how long a parent holds a question without news (1).
+	hold = 200 * time.Millisecond
+	// askTimeout bounds one question.
+	askTimeout = hold + 800*time.Millisecond
+	// retryPause is the wait before the next parent is asked.
+	retryPause = 50 * time.Millisecond
+	// preferAgain is how long a box stays with another parent than the tree's.
+	preferAgain = 10 * time.Second
+	// staleParent is the age of news at which another parent is tried.
+	staleParent = time.Second
+	// fanOut is how many boxes of a hall ask the same box (2).
+	fanOut = 8
+	// probeEvery is the time between two looks at all boxes (5).
+	probeEvery = 400 * time.Millisecond
+	// forgetHolding is when the report of a box counts as lost.
+	forgetHolding = 30 * time.Second
+)
+
+// Caller asks other boxes.
+type Caller interface {
+	Call(ctx context.Context, box string, r *wire.Request) (*wire.Response, error)
+}
+
+// Options make a Spreader.
+type Options struct {
+	Replica *replica.Replica
+	Caller  Caller
+	Self    *wire.Member
+	// Seeds are the names of boxes known from the settings.
+	Seeds       []string
+	ConfigLease time.Duration
+}
+
+// Spreader is one box's part in the tree.
+type Spreader struct {
+	opts Options
+
+	mu       sync.Mutex
+	freshAt  time.Duration // on the replica's clock
+	fresh    bool
+	leader   string
+	path     []string
+	holdings map[string]holding
+	probes   map[string]probe
+	parent   string
+	parentAt time.Time
+}
+
+type holding struct {
+	index uint64
+	at    time.Duration
+}
+
+type probe struct {
+	index uint64
+	at    time.Duration
+}
+
+// New returns a Spreader; Run makes it work.
+func New(opts Options) *Spreader {
+	return &Spreader{opts: opts, holdings: map[string]holding{}, probes: map[string]probe{}}
+}
+
+// Run asks parents and, without news, all boxes, until the context ends.
+func (s *Spreader) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { s.followLoop(ctx) })
+	wg.Go(func() { s.probeLoop(ctx) })
+	wg.Wait()
+}
+
+// Leader returns the member that leads, as far as this box knows.
+func (s *Spreader) Leader() string {
+	if l := s.opts.Replica.Status().Leader; l != "" {
+		return l
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leader
+}
+
+// Age returns how long ago a leader was certain to lead when it sent what this
+// box has; false when the box has never heard of one.
+func (s *Spreader) Age() (time.Duration, bool) {
+	if age, held := s.opts.Replica.Lease(); held {
+		return age, true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opts.Replica.Now() - s.freshAt, s.fresh
+}
+
+// Current is rule 5.
+func (s *Spreader) Current() bool {
+	if age, fresh := s.Age(); fresh && age <= s.opts.ConfigLease {
+		return true
+	}
+	return s.majorityAgrees()
+}
+
+func (s *Spreader) majorityAgrees() bool {
+	view := s.opts.Replica.View()
+	if len(view.Members) == 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.opts.Replica.Now()
+	count := 0
+	for _, m := range view.Members {
+		id := state.MemberID(m)
+		if id == s.opts.Replica.ID() {
+			count++
+			continue
+		}
+		p, ok := s.probes[id]
+		if !ok || now-p.at > s.opts.ConfigLease {
+			continue
+		}
+		if p.index > view.Index {
+			return false
+		}
+		count++
+	}
+	return count > len(view.Members)/2
+}
+
+// Answer answers a child (1, 3).
+func (s *Spreader) Answer(ctx context.Context, from *wire.Member, f *wire.Follow) (*wire.FollowUpdate, error) {
+	s.noteHoldings(state.MemberID(from), f)
+	began := time.Now()
+	entries, snapshot, err := s.awaitNews(ctx, f.Index)
+	if err != nil {
+		return nil, err
+	}
+	u := &wire.FollowUpdate{
+		Index: s.opts.Replica.View().Index, Entries: entries, Snapshot: snapshot,
+		Leader: s.Leader(), Path: append(s.currentPath(), s.opts.Self.Box),
+		HeldMs: uint32(time.Since(began).Milliseconds()),
+	}
+	if age, fresh := s.Age(); fresh {
+		u.Fresh, u.AgeMs = true, uint32(age.Milliseconds())
+	}
+	return u, nil
+}
+
+func (s *Spreader) awaitNews(ctx context.Context, index uint64) ([]*wire.Entry, *wire.State, error) {
+	timer := time.NewTimer(hold)
+	defer timer.Stop()
+	for {
+		changed := s.opts.Replica.Changed()
+		if s.opts.Replica.View().Index > index {
+			return s.opts.Replica.Since(index)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, nil, nil
+		case <-ctx.Done():
+			return nil, nil, Error.Wrap(ctx.Err())
+		}
+	}
+}
+
+func (s *Spreader) currentPath() []string {
+	if s.opts.Replica.Status().Role == consensus.Leader {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.path)
+}
+
+// noteHoldings is rule 4 on the side of the parent.
+func (s *Spreader) noteHoldings(asker string, f *wire.Follow) {
+	now := s.opts.Replica.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holdings[asker] = holding{f.Index, now}
+	for _, h := range f.Subtree {
+		at := now - time.Duration(h.AgeMs)*time.Millisecond
+		if at > s.holdings[h.Member].at {
+			s.holdings[h.Member] = holding{h.Index, at}
+		}
+	}
+	for id, h := range s.holdings {
+		if now-h.at > forgetHolding {
+			delete(s.holdings, id)
+		}
+	}
+}
+
+// Holdings returns what each box that asks through this one has in force, this
+// box included.
+func (s *Spreader) Holdings() []*wire.Holding {
+	list := []*wire.Holding{{Member: s.opts.Replica.ID(), Index: s.opts.Replica.View().Index}}
+	now := s.opts.Replica.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, h := range s.holdings {
+		list = append(list, &wire.Holding{Member: id, Index: h.index, AgeMs: uint32((now - h.at).Milliseconds())})
+	}
+	slices.SortFunc(list, func(a, b *wire.Holding) int { return strings.Compare(a.Member, b.Member) })
+	return list
+}
+
+// InForce returns how many listed boxes have applied an index, of how many.
+func (s *Spreader) InForce(index uint64) (have, boxes int) {
+	byMember := map[string]uint64{}
+	for _, h := range s.Holdings() {
+		byMember[h.Member] = h.Index
+	}
+	members := s.opts.Replica.View().Members
+	for _, m := range members {
+		if byMember[state.MemberID(m)] >= index {
+			have++
+		}
+	}
+	return have, len(members)
+}
+
+// AwaitMajority waits until a majority of the listed boxes has applied an
+// index, or the context ends.
+func (s *Spreader) AwaitMajority(ctx context.Context, index uint64) (have, boxes int) {
+	const look = 5 * time.Millisecond
+	ticker := time.NewTicker(look)
+	defer ticker.Stop()
+	for {
+		have, boxes = s.InForce(index)
+		if have > boxes/2 {
+			return have, boxes
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return have, boxes
+		}
+	}
+}
+
+// AnswerProbe tells another box where this one stands (5).
+func (s *Spreader) AnswerProbe() *wire.ProbeAnswer {
+	a := &wire.ProbeAnswer{
+		Member: s.opts.Replica.ID(), Index: s.opts.Replica.View().Index,
+		Leader: s.opts.Replica.Status().Role == consensus.Leader, LeaderMember: s.Leader(), Current: s.Current(),
+	}
+	if age, fresh := s.Age(); fresh {
+		a.AgeMs = uint32(age.Milliseconds())
+	}
+	return a
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,418 @@
+package standin
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/dustin/go-humanize"
+
+	"leverdrum/engine"
+)
+
+// EngineOptions describe a model server.
+type EngineOptions struct {
+	Accelerators int
+	Memory       uint64 // bytes of one accelerator that models may take
+	ChecksFences bool
+	Concurrency  int
+	TokenTime    time.Duration
+	LoadTime     time.Duration
+	// Store is the weight store's address, "" for none.
+	Store string
+}
+
+// EngineAccount is what the server itself saw.
+type EngineAccount struct {
+	// Overcommits counts the moments at which an accelerator held more than it has.
+	Overcommits int `json:"overcommits"`
+	// Peak is the most bytes that an accelerator held.
+	Peak      uint64         `json:"peak"`
+	Orders    int            `json:"orders"`
+	Ran       map[string]int `json:"ran"` // by request id
+	Cancelled int            `json:"cancelled"`
+	Missing   int            `json:"missing"` // requests for what was not resident
+}
+
+// Engine is a model server. It implements http.Handler.
+type Engine struct {
+	faults
+	opts        EngineOptions
+	mux         *http.ServeMux
+	slots       chan struct{}
+	incarnation string
+
+	mu        sync.Mutex
+	residents map[string]*engine.Resident
+	fence     uint64
+	outcomes  map[uint64]engine.Outcome
+	running   int
+	waiting   int
+	account   EngineAccount
+}
+
+func engineFlags(f *flag.FlagSet) func() http.Handler {
+	var o EngineOptions
+	memory := f.String("memory", "64GiB", "usable memory of one accelerator")
+	f.IntVar(&o.Accelerators, "accelerators", 1, "accelerators")
+	f.BoolVar(&o.ChecksFences, "checks-fences", true, "refuse orders behind a newer one")
+	f.IntVar(&o.Concurrency, "concurrency", 16, "requests at once")
+	f.DurationVar(&o.TokenTime, "token-time", time.Millisecond, "time of one token")
+	f.DurationVar(&o.LoadTime, "load-time", 50*time.Millisecond, "time of one load without a store")
+	f.StringVar(&o.Store, "store", "", "address of the weight store")
+	return func() http.Handler {
+		n, err := humanize.ParseBytes(*memory)
+		if err != nil {
+			panic(err)
+		}
+		o.Memory = n
+		return NewEngine(o)
+	}
+}
+
+// NewEngine returns a model server that holds nothing.
+func NewEngine(o EngineOptions) *Engine {
+	e := &Engine{
+		opts: o, mux: http.NewServeMux(), slots: make(chan struct{}, o.Concurrency), incarnation: rand.Text(),
+		residents: map[string]*engine.Resident{}, outcomes: map[uint64]engine.Outcome{}, account: EngineAccount{Ran: map[string]int{}},
+	}
+	e.mux.HandleFunc("GET "+engine.StatePath, e.state)
+	e.mux.HandleFunc("POST "+engine.OrderPath, e.order)
+	e.mux.HandleFunc("POST "+engine.ChatPath, e.chat)
+	e.mux.HandleFunc("PUT "+FaultsPath, e.handle)
+	e.mux.HandleFunc("GET "+AccountPath, func(w http.ResponseWriter, _ *http.Request) { answerJSON(w, http.StatusOK, e.Account()) })
+	return e
+}
+
+// ServeHTTP serves the protocol.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+
+// Account returns what the server saw so far.
+func (e *Engine) Account() EngineAccount {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a := e.account
+	a.Ran = make(map[string]int, len(e.account.Ran))
+	for k, v := range e.account.Ran {
+		a.Ran[k] = v
+	}
+	return a
+}
+
+func (e *Engine) state(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	s := engine.State{Incarnation: e.incarnation, Leaving: e.get().Leaving, Fence: e.fence, Running: e.running, Waiting: e.waiting, Residents: []engine.Resident{}}
+	for _, r := range e.residents {
+		s.Residents = append(s.Residents, *r)
+	}
+	e.mu.Unlock()
+	answerJSON(w, http.StatusOK, s)
+}
+
+func keyOf(accelerator uint32, model, adapter, version string) string {
+	return fmt.Sprintf("%d/%s/%s/%s", accelerator, model, adapter, version)
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	o := &engine.Order{}
+	if err := json.NewDecoder(r.Body).Decode(o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f := e.get()
+	time.Sleep(time.Duration(f.OrderDelayMs) * time.Millisecond)
+	out := e.carryOut(o)
+	if f.LoseOrderAnswers {
+		breakOff()
+	}
+	status := http.StatusOK
+	if !out.Done {
+		status = http.StatusConflict
+	}
+	answerJSON(w, status, out)
+}
+
+// carryOut runs an order. With fences, one that was seen gets its first answer
+// and one behind a newer one is refused; without, everything runs as it comes.
+func (e *Engine) carryOut(o *engine.Order) engine.Outcome {
+	e.mu.Lock()
+	e.account.Orders++
+	if e.opts.ChecksFences {
+		if out, seen := e.outcomes[o.ID]; seen {
+			e.mu.Unlock()
+			return out
+		}
+		if o.ID < e.fence || o.Incarnation != e.incarnation {
+			e.mu.Unlock()
+			return engine.Outcome{Detail: "behind a newer order or for another incarnation"}
+		}
+		e.fence = o.ID
+	}
+	var out engine.Outcome
+	key := keyOf(o.Accelerator, o.Model, o.Adapter, o.Version)
+	if o.Action == engine.Unload {
+		_, held := e.residents[key]
+		delete(e.residents, key)
+		out = engine.Outcome{Done: held, Detail: "unload"}
+		e.outcomes[o.ID] = out
+		e.mu.Unlock()
+		return out
+	}
+	e.residents[key] = &engine.Resident{Accelerator: o.Accelerator, Model: o.Model, Adapter: o.Adapter, Version: o.Version, Memory: o.Memory, Loading: true}
+	e.audit()
+	e.mu.Unlock()
+	return e.load(o, key)
+}
+
+func (e *Engine) load(o *engine.Order, key string) engine.Outcome {
+	ok := e.fetch(o)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := engine.Outcome{Done: ok, Detail: "load"}
+	if r := e.residents[key]; r != nil && ok {
+		r.Loading = false
+	} else {
+		delete(e.residents, key)
+		out.Done = false
+	}
+	e.outcomes[o.ID] = out
+	return out
+}
+
+// fetch gets the weights.
+func (e *Engine) fetch(o *engine.Order) bool {
+	if e.opts.Store == "" {
+		time.Sleep(e.opts.LoadTime)
+		return true
+	}
+	name := o.Model
+	if o.Adapter != "" {
+		name = o.Adapter
+	}
+	resp, err := http.Get("http://" + e.opts.Store + "/weights/" + name + "/" + o.Version)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
+// audit counts an accelerator that holds more than it has.
+func (e *Engine) audit() {
+	sums := map[uint32]uint64{}
+	for _, r := range e.residents {
+		sums[r.Accelerator] += r.Memory
+	}
+	for _, sum := range sums {
+		e.account.Peak = max(e.account.Peak, sum)
+		if sum > e.opts.Memory {
+			e.account.Overcommits++
+		}
+	}
+}
+
+type chatRequest struct {
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens int    `json:"max_tokens"`
+}
+
+// defaultTokens is the length of an answer that was not asked for in tokens.
+const defaultTokens = 8
+
+func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	q := &chatRequest{}
+	if err != nil || json.Unmarshal(body, q) != nil {
+		http.Error(w, "not a chat request", http.StatusBadRequest)
+		return
+	}
+	if q.MaxTokens == 0 {
+		q.MaxTokens = defaultTokens
+	}
+	f := e.get()
+	e.setID(w, r, f)
+	version, resident := e.find(q.Model)
+	if !resident || f.Refuse {
+		w.Header().Set(engine.HeaderRan, "true")
+		http.Error(w, "not run", http.StatusServiceUnavailable)
+		return
+	}
+	release, ok := e.enter(r.Context())
+	if !ok {
+		return
+	}
+	defer release()
+	e.ran(r)
+	time.Sleep(time.Duration(f.DelayMs) * time.Millisecond)
+	if f.BreakBefore {
+		breakOff()
+	}
+	words := Words(q.Model, version, body, q.MaxTokens)
+	if q.Stream {
+		e.stream(w, r, f, q.Model, words)
+		return
+	}
+	e.whole(w, r, f, q.Model, words)
+}
+
+func (e *Engine) setID(w http.ResponseWriter, r *http.Request, f Faults) {
+	id := r.Header.Get(engine.HeaderID)
+	if f.WrongID {
+		id = "of-another"
+	}
+	w.Header().Set(engine.HeaderID, id)
+}
+
+// Words returns the words of the only right answer to a request.
+func Words(model, version string, body []byte, n int) []string {
+	h := fnv.New64a()
+	h.Write(body)
+	words := []string{model + "@" + version, hex.EncodeToString(h.Sum(nil))}
+	for i := len(words); i < n; i++ {
+		words = append(words, fmt.Sprintf("w%d", i))
+	}
+	return words
+}
+
+// find returns the version of a model or adapter that is ready.
+func (e *Engine) find(name string) (string, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.residents {
+		if !r.Loading && (r.Adapter == name || r.Adapter == "" && r.Model == name) {
+			return r.Version, true
+		}
+	}
+	e.account.Missing++
+	return "", false
+}
+
+// enter waits for a place in the batch.
+func (e *Engine) enter(ctx context.Context) (release func(), ok bool) {
+	e.mu.Lock()
+	e.waiting++
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		e.waiting--
+		e.mu.Unlock()
+	}()
+	select {
+	case e.slots <- struct{}{}:
+	case <-ctx.Done():
+		return nil, false
+	}
+	e.mu.Lock()
+	e.running++
+	e.mu.Unlock()
+	return func() {
+		e.mu.Lock()
+		e.running--
+		e.mu.Unlock()
+		<-e.slots
+	}, true
+}
+
+func (e *Engine) ran(r *http.Request) {
+	id := r.Header.Get(engine.HeaderID)
+	if i := strings.LastIndexByte(id, '.'); i > 0 {
+		id = id[:i]
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.account.Ran[id]++
+}
+
+func (e *Engine) cancelled() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.account.Cancelled++
+}
+
+// generate waits for the time of n tokens; false when the request was cancelled.
+func (e *Engine) generate(ctx context.Context, n int) bool {
+	if e.opts.TokenTime == 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(time.Duration(n) * e.opts.TokenTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		e.cancelled()
+		return false
+	}
+}
+
+// Completion is a whole answer.
+type Completion struct {
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+}
+
+// Choice is the only choice of an answer, or a part of it in a stream.
+type Choice struct {
+	Message *Message `json:"message,omitempty"`
+	Delta   *Message `json:"delta,omitempty"`
+}
+
+// Message is a text.
+type Message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+func (e *Engine) whole(w http.ResponseWriter, r *http.Request, f Faults, model string, words []string) {
+	if !e.generate(r.Context(), len(words)) {
+		return
+	}
+	body, err := json.Marshal(Completion{"chat.completion", model, []Choice{{Message: &Message{"assistant", strings.Join(words, " ")}}}})
+	if err != nil {
+		breakOff()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	if f.BreakAfter > 0 && f.BreakAfter < len(body) {
+		_, _ = w.Write(body[:f.BreakAfter])
+		_ = http.NewResponseController(w).Flush()
+		breakOff()
+	}
+	_, _ = w.Write(body)
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, f Faults, model string, words []string) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w)
+	sent := 0
+	for _, word := range words {
+		if !e.generate(r.Context(), 1) {
+			return
+		}
+		data, err := json.Marshal(Completion{"chat.completion.chunk", model, []Choice{{Delta: &Message{Content: word + " "}}}})
+		if err != nil {
+			breakOff()
+		}
+		n, _ := fmt.Fprintf(w, "data: %s\n\n", data)
+		_ = flush.Flush()
+		if sent += n; f.BreakAfter > 0 && sent >= f.BreakAfter {
+			breakOff()
+		}
+	}
+	if f.NoLastEvent {
+		return
+	}
+	fmt.Fprintf(w, "%s\n\n", engine.StreamDone)
+}
--- /dev/null
+++ b/state/state.go
@@ -0,0 +1,336 @@
+// Package state is what the boxes agree on: the fleet file in force, the list
+// of boxes, the backend servers, what is resident on them, and the open orders.
+//
+// A State changes only by applying the entries of the log one after another.
+// The same entries give the same state on every box.
+package state
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
+
+	"leverdrum/fleet"
+	"leverdrum/ledger"
+	"leverdrum/wire"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("state")
+
+// historyLength is how many accepted files are remembered, so that a resend of
+// an older one gets its first answer.
+const historyLength = 256
+
+// ApplyOutcome is what became of a fleet file.
+type ApplyOutcome string
+
+// The outcomes of an apply.
+const (
+	// Accepted: the file is the newest now.
+	Accepted ApplyOutcome = "accepted"
+	// Resent: the same file was accepted before, and is the newest.
+	Resent ApplyOutcome = "resent"
+	// Superseded: the same file was accepted before; a newer one followed.
+	Superseded ApplyOutcome = "superseded"
+	// Conflict: another file of this number was accepted.
+	Conflict ApplyOutcome = "conflict"
+	// Older: the number is below that of the file in force.
+	Older ApplyOutcome = "older"
+	// Invalid: the file does not pass the checks of this version.
+	Invalid ApplyOutcome = "invalid"
+)
+
+// Result is what applying one entry gave.
+type Result struct {
+	// Apply and Winner are set for fleet files.
+	Apply  ApplyOutcome
+	Winner *wire.FleetVersion
+	// Err says why an order was not issued.
+	Err error
+	// Order is the order that was issued.
+	Order *wire.Order
+}
+
+// State is the agreed state at one index. What its maps hold is never changed
+// in place, so that a Clone may be read while the original goes on.
+type State struct {
+	Index   uint64
+	Version *wire.FleetVersion
+	Text    string
+	History []*wire.FleetVersion
+
+	// Members by box.
+	Members      map[string]*wire.Member
+	MembersEpoch uint64
+
+	// Moves counts the loads behind the first placement of each item.
+	Moves uint64
+
+	ledger.Book
+}
+
+// New returns the state before the first entry.
+func New() *State {
+	return &State{
+		Members: map[string]*wire.Member{},
+		Book: ledger.Book{
+			Servers:   map[string]*wire.ServerState{},
+			Residents: map[ledger.Place]*wire.Resident{},
+			Orders:    map[uint64]*wire.Order{},
+		},
+	}
+}
+
+// Clone returns a copy that stays as it is.
+func (s *State) Clone() *State {
+	c := *s
+	c.Members = maps.Clone(s.Members)
+	c.Servers = maps.Clone(s.Servers)
+	c.Residents = maps.Clone(s.Residents)
+	c.Orders = maps.Clone(s.Orders)
+	c.History = slices.Clone(s.History)
+	return &c
+}
+
+// MemberID names one incarnation of a box.
+func MemberID(m *wire.Member) string { return m.GetBox() + "/" + m.GetIncarnation() }
+
+// Apply applies the entry behind Index.
+func (s *State) Apply(e *wire.Entry) Result {
+	if e.Index != s.Index+1 {
+		panic("state: entries must be applied one after another")
+	}
+	s.Index = e.Index
+	if e.Kind != wire.EntryKind_ENTRY_COMMAND {
+		return Result{}
+	}
+	c := &wire.Command{}
+	if err := proto.Unmarshal(e.Data, c); err != nil {
+		return Result{Err: Error.New("entry %d cannot be read: %v", e.Index, err)}
+	}
+	switch k := c.Kind.(type) {
+	case *wire.Command_Apply:
+		return s.applyFleet(k.Apply, c.UnixMs)
+	case *wire.Command_Join:
+		s.join(k.Join)
+	case *wire.Command_Leave:
+		s.leave(k.Leave)
+	case *wire.Command_Issue:
+		return s.issue(k.Issue.Order, e, c.UnixMs)
+	case *wire.Command_Close:
+		return s.closeOrder(k.Close)
+	case *wire.Command_Server:
+		s.serverSeen(k.Server)
+	}
+	return Result{}
+}
+
+func (s *State) applyFleet(a *wire.ApplyFleet, unixMs int64) Result {
+	if first := s.accepted(a.Number); first != nil {
+		return s.secondFile(a, first)
+	}
+	if a.Number < s.Version.GetNumber() {
+		return Result{Apply: Older, Winner: s.Version}
+	}
+	f, err := fleet.Parse("fleet", []byte(a.Text))
+	if err != nil || f.Number != a.Number || fleet.Digest([]byte(a.Text)) != a.Digest {
+		return Result{Apply: Invalid, Winner: s.Version, Err: err}
+	}
+	s.Version = &wire.FleetVersion{Number: a.Number, Digest: a.Digest, Operator: a.Operator, Index: s.Index, UnixMs: unixMs}
+	s.Fleet, s.Text = f, a.Text
+	s.History = append(s.History, s.Version)
+	if len(s.History) > historyLength {
+		s.History = slices.Clone(s.History[len(s.History)-historyLength:])
+	}
+	s.dropStrangers()
+	return Result{Apply: Accepted, Winner: s.Version}
+}
+
+// accepted returns the file of a number that was accepted, as far as remembered.
+func (s *State) accepted(number uint64) *wire.FleetVersion {
+	for _, v := range slices.Backward(s.History) {
+		if v.Number == number {
+			return v
+		}
+	}
+	return nil
+}
+
+func (s *State) secondFile(a *wire.ApplyFleet, first *wire.FleetVersion) Result {
+	switch {
+	case first.Digest != a.Digest:
+		return Result{Apply: Conflict, Winner: first}
+	case first.Number != s.Version.Number:
+		return Result{Apply: Superseded, Winner: first}
+	}
+	return Result{Apply: Resent, Winner: first}
+}
+
+// dropStrangers forgets servers that the fleet file does not name any more.
+func (s *State) dropStrangers() {
+	for name := range s.Servers {
+		if s.Fleet.Servers[name] == nil {
+			s.forgetServer(name)
+		}
+	}
+}
+
+func (s *State) forgetServer(name string) {
+	delete(s.Servers, name)
+	maps.DeleteFunc(s.Residents, func(p ledger.Place, _ *wire.Resident) bool { return p.Server == name })
+	maps.DeleteFunc(s.Orders, func(_ uint64, o *wire.Order) bool { return o.Server == name })
+}
+
+func (s *State) join(m *wire.Member) {
+	if proto.Equal(s.Members[m.Box], m) {
+		return
+	}
+	s.Members[m.Box] = m
+	s.MembersEpoch++
+}
+
+func (s *State) leave(l *wire.Leave) {
+	if m := s.Members[l.Box]; m == nil || m.Incarnation != l.Incarnation {
+		return
+	}
+	delete(s.Members, l.Box)
+	s.MembersEpoch++
+}
+
+func (s *State) issue(o *wire.Order, e *wire.Entry, unixMs int64) Result {
+	if err := s.Check(o); err != nil {
+		return Result{Err: err}
+	}
+	o.Id, o.Term, o.UnixMs = e.Index, e.Term, unixMs
+	s.Orders[o.Id] = o
+	phase := wire.Phase_PHASE_LOADING
+	if o.Action == wire.OrderAction_ORDER_UNLOAD {
+		phase = wire.Phase_PHASE_UNLOADING
+	} else if !o.First {
+		s.Moves++
+	}
+	s.Residents[ledger.PlaceOf(o)] = &wire.Resident{
+		Server: o.Server, Accelerator: o.Accelerator, Item: o.Item, Memory: s.sizeOf(o), Phase: phase, Order: o.Id,
+	}
+	return Result{Order: o}
+}
+
+// sizeOf keeps the size that was counted when the item was loaded.
+func (s *State) sizeOf(o *wire.Order) uint64 {
+	if r := s.Residents[ledger.PlaceOf(o)]; r != nil {
+		return r.Memory
+	}
+	return o.Memory
+}
+
+func (s *State) closeOrder(c *wire.CloseOrder) Result {
+	o := s.Orders[c.Id]
+	if o == nil {
+		return Result{Err: Error.New("order %d is not open", c.Id)}
+	}
+	delete(s.Orders, c.Id)
+	place := ledger.PlaceOf(o)
+	done := c.Outcome == wire.OrderOutcome_OUTCOME_DONE
+	load := o.Action == wire.OrderAction_ORDER_LOAD
+	if done != load {
+		delete(s.Residents, place)
+		return Result{}
+	}
+	if old := s.Residents[place]; old != nil {
+		r := proto.CloneOf(old)
+		r.Phase, r.Order = wire.Phase_PHASE_READY, 0
+		s.Residents[place] = r
+	}
+	return Result{}
+}
+
+// serverSeen takes over what a server said. Under a new incarnation it has lost
+// what was resident, but an order that may still arrive stays counted when the
+// server does not check fences.
+func (s *State) serverSeen(seen *wire.ServerSeen) {
+	if s.Fleet == nil || s.Fleet.Servers[seen.Server] == nil {
+		return
+	}
+	old := s.Servers[seen.Server]
+	if old.GetIncarnation() != seen.Incarnation {
+		s.restartServer(seen)
+	}
+	s.Servers[seen.Server] = &wire.ServerState{Name: seen.Server, Incarnation: seen.Incarnation, Leaving: seen.Leaving}
+}
+
+func (s *State) restartServer(seen *wire.ServerSeen) {
+	late := map[ledger.Place]bool{}
+	for id, o := range s.Orders {
+		if o.Server != seen.Server {
+			continue
+		}
+		if o.Action == wire.OrderAction_ORDER_LOAD && !s.Fleet.Servers[seen.Server].Kind.ChecksFences {
+			late[ledger.PlaceOf(o)] = true
+			continue
+		}
+		delete(s.Orders, id)
+	}
+	maps.DeleteFunc(s.Residents, func(p ledger.Place, _ *wire.Resident) bool { return p.Server == seen.Server && !late[p] })
+	for _, r := range seen.Residents {
+		if place := ledger.PlaceOfResident(r); !late[place] {
+			s.Residents[place] = r
+		}
+	}
+}
+
+// Encode returns the state as a snapshot holds it.
+func (s *State) Encode() *wire.State {
+	w := &wire.State{
+		Index: s.Index, Fleet: s.Version, FleetText: s.Text, History: s.History,
+		Moves: s.Moves, MembersEpoch: s.MembersEpoch,
+	}
+	for _, k := range slices.Sorted(maps.Keys(s.Members)) {
+		w.Members = append(w.Members, s.Members[k])
+	}
+	for _, k := range slices.Sorted(maps.Keys(s.Servers)) {
+		w.Servers = append(w.Servers, s.Servers[k])
+	}
+	for _, k := range slices.SortedFunc(maps.Keys(s.Residents), comparePlaces) {
+		w.Residents = append(w.Residents, s.Residents[k])
+	}
+	for _, k := range slices.Sorted(maps.Keys(s.Orders)) {
+		w.Orders = append(w.Orders, s.Orders[k])
+	}
+	return w
+}
+
+func comparePlaces(a, b ledger.Place) int {
+	return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Accelerator, b.Accelerator),
+		cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Version, b.Version))
+}
+
+// Decode returns the state that a snapshot holds.
+func Decode(w *wire.State) (*State, error) {
+	s := New()
+	s.Index, s.Version, s.Text, s.History = w.GetIndex(), w.GetFleet(), w.GetFleetText(), w.GetHistory()
+	s.Moves, s.MembersEpoch = w.GetMoves(), w.GetMembersEpoch()
+	if s.Version != nil {
+		f, err := fleet.Parse("fleet", []byte(s.Text))
+		if err != nil {
+			return nil, Error.New("the fleet file of the snapshot at %d cannot be read: %v", s.Index, err)
+		}
+		s.Fleet = f
+	}
+	for _, m := range w.GetMembers() {
+		s.Members[m.Box] = m
+	}
+	for _, v := range w.GetServers() {
+		s.Servers[v.Name] = v
+	}
+	for _, r := range w.GetResidents() {
+		s.Residents[ledger.PlaceOfResident(r)] = r
+	}
+	for _, o := range w.GetOrders() {
+		s.Orders[o.Id] = o
+	}
+	return s, nil
+}
