--- a/box/box.go
+++ b/box/box.go
@@ -103,7 +103,7 @@
 		}
 	}
 	b.id = newIdentity(b.settings, b.store)
-	b.pool = peer.NewPool(b.id, tls, b.lookup, b.meters)
+	b.pool = peer.NewPool(b.id, tls, b.settings.PeerListen, b.lookup, b.meters)
 	l, err := net.Listen("tcp", b.settings.PeerListen)
 	if err != nil {
 		return Error.Wrap(err)
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -28,6 +29,7 @@
 	id     Identity
 	tls    TLS
 	lookup func(box string) string
+	dialer net.Dialer
 	meters *meter.Meters
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -48,16 +50,26 @@
 	err     error
 }
 
-// NewPool returns a pool that finds addresses by lookup, which returns "" for
-// boxes that are not known.
-func NewPool(id Identity, t TLS, lookup func(box string) string, m *meter.Meters) *Pool {
+// NewPool returns a pool that calls from the IP number of own, an address, and
+// finds addresses by lookup, which returns "" for boxes that are not known.
+func NewPool(id Identity, t TLS, own string, lookup func(box string) string, m *meter.Meters) *Pool {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Pool{
-		id: id, tls: t, lookup: lookup, meters: m, ctx: ctx, cancel: cancel,
+		id: id, tls: t, lookup: lookup, dialer: dialerFrom(own), meters: m, ctx: ctx, cancel: cancel,
 		links: map[string]*link{}, senders: map[string]chan *wire.Message{},
 	}
 }
 
+// dialerFrom calls from the address's IP number, so that a machine with several
+// is known by one of them.
+func dialerFrom(own string) net.Dialer {
+	a, err := netip.ParseAddrPort(own)
+	if err != nil || a.Addr().IsUnspecified() {
+		return net.Dialer{}
+	}
+	return net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(a.Addr(), 0))}
+}
+
 // Close ends all sessions.
 func (p *Pool) Close() {
 	p.cancel()
@@ -95,9 +107,11 @@
 	return response, nil
 }
 
-// Meet makes sure that there is a session to a box, and returns who answered.
+// Meet opens a new session to a box, so that both say again who they are, and
+// returns who answered.
 func (p *Pool) Meet(ctx context.Context, box string) (*wire.Member, error) {
 	l := p.link(box)
+	l.drop()
 	stream, err := p.open(ctx, box, l)
 	if err != nil {
 		return nil, err
@@ -171,7 +185,7 @@
 func (p *Pool) connect(ctx context.Context, box, address string) (*yamux.Session, *wire.Member, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, nil, Error.Wrap(err)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"cmp"
 	"net/netip"
 	"os"
 	"slices"
@@ -32,7 +33,8 @@
 		{Name: "boxes", Type: conf.Addresses, Required: true, Text: "Box-to-box addresses known at the start: the control boxes at least."},
 	}},
 	{Kind: "peer", Required: true, Text: "Box-to-box traffic.", Keys: []conf.Key{
-		{Name: "listen", Type: conf.Address, Required: true, Text: "Where other boxes reach this one."},
+		{Name: "listen", Type: conf.Address, Required: true, Text: "Where this box listens for other boxes; it also calls them from this IP number."},
+		{Name: "advertise", Type: conf.Address, Default: "", Text: "The address that other boxes are told; none: `listen`."},
 		{Name: "plain-text", Type: conf.Choice, Choices: []string{"loopback", "anywhere"}, Default: "loopback", Text: "Where box-to-box and operators' traffic may go without TLS."},
 	}},
 	{Kind: "entry", Text: "Callers' traffic.", Keys: []conf.Key{
@@ -83,6 +85,7 @@
 	Boxes map[string]string
 
 	PeerListen    string
+	PeerAdvertise string
 	PlainAnywhere bool
 
 	EntryListen   string
@@ -151,7 +154,7 @@
 	return &Settings{
 		Box: box.String("name"), Hall: box.String("hall"), Roles: box.List("roles"),
 		Cluster: cluster.String("name"), FirstMembers: cluster.List("first-members"), Boxes: addresses(cluster.List("boxes")),
-		PeerListen: peer.String("listen"), PlainAnywhere: peer.String("plain-text") == "anywhere",
+		PeerListen: peer.String("listen"), PeerAdvertise: cmp.Or(peer.String("advertise"), peer.String("listen")), PlainAnywhere: peer.String("plain-text") == "anywhere",
 		EntryListen: entry.String("listen"), MaxBody: int64(entry.Bytes("max-body")),
 		HeaderTimeout: entry.Duration("header-timeout"), BalancerLag: entry.Duration("balancer-lag"), StopTimeout: entry.Duration("stop-timeout"),
 		OperatorListen: d.Part("operator").String("listen"),
--- a/spread/follow.go
+++ b/spread/follow.go
@@ -174,6 +174,35 @@
 	return slices.DeleteFunc(s.Holdings(), func(h *wire.Holding) bool { return h.Member == own })
 }
 
+// reportPause gathers the reports of several boxes into one.
+const reportPause = 3 * time.Millisecond
+
+// reportLoop passes on at once that boxes of the subtree have advanced (4).
+func (s *Spreader) reportLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.advanced:
+		}
+		pause(ctx, reportPause)
+		s.mu.Lock()
+		parent := s.parent
+		s.mu.Unlock()
+		if parent != "" && s.opts.Replica.Status().Role != consensus.Leader {
+			s.report(ctx, parent)
+		}
+	}
+}
+
+func (s *Spreader) report(ctx context.Context, parent string) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	f := &wire.Follow{Member: s.opts.Replica.ID(), Index: s.opts.Replica.View().Index, Subtree: s.subtree(), Urgent: true}
+	// A report that is lost is made good by the next question.
+	_, _ = s.opts.Caller.Call(ctx, parent, &wire.Request{Kind: &wire.Request_Follow{Follow: f}})
+}
+
 // probeLoop looks at all boxes while there is no fresh news (5).
 func (s *Spreader) probeLoop(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -12,7 +12,9 @@
 //     counts the age from before it asked, less the time that the parent held
 //     the question, so that news that was stuck on the way is old news.
 //  4. Each question carries the index in force on the asker and on those that
-//     ask through it, so that the leader knows where a file is in force.
+//     ask through it, so that the leader knows where a file is in force. When
+//     one of those advances, the asker reports it without waiting for its own
+//     question to come back.
 //  5. A box is current while its news is younger than the configuration lease.
 //     Without such news it is current only while it hears from a majority of
 //     all boxes and none of them is ahead of it. A file counts as accepted once
@@ -79,6 +81,7 @@
 	probes   map[string]probe
 	parent   string
 	parentAt time.Time
+	advanced chan struct{} // one of the subtree has applied more
 }
 
 type holding struct {
@@ -93,7 +96,7 @@
 
 // New returns a Spreader; Run makes it work.
 func New(opts Options) *Spreader {
-	return &Spreader{opts: opts, holdings: map[string]holding{}, probes: map[string]probe{}}
+	return &Spreader{opts: opts, holdings: map[string]holding{}, probes: map[string]probe{}, advanced: make(chan struct{}, 1)}
 }
 
 // Run asks parents and, without news, all boxes, until the context ends.
@@ -101,6 +104,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { s.followLoop(ctx) })
 	wg.Go(func() { s.probeLoop(ctx) })
+	wg.Go(func() { s.reportLoop(ctx) })
 	wg.Wait()
 }
 
@@ -163,6 +167,9 @@
 // Answer answers a child (1, 3).
 func (s *Spreader) Answer(ctx context.Context, from *wire.Member, f *wire.Follow) (*wire.FollowUpdate, error) {
 	s.noteHoldings(state.MemberID(from), f)
+	if f.Urgent {
+		return &wire.FollowUpdate{}, nil
+	}
 	began := time.Now()
 	entries, snapshot, err := s.awaitNews(ctx, f.Index)
 	if err != nil {
@@ -211,10 +218,19 @@
 	now := s.opts.Replica.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.holdings[asker].index < f.Index {
+		s.noteAdvance()
+	}
 	s.holdings[asker] = holding{f.Index, now}
 	for _, h := range f.Subtree {
+		if h.Member == s.opts.Replica.ID() {
+			continue // from a time when this box asked others
+		}
 		at := now - time.Duration(h.AgeMs)*time.Millisecond
 		if at > s.holdings[h.Member].at {
+			if s.holdings[h.Member].index < h.Index {
+				s.noteAdvance()
+			}
 			s.holdings[h.Member] = holding{h.Index, at}
 		}
 	}
@@ -225,6 +241,13 @@
 	}
 }
 
+func (s *Spreader) noteAdvance() {
+	select {
+	case s.advanced <- struct{}{}:
+	default:
+	}
+}
+
 // Holdings returns what each box that asks through this one has in force, this
 // box included.
 func (s *Spreader) Holdings() []*wire.Holding {
