--- a/box/answer.go
+++ b/box/answer.go
@@ -51,14 +51,24 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(f.DeadlineMs)*time.Millisecond)
 	defer cancel()
 	a, err := lead(ctx, p, f)
+	if err != nil {
+		return &wire.Response{Refusal: &wire.Refusal{Code: reason.PeerNotLeader.Code, Text: reason.PeerNotLeader.Title}}
+	}
+	return &wire.Response{Kind: &wire.Response_Forward{Forward: a}}
+}
+
+// lead carries out a call if this box leads; the only error is ErrNotLeader,
+// all others stand in the answer.
+func lead(ctx context.Context, p *parts, f *wire.Forward) (*wire.ForwardAnswer, error) {
+	a, err := carryOut(ctx, p, f)
 	switch {
 	case errors.Is(err, replica.ErrNotLeader):
-		return &wire.Response{Refusal: &wire.Refusal{Code: reason.PeerNotLeader.Code, Text: reason.PeerNotLeader.Title}}
+		return nil, err
 	case err != nil:
 		why := reasonOf(err)
-		a = &wire.ForwardAnswer{Code: why.Code, Text: why.Title}
+		return &wire.ForwardAnswer{Code: why.Code, Text: why.Title}, nil
 	}
-	return &wire.Response{Kind: &wire.Response_Forward{Forward: a}}
+	return a, nil
 }
 
 func reasonOf(err error) *reason.Reason {
@@ -67,14 +77,11 @@
 		return reason.DiskFull
 	case errors.Is(err, replica.ErrBusy):
 		return reason.Busy
-	case errors.Is(err, replica.ErrNotLeader):
-		return reason.NoLeader
 	}
 	return reason.ApplyUnknown
 }
 
-// lead carries out a call on the leader.
-func lead(ctx context.Context, p *parts, f *wire.Forward) (*wire.ForwardAnswer, error) {
+func carryOut(ctx context.Context, p *parts, f *wire.Forward) (*wire.ForwardAnswer, error) {
 	switch f.Kind {
 	case wire.ForwardKind_FORWARD_APPLY:
 		return leadApply(ctx, p, f.Apply)
@@ -132,13 +139,12 @@
 	sent := false
 	for ctx.Err() == nil {
 		answer, err := f.once(ctx, call)
-		if err == nil {
-			if why := reason.ByCode(answer.Code); why != nil && why.Code != reason.ApplyUnknown.Code && why.Code != reason.NoLeader.Code {
-				return nil, why
-			}
-			if answer.Code == "" {
-				return answer, nil
-			}
+		if err == nil && answer.Code == "" {
+			return answer, nil
+		}
+		// A refusal is true only if no earlier sending may have been accepted.
+		if why := reason.ByCode(answer.GetCode()); why != nil && why.Outcome == reason.NotRun && !sent {
+			return nil, why
 		}
 		sent = sent || mayHaveRun(err)
 		pause(ctx, forwardPause)
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,288 @@
+package peer_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"leverdrum/certs"
+	"leverdrum/meter"
+	"leverdrum/peer"
+	"leverdrum/reason"
+	"leverdrum/wire"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+)
+
+func TestPeer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "box-to-box sessions")
+}
+
+// who is a fixed identity.
+type who struct {
+	box, cluster, id string
+	adopted          string
+}
+
+func (w *who) Self() *wire.Member { return &wire.Member{Box: w.box, Incarnation: "i"} }
+func (w *who) Cluster() (string, string) {
+	return w.cluster, w.id
+}
+func (w *who) Adopt(id string) error { w.adopted = id; return nil }
+
+// echo answers probes and notes messages.
+type echo struct{ got chan *wire.Message }
+
+func (e *echo) Answer(_ context.Context, from *wire.Member, r *wire.Request) *wire.Response {
+	if r.GetProbe() == nil {
+		return nil
+	}
+	return &wire.Response{Kind: &wire.Response_Probe{Probe: &wire.ProbeAnswer{Member: from.Box}}}
+}
+func (e *echo) Receive(m *wire.Message) { e.got <- m }
+
+var probe = &wire.Request{Kind: &wire.Request_Probe{Probe: &wire.Probe{}}}
+
+// authority issues certificates.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority() *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	t := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
+	der, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
+	Expect(err).NotTo(HaveOccurred())
+	cert, err := x509.ParseCertificate(der)
+	Expect(err).NotTo(HaveOccurred())
+	return &authority{cert, key}
+}
+
+// issue writes the files of a box and opens them.
+func (a *authority) issue(name string) *certs.Source {
+	folder := GinkgoT().TempDir()
+	s, err := certs.Open(a.write(folder, name), zap.NewNop())
+	Expect(err).NotTo(HaveOccurred())
+	return s
+}
+
+func (a *authority) write(folder, name string) certs.Files {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	t := &x509.Certificate{SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name}, NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, t, a.cert, &key.PublicKey, a.key)
+	Expect(err).NotTo(HaveOccurred())
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	Expect(err).NotTo(HaveOccurred())
+	f := certs.Files{Certificate: filepath.Join(folder, "c"), Key: filepath.Join(folder, "k"), Authority: filepath.Join(folder, "a")}
+	for path, block := range map[string]*pem.Block{
+		f.Certificate: {Type: "CERTIFICATE", Bytes: der}, f.Key: {Type: "EC PRIVATE KEY", Bytes: keyDER}, f.Authority: {Type: "CERTIFICATE", Bytes: a.cert.Raw},
+	} {
+		Expect(os.WriteFile(path, pem.EncodeToMemory(block), 0o600)).To(Succeed())
+	}
+	return f
+}
+
+var _ = Describe("a box", func() {
+	var (
+		meters  *meter.Meters
+		handler *echo
+		server  *who
+	)
+	BeforeEach(func() {
+		meters, handler = meter.New(), &echo{make(chan *wire.Message, 10)}
+		server = &who{box: "one", cluster: "c", id: "x"}
+	})
+
+	listen := func(t peer.TLS) string {
+		GinkgoHelper()
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		s := peer.Serve(l, server, t, handler, meters)
+		DeferCleanup(s.Close)
+		return l.Addr().String()
+	}
+	call := func(address string, id *who, t peer.TLS) (*wire.Response, error) {
+		p := peer.NewPool(id, t, "", func(string) string { return address }, meter.New())
+		defer p.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		return p.Call(ctx, "one", probe)
+	}
+	refused := func(r *reason.Reason) func() float64 {
+		return func() float64 { return testutil.ToFloat64(meters.Count(meter.Refusals, r.Code)) }
+	}
+
+	It("answers a box of its cluster", func() {
+		r, err := call(listen(peer.Plain{}), &who{box: "two", cluster: "c", id: "x"}, peer.Plain{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.GetProbe().Member).To(Equal("two"))
+	})
+
+	It("lets a new box take over the cluster's id", func() {
+		id := &who{box: "two", cluster: "c"}
+		_, err := call(listen(peer.Plain{}), id, peer.Plain{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(id.adopted).To(Equal("x"))
+	})
+
+	DescribeTable("turns away, with a reason and a count",
+		func(id *who, why *reason.Reason) {
+			_, err := call(listen(peer.Plain{}), id, peer.Plain{})
+			var r *peer.RefusedError
+			Expect(err).To(BeAssignableToTypeOf(r))
+			Expect(err.(*peer.RefusedError).Code).To(Equal(why.Code))
+			Expect(refused(why)()).To(BeEquivalentTo(1))
+			Expect(server.adopted).To(BeEmpty(), "a refused peer changes nothing")
+		},
+		Entry("a box of another cluster by name", &who{box: "two", cluster: "d", id: "x"}, reason.PeerCluster),
+		Entry("a box of another cluster by id", &who{box: "two", cluster: "c", id: "y"}, reason.PeerCluster),
+		Entry("a box without a name", &who{box: "", cluster: "c", id: "x"}, reason.PeerMalformed),
+	)
+
+	// raw opens a stream and writes bytes of the test's choice.
+	raw := func(address string, write func(y *yamux.Session)) {
+		GinkgoHelper()
+		c, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { c.Close() })
+		y, err := yamux.Client(c, nil)
+		Expect(err).NotTo(HaveOccurred())
+		write(y)
+	}
+	greet := func(y *yamux.Session, version uint32) *wire.Hello {
+		GinkgoHelper()
+		s, err := y.OpenStream()
+		Expect(err).NotTo(HaveOccurred())
+		_, err = protodelim.MarshalTo(s, &wire.Hello{Version: version, Cluster: "c", ClusterId: "x", Self: &wire.Member{Box: "two", Incarnation: "i"}})
+		Expect(err).NotTo(HaveOccurred())
+		h := &wire.Hello{}
+		Expect(protodelim.UnmarshalFrom(bufio.NewReader(s), h)).To(Succeed())
+		return h
+	}
+	send := func(y *yamux.Session, data ...[]byte) {
+		GinkgoHelper()
+		s, err := y.OpenStream()
+		Expect(err).NotTo(HaveOccurred())
+		for _, d := range data {
+			_, err = s.Write(d)
+			Expect(err).NotTo(HaveOccurred())
+		}
+	}
+	frame := func(m proto.Message) []byte {
+		b, err := proto.Marshal(m)
+		Expect(err).NotTo(HaveOccurred())
+		return append([]byte{byte(len(b))}, b...)
+	}
+
+	It("turns away another version of the protocol", func() {
+		raw(listen(peer.Plain{}), func(y *yamux.Session) {
+			Expect(greet(y, 99).Refusal.GetCode()).To(Equal(reason.PeerVersion.Code))
+		})
+	})
+
+	DescribeTable("counts frames that cannot be read, and stays up",
+		func(write func(y *yamux.Session), why *reason.Reason) {
+			address := listen(peer.Plain{})
+			raw(address, write)
+			Eventually(refused(why)).Should(BeEquivalentTo(1))
+			_, err := call(address, &who{box: "three", cluster: "c", id: "x"}, peer.Plain{})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(handler.got).To(BeEmpty())
+		},
+		Entry("bytes that are no Hello", func(y *yamux.Session) { send(y, []byte{3, 0xff, 0xff, 0xff}) }, reason.PeerMalformed),
+		Entry("a Hello that is too large", func(y *yamux.Session) { send(y, []byte{0xff, 0xff, 0xff, 0x7f}) }, reason.PeerMalformed),
+		Entry("a request that is too large", func(y *yamux.Session) {
+			greet(y, peer.Version)
+			send(y, []byte{0xff, 0xff, 0xff, 0xff, 0x7f})
+		}, reason.PeerMalformed),
+		Entry("a request of an unknown kind", func(y *yamux.Session) {
+			greet(y, peer.Version)
+			send(y, []byte{0})
+		}, reason.PeerUnknown),
+		Entry("a message in another member's name", func(y *yamux.Session) {
+			greet(y, peer.Version)
+			send(y, frame(&wire.Request{Kind: &wire.Request_Consensus{Consensus: &wire.ConsensusStream{}}}), frame(&wire.Message{From: "one/i", Term: 9}))
+		}, reason.PeerMalformed),
+	)
+
+	It("survives a connection that speaks something else", func() {
+		address := listen(peer.Plain{})
+		c, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = c.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(refused(reason.PeerMalformed)).Should(BeEquivalentTo(1))
+	})
+
+	Context("with TLS", func() {
+		var home *authority
+		BeforeEach(func() { home = newAuthority() })
+
+		It("answers a box whose certificate carries its name", func() {
+			_, err := call(listen(home.issue("one")), &who{box: "two", cluster: "c", id: "x"}, home.issue("two"))
+			Expect(err).NotTo(HaveOccurred())
+		})
+		It("turns away a box by another name than its certificate's", func() {
+			_, err := call(listen(home.issue("one")), &who{box: "two", cluster: "c", id: "x"}, home.issue("three"))
+			Expect(err).To(MatchError(ContainSubstring(reason.PeerName.Code)))
+		})
+		It("turns away a certificate of another authority", func() {
+			address := listen(home.issue("one"))
+			_, err := call(address, &who{box: "two", cluster: "c", id: "x"}, newAuthority().issue("two"))
+			Expect(err).To(HaveOccurred())
+			Eventually(refused(reason.PeerTLS)).Should(BeEquivalentTo(1))
+		})
+		It("turns away plain text", func() {
+			_, err := call(listen(home.issue("one")), &who{box: "two", cluster: "c", id: "x"}, peer.Plain{})
+			Expect(err).To(HaveOccurred())
+			Eventually(refused(reason.PeerTLS)).Should(BeEquivalentTo(1))
+		})
+		It("does not talk to a box by another name than the one it dialled", func() {
+			_, err := call(listen(home.issue("four")), &who{box: "two", cluster: "c", id: "x"}, home.issue("two"))
+			Expect(err).To(MatchError(ContainSubstring("certificate")))
+		})
+		It("takes over new files without a restart, and keeps the old ones if they are bad", func() {
+			folder := GinkgoT().TempDir()
+			files := home.write(folder, "one")
+			s, err := certs.Open(files, zap.NewNop())
+			Expect(err).NotTo(HaveOccurred())
+			serial := func() string {
+				c, err := s.Server().GetCertificate(&tls.ClientHelloInfo{})
+				Expect(err).NotTo(HaveOccurred())
+				return string(c.Certificate[0])
+			}
+			before := serial()
+			Expect(os.WriteFile(files.Key, []byte("no key"), 0o600)).To(Succeed())
+			later := time.Now().Add(time.Minute)
+			Expect(os.Chtimes(files.Key, later, later)).To(Succeed())
+			s.Reload()
+			Expect(serial()).To(Equal(before))
+			home.write(folder, "one")
+			s.Reload()
+			Expect(serial()).NotTo(Equal(before))
+		})
+	})
+})
