--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,11 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+# Figures as ratios and counts; fails outside the bounds in the code.
+bench:
+	$(GO) test -run xxx -bench . -benchtime 1x ./bench
+	$(GO) test -run xxx -bench RouteChoice ./bench
+
 # Needs protoc; the generated code is committed.
 generate:
 	$(GO) build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
--- /dev/null
+++ b/bench/route_test.go
@@ -0,0 +1,72 @@
+package bench
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"leverdrum/route"
+	"leverdrum/standin"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+// fleetText describes a fleet of the given size in nine halls.
+func fleetText(servers, accelerators, models int) string {
+	var b strings.Builder
+	b.WriteString("[fleet]\nnumber = 1\n[class c]\ndeadline = 10s\n[kind k]\nmemory = 80GiB\nkv-reserve = 16GiB\nchecks-fences = true\n")
+	fmt.Fprintf(&b, "accelerators = %d\n", accelerators)
+	for i := range 9 {
+		fmt.Fprintf(&b, "[hall h%d]\nregion = r%d\n", i, i/3)
+	}
+	for i := range servers {
+		fmt.Fprintf(&b, "[server s%d]\naddress = 10.0.%d.%d:80\nhall = h%d\nkind = k\n", i, i/250, i%250, i%9)
+	}
+	for i := range models {
+		fmt.Fprintf(&b, "[model m%d]\nversion = 1\nmemory = %dGiB\nclass = c\nmax-copies = 24\n", i, 4+i%20)
+	}
+	return b.String()
+}
+
+// placed puts copies of each model on servers in turn.
+func placed(t testing.TB, servers, accelerators, models, copies int) *state.State {
+	st, err := standin.Agreed(fleetText(servers, accelerators, models))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for m := range models {
+		for c := range copies {
+			n := m*copies + c
+			standin.Ready(st, fmt.Sprintf("s%d", n%servers), uint32(n/servers%accelerators), &wire.Item{Model: fmt.Sprintf("m%d", m), Version: "1"}, uint64(4+m%20)<<30)
+		}
+	}
+	return st
+}
+
+// BenchmarkRouteChoice chooses among 1,200 servers and 800 models. It must not
+// allocate.
+func BenchmarkRouteChoice(b *testing.B) {
+	d := route.NewDirectory("h0")
+	d.Update(placed(b, 1200, 8, 800, 12))
+	t := d.Table()
+	names := make([]string, 800)
+	for i := range names {
+		names[i] = fmt.Sprintf("m%d", i)
+	}
+	now := time.Now()
+	i := 0
+	choose := func() {
+		i++
+		if chosen, _ := d.Choose(t.Models[names[i%800]], now, nil); chosen == nil {
+			b.Fatal("no server")
+		}
+	}
+	if n := testing.AllocsPerRun(1000, choose); n > 0 {
+		b.Fatalf("a choice allocates %.1f times", n)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		choose()
+	}
+}
--- a/box/answer.go
+++ b/box/answer.go
@@ -44,7 +44,7 @@
 	case *wire.Request_Forward:
 		return b.answerForward(ctx, p, k.Forward)
 	}
-	return nil
+	return p.guard.Answer(r)
 }
 
 func (b *Box) answerForward(ctx context.Context, p *parts, f *wire.Forward) *wire.Response {
--- a/box/box.go
+++ b/box/box.go
@@ -20,6 +20,7 @@
 	"leverdrum/control"
 	"leverdrum/engine"
 	"leverdrum/entry"
+	"leverdrum/keyed"
 	"leverdrum/meter"
 	"leverdrum/peer"
 	"leverdrum/platform"
@@ -29,6 +30,7 @@
 	"leverdrum/route"
 	"leverdrum/settings"
 	"leverdrum/spread"
+	"leverdrum/state"
 	"leverdrum/wal"
 	"leverdrum/wire"
 )
@@ -69,6 +71,7 @@
 	entry     *entry.Entry
 	admin     *admin.Admin
 	control   *control.Controller
+	guard     *keyed.Guard
 }
 
 // Start opens everything and returns once the box listens. It goes on in the
@@ -202,6 +205,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { p.spread.Run(ctx) })
 	wg.Go(func() { p.control.Run(ctx) })
+	wg.Go(func() { p.guard.Run(ctx) })
 	wg.Go(func() { b.keepDirectory(ctx, p) })
 	wg.Go(func() { b.keepMembership(ctx, p) })
 	wg.Go(func() { b.readPlatform(ctx, p) })
@@ -235,9 +239,10 @@
 		Gone: p.directory.Gone, Wanted: len(s.FirstMembers), RepairAfter: s.RepairAfter,
 		Records: b.records, Meters: b.meters, Log: b.log,
 	})
+	p.guard = keyed.New(state.ProcessID(self), r, b.pool, b.meters)
 	p.entry = entry.New(entry.Options{
 		Directory: p.directory, View: r.View, Current: p.spread.Current, Sender: proxy.NewSender(),
-		Meters: b.meters, Records: b.records, MaxBody: s.MaxBody,
+		Meters: b.meters, Records: b.records, MaxBody: s.MaxBody, Guard: p.guard,
 	})
 	p.admin = admin.New(admin.Options{
 		Box: s.Box, Cluster: &forwarder{b, p}, View: r.View, Ready: b.ready, Records: b.records, Meters: b.meters,
@@ -251,6 +256,7 @@
 		changed := p.replica.Changed()
 		view := p.replica.View()
 		p.directory.Update(view)
+		p.entry.Changed()
 		b.meters.Gauge(meter.StateIndex).Set(float64(view.Index))
 		b.meters.Gauge(meter.FleetNumber).Set(float64(view.Version.GetNumber()))
 		select {
--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,302 @@
+package claim_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"leverdrum/claim"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "20261202", "rapid.checks": "150", "rapid.nofailfile": "true", "rapid.shrinktime": "2s"} {
+		if !set[name] {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// attempt is one arrival of a keyed call at a box.
+type attempt struct {
+	name, key string
+	epoch     uint64 // of the grants
+	grants    map[string]bool
+	ended     bool
+}
+
+// world is a set of boxes that learn of new epochs at different times.
+type world struct {
+	t        *rapid.T
+	now      time.Duration
+	tables   map[string]*claim.Table // by process
+	boxes    []string                // box to its process
+	epochs   []claim.Epoch
+	attempts []*attempt
+	calls    map[string]string // key to the attempt that called
+	began    map[string]time.Duration
+	count    int
+	called   int
+}
+
+const history = 12
+
+func (w *world) publish() {
+	var list []claim.Process
+	for i, p := range w.boxes {
+		if p != "" {
+			list = append(list, claim.Process{ID: p, Hall: fmt.Sprint("hall", i%3)})
+		}
+	}
+	w.epochs = append(w.epochs, claim.Epoch{Number: uint64(len(w.epochs) + 1), Processes: list})
+}
+
+func (w *world) newest() []claim.Epoch {
+	return slices.Clone(w.epochs[max(0, len(w.epochs)-history):])
+}
+
+// restart gives a box a new process, which the list shows at once or after its
+// old one was taken off.
+func (w *world) restart(i int) {
+	if w.boxes[i] != "" {
+		delete(w.tables, w.boxes[i])
+	}
+	w.count++
+	w.boxes[i] = fmt.Sprintf("box%d/%d", i, w.count)
+	w.tables[w.boxes[i]] = claim.NewTable(w.boxes[i])
+	w.publish()
+}
+
+func (w *world) box(label string) string {
+	return rapid.SampledFrom(slices.DeleteFunc(slices.Clone(w.boxes), func(p string) bool { return p == "" })).Draw(w.t, label)
+}
+
+// ask lets an attempt ask one holder of the epoch that some box is in.
+func (w *world) ask(a *attempt) {
+	c := w.tables[w.box("asker")].Current()
+	if c == nil || a.ended {
+		return
+	}
+	if c.Number != a.epoch {
+		a.epoch, a.grants = c.Number, map[string]bool{}
+	}
+	holders := c.Holders(claim.SlotOf(a.key))
+	h := rapid.SampledFrom(holders).Draw(w.t, "holder")
+	table := w.tables[h]
+	if table == nil {
+		return
+	}
+	if answer := table.Ask(w.now, a.key, a.name, []byte("call"), a.epoch); answer.Verdict == claim.Granted {
+		a.grants[h] = true
+	}
+	if len(a.grants) >= claim.Majority(len(holders)) {
+		a.ended = true
+		w.call(a, holders)
+	}
+}
+
+// call is what must happen at most once a key, while its claim lives.
+func (w *world) call(a *attempt, holders []string) {
+	if other, ok := w.calls[a.key]; ok && w.now-w.began[a.key] <= claim.Age {
+		w.t.Fatalf("key %s was called by %s and by %s", a.key, other, a.name)
+	}
+	w.calls[a.key], w.began[a.key] = a.name, w.now
+	w.called++
+	if rapid.Bool().Draw(w.t, "answered") {
+		for _, h := range holders {
+			if table := w.tables[h]; table != nil {
+				table.Record(w.now, a.key, a.name, []byte("call"), &claim.Result{Outcome: "done", Body: []byte(a.name)})
+			}
+		}
+	}
+}
+
+// pull lets a box take over something.
+func (w *world) pull(process string) {
+	table := w.tables[process]
+	pulls := table.Pulls(w.now)
+	if len(pulls) == 0 {
+		return
+	}
+	p := rapid.SampledFrom(pulls).Draw(w.t, "pull")
+	if len(p.From) == 0 {
+		return
+	}
+	w.takeOver(table, p, rapid.SampledFrom(p.From).Draw(w.t, "from"))
+}
+
+func (w *world) takeOver(table *claim.Table, p claim.Pull, from string) {
+	if source := w.tables[from]; source != nil {
+		if claims, ok := source.HandOver(w.now, p.Slot, p.Epoch); ok {
+			table.TakeOver(p.Slot, p.Epoch, from, claims)
+		}
+	}
+}
+
+func (w *world) settle() {
+	for range 3 {
+		for _, p := range w.boxes {
+			if p == "" {
+				continue
+			}
+			w.tables[p].Enter(w.now, w.newest())
+			for _, pull := range w.tables[p].Pulls(w.now) {
+				for _, from := range pull.From {
+					w.takeOver(w.tables[p], pull, from)
+				}
+			}
+		}
+	}
+}
+
+func (w *world) step() {
+	switch rapid.IntRange(0, 13).Draw(w.t, "action") {
+	case 0:
+		w.count++
+		key := fmt.Sprint("key", rapid.IntRange(0, 15).Draw(w.t, "key"))
+		w.attempts = append(w.attempts, &attempt{name: fmt.Sprint("attempt", w.count), key: key})
+	case 1, 2, 3, 4, 5, 6:
+		if len(w.attempts) > 0 {
+			w.ask(rapid.SampledFrom(w.attempts[max(0, len(w.attempts)-8):]).Draw(w.t, "attempt"))
+		}
+	case 7, 8:
+		w.tables[w.box("entering")].Enter(w.now, w.newest())
+	case 9:
+		w.pull(w.box("pulling"))
+	case 10:
+		w.settle()
+	case 11:
+		if rapid.IntRange(0, 2).Draw(w.t, "rarely") == 0 {
+			w.restart(rapid.IntRange(0, len(w.boxes)-1).Draw(w.t, "restarted"))
+		}
+	case 12:
+		if len(w.attempts) > 0 {
+			if a := rapid.SampledFrom(w.attempts).Draw(w.t, "released"); !a.ended {
+				a.ended = true
+				for _, table := range w.tables {
+					table.Release(a.key, a.name)
+				}
+			}
+		}
+	case 13:
+		w.now += time.Duration(rapid.IntRange(0, int(claim.Age/20)).Draw(w.t, "later"))
+	}
+}
+
+// TestAtMostOneCallAKey has attempts at few keys race through boxes that
+// restart and learn of it at different times.
+func TestAtMostOneCallAKey(t *testing.T) {
+	called := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		w := &world{t: rt, tables: map[string]*claim.Table{}, boxes: make([]string, 5), calls: map[string]string{}, began: map[string]time.Duration{}}
+		for i := range w.boxes {
+			w.restart(i)
+			w.settle()
+		}
+		for range 1500 {
+			w.step()
+		}
+		called += w.called
+	})
+	NewWithT(t).Expect(called).To(BeNumerically(">", 500), "the runs must call, or they prove nothing")
+}
+
+// TestRollingRestartKeepsClaims restarts all boxes one after another: the claim
+// and its answer outlive every box that held it first.
+func TestRollingRestartKeepsClaims(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g := NewWithT(rt)
+		w := &world{t: rt, tables: map[string]*claim.Table{}, boxes: make([]string, 5), calls: map[string]string{}, began: map[string]time.Duration{}}
+		for i := range w.boxes {
+			w.restart(i)
+			w.settle()
+		}
+		key := rapid.String().Draw(rt, "key")
+		ask := func(attempt string) (granted int, result *claim.Result) {
+			c := w.tables[w.boxes[0]].Current()
+			for _, h := range c.Holders(claim.SlotOf(key)) {
+				a := w.tables[h].Ask(w.now, key, attempt, []byte("call"), c.Number)
+				if a.Verdict == claim.Granted {
+					granted++
+					w.tables[h].Record(w.now, key, attempt, []byte("call"), &claim.Result{Body: []byte(attempt)})
+				} else if a.Other != nil {
+					result = a.Other.Result
+				}
+			}
+			return granted, result
+		}
+		granted, _ := ask("first")
+		g.Expect(granted).To(Equal(3))
+		for i := range w.boxes {
+			// A planned stop takes the box off the list while it still answers.
+			old := w.boxes[i]
+			w.boxes[i] = ""
+			w.publish()
+			w.tables[old].Enter(w.now, w.newest())
+			w.settle()
+			w.restart(i)
+			delete(w.tables, old)
+			w.settle()
+		}
+		granted, result := ask("second")
+		g.Expect(granted).To(BeZero())
+		g.Expect(string(result.Body)).To(Equal("first"))
+	})
+}
+
+func TestAnswers(t *testing.T) {
+	g := NewWithT(t)
+	one := claim.Epoch{Number: 1, Processes: []claim.Process{{ID: "a"}}}
+	table := claim.NewTable("a")
+	g.Expect(table.Ask(0, "k", "x", nil, 1).Verdict).To(Equal(claim.OtherEpoch))
+	table.Enter(0, []claim.Epoch{one})
+	g.Expect(table.Ask(0, "k", "x", []byte("d"), 2).Verdict).To(Equal(claim.OtherEpoch))
+	g.Expect(table.Ask(0, "k", "x", []byte("d"), 1).Verdict).To(Equal(claim.Granted))
+	g.Expect(table.Ask(0, "k", "x", []byte("d"), 1).Verdict).To(Equal(claim.Granted), "the same attempt may ask again")
+	g.Expect(table.Ask(0, "k", "y", []byte("d"), 1).Verdict).To(Equal(claim.Taken))
+	g.Expect(table.Ask(0, "k", "y", []byte("e"), 1).Verdict).To(Equal(claim.OtherCall))
+	table.Release("k", "x")
+	g.Expect(table.Ask(0, "k", "y", []byte("e"), 1).Verdict).To(Equal(claim.Granted))
+	table.Record(0, "k", "y", []byte("e"), &claim.Result{Status: 200})
+	table.Release("k", "y")
+	a := table.Ask(claim.Age, "k", "z", []byte("e"), 1)
+	g.Expect(a.Verdict).To(Equal(claim.Taken), "a claim whose call ended is not released")
+	g.Expect(a.Other.Result.Status).To(Equal(200))
+	g.Expect(table.Ask(claim.Age+1, "k", "z", []byte("e"), 1).Verdict).To(Equal(claim.Granted), "it ends by age (7)")
+}
+
+// TestLostSlotWaitsForAge loses all holders at once: the next ones grant nothing
+// until every claim that was lost has ended.
+func TestLostSlotWaitsForAge(t *testing.T) {
+	g := NewWithT(t)
+	epochs := []claim.Epoch{{Number: 1, Processes: []claim.Process{{ID: "a"}}}, {Number: 2, Processes: []claim.Process{{ID: "b"}}}}
+	table := claim.NewTable("b")
+	table.Enter(0, epochs)
+	g.Expect(table.Pulls(claim.Age)).To(HaveLen(claim.Slots))
+	g.Expect(table.Ask(claim.Age, "k", "x", nil, 2).Verdict).To(Equal(claim.NotReady))
+	g.Expect(table.Pulls(claim.Age + 1)).To(BeEmpty())
+	g.Expect(table.Ask(claim.Age+1, "k", "x", nil, 2).Verdict).To(Equal(claim.Granted))
+}
+
+func TestHandOverOnlyAfterLeavingTheEpoch(t *testing.T) {
+	g := NewWithT(t)
+	one := claim.Epoch{Number: 1, Processes: []claim.Process{{ID: "a"}}}
+	table := claim.NewTable("a")
+	table.Enter(0, []claim.Epoch{one})
+	_, ok := table.HandOver(0, 0, 1)
+	g.Expect(ok).To(BeFalse(), "it may still grant in epoch 1 (4)")
+	table.Enter(0, []claim.Epoch{one, {Number: 2, Processes: []claim.Process{{ID: "b"}}}})
+	_, ok = table.HandOver(0, 0, 1)
+	g.Expect(ok).To(BeTrue())
+}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -114,8 +114,10 @@
 	}
 	path := strings.TrimPrefix(r.URL.Path, "/services/"+name)
 	uri := strings.TrimPrefix(r.URL.RequestURI(), "/services/"+name)
-	e.serve(w, r, &job{
+	j := &job{
 		id: id, arrived: arrived, target: target, repeatable: target.Service.Repeatable(r.Method, path),
 		attempt: proxy.Attempt{Method: r.Method, Path: uri, Header: r.Header, Body: body},
-	})
+	}
+	j.key = keyOf(r, j)
+	e.serve(w, r, j)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"leverdrum/admit"
 	"leverdrum/meter"
 	"leverdrum/proxy"
 	"leverdrum/reason"
@@ -28,6 +29,8 @@
 	HeaderReason = "X-Leverdrum-Reason"
 	// HeaderRequestID names the request; a caller may send its own.
 	HeaderRequestID = "X-Request-Id"
+	// HeaderReplayed marks the answer of an earlier call with the same key.
+	HeaderReplayed = "X-Leverdrum-Replayed"
 	// HeaderCaller names the caller, for fair shares.
 	HeaderCaller = "X-Caller"
 )
@@ -42,11 +45,15 @@
 	Meters  *meter.Meters
 	Records *record.Book
 	MaxBody int64
+	// Guard guards the keys of calls that may run at most once.
+	Guard Guard
 }
 
 // Entry is the callers' side of a box.
 type Entry struct {
 	opts     Options
+	gate     *admit.Gate
+	budget   *budget
 	inFlight atomic.Int64
 	stopping atomic.Bool
 	router   chi.Router
@@ -54,7 +61,7 @@
 
 // New returns an Entry.
 func New(opts Options) *Entry {
-	e := &Entry{opts: opts}
+	e := &Entry{opts: opts, gate: admit.NewGate(opts.Directory), budget: newBudget()}
 	r := chi.NewRouter()
 	r.Post("/v1/chat/completions", e.chat)
 	r.Get("/v1/models", e.models)
@@ -79,6 +86,9 @@
 // InFlight returns the count of requests being served.
 func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
 
+// Changed starts requests that can start after the routes changed.
+func (e *Entry) Changed() { e.gate.Kick() }
+
 // Stop refuses all further requests.
 func (e *Entry) Stop() { e.stopping.Store(true) }
 
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,347 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"leverdrum/engine"
+	"leverdrum/entry"
+	"leverdrum/meter"
+	"leverdrum/proxy"
+	"leverdrum/reason"
+	"leverdrum/record"
+	"leverdrum/route"
+	"leverdrum/standin"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+func TestEntry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "callers' side")
+}
+
+// bed is an entry box before two model servers and a service on two backend
+// servers, which keep one account.
+type bed struct {
+	engines [2]*standin.Engine
+	servers [2]*httptest.Server
+	shop    *standin.Service
+	meters  *meter.Meters
+	current atomic.Bool
+	address string
+	st      *state.State
+}
+
+func serve(h http.Handler) *httptest.Server {
+	s := httptest.NewServer(h)
+	DeferCleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s
+}
+
+func newBed(deadline string) *bed {
+	GinkgoHelper()
+	b := &bed{shop: standin.NewService("shop", "Idempotency-Key", 0), meters: meter.New()}
+	b.current.Store(true)
+	text := "[fleet]\nnumber = 1\n[hall a]\n[class c]\ndeadline = " + deadline + "\n[class urgent]\ndeadline = " + deadline + "\npriority = 5\n[kind k]\nmemory = 1GiB\nconcurrency = 2\n"
+	for i := range b.engines {
+		b.engines[i] = standin.NewEngine(standin.EngineOptions{Accelerators: 1, Memory: 1 << 30, ChecksFences: true, Concurrency: 2})
+		b.engines[i].Hold(0, "m", "", "1", 1)
+		b.servers[i] = serve(b.engines[i])
+		text += fmt.Sprintf("[server s%d]\naddress = %s\nhall = a\nkind = k\n", i, b.servers[i].Listener.Addr())
+	}
+	text += "[model m]\nversion = 1\nmemory = 1B\nclass = c\n[model n]\nversion = 1\nmemory = 1B\nclass = c\n"
+	text += "[service shop]\nclass = c\nnon-repeatable = POST /orders\n"
+	for i := range 2 {
+		text += fmt.Sprintf("[instance shop%d]\nservice = shop\naddress = %s\nhall = a\n", i, serve(b.shop).Listener.Addr())
+	}
+	st, err := standin.Agreed(text)
+	Expect(err).NotTo(HaveOccurred())
+	for i := range b.engines {
+		standin.Ready(st, fmt.Sprint("s", i), 0, &wire.Item{Model: "m", Version: "1"}, 1)
+	}
+	b.st = st
+	d := route.NewDirectory("a")
+	d.Update(st)
+	b.address = serve(entry.New(entry.Options{
+		Directory: d, View: func() *state.State { return b.st }, Current: b.current.Load, Sender: proxy.NewSender(),
+		Meters: b.meters, Records: record.NewBook(100), MaxBody: 1000,
+	})).Listener.Addr().String()
+	return b
+}
+
+func (b *bed) both(f standin.Faults) {
+	for _, e := range b.engines {
+		e.Set(f)
+	}
+}
+
+func (b *bed) ran() int {
+	sum := 0
+	for _, e := range b.engines {
+		for _, n := range e.Account().Ran {
+			sum += n
+		}
+	}
+	return sum
+}
+
+type reply struct {
+	status          int
+	outcome, reason string
+	retryAfter      string
+	body            string
+	err             error
+}
+
+func (b *bed) do(method, path, body string, header ...string) reply {
+	GinkgoHelper()
+	req, err := http.NewRequest(method, "http://"+b.address+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header.Get(entry.HeaderOutcome), resp.Header.Get(entry.HeaderReason), resp.Header.Get("Retry-After"), string(data), err}
+}
+
+func (b *bed) chat(body string) reply {
+	GinkgoHelper()
+	return b.do(http.MethodPost, engine.ChatPath, body)
+}
+
+func (b *bed) refusals(r *reason.Reason) float64 {
+	return testutil.ToFloat64(b.meters.Count(meter.Refusals, r.Code))
+}
+
+const (
+	ask    = `{"model":"m"}`
+	stream = `{"model":"m","stream":true,"max_tokens":20}`
+)
+
+var _ = Describe("a box before backend servers", func() {
+	var b *bed
+	BeforeEach(func() { b = newBed("2s") })
+
+	DescribeTable("refuses what is wrong, with a stable reason and nothing run",
+		func(method, path, body string, why *reason.Reason) {
+			r := b.do(method, path, body)
+			Expect(r.status).To(Equal(why.Status))
+			Expect(r.reason).To(Equal(why.Code))
+			Expect(r.outcome).To(Equal("not-run"))
+			Expect(r.body).To(ContainSubstring(`"code":"` + why.Code + `"`))
+			Expect(b.refusals(why)).To(BeEquivalentTo(1))
+			Expect(b.ran()).To(BeZero())
+		},
+		Entry("no JSON", "POST", engine.ChatPath, "hello", reason.BadRequest),
+		Entry("no model", "POST", engine.ChatPath, "{}", reason.BadRequest),
+		Entry("a model that is no text", "POST", engine.ChatPath, `{"model":7}`, reason.BadRequest),
+		Entry("an unknown model", "POST", engine.ChatPath, `{"model":"x"}`, reason.UnknownModel),
+		Entry("a model that is not loaded", "POST", engine.ChatPath, `{"model":"n"}`, reason.NotResident),
+		Entry("a body that is too large", "POST", engine.ChatPath, strings.Repeat("x", 1001), reason.BodyTooLarge),
+		Entry("an unknown service", "GET", "/services/x/", "", reason.UnknownService),
+		Entry("an unknown path", "GET", "/v2", "", reason.UnknownPath),
+		Entry("another method", "GET", engine.ChatPath, "", reason.UnknownPath),
+	)
+
+	It("refuses while it may not be current", func() {
+		b.current.Store(false)
+		r := b.chat(ask)
+		Expect(r.reason).To(Equal(reason.NotCurrent.Code))
+		Expect(r.retryAfter).To(Equal("1"))
+	})
+
+	It("answers whole, in JSON and in a stream", func() {
+		Expect(b.chat(ask).body).To(ContainSubstring("m@1"))
+		r := b.chat(stream)
+		Expect(r.outcome).To(Equal("done"))
+		text, err := standin.ReadStream(strings.NewReader(r.body))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(text).To(HaveSuffix("w19"))
+		Expect(b.do("GET", "/v1/models", "").body).To(ContainSubstring(`"id":"m"`))
+	})
+
+	DescribeTable("tries another server when one fails before its answer is whole",
+		func(f standin.Faults, why *reason.Reason) {
+			b.engines[0].Set(f)
+			for range 8 {
+				r := b.chat(ask)
+				Expect(r.status).To(Equal(http.StatusOK))
+				Expect(r.body).To(ContainSubstring("m@1"))
+			}
+			Expect(testutil.ToFloat64(b.meters.Count(meter.RetriesMade, why.Code))).To(BeNumerically(">", 0))
+		},
+		Entry("it breaks off before its answer", standin.Faults{BreakBefore: true}, reason.RetryBroke),
+		Entry("it breaks off within its answer", standin.Faults{BreakAfter: 10}, reason.RetryBroke),
+		Entry("it refuses", standin.Faults{Refuse: true}, reason.RetryRefused),
+		Entry("it answers another attempt", standin.Faults{WrongID: true}, reason.RetryBroke),
+	)
+
+	DescribeTable("says what is known when all servers fail",
+		func(f standin.Faults, why *reason.Reason) {
+			b.both(f)
+			r := b.chat(ask)
+			Expect(r.status).To(Equal(why.Status))
+			Expect(r.reason).To(Equal(why.Code))
+			Expect(r.outcome).To(Equal(string(why.Outcome)))
+			if why.Outcome == reason.NotRun {
+				Expect(b.ran()).To(BeZero(), "a refusal that says not run must be true")
+				Expect(r.retryAfter).To(Equal("1"))
+			}
+		},
+		Entry("by breaking off", standin.Faults{BreakBefore: true}, reason.BackendBroke),
+		Entry("by breaking off within the answer", standin.Faults{BreakAfter: 10}, reason.BackendBroke),
+		Entry("by refusing", standin.Faults{Refuse: true}, reason.BackendRefused),
+		Entry("by answering others", standin.Faults{WrongID: true}, reason.BackendBroke),
+		Entry("by being late", standin.Faults{DelayMs: 3000}, reason.BackendLate),
+	)
+
+	It("says not run when nothing listens", func() {
+		for _, s := range b.servers {
+			s.CloseClientConnections()
+			s.Close()
+		}
+		r := b.chat(ask)
+		Expect(r.reason).To(Equal(reason.NotReached.Code))
+		Expect(r.outcome).To(Equal("not-run"))
+	})
+
+	DescribeTable("never lets a broken stream look whole",
+		func(f standin.Faults) {
+			b.both(f)
+			r := b.chat(stream)
+			Expect(r.status).To(Equal(http.StatusOK))
+			_, err := standin.ReadStream(strings.NewReader(r.body))
+			Expect(err).To(HaveOccurred())
+			Expect(r.err).To(HaveOccurred(), "the connection must break")
+			Expect(r.body).To(ContainSubstring("event: error"))
+			Expect(r.body).To(ContainSubstring(reason.StreamBroke.Code))
+		},
+		Entry("that broke off", standin.Faults{BreakAfter: 300}),
+		Entry("that ended without its last event", standin.Faults{NoLastEvent: true}),
+	)
+
+	It("cancels the work of a caller that hangs up", func() {
+		b.both(standin.Faults{DelayMs: 300})
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, "POST", "http://"+b.address+engine.ChatPath, strings.NewReader(ask))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = http.DefaultClient.Do(req)
+		Expect(err).To(HaveOccurred())
+		Eventually(func() int { return b.engines[0].Account().Cancelled + b.engines[1].Account().Cancelled }, "2s").Should(Equal(1))
+	})
+
+	It("sends a call that may not be repeated once, whatever happens", func() {
+		b.shop.Set(standin.Faults{BreakBefore: true})
+		r := b.do("POST", "/services/shop/orders", "two", entry.HeaderRequestID, "order1")
+		Expect(r.reason).To(Equal(reason.BackendBroke.Code))
+		Expect(r.outcome).To(Equal("unknown"))
+		Expect(b.shop.Account().Ran).To(Equal(map[string]int{"order1": 1}))
+	})
+
+	It("answers what it can under overload and refuses the rest as not run", func() {
+		b = newBed("400ms")
+		b.both(standin.Faults{DelayMs: 100})
+		Expect(b.chat(ask).status).To(Equal(http.StatusOK)) // the time of an answer is known now
+		var wg sync.WaitGroup
+		var ok, refused, late atomic.Int32
+		for range 60 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				switch r := b.chat(ask); {
+				case r.status == http.StatusOK:
+					ok.Add(1)
+				case r.reason == reason.BackendLate.Code:
+					late.Add(1)
+				default:
+					Expect(r.reason).To(Equal(reason.Overloaded.Code))
+					Expect(r.outcome).To(Equal("not-run"))
+					Expect(r.retryAfter).To(Equal("1"))
+					refused.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		Expect(ok.Load() + late.Load()).To(BeNumerically(">=", 4))
+		Expect(refused.Load()).To(BeNumerically(">=", 30))
+		Expect(b.ran()).To(BeEquivalentTo(1+ok.Load()+late.Load()), "a refusal that says not run must be true")
+	})
+})
+
+// TestTransportDoesNotSendAgain counts what arrives at a server that reads a
+// request on a kept connection and closes it without an answer: net/http's
+// transport would send such requests once more by itself.
+func TestTransportDoesNotSendAgain(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	var arrived atomic.Int32
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				requests := bufio.NewReader(c)
+				for i := 0; ; i++ {
+					r, err := http.ReadRequest(requests)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if i > 0 { // the second request on a connection gets no answer
+						arrived.Add(1)
+						return
+					}
+					fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+		}
+	}()
+	for _, c := range []struct{ method, key, body string }{
+		{"GET", "", ""}, {"HEAD", "", ""}, {"OPTIONS", "", ""}, {"POST", "k", ""}, {"POST", "k", "body"}, {"PUT", "", "body"},
+	} {
+		s := proxy.NewSender()
+		send := func() *proxy.Failure {
+			h := http.Header{}
+			if c.key != "" {
+				h.Set("Idempotency-Key", c.key)
+				h.Set("X-Idempotency-Key", c.key)
+			}
+			_, failure := s.Send(t.Context(), &proxy.Attempt{ID: "x", Method: c.method, Address: l.Addr().String(), Path: "/", Header: h, Body: []byte(c.body)})
+			return failure
+		}
+		g.Expect(send()).To(BeNil())
+		arrived.Store(0)
+		failure := send()
+		g.Expect(failure).NotTo(BeNil(), "%+v, %d arrived", c, arrived.Load())
+		g.Expect(failure.Outcome).To(Equal(reason.Unknown), "%+v", c)
+		g.Expect(arrived.Load()).To(BeEquivalentTo(1), "%+v", c)
+	}
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
 
+	"leverdrum/admit"
 	"leverdrum/meter"
 	"leverdrum/proxy"
 	"leverdrum/reason"
@@ -28,53 +30,99 @@
 	arrived    time.Time
 	target     *route.Target
 	repeatable bool
+	key        string // of a call that may run at most once; "" without one
 	attempt    proxy.Attempt
-	tried      []*route.Backend
+	ticket     *admit.Ticket
+	last       result // of the newest failed attempt
 }
 
 func (j *job) class() string { return j.target.Class.Name }
 
+func (j *job) deadline() time.Time { return j.arrived.Add(j.target.Class.Deadline) }
+
+// result is how a job ended: with an answer, whose place at the backend is
+// still held, or with a reason.
+type result struct {
+	answer  *proxy.Answer
+	backend *route.Backend
+	why     *reason.Reason
+	detail  string
+}
+
 // serve sends the request until it has an answer or must be given up, and
 // answers the caller.
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, j *job) {
-	ctx, cancel := context.WithDeadline(r.Context(), j.arrived.Add(j.target.Class.Deadline))
+	ctx, cancel := context.WithDeadline(r.Context(), j.deadline())
 	defer cancel()
-	answer, backend, why, detail := e.try(ctx, j)
+	j.ticket = &admit.Ticket{Target: j.target, Caller: callerOf(r), Deadline: j.deadline()}
+	if j.key != "" {
+		e.serveKeyed(w, r, j)
+		return
+	}
+	res := e.try(ctx, j)
+	if res.why == nil {
+		e.pass(w, j, res)
+		return
+	}
 	if r.Context().Err() != nil {
-		if answer != nil && answer.Rest != nil {
-			answer.Rest.Close()
-		}
 		e.finished(j, "caller-gone", "the caller hung up")
 		return
 	}
-	if why != nil {
-		e.finished(j, string(why.Outcome), detail)
-		e.refuse(w, j.id, why, detail)
-		return
+	e.giveUp(w, j, res)
+}
+
+func (e *Entry) giveUp(w http.ResponseWriter, j *job, res result) {
+	e.finished(j, string(res.why.Outcome), res.detail)
+	e.refuse(w, j.id, res.why, res.detail)
+}
+
+// callerOf names the caller for fair shares.
+func callerOf(r *http.Request) string {
+	if name := r.Header.Get(HeaderCaller); name != "" {
+		return name
 	}
-	e.pass(w, j, answer, backend)
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	return host
 }
 
-// try makes the attempts. Exactly one of answer and reason is set.
-func (e *Entry) try(ctx context.Context, j *job) (*proxy.Answer, *route.Backend, *reason.Reason, string) {
-	why, detail := reason.NoServer, ""
+// try makes the attempts.
+func (e *Entry) try(ctx context.Context, j *job) result {
+	e.budget.first()
 	for n := range maxTries {
-		b := e.opts.Directory.Choose(j.target, time.Now(), j.tried)
-		if b == nil {
-			break
+		b, why := e.gate.Enter(ctx, j.ticket)
+		if why != nil && n > 0 {
+			break // the failure of the attempt before tells more
+		}
+		if why != nil {
+			return result{why: why}
 		}
 		answer, failure := e.attempt(ctx, j, b, n)
 		if failure == nil {
-			return answer, b, nil, ""
+			return result{answer: answer, backend: b}
 		}
-		why, detail = failure.Reason, failure.Cause.Error()
-		retry := retryReason(j, failure)
-		if retry == nil || ctx.Err() != nil || n == maxTries-1 {
-			break
+		e.gate.Leave(b, j.ticket, 0)
+		j.ticket.Tried = append(j.ticket.Tried, b)
+		last := result{why: failure.Reason, detail: failure.Cause.Error()}
+		if !e.mayRetry(ctx, j, failure, n) {
+			return last
 		}
-		e.opts.Meters.Retry(retry)
+		j.last = last
 	}
-	return nil, nil, why, detail
+	return j.last
+}
+
+// mayRetry reports whether a failed attempt is followed by another.
+func (e *Entry) mayRetry(ctx context.Context, j *job, f *proxy.Failure, n int) bool {
+	retry := retryReason(j, f)
+	if retry == nil || ctx.Err() != nil || n == maxTries-1 {
+		return false
+	}
+	if !e.budget.retry() {
+		e.opts.Meters.Count(meter.RetriesSpent).Inc()
+		return false
+	}
+	e.opts.Meters.Retry(retry)
+	return pause(ctx, e.budget.jitter(n))
 }
 
 // retryReason says why a failed attempt may be followed by another, nil when it
@@ -92,30 +140,58 @@
 }
 
 func (e *Entry) attempt(ctx context.Context, j *job, b *route.Backend, n int) (*proxy.Answer, *proxy.Failure) {
-	j.tried = append(j.tried, b)
-	end := b.Begin()
-	defer end()
 	a := j.attempt
 	a.ID = j.id + "." + strconv.Itoa(n)
 	a.Address = b.Address
 	a.Once = !j.repeatable
 	a.Header = a.Header.Clone()
-	if deadline, ok := ctx.Deadline(); ok {
-		a.Header.Set(HeaderDeadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
-	}
+	a.Header.Set(HeaderDeadline, strconv.FormatInt(time.Until(j.deadline()).Milliseconds(), 10))
 	answer, failure := e.opts.Sender.Send(ctx, &a)
 	if failure == nil {
 		b.Succeeded()
 		return answer, nil
 	}
-	if ctx.Err() == nil && b.Failed(time.Now()) {
-		e.opts.Meters.Count(meter.Ejections).Inc()
+	if !errors.Is(failure.Cause, context.Canceled) {
+		e.blame(b, failure)
 	}
 	return nil, failure
 }
 
-// pass hands the answer to the caller.
-func (e *Entry) pass(w http.ResponseWriter, j *job, answer *proxy.Answer, b *route.Backend) {
+// blame notes a failure that is the backend's.
+func (e *Entry) blame(b *route.Backend, f *proxy.Failure) {
+	now := time.Now()
+	b.TooLate(now)
+	if b.Failed(now) {
+		e.opts.Meters.Count(meter.Ejections).Inc()
+		e.opts.Records.Note(record.Server, b.Name, "ejected", f.Cause.Error())
+	}
+}
+
+// pass hands the answer to the caller and frees the place at the backend.
+func (e *Entry) pass(w http.ResponseWriter, j *job, res result) {
+	answered := time.Duration(0)
+	defer func() { e.gate.Leave(res.backend, j.ticket, answered) }()
+	outcome := setHead(w, j, res.answer)
+	if res.answer.Rest == nil {
+		answered = time.Since(j.ticket.Began())
+		// A caller that has gone does not read its answer.
+		_, _ = w.Write(res.answer.Body)
+		e.passed(j, res.backend, outcome)
+		return
+	}
+	err := proxy.CopyRest(w, res.answer)
+	switch {
+	case err == nil:
+		answered = time.Since(j.ticket.Began())
+		e.passed(j, res.backend, outcome)
+	case errors.Is(err, proxy.ErrCallerGone):
+		e.finished(j, "caller-gone", "the caller hung up")
+	default:
+		e.breakOff(w, j, res, err)
+	}
+}
+
+func setHead(w http.ResponseWriter, j *job, answer *proxy.Answer) reason.Outcome {
 	h := w.Header()
 	proxy.PassHeaders(h, answer.Header)
 	h.Set(HeaderRequestID, j.id)
@@ -126,36 +202,28 @@
 	h.Set(HeaderOutcome, string(outcome))
 	if answer.Rest == nil {
 		h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
-		w.WriteHeader(answer.Status)
-		// A caller that has gone does not read its answer.
-		_, _ = w.Write(answer.Body)
-		e.finished(j, string(outcome), "by "+b.Name)
-		return
 	}
-	e.passRest(w, j, answer, b, outcome)
+	w.WriteHeader(answer.Status)
+	return outcome
 }
 
-func (e *Entry) passRest(w http.ResponseWriter, j *job, answer *proxy.Answer, b *route.Backend, outcome reason.Outcome) {
-	end := b.Begin()
-	defer end()
-	w.WriteHeader(answer.Status)
-	err := proxy.CopyRest(w, answer)
-	switch {
-	case err == nil:
-		e.finished(j, string(outcome), "by "+b.Name)
-	case errors.Is(err, proxy.ErrCallerGone):
-		e.finished(j, "caller-gone", "the caller hung up")
-	default:
-		e.breakOff(w, j, answer, err)
+// passed notes a whole answer.
+func (e *Entry) passed(j *job, b *route.Backend, outcome reason.Outcome) {
+	if now := time.Now(); now.After(j.deadline()) {
+		b.TooLate(now)
+	} else {
+		b.InTime()
 	}
+	e.finished(j, string(outcome), "by "+b.Name)
 }
 
 // breakOff makes sure that a part of an answer is not taken for the whole: a
 // stream gets an error event, and the connection breaks without its last chunk.
-func (e *Entry) breakOff(w http.ResponseWriter, j *job, answer *proxy.Answer, cause error) {
+func (e *Entry) breakOff(w http.ResponseWriter, j *job, res result, cause error) {
 	e.opts.Meters.Refuse(reason.StreamBroke)
+	e.blame(res.backend, &proxy.Failure{Outcome: reason.Unknown, Reason: reason.StreamBroke, Cause: cause})
 	e.finished(j, string(reason.Unknown), cause.Error())
-	if answer.Stream {
+	if res.answer.Stream {
 		body, err := json.Marshal(errorBody(j.id, reason.StreamBroke, ""))
 		if err == nil {
 			fmt.Fprintf(w, "event: error\ndata: %s\n\n", body)
--- /dev/null
+++ b/keyed/keyed.go
@@ -0,0 +1,365 @@
+// Package keyed runs the claims of package claim between the boxes: it asks the
+// holders of a key, answers other boxes, and takes slots over when the list of
+// boxes changes.
+package keyed
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"leverdrum/claim"
+	"leverdrum/meter"
+	"leverdrum/replica"
+	"leverdrum/wire"
+)
+
+const (
+	// askTimeout bounds one question to one holder.
+	askTimeout = 400 * time.Millisecond
+	// againPause is the wait before holders are asked again after a change of
+	// the list of boxes.
+	againPause = 20 * time.Millisecond
+	// acquireTimeout bounds all questions for one claim.
+	acquireTimeout = 1500 * time.Millisecond
+	// recordTimeout bounds waiting until a majority keeps an answer.
+	recordTimeout = 500 * time.Millisecond
+	// pullEvery is the time between two looks at what is still to be taken over.
+	pullEvery = 50 * time.Millisecond
+	// sweepEvery is the time between two looks for claims that have ended.
+	sweepEvery = 10 * time.Second
+	// keepBody is the largest body, in bytes, that is kept of an answer.
+	keepBody = 64 << 10
+)
+
+// Caller asks other boxes.
+type Caller interface {
+	Call(ctx context.Context, box string, r *wire.Request) (*wire.Response, error)
+}
+
+// Guard is one box's part in guarding keys.
+type Guard struct {
+	self    string // process
+	replica *replica.Replica
+	caller  Caller
+	meters  *meter.Meters
+
+	mu    sync.Mutex
+	table *claim.Table
+}
+
+// New returns the guard of a process; Run makes it work.
+func New(self string, r *replica.Replica, c Caller, m *meter.Meters) *Guard {
+	return &Guard{self: self, replica: r, caller: c, meters: m, table: claim.NewTable(self)}
+}
+
+func (g *Guard) now() time.Duration { return g.replica.Now() }
+
+// Run follows the list of boxes and takes slots over, until the context ends.
+func (g *Guard) Run(ctx context.Context) {
+	swept := time.Now()
+	for ctx.Err() == nil {
+		changed := g.replica.Changed()
+		g.enter()
+		g.pull(ctx)
+		if time.Since(swept) > sweepEvery {
+			swept = time.Now()
+			g.mu.Lock()
+			g.table.Sweep(g.now())
+			g.mu.Unlock()
+		}
+		timer := time.NewTimer(pullEvery)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+func (g *Guard) enter() {
+	var epochs []claim.Epoch
+	for _, e := range g.replica.View().Epochs {
+		next := claim.Epoch{Number: e.Number}
+		for _, p := range e.Processes {
+			next.Processes = append(next.Processes, claim.Process{ID: p.Id, Hall: p.Hall})
+		}
+		epochs = append(epochs, next)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Enter(g.now(), epochs)
+}
+
+func boxOf(process string) string {
+	box, _, _ := strings.Cut(process, "/")
+	return box
+}
+
+// Acquire claims a key for an attempt. Granted means that the attempt may call;
+// Taken and OtherCall come with the claim that stands against it; NotReady
+// means that no majority of the holders could be asked.
+func (g *Guard) Acquire(ctx context.Context, key, attempt string, digest []byte) claim.Answer {
+	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
+	defer cancel()
+	answer := claim.Answer{Verdict: claim.NotReady}
+	for ctx.Err() == nil {
+		answer = g.askAll(ctx, key, attempt, digest)
+		if answer.Verdict != claim.NotReady {
+			break
+		}
+		pause(ctx, againPause)
+	}
+	g.meters.Count(meter.Claims, string(answer.Verdict)).Inc()
+	if answer.Verdict != claim.Granted {
+		g.Release(key, attempt)
+	}
+	return answer
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (g *Guard) holders(key string) (holders []string, epoch uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.table.Current()
+	if c == nil {
+		return nil, 0
+	}
+	return c.Holders(claim.SlotOf(key)), c.Number
+}
+
+// askAll asks all holders of one epoch at once and returns as soon as a
+// majority has granted.
+func (g *Guard) askAll(ctx context.Context, key, attempt string, digest []byte) claim.Answer {
+	holders, epoch := g.holders(key)
+	answers := make(chan claim.Answer, len(holders))
+	for _, h := range holders {
+		go func() { answers <- g.ask(ctx, h, key, attempt, digest, epoch) }()
+	}
+	granted := 0
+	against := claim.Answer{Verdict: claim.NotReady}
+	for range holders {
+		a := <-answers
+		switch a.Verdict {
+		case claim.Granted:
+			granted++
+		case claim.Taken, claim.OtherCall:
+			if against.Other == nil || against.Other.Result == nil {
+				against = a
+			}
+		}
+		if granted >= claim.Majority(len(holders)) {
+			return claim.Answer{Verdict: claim.Granted, Epoch: epoch}
+		}
+	}
+	return against
+}
+
+func (g *Guard) ask(ctx context.Context, holder, key, attempt string, digest []byte, epoch uint64) claim.Answer {
+	if holder == g.self {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.table.Ask(g.now(), key, attempt, digest, epoch)
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	response, err := g.caller.Call(ctx, boxOf(holder), &wire.Request{Kind: &wire.Request_Claim{Claim: &wire.Claim{
+		Process: holder, Key: key, Attempt: attempt, Digest: digest, Epoch: epoch,
+	}}})
+	if err != nil || response.GetClaim() == nil {
+		return claim.Answer{Verdict: claim.NotReady}
+	}
+	a := response.GetClaim()
+	answer := claim.Answer{Verdict: claim.Verdict(a.Verdict), Epoch: a.Epoch}
+	if a.Other != nil {
+		answer.Other = g.fromRecord(a.Other)
+	}
+	return answer
+}
+
+// Release gives up a claim whose attempt has not called and never will. What
+// does not reach a holder ends by age.
+func (g *Guard) Release(key, attempt string) {
+	g.endAll(&wire.ClaimEnd{Key: key, Attempt: attempt})
+}
+
+// Record keeps how the call ended with a majority of the holders, as far as
+// they can be reached in time.
+func (g *Guard) Record(key, attempt string, digest []byte, r *claim.Result) {
+	result := &wire.CallResult{Outcome: r.Outcome, Status: uint32(r.Status), Header: r.Header, Body: r.Body}
+	if len(r.Body) > keepBody {
+		result.Header, result.Body, result.Outcome = nil, nil, OutcomeTooLarge
+	}
+	g.endAll(&wire.ClaimEnd{Key: key, Attempt: attempt, Digest: digest, Result: result})
+}
+
+// OutcomeTooLarge marks a call that was done, whose answer is too large to keep.
+const OutcomeTooLarge = "done-too-large"
+
+// endAll tells all holders, and returns when a majority has taken it.
+func (g *Guard) endAll(e *wire.ClaimEnd) {
+	holders, _ := g.holders(e.Key)
+	done := make(chan bool, len(holders))
+	for _, h := range holders {
+		go func() { done <- g.end(h, e) }()
+	}
+	took := 0
+	for range holders {
+		if <-done {
+			took++
+		}
+		if took >= claim.Majority(len(holders)) {
+			return
+		}
+	}
+}
+
+func (g *Guard) end(holder string, e *wire.ClaimEnd) bool {
+	if holder == g.self {
+		g.noteEnd(e)
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	_, err := g.caller.Call(ctx, boxOf(holder), &wire.Request{Kind: &wire.Request_ClaimEnd{ClaimEnd: e}})
+	return err == nil
+}
+
+func (g *Guard) noteEnd(e *wire.ClaimEnd) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e.Result == nil {
+		g.table.Release(e.Key, e.Attempt)
+		return
+	}
+	g.table.Record(g.now(), e.Key, e.Attempt, e.Digest, fromResult(e.Result))
+}
+
+// pull asks for what this box still has to take over, one question a holder.
+func (g *Guard) pull(ctx context.Context) {
+	g.mu.Lock()
+	pulls := g.table.Pulls(g.now())
+	g.mu.Unlock()
+	byHolder := map[string][]*wire.SlotPull{}
+	for _, p := range pulls {
+		for _, from := range p.From {
+			byHolder[from] = append(byHolder[from], &wire.SlotPull{Slot: uint32(p.Slot), Epoch: p.Epoch})
+		}
+	}
+	var wg sync.WaitGroup
+	for holder, slots := range byHolder {
+		wg.Go(func() { g.pullFrom(ctx, holder, slots) })
+	}
+	wg.Wait()
+}
+
+func (g *Guard) pullFrom(ctx context.Context, holder string, slots []*wire.SlotPull) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	response, err := g.caller.Call(ctx, boxOf(holder), &wire.Request{Kind: &wire.Request_ClaimPull{ClaimPull: &wire.ClaimPull{Process: holder, Slots: slots}}})
+	if err != nil || response.GetClaimHandOver() == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range response.GetClaimHandOver().Slots {
+		var claims []*claim.Claim
+		for _, r := range s.Claims {
+			claims = append(claims, g.fromRecord(r))
+		}
+		g.table.TakeOver(int(s.Slot), s.Epoch, holder, claims)
+	}
+}
+
+// Answer answers another box; nil when the request is none of this package's.
+func (g *Guard) Answer(r *wire.Request) *wire.Response {
+	switch k := r.Kind.(type) {
+	case *wire.Request_Claim:
+		return &wire.Response{Kind: &wire.Response_Claim{Claim: g.answerClaim(k.Claim)}}
+	case *wire.Request_ClaimEnd:
+		g.noteEnd(k.ClaimEnd)
+		return &wire.Response{Kind: &wire.Response_ClaimEnd{ClaimEnd: &wire.ClaimEndAnswer{}}}
+	case *wire.Request_ClaimPull:
+		return &wire.Response{Kind: &wire.Response_ClaimHandOver{ClaimHandOver: g.handOver(k.ClaimPull)}}
+	}
+	return nil
+}
+
+func (g *Guard) answerClaim(c *wire.Claim) *wire.ClaimAnswer {
+	if c.Process != g.self {
+		return &wire.ClaimAnswer{Verdict: string(claim.OtherEpoch)}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a := g.table.Ask(g.now(), c.Key, c.Attempt, c.Digest, c.Epoch)
+	answer := &wire.ClaimAnswer{Verdict: string(a.Verdict), Epoch: a.Epoch}
+	if a.Other != nil {
+		answer.Other = g.toRecord(a.Other)
+	}
+	return answer
+}
+
+func (g *Guard) handOver(p *wire.ClaimPull) *wire.ClaimHandOver {
+	over := &wire.ClaimHandOver{}
+	if p.Process != g.self {
+		return over
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range p.Slots {
+		claims, ok := g.table.HandOver(g.now(), int(s.Slot), s.Epoch)
+		if !ok {
+			continue
+		}
+		row := &wire.SlotClaims{Slot: s.Slot, Epoch: s.Epoch}
+		for _, c := range claims {
+			row.Claims = append(row.Claims, g.toRecord(c))
+		}
+		over.Slots = append(over.Slots, row)
+	}
+	return over
+}
+
+// HandedOver reports whether no slot is held by this box any more, nor being
+// waited for: the next holders of every slot that it held are ready. It asks
+// nobody; a planned stop waits a little for the others to pull.
+func (g *Guard) HandedOver() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.table.Current()
+	return c == nil || !slices.ContainsFunc(c.Processes, func(p claim.Process) bool { return p.ID == g.self })
+}
+
+func (g *Guard) toRecord(c *claim.Claim) *wire.ClaimRecord {
+	r := &wire.ClaimRecord{Key: c.Key, Attempt: c.Attempt, Digest: c.Digest, AgeMs: uint32((g.now() - c.Began).Milliseconds())}
+	if c.Result != nil {
+		r.Result = &wire.CallResult{Outcome: c.Result.Outcome, Status: uint32(c.Result.Status), Header: c.Result.Header, Body: c.Result.Body}
+	}
+	return r
+}
+
+func (g *Guard) fromRecord(r *wire.ClaimRecord) *claim.Claim {
+	c := &claim.Claim{Key: r.Key, Attempt: r.Attempt, Digest: r.Digest, Began: g.now() - time.Duration(r.AgeMs)*time.Millisecond}
+	if r.Result != nil {
+		c.Result = fromResult(r.Result)
+	}
+	return c
+}
+
+func fromResult(r *wire.CallResult) *claim.Result {
+	return &claim.Result{Outcome: r.Outcome, Status: int(r.Status), Header: r.Header, Body: r.Body}
+}
+
+// AgeOf returns how long ago a claim was made.
+func (g *Guard) AgeOf(c *claim.Claim) time.Duration { return g.now() - c.Began }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -4,7 +4,8 @@
 // Rules:
 //
 //  1. An attempt is sent at most once. The transport is kept from sending it
-//     again: each request has a body that it cannot rewind.
+//     again: a request has a body that it cannot rewind, or, where an empty one
+//     must be sent as such, no header by which it knows repeatable calls.
 //  2. Not run is claimed only when no connection was had, so that no byte can
 //     have left, or when the backend server itself says so.
 //  3. An answer counts as whole when its length or its last chunk came, and a
@@ -126,17 +127,41 @@
 // Close does nothing.
 func (onceBody) Close() error { return nil }
 
+// keyHeaders make net/http's transport take a request for repeatable when they
+// stand under their usual spelling.
+var keyHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
+
+// bodyOf returns the body of a request (1). Methods that commonly have none get
+// one that turns out empty. For others it would go out in chunks, so they get
+// none, and the key headers go out under another spelling, which is the same in
+// HTTP.
+func bodyOf(req *http.Request, a *Attempt) {
+	switch {
+	case len(a.Body) > 0:
+		req.Body, req.ContentLength = onceBody{bytes.NewReader(a.Body)}, int64(len(a.Body))
+	case a.Method == http.MethodGet, a.Method == http.MethodHead, a.Method == http.MethodOptions, a.Method == http.MethodTrace:
+		req.Body = onceBody{bytes.NewReader(nil)}
+	default:
+		for _, k := range keyHeaders {
+			if v, ok := req.Header[k]; ok {
+				delete(req.Header, k)
+				req.Header[strings.ToLower(k)] = v
+			}
+		}
+	}
+}
+
 // Send sends the attempt and waits for the answer, or its beginning if it is a
 // stream or large. The context bounds the reading of Rest too.
 func (s *Sender) Send(ctx context.Context, a *Attempt) (*Answer, *Failure) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), a.Method, "http://"+a.Address+a.Path, onceBody{bytes.NewReader(a.Body)})
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), a.Method, "http://"+a.Address+a.Path, nil)
 	if err != nil {
 		return nil, &Failure{reason.NotRun, reason.BadRequest, Error.Wrap(err)}
 	}
-	req.ContentLength = int64(len(a.Body))
 	PassHeaders(req.Header, a.Header)
+	bodyOf(req, a)
 	req.Header.Set(engine.HeaderID, a.ID)
 	transport := s.kept
 	if a.Once {
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -74,6 +74,7 @@
 	StreamBroke    = add(Reason{"stream-broke", Callers, "The stream broke off; what came is not the whole answer.", "Ask again if the call may be repeated.", 0, Unknown, 0})
 	KeyInProgress  = add(Reason{"key-in-progress", Callers, "A call with this key is running.", "Come back with the same key for its answer.", http.StatusConflict, Unknown, 1 * second})
 	KeyUnknown     = add(Reason{"key-unknown", Callers, "A call with this key was sent; how it ended is not known.", "It is never sent again; look at the service.", http.StatusBadGateway, Unknown, 0})
+	KeyDone        = add(Reason{"key-done", Callers, "The call with this key was done; its answer was too large to keep.", "Read the result from the service.", http.StatusConflict, Done, 0})
 	KeyMismatch    = add(Reason{"key-mismatch", Callers, "This key was used with another call.", "Use a new key for a new call.", http.StatusUnprocessableEntity, NotRun, 0})
 	NoClaim        = add(Reason{"no-claim", Callers, "The boxes that guard the key cannot be reached.", "Come back with the same key.", http.StatusServiceUnavailable, NotRun, 1 * second})
 )
--- a/route/route.go
+++ b/route/route.go
@@ -12,6 +12,10 @@
 //     once, plus what the backend reported beyond them, which lags.
 //  5. A backend in this box's own hall is preferred while its load is about the
 //     same.
+//  6. A box keeps no more requests in flight at a backend than its limit there.
+//     The limit starts at the backend's size, falls by a third when answers come
+//     late, are refused or break, at most once a second, and grows by one for
+//     each full round of answers that came in time while it was reached.
 package route
 
 import (
@@ -40,17 +44,63 @@
 	ejectedUntil atomic.Int64 // unix nanoseconds
 	failures     atomic.Int32 // in a row
 	leaving      atomic.Bool
-}
 
-// Begin counts a request in; the returned function counts it out.
-func (b *Backend) Begin() (end func()) {
-	b.inFlight.Add(1)
-	return func() { b.inFlight.Add(-1) }
+	limitMu sync.Mutex
+	limit   float64
+	shrunk  time.Time
 }
 
+// Begin counts a request in.
+func (b *Backend) Begin() { b.inFlight.Add(1) }
+
+// End counts a request out.
+func (b *Backend) End() { b.inFlight.Add(-1) }
+
 // InFlight returns this box's own requests in flight.
 func (b *Backend) InFlight() int64 { return b.inFlight.Load() }
 
+const (
+	// shrinkBy and shrinkEvery are how a limit falls (6).
+	shrinkBy    = 2.0 / 3
+	shrinkEvery = time.Second
+	// mostOver is how far above a backend's size its limit may grow.
+	mostOver = 2
+)
+
+// HasRoom reports whether the box's limit at the backend is not reached (6).
+func (b *Backend) HasRoom() bool {
+	b.limitMu.Lock()
+	defer b.limitMu.Unlock()
+	return float64(b.inFlight.Load()) < b.limit
+}
+
+// Limit returns how many requests the box keeps in flight at most (6).
+func (b *Backend) Limit() float64 {
+	b.limitMu.Lock()
+	defer b.limitMu.Unlock()
+	return b.limit
+}
+
+// InTime lets the limit grow (6).
+func (b *Backend) InTime() {
+	b.limitMu.Lock()
+	defer b.limitMu.Unlock()
+	if float64(b.inFlight.Load()) >= b.limit-1 {
+		b.limit = min(b.limit+1/b.limit, float64(b.Concurrency*mostOver))
+	}
+}
+
+// TooLate makes the limit fall (6).
+func (b *Backend) TooLate(now time.Time) {
+	b.limitMu.Lock()
+	defer b.limitMu.Unlock()
+	if now.Sub(b.shrunk) < shrinkEvery {
+		return
+	}
+	b.shrunk = now
+	b.limit = max(1, b.limit*shrinkBy)
+}
+
 // Report takes over what the backend says it runs and queues (4).
 func (b *Backend) Report(work int) { b.reported.Store(max(0, int64(work)-b.inFlight.Load())) }
 
@@ -189,7 +239,7 @@
 	if b := d.backends[name]; b != nil && b.Address == address && b.Hall == hall && b.Concurrency == concurrency {
 		return b
 	}
-	return &Backend{Name: name, Address: address, Hall: hall, Concurrency: concurrency}
+	return &Backend{Name: name, Address: address, Hall: hall, Concurrency: concurrency, limit: float64(concurrency)}
 }
 
 func (d *Directory) serviceTarget(name string, s *fleet.Service) *Target {
@@ -252,28 +302,39 @@
 // own hall may have and still be preferred (5).
 const hallBonus = 0.1
 
-// Choose picks a backend, nil when none may be taken. Backends in tried are
-// passed over.
-func (d *Directory) Choose(t *Target, now time.Time, tried []*Backend) *Backend {
-	if b := d.draw(t.Backends, now, tried, false); b != nil {
-		return b
+// Choose picks a backend, passing over those in tried. Without one it reports
+// whether some could be taken but for their limits.
+func (d *Directory) Choose(t *Target, now time.Time, tried []*Backend) (b *Backend, busy bool) {
+	for _, ejectedToo := range []bool{false, true} { // (2)
+		b, full := d.draw(t.Backends, now, tried, ejectedToo)
+		if b != nil {
+			return b, false
+		}
+		if full {
+			return nil, true
+		}
 	}
-	return d.draw(t.Backends, now, tried, true) // (2)
+	return nil, false
 }
 
-func (d *Directory) draw(list []*Backend, now time.Time, tried []*Backend, ejectedToo bool) *Backend {
+func (d *Directory) draw(list []*Backend, now time.Time, tried []*Backend, ejectedToo bool) (b *Backend, full bool) {
 	if len(list) == 0 {
-		return nil
+		return nil, false
 	}
 	may := func(b *Backend) bool {
-		return !b.leaving.Load() && !contains(tried, b) && (ejectedToo || !b.ejected(now))
+		if b.leaving.Load() || contains(tried, b) || !ejectedToo && b.ejected(now) {
+			return false
+		}
+		room := b.HasRoom()
+		full = full || !room
+		return room
 	}
 	first := firstFrom(list, rand.IntN(len(list)), nil, may)
 	second := firstFrom(list, rand.IntN(len(list)), first, may)
 	if first == nil || second == nil {
-		return first
+		return first, full
 	}
-	return d.less(first, second) // (3)
+	return d.less(first, second), false // (3)
 }
 
 // firstFrom returns the first backend that may be taken, beginning at start and
--- /dev/null
+++ b/standin/agreed.go
@@ -0,0 +1,57 @@
+package standin
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"leverdrum/engine"
+	"leverdrum/fleet"
+	"leverdrum/ledger"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+// Agreed returns the agreed state after one fleet file was accepted, as if by
+// boxes that are not there. All model servers are known under incarnation "i".
+func Agreed(text string) (*state.State, error) {
+	f, err := fleet.Parse("fleet", []byte(text))
+	if err != nil {
+		return nil, err
+	}
+	st := state.New()
+	if err := Agree(st, &wire.Command{Kind: &wire.Command_Apply{Apply: &wire.ApplyFleet{Number: f.Number, Digest: fleet.Digest([]byte(text)), Text: text}}}).Err; err != nil {
+		return nil, err
+	}
+	for name := range f.Servers {
+		Agree(st, &wire.Command{Kind: &wire.Command_Server{Server: &wire.ServerSeen{Server: name, Incarnation: "i"}}})
+	}
+	return st, nil
+}
+
+// Agree applies one more command.
+func Agree(st *state.State, c *wire.Command) state.Result {
+	data, err := proto.Marshal(c)
+	if err != nil {
+		return state.Result{Err: err}
+	}
+	return st.Apply(&wire.Entry{Index: st.Index + 1, Term: 1, Kind: wire.EntryKind_ENTRY_COMMAND, Data: data})
+}
+
+// Ready puts a model, or an adapter when it is named, ready on a server.
+func Ready(st *state.State, server string, accelerator uint32, item *wire.Item, memory uint64) {
+	r := &wire.Resident{Server: server, Accelerator: accelerator, Item: item, Memory: memory, Phase: wire.Phase_PHASE_READY}
+	st.Residents[ledger.PlaceOfResident(r)] = r
+}
+
+// Hold makes a model server hold an item at once.
+func (e *Engine) Hold(accelerator uint32, model, adapter, version string, memory uint64) {
+	out := e.carryOut(&engine.Order{ID: e.nextFence(), Incarnation: e.incarnation, Action: engine.Load, Accelerator: accelerator, Model: model, Adapter: adapter, Version: version, Memory: memory})
+	if !out.Done {
+		panic("standin: " + out.Detail)
+	}
+}
+
+func (e *Engine) nextFence() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.fence + 1
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -342,9 +342,6 @@
 
 // generate waits for the time of n tokens; false when the request was cancelled.
 func (e *Engine) generate(ctx context.Context, n int) bool {
-	if e.opts.TokenTime == 0 {
-		return ctx.Err() == nil
-	}
 	timer := time.NewTimer(time.Duration(n) * e.opts.TokenTime)
 	defer timer.Stop()
 	select {
--- a/state/state.go
+++ b/state/state.go
@@ -25,6 +25,10 @@
 // an older one gets its first answer.
 const historyLength = 256
 
+// epochsLength is how many lists of processes are remembered, so that a box
+// that was behind can still take over claims step by step.
+const epochsLength = 48
+
 // ApplyOutcome is what became of a fleet file.
 type ApplyOutcome string
 
@@ -64,8 +68,9 @@
 	History []*wire.FleetVersion
 
 	// Members by box.
-	Members      map[string]*wire.Member
-	MembersEpoch uint64
+	Members map[string]*wire.Member
+	// Epochs are the newest lists of processes that may hold claims, newest last.
+	Epochs []*wire.Epoch
 
 	// Moves counts the loads behind the first placement of each item.
 	Moves uint64
@@ -190,15 +195,36 @@
 		return
 	}
 	s.Members[m.Box] = m
-	s.MembersEpoch++
+	s.enterEpoch()
+}
+
+// enterEpoch adds an epoch when the list of processes changed.
+func (s *State) enterEpoch() {
+	next := &wire.Epoch{Number: 1}
+	for _, box := range slices.Sorted(maps.Keys(s.Members)) {
+		if m := s.Members[box]; !m.Leaving {
+			next.Processes = append(next.Processes, &wire.Process{Id: ProcessID(m), Hall: m.Hall})
+		}
+	}
+	if n := len(s.Epochs); n > 0 {
+		next.Number = s.Epochs[n-1].Number + 1
+		if slices.EqualFunc(s.Epochs[n-1].Processes, next.Processes, func(a, b *wire.Process) bool { return proto.Equal(a, b) }) {
+			return
+		}
+	}
+	s.Epochs = append(slices.Clone(s.Epochs), next)
+	s.Epochs = s.Epochs[max(0, len(s.Epochs)-epochsLength):]
 }
 
+// ProcessID names one run of a box.
+func ProcessID(m *wire.Member) string { return m.GetBox() + "/" + m.GetProcess() }
+
 func (s *State) leave(l *wire.Leave) {
 	if m := s.Members[l.Box]; m == nil || m.Incarnation != l.Incarnation {
 		return
 	}
 	delete(s.Members, l.Box)
-	s.MembersEpoch++
+	s.enterEpoch()
 }
 
 func (s *State) issue(o *wire.Order, e *wire.Entry, unixMs int64) Result {
@@ -286,7 +312,7 @@
 func (s *State) Encode() *wire.State {
 	w := &wire.State{
 		Index: s.Index, Fleet: s.Version, FleetText: s.Text, History: s.History,
-		Moves: s.Moves, MembersEpoch: s.MembersEpoch,
+		Moves: s.Moves, Epochs: s.Epochs,
 	}
 	for _, k := range slices.Sorted(maps.Keys(s.Members)) {
 		w.Members = append(w.Members, s.Members[k])
@@ -312,7 +338,7 @@
 func Decode(w *wire.State) (*State, error) {
 	s := New()
 	s.Index, s.Version, s.Text, s.History = w.GetIndex(), w.GetFleet(), w.GetFleetText(), w.GetHistory()
-	s.Moves, s.MembersEpoch = w.GetMoves(), w.GetMembersEpoch()
+	s.Moves, s.Epochs = w.GetMoves(), w.GetEpochs()
 	if s.Version != nil {
 		f, err := fleet.Parse("fleet", []byte(s.Text))
 		if err != nil {
