--- a/box/box.go
+++ b/box/box.go
@@ -55,6 +55,9 @@
 	peers    *peer.Server
 	parts    atomic.Pointer[parts]
 	stopping atomic.Bool
+	// warm is set once the routes hold what was in force when the box first was
+	// current.
+	warm atomic.Bool
 
 	operatorHTTP *http.Server
 	entryHTTP    *http.Server
@@ -209,6 +212,7 @@
 	wg.Go(func() { b.keepDirectory(ctx, p) })
 	wg.Go(func() { b.keepMembership(ctx, p) })
 	wg.Go(func() { b.readPlatform(ctx, p) })
+	wg.Go(func() { b.readReports(ctx, p) })
 	wg.Wait()
 	p.replica.Close()
 }
@@ -232,16 +236,17 @@
 	p := &parts{replica: r, directory: route.NewDirectory(s.Hall)}
 	p.spread = spread.New(spread.Options{
 		Replica: r, Caller: b.pool, Self: self, Seeds: slices.Sorted(maps.Keys(s.Boxes)), ConfigLease: s.ConfigLease,
+		Demand: func() []*wire.Demand { return p.entry.Demand() },
 	})
 	engines := engine.NewClient(func() bool { _, held := r.Lease(); return held })
 	p.control = control.New(control.Options{
-		Replica: r, Spread: p.spread, Engines: engines.At, Demand: func() map[string]float64 { return nil },
+		Replica: r, Spread: p.spread, Engines: engines.At,
 		Gone: p.directory.Gone, Wanted: len(s.FirstMembers), RepairAfter: s.RepairAfter,
 		Records: b.records, Meters: b.meters, Log: b.log,
 	})
 	p.guard = keyed.New(state.ProcessID(self), r, b.pool, b.meters)
 	p.entry = entry.New(entry.Options{
-		Directory: p.directory, View: r.View, Current: p.spread.Current, Sender: proxy.NewSender(),
+		Directory: p.directory, View: r.View, Current: func() bool { return b.warm.Load() && p.spread.Current() }, Sender: proxy.NewSender(),
 		Meters: b.meters, Records: b.records, MaxBody: s.MaxBody, Guard: p.guard,
 	})
 	p.admin = admin.New(admin.Options{
@@ -257,16 +262,29 @@
 		view := p.replica.View()
 		p.directory.Update(view)
 		p.entry.Changed()
+		if p.spread.Current() && p.replica.View() == view {
+			b.warm.Store(true)
+		}
 		b.meters.Gauge(meter.StateIndex).Set(float64(view.Index))
 		b.meters.Gauge(meter.FleetNumber).Set(float64(view.Version.GetNumber()))
 		select {
 		case <-changed:
+		case <-b.untilWarm():
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// untilWarm ticks soon while the routes may not hold what is in force, and never
+// after that.
+func (b *Box) untilWarm() <-chan time.Time {
+	if b.warm.Load() {
+		return nil
+	}
+	return time.After(20 * time.Millisecond)
+}
+
 // readPlatform takes over the platform's word on who leaves.
 func (b *Box) readPlatform(ctx context.Context, p *parts) {
 	if b.settings.PlatformAddress == "" {
@@ -311,9 +329,9 @@
 		return false, "stopping"
 	case p == nil:
 		return false, "no cluster"
-	case p.replica.View().Fleet == nil:
+	case p.replica.View().Fleet == nil, p.directory.Table().Models == nil:
 		return false, "no fleet file"
-	case !p.spread.Current():
+	case !b.warm.Load(), !p.spread.Current():
 		b.meters.Gauge(meter.Current).Set(0)
 		return false, "not current"
 	}
--- /dev/null
+++ b/box/reports.go
@@ -0,0 +1,61 @@
+package box
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"leverdrum/engine"
+	"leverdrum/fleet"
+)
+
+const (
+	// reportEvery is the time between two readings of a model server's state.
+	reportEvery = 500 * time.Millisecond
+	// reportTimeout bounds one reading.
+	reportTimeout = 400 * time.Millisecond
+	// readAll is the count of model servers up to which a box reads all of them;
+	// beyond, it reads those of its own data hall, and learns of the others from
+	// the agreed state only.
+	readAll = 64
+)
+
+// readReports takes over what model servers say of their load and of leaving,
+// whether or not a controller leads.
+func (b *Box) readReports(ctx context.Context, p *parts) {
+	client := engine.NewClient(func() bool { return false })
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	for {
+		if f := p.replica.View().Fleet; f != nil {
+			b.readRound(ctx, p, client, f)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (b *Box) readRound(ctx context.Context, p *parts, client *engine.Client, f *fleet.Fleet) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for name, backend := range p.directory.Backends() {
+		s := f.Servers[name]
+		if s == nil || len(f.Servers) > readAll && s.Hall != b.settings.Hall {
+			continue
+		}
+		wg.Go(func() {
+			st, err := client.At(s.Address).State(ctx)
+			if err != nil {
+				return // the last word stands
+			}
+			backend.Report(st.Running + st.Waiting)
+			backend.SetLeaving(st.Leaving)
+		})
+	}
+	wg.Wait()
+	p.entry.Changed()
+}
--- a/box/stop.go
+++ b/box/stop.go
@@ -15,7 +15,8 @@
 // Stop ends the box without cutting off anything:
 //
 //  1. The readiness check fails; requests are still taken for as long as the
-//     balancer may lag. Kept connections are closed after their next answer.
+//     balancer may lag. Kept connections are closed after their next answer, but
+//     idle ones not yet: a request may be on its way on them.
 //  2. The list shows the box as leaving, and leadership is handed over.
 //  3. Further requests are refused as not run; those in flight are finished.
 //  4. Everything is closed.
@@ -25,11 +26,9 @@
 	b.stopping.Store(true) // (1)
 	b.log.Info("stopping")
 	b.id.setLeaving() // (2)
-	if b.entryHTTP != nil {
-		b.entryHTTP.SetKeepAlivesEnabled(false)
-	}
 	p := b.parts.Load()
 	if p != nil {
+		p.entry.Drain()
 		p.replica.Transfer()
 	}
 	if b.entryHTTP != nil {
--- a/control/control.go
+++ b/control/control.go
@@ -10,14 +10,16 @@
 //     the fence.
 //  3. To a server that checks fences an order without an answer is sent again
 //     under the same id. The server's answer closes it.
-//  4. To a server that does not, an order is sent once. Without an answer it
-//     stays open until it cannot arrive any more, and then the server's state,
-//     read after that, closes it.
+//  4. To a server that does not, an order is sent once. Only the answer that a
+//     load was done closes it at once. Anything else stays open, and counted,
+//     until no order can arrive any more, and then the server's state, read
+//     after that, closes it.
 //  5. A new leader treats all open orders as sent and unanswered.
 package control
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,6 +53,9 @@
 	// forgetBox is the silence after which a box is taken off the list, if a
 	// majority of all boxes is heard meanwhile.
 	forgetBox = time.Minute
+	// expectedFor is how long a new leader takes the fleet file's word for the
+	// demand of models that nobody asked for yet.
+	expectedFor = 30 * time.Second
 	// resendPause is the wait before an order is sent again (3).
 	resendPause = 500 * time.Millisecond
 )
@@ -60,7 +65,6 @@
 	Replica     *replica.Replica
 	Spread      *spread.Spreader
 	Engines     func(address string) engine.Server
-	Demand      func() map[string]float64
 	Gone        func() map[string]bool
 	Wanted      int // voters
 	RepairAfter time.Duration
@@ -73,14 +77,17 @@
 type Controller struct {
 	opts Options
 
-	mu       sync.Mutex
-	reports  map[string]report
-	reading  map[string]bool
-	sending  map[uint64]bool
-	short    map[string]string
-	leading  bool
-	ledSince time.Time
-	limiter  *rate.Limiter
+	mu      sync.Mutex
+	reports map[string]report
+	reading map[string]bool
+	// quarantine holds since when this leader knows of a server's restart, by
+	// server and incarnation.
+	quarantine map[string]time.Time
+	sending    map[uint64]bool
+	short      map[string]string
+	leading    bool
+	ledSince   time.Time
+	limiter    *rate.Limiter
 }
 
 type report struct {
@@ -90,7 +97,7 @@
 
 // New returns a controller; Run makes it work.
 func New(opts Options) *Controller {
-	return &Controller{opts: opts, reports: map[string]report{}, reading: map[string]bool{}, sending: map[uint64]bool{}, short: map[string]string{}}
+	return &Controller{opts: opts, reports: map[string]report{}, reading: map[string]bool{}, quarantine: map[string]time.Time{}, sending: map[uint64]bool{}, short: map[string]string{}}
 }
 
 // Run acts whenever the box leads, until the context ends.
@@ -139,6 +146,7 @@
 		c.ledSince = time.Now()
 		c.mu.Lock()
 		c.reports = map[string]report{}
+		c.quarantine = map[string]time.Time{}
 		c.mu.Unlock()
 		c.opts.Meters.Count(meter.Elections).Inc()
 	}
@@ -247,7 +255,8 @@
 	return r, ok
 }
 
-// noteServers puts changes of incarnation and leaving into the agreed state.
+// noteServers puts changes of incarnation, of leaving and the end of a
+// quarantine into the agreed state.
 func (c *Controller) noteServers(ctx context.Context, view *state.State) {
 	for _, s := range view.Fleet.SortedServers() {
 		r, ok := c.report(s.Name)
@@ -255,10 +264,13 @@
 			continue
 		}
 		known := view.Servers[s.Name]
-		if known.GetIncarnation() == r.state.Incarnation && known.GetLeaving() == r.state.Leaving {
+		settled := c.settled(s, known, r)
+		if known.GetIncarnation() == r.state.Incarnation && known.GetLeaving() == r.state.Leaving && !settled {
 			continue
 		}
-		seen := &wire.ServerSeen{Server: s.Name, Incarnation: r.state.Incarnation, Leaving: r.state.Leaving, Residents: residents(s.Name, r.state)}
+		seen := &wire.ServerSeen{
+			Server: s.Name, Incarnation: r.state.Incarnation, Leaving: r.state.Leaving, Residents: residents(s.Name, r.state), Settled: settled,
+		}
 		if _, err := c.propose(ctx, &wire.Command{Kind: &wire.Command_Server{Server: seen}}); err != nil {
 			return
 		}
@@ -266,6 +278,22 @@
 	}
 }
 
+// settled reports whether a quarantined server's state was read after no order
+// from before its restart could arrive any more, and nothing is being loaded.
+func (c *Controller) settled(s *fleet.Server, known *wire.ServerState, r report) bool {
+	if !known.GetQuarantined() || known.Incarnation != r.state.Incarnation {
+		return false
+	}
+	key := s.Name + "/" + known.Incarnation
+	since, ok := c.quarantine[key]
+	if !ok {
+		c.quarantine[key] = time.Now()
+		return false
+	}
+	busy := slices.ContainsFunc(r.state.Residents, func(x engine.Resident) bool { return x.Loading })
+	return !busy && r.began.After(since.Add(s.Kind.OrderLate))
+}
+
 func residents(server string, st *engine.State) []*wire.Resident {
 	var list []*wire.Resident
 	for _, r := range st.Residents {
@@ -292,9 +320,24 @@
 	return down
 }
 
+// demand returns what each model was asked for lately; before anything was seen,
+// what the fleet file expects.
+func (c *Controller) demand(view *state.State) map[string]placement.Demand {
+	demand := map[string]placement.Demand{}
+	for model, d := range c.opts.Spread.Demand() {
+		demand[model] = placement.Demand{Requests: float64(d.MilliRequests) / 1000, Places: float64(d.MilliPlaces) / 1000}
+	}
+	for name, m := range view.Fleet.Models {
+		if _, seen := demand[name]; !seen && m.Expected > 0 && time.Since(c.ledSince) < expectedFor {
+			demand[name] = placement.Demand{Requests: m.Expected}
+		}
+	}
+	return demand
+}
+
 // decide issues what placement asks for, at the rate of the weight store.
 func (c *Controller) decide(ctx context.Context, view *state.State) {
-	plan := placement.Decide(placement.Input{State: view, Demand: c.opts.Demand(), Down: c.down(view)})
+	plan := placement.Decide(placement.Input{State: view, Demand: c.demand(view), Down: c.down(view), Since: time.Since(c.ledSince)})
 	c.noteShortages(plan.Shortages)
 	for _, d := range plan.Decisions {
 		if d.Order.Action == wire.OrderAction_ORDER_LOAD && !c.allowLoad(view.Fleet) {
--- a/control/orders.go
+++ b/control/orders.go
@@ -52,23 +52,44 @@
 func (c *Controller) finishUnfenced(ctx context.Context, o *wire.Order, s *fleet.Server, mine bool) {
 	if mine {
 		out, err := c.send(ctx, o, s)
-		if err == nil {
+		if err == nil && ClosesAtOnce(o, out) {
 			c.close(ctx, o, out)
 			return
 		}
-		c.opts.Log.Warn("order without an answer", zap.Uint64("order", o.Id), zap.String("server", o.Server), zap.Error(err))
+		if err != nil {
+			c.opts.Log.Warn("order without an answer", zap.Uint64("order", o.Id), zap.String("server", o.Server), zap.Error(err))
+		}
 	}
 	latest := time.Now().Add(s.Kind.OrderLate)
 	for c.mayGoOn(ctx, o) {
 		sleep(ctx, round)
 		r, ok := c.report(o.Server)
-		if !ok || r.began.Before(latest) || loading(r.state, o) {
+		if !ok || r.began.Before(latest) {
 			continue
 		}
-		done := holds(r.state, o) == (o.Action == wire.OrderAction_ORDER_LOAD)
-		c.close(ctx, o, engine.Outcome{Done: done, Detail: "by the server's state"})
-		return
+		if out, settled := Settle(o, r.state); settled {
+			c.close(ctx, o, out)
+			return
+		}
+	}
+}
+
+// ClosesAtOnce reports whether the answer of a server that does not check
+// fences closes an order. Only a load that was done does: after anything else a
+// load that is still on its way could arrive and would not be counted (4).
+func ClosesAtOnce(o *wire.Order, out engine.Outcome) bool {
+	return o.Action == wire.OrderAction_ORDER_LOAD && out.Done
+}
+
+// Settle says what became of an order by the server's state, which must have
+// been read after the order could not arrive any more. It is not settled while
+// the server is still loading.
+func Settle(o *wire.Order, st *engine.State) (out engine.Outcome, settled bool) {
+	if loading(st, o) {
+		return engine.Outcome{}, false
 	}
+	done := holds(st, o) == (o.Action == wire.OrderAction_ORDER_LOAD)
+	return engine.Outcome{Done: done, Detail: "by the server's state"}, true
 }
 
 // mayGoOn reports whether the box still leads and the order is still open.
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -47,6 +47,7 @@
 		return
 	}
 	if len(target.Backends) == 0 {
+		e.noteDemand(target, 0)
 		e.refuse(w, id, reason.NotResident, head.Model)
 		return
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -54,14 +54,16 @@
 	opts     Options
 	gate     *admit.Gate
 	budget   *budget
+	demand   *demand
 	inFlight atomic.Int64
+	draining atomic.Bool
 	stopping atomic.Bool
 	router   chi.Router
 }
 
 // New returns an Entry.
 func New(opts Options) *Entry {
-	e := &Entry{opts: opts, gate: admit.NewGate(opts.Directory), budget: newBudget()}
+	e := &Entry{opts: opts, gate: admit.NewGate(opts.Directory), budget: newBudget(), demand: newDemand()}
 	r := chi.NewRouter()
 	r.Post("/v1/chat/completions", e.chat)
 	r.Get("/v1/models", e.models)
@@ -76,6 +78,9 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
+	if e.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if e.stopping.Load() {
 		e.refuse(w, requestID(r), reason.Stopping, "")
 		return
@@ -89,6 +94,9 @@
 // Changed starts requests that can start after the routes changed.
 func (e *Entry) Changed() { e.gate.Kick() }
 
+// Drain closes each connection after its next answer.
+func (e *Entry) Drain() { e.draining.Store(true) }
+
 // Stop refuses all further requests.
 func (e *Entry) Stop() { e.stopping.Store(true) }
 
@@ -154,5 +162,9 @@
 	if !e.opts.Current() {
 		return nil, reason.NotCurrent
 	}
-	return e.opts.Directory.Table(), nil
+	table := e.opts.Directory.Table()
+	if table.Models == nil { // the routes follow the state a moment later
+		return nil, reason.NoFleet
+	}
+	return table, nil
 }
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -72,6 +72,7 @@
 }
 
 func (e *Entry) giveUp(w http.ResponseWriter, j *job, res result) {
+	e.noteDemand(j.target, 0)
 	e.finished(j, string(res.why.Outcome), res.detail)
 	e.refuse(w, j.id, res.why, res.detail)
 }
@@ -170,7 +171,10 @@
 // pass hands the answer to the caller and frees the place at the backend.
 func (e *Entry) pass(w http.ResponseWriter, j *job, res result) {
 	answered := time.Duration(0)
-	defer func() { e.gate.Leave(res.backend, j.ticket, answered) }()
+	defer func() {
+		e.noteDemand(j.target, time.Since(j.ticket.Began()))
+		e.gate.Leave(res.backend, j.ticket, answered)
+	}()
 	outcome := setHead(w, j, res.answer)
 	if res.answer.Rest == nil {
 		answered = time.Since(j.ticket.Began())
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -9,8 +9,11 @@
 //     no two boxes can spend the same room.
 //  3. An item has one open order at a time. A server that does not check fences
 //     has one open order an accelerator.
-//  4. The last ready copy of an item that is wanted is not ordered away.
+//  4. The last ready copy of an item that is wanted is not ordered away, nor is
+//     a model from beside the last ready copy of an adapter.
 //  5. An order names the incarnation of the server that it was decided for.
+//  6. A server that does not check fences gets no order after a restart until
+//     none from before can arrive any more.
 package ledger
 
 import (
@@ -72,6 +75,9 @@
 	if seen := b.Servers[o.Server]; seen.GetIncarnation() == "" || seen.Incarnation != o.ServerIncarnation { // (5)
 		return Error.New("server %s is not known under incarnation %q", o.Server, o.ServerIncarnation)
 	}
+	if b.Servers[o.Server].Quarantined { // (6)
+		return Error.New("server %s may still run an order from before its restart", o.Server)
+	}
 	if int(o.Accelerator) >= s.Kind.Accelerators {
 		return Error.New("server %s has no accelerator %d", o.Server, o.Accelerator)
 	}
@@ -146,9 +152,28 @@
 	if b.Wanted(o.Item) && !b.ReadyElsewhere(PlaceOf(o)) { // (4)
 		return Error.New("%s has no other ready copy", Describe(o.Item))
 	}
+	if adapter := b.Stranded(PlaceOf(o)); adapter != "" { // (4)
+		return Error.New("adapter %s beside it has no other ready copy", adapter)
+	}
 	return nil
 }
 
+// Stranded returns an adapter that no ready copy would serve any more if the
+// model at the place were gone, "" when there is none.
+func (b *Book) Stranded(place Place) string {
+	m := b.Fleet.Models[place.Model]
+	if place.Adapter != "" || m == nil {
+		return ""
+	}
+	for _, a := range m.Adapters {
+		beside := Place{place.Server, place.Accelerator, place.Model, a.Name, a.Version}
+		if b.Residents[beside].GetPhase() == wire.Phase_PHASE_READY && !b.ReadyElsewhere(beside) {
+			return a.Name
+		}
+	}
+	return ""
+}
+
 // Wanted reports whether the fleet file names the item's model or adapter, in
 // whatever version.
 func (b *Book) Wanted(item *wire.Item) bool {
--- /dev/null
+++ b/placement/demand.go
@@ -0,0 +1,151 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"leverdrum/fleet"
+)
+
+const (
+	// goodUse is the share of a server's places up to which answers come in time.
+	goodUse = 0.8
+	// lasts is how long demand is taken to last.
+	lasts = 5 * time.Minute
+	// demandSettles is how long a new leader waits for demand to be reported.
+	demandSettles = 10 * time.Second
+	// movesAtOnce bounds the copies that demand moves in one decision.
+	movesAtOnce = 4
+)
+
+func (l *load) use() float64 { return l.work / l.size }
+
+// excess is the work that is above good use.
+func (l *load) excess() float64 { return max(0, l.work-goodUse*l.size) }
+
+// room is the work that still fits into good use.
+func (l *load) room() float64 { return max(0, goodUse*l.size-l.work) }
+
+// spreadWork books each model's demand in equal parts on the servers of its
+// copies.
+func (p *planner) spreadWork() {
+	for _, m := range p.fleet.Models {
+		p.book(m, 1)
+	}
+}
+
+// book adds (or takes off, with -1) the model's work on the servers of its
+// copies.
+func (p *planner) book(m *fleet.Model, sign float64) {
+	list := p.serving(m)
+	for _, c := range list {
+		c.acc.load.work += sign * p.in.Demand[m.Name].Places / float64(len(list))
+	}
+}
+
+func (p *planner) addCopy(m *fleet.Model, c copyOf) {
+	p.book(m, -1)
+	p.copies[m.Name] = append(p.copies[m.Name], c)
+	p.book(m, 1)
+}
+
+func (p *planner) dropCopy(m *fleet.Model, c copyOf) {
+	p.book(m, -1)
+	p.copies[m.Name] = slices.DeleteFunc(p.copies[m.Name], func(x copyOf) bool { return x == c })
+	p.book(m, 1)
+}
+
+// followDemand is rule 7.
+func (p *planner) followDemand() {
+	if p.in.Since < demandSettles {
+		return
+	}
+	for range movesAtOnce {
+		if !p.mayLoad() {
+			return
+		}
+		best := p.bestMove()
+		if best == nil || best.worth <= p.fleet.MoveWeight {
+			return
+		}
+		p.move(best)
+	}
+}
+
+// candidate is one more copy of a model and what it is worth, in requests
+// answered in time.
+type candidate struct {
+	model *fleet.Model
+	acc   *accelerator
+	out   []copyOf // copies that make room for it
+	worth float64
+}
+
+func (p *planner) bestMove() *candidate {
+	var best *candidate
+	for _, m := range p.fleet.SortedModels() {
+		if c := p.candidate(m); c != nil && (best == nil || c.worth > best.worth) {
+			best = c
+		}
+	}
+	return best
+}
+
+// candidate returns the best further copy of a model whose servers have more
+// work than they can do well.
+func (p *planner) candidate(m *fleet.Model) *candidate {
+	d := p.in.Demand[m.Name]
+	list := p.serving(m)
+	if d.Places == 0 || len(list) == 0 || len(list) >= m.MaxCopies {
+		return nil
+	}
+	share := d.Places / float64(len(list))
+	relief := 0.0
+	for _, c := range list {
+		relief += min(c.acc.load.excess(), share/float64(len(list)+1))
+	}
+	if relief == 0 {
+		return nil
+	}
+	acc, out := p.placeForMore(m)
+	if acc == nil {
+		return nil
+	}
+	gain := min(relief, acc.load.room()) // in places
+	requests := gain / d.Places * d.Requests
+	return &candidate{m, acc, out, requests * lasts.Seconds() * p.fleet.AttainmentWeight}
+}
+
+// placeForMore returns the accelerator of the server with the most room for
+// work, on which the copy fits or can be made to fit.
+func (p *planner) placeForMore(m *fleet.Model) (*accelerator, []copyOf) {
+	var best *accelerator
+	var bestOut []copyOf
+	for _, a := range p.accs {
+		if !p.mayHold(m, a) || best != nil && a.load.room() <= best.load.room() {
+			continue
+		}
+		lack := int64(m.Footprint()) - a.free
+		if lack <= 0 {
+			best, bestOut = a, nil
+			continue
+		}
+		if out, ok := p.spare(a, lack); ok {
+			best, bestOut = a, out
+		}
+	}
+	return best, bestOut
+}
+
+// move loads the copy, or first makes room for it.
+func (p *planner) move(c *candidate) {
+	if len(c.out) == 0 {
+		d := p.in.Demand[c.model.Name]
+		p.load(c.model, c.acc, fmt.Sprintf("demand of %.1f requests a second on %d copies", d.Requests, len(p.serving(c.model))))
+		return
+	}
+	for _, out := range c.out {
+		p.evict(out, "makes room for a copy of "+c.model.Name)
+	}
+}
--- /dev/null
+++ b/placement/needs.go
@@ -0,0 +1,190 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"leverdrum/fleet"
+	"leverdrum/ledger"
+	"leverdrum/wire"
+)
+
+// need is one model that lacks a copy, whatever its demand (1).
+type need struct {
+	model *fleet.Model
+	have  int
+}
+
+func (n need) why() string {
+	if n.have == 0 {
+		return "no copy"
+	}
+	return fmt.Sprintf("%d of %d copies", n.have, n.model.Copies)
+}
+
+// fillNeeds places what has no copy, and then what has too few (1).
+func (p *planner) fillNeeds() {
+	for _, n := range p.needs() {
+		if !p.mayLoad() {
+			return
+		}
+		if best := p.bestPlace(n.model); best != nil {
+			p.load(n.model, best, n.why())
+			continue
+		}
+		p.makeRoom(n)
+	}
+}
+
+func (p *planner) needs() []need {
+	var list []need
+	for _, m := range p.fleet.SortedModels() {
+		if have := len(p.serving(m)); have < m.Copies {
+			list = append(list, need{m, have})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b need) int {
+		return cmp.Or(cmp.Compare(min(a.have, 1), min(b.have, 1)), cmp.Compare(b.model.Priority, a.model.Priority),
+			cmp.Compare(p.in.Demand[b.model.Name].Requests, p.in.Demand[a.model.Name].Requests))
+	})
+	return list
+}
+
+// serving returns the ready and coming copies of the wanted version on servers
+// that work.
+func (p *planner) serving(m *fleet.Model) []copyOf {
+	var list []copyOf
+	for _, c := range p.copies[m.Name] {
+		if c.resident.Item.Version == m.Version && c.resident.Phase != wire.Phase_PHASE_UNLOADING && !p.unusable(c.acc.server) {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// bestPlace is rule 2.
+func (p *planner) bestPlace(m *fleet.Model) *accelerator {
+	halls := map[string]bool{}
+	for _, c := range p.serving(m) {
+		halls[c.acc.server.Hall] = true
+	}
+	var best *accelerator
+	for _, a := range p.accs {
+		if p.fits(m, a) && (best == nil || better(a, best, halls)) {
+			best = a
+		}
+	}
+	return best
+}
+
+// mayHold reports whether a copy may stand on an accelerator if it had room.
+func (p *planner) mayHold(m *fleet.Model, a *accelerator) bool {
+	return !a.busy && !a.models[m.Name] && m.MayRunIn(a.server.Hall)
+}
+
+func (p *planner) fits(m *fleet.Model, a *accelerator) bool {
+	return p.mayHold(m, a) && a.free >= int64(m.Footprint())
+}
+
+func better(a, b *accelerator, halls map[string]bool) bool {
+	if newA, newB := !halls[a.server.Hall], !halls[b.server.Hall]; newA != newB {
+		return newA
+	}
+	if useA, useB := a.load.use(), b.load.use(); useA != useB {
+		return useA < useB
+	}
+	return a.free > b.free
+}
+
+// load orders one more copy and books its room and work.
+func (p *planner) load(m *fleet.Model, a *accelerator, why string) {
+	p.loads++
+	a.free -= int64(m.Footprint())
+	a.models[m.Name] = true
+	item := &wire.Item{Model: m.Name, Version: m.Version}
+	p.addCopy(m, copyOf{a, &wire.Resident{Server: a.server.Name, Accelerator: a.number, Item: item, Phase: wire.Phase_PHASE_LOADING}})
+	p.order(a, wire.OrderAction_ORDER_LOAD, item, m.Memory, why)
+}
+
+// makeRoom is rule 5. The copy itself is placed once the room is there.
+func (p *planner) makeRoom(n need) {
+	var best *accelerator
+	var bestOut []copyOf
+	for _, a := range p.accs {
+		if !p.mayHold(n.model, a) {
+			continue
+		}
+		out, ok := p.spare(a, int64(n.model.Footprint())-a.free)
+		if ok && (best == nil || len(out) < len(bestOut)) {
+			best, bestOut = a, out
+		}
+	}
+	if best == nil {
+		p.plan.Shortages = append(p.plan.Shortages, Shortage{n.model.Name, fmt.Sprintf("%s; no accelerator has %d bytes free now", n.why(), n.model.Footprint())})
+		return
+	}
+	for _, c := range bestOut {
+		p.evict(c, "makes room for "+n.model.Name)
+	}
+}
+
+// spare returns copies on an accelerator that can go so that so many bytes
+// become free: those whose models keep a ready copy, and their least number,
+// elsewhere; the least asked for go first.
+func (p *planner) spare(a *accelerator, bytes int64) ([]copyOf, bool) {
+	var list []copyOf
+	for name := range a.models {
+		if c, ok := p.spareCopy(name, a); ok {
+			list = append(list, c)
+		}
+	}
+	slices.SortFunc(list, func(x, y copyOf) int {
+		return cmp.Or(cmp.Compare(p.in.Demand[x.resident.Item.Model].Places, p.in.Demand[y.resident.Item.Model].Places), cmp.Compare(x.resident.Item.Model, y.resident.Item.Model))
+	})
+	for i, c := range list {
+		bytes -= int64(p.fleet.Models[c.resident.Item.Model].Footprint())
+		if bytes <= 0 {
+			return list[:i+1], true
+		}
+	}
+	return nil, false
+}
+
+// spareCopy returns the model's copy on an accelerator if it can go.
+func (p *planner) spareCopy(name string, a *accelerator) (copyOf, bool) {
+	m := p.fleet.Models[name]
+	if m == nil {
+		return copyOf{}, false
+	}
+	var here copyOf
+	found, ready, all := false, 0, 0
+	for _, c := range p.serving(m) {
+		all++
+		switch {
+		case c.acc == a:
+			here, found = c, c.resident.Phase == wire.Phase_PHASE_READY
+		case c.resident.Phase == wire.Phase_PHASE_READY:
+			ready++
+		}
+	}
+	place := ledger.Place{Server: a.server.Name, Accelerator: a.number, Model: name, Version: m.Version}
+	return here, found && ready >= 1 && all > m.Copies && p.settled(m, a) && p.in.State.Stranded(place) == ""
+}
+
+// settled reports whether nothing of the model is being moved on an accelerator.
+func (p *planner) settled(m *fleet.Model, a *accelerator) bool {
+	for _, o := range p.in.State.Orders {
+		if o.Server == a.server.Name && o.Accelerator == a.number && o.Item.Model == m.Name {
+			return false
+		}
+	}
+	return true
+}
+
+// evict orders a copy away. Its adapters follow once they are without it.
+func (p *planner) evict(c copyOf, why string) {
+	p.order(c.acc, wire.OrderAction_ORDER_UNLOAD, c.resident.Item, c.resident.Memory, why)
+	c.acc.busy = true // nothing else moves there in this round
+	p.dropCopy(p.fleet.Models[c.resident.Item.Model], c)
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -7,22 +7,27 @@
 //  1. A model without a ready or coming copy comes first, then one below its
 //     least number of copies, then one whose demand asks for more; within each
 //     by priority, then by demand.
-//  2. A copy goes to the accelerator with room that adds a new data hall, then
-//     to the emptiest. Its room covers the model with all its adapters.
+//  2. A copy goes to an accelerator with room for the model and all its
+//     adapters: to a data hall without a copy, then to the server with the least
+//     work, then to the one with the most room.
 //  3. An adapter is loaded beside each ready copy of its model.
 //  4. Make before break: an item is unloaded only when it is not wanted any
-//     more, is of an old version and the new one is ready, or its model has a
-//     copy too many. The ledger checks that again.
-//  5. When nothing has room for a model without a copy, a copy too many of
-//     another model makes room.
+//     more, when it is of an old version and the new one is ready, or to make
+//     room while another copy of it is ready. The ledger checks that again.
+//  5. When nothing has room for a copy that is needed, the fewest copies that
+//     can be spared on one accelerator make room for it.
 //  6. At most as many loads are open at once as the weight store serves well.
+//  7. Demand moves a copy only when what it gains, in requests answered in time
+//     over the time that demand is taken to last, is worth more than the price
+//     of a move. A copy that is not needed any more stays until its room is:
+//     taking it away would gain nothing.
 package placement
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"leverdrum/fleet"
 	"leverdrum/ledger"
@@ -30,14 +35,26 @@
 	"leverdrum/wire"
 )
 
+// Demand is what a model, its adapters included, is asked for.
+type Demand struct {
+	// Requests is in requests a second, those refused included.
+	Requests float64
+	// Places is how many requests of it are in service on average, if none is
+	// refused.
+	Places float64
+}
+
 // Input is what a decision is made from.
 type Input struct {
 	State *state.State
-	// Demand is the requests a second of each model, its adapters included.
-	Demand map[string]float64
+	// Demand of each model.
+	Demand map[string]Demand
 	// Down names servers that do not answer; they get no orders and their
 	// copies do not count.
 	Down map[string]bool
+	// Since is how long the box has led. A new leader first lets demand be
+	// reported to it before it moves anything for demand's sake.
+	Since time.Duration
 }
 
 // Decision is one order with its reason.
@@ -66,12 +83,14 @@
 	p := newPlanner(in)
 	p.unloads()
 	p.adapters()
-	p.models()
+	p.fillNeeds()
+	p.followDemand()
 	return p.plan
 }
 
 type accelerator struct {
 	server *fleet.Server
+	load   *load
 	number uint32
 	free   int64 // bytes, less what is promised to adapters of copies there
 	busy   bool  // takes no further order now
@@ -83,10 +102,14 @@
 	resident *wire.Resident
 }
 
+// load is the work of one server, in places.
+type load struct{ work, size float64 }
+
 type planner struct {
 	in     Input
 	fleet  *fleet.Fleet
 	accs   []*accelerator
+	index  map[string][]*accelerator
 	copies map[string][]copyOf // by model, any version and phase
 	loads  int
 	plan   Plan
@@ -94,17 +117,19 @@
 
 func newPlanner(in Input) *planner {
 	p := &planner{in: in, fleet: in.State.Fleet, copies: map[string][]copyOf{}}
-	index := map[string][]*accelerator{}
+	p.index = map[string][]*accelerator{}
 	for _, s := range p.fleet.SortedServers() {
+		l := &load{size: float64(s.Kind.Concurrency)}
 		for n := range s.Kind.Accelerators {
-			a := &accelerator{server: s, number: uint32(n), free: int64(s.Kind.Usable()), models: map[string]bool{}}
-			a.busy = p.unusable(s)
-			index[s.Name] = append(index[s.Name], a)
+			a := &accelerator{server: s, load: l, number: uint32(n), free: int64(s.Kind.Usable()), models: map[string]bool{}}
+			a.busy = p.unusable(s) || in.State.Servers[s.Name].Quarantined
+			p.index[s.Name] = append(p.index[s.Name], a)
 			p.accs = append(p.accs, a)
 		}
 	}
-	p.countOrders(index)
-	p.countResidents(index)
+	p.countOrders()
+	p.countResidents()
+	p.spreadWork()
 	return p
 }
 
@@ -113,12 +138,12 @@
 	return s.Leaving || seen.GetIncarnation() == "" || seen.GetLeaving() || p.in.Down[s.Name]
 }
 
-func (p *planner) countOrders(index map[string][]*accelerator) {
+func (p *planner) countOrders() {
 	for _, o := range p.in.State.Orders {
 		if o.Action == wire.OrderAction_ORDER_LOAD {
 			p.loads++
 		}
-		if list := index[o.Server]; int(o.Accelerator) < len(list) && !list[o.Accelerator].server.Kind.ChecksFences {
+		if list := p.index[o.Server]; int(o.Accelerator) < len(list) && !list[o.Accelerator].server.Kind.ChecksFences {
 			list[o.Accelerator].busy = true
 		}
 	}
@@ -126,20 +151,22 @@
 
 // countResidents books what is resident, and the room of the adapters that each
 // copy still lacks.
-func (p *planner) countResidents(index map[string][]*accelerator) {
+func (p *planner) countResidents() {
 	places := slices.SortedFunc(maps.Keys(p.in.State.Residents), func(a, b ledger.Place) int {
 		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Accelerator, b.Accelerator), cmp.Compare(a.Model, b.Model),
 			cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Version, b.Version))
 	})
 	for _, place := range places {
-		list := index[place.Server]
+		list := p.index[place.Server]
 		if int(place.Accelerator) >= len(list) {
 			continue
 		}
 		acc, r := list[place.Accelerator], p.in.State.Residents[place]
 		acc.free -= int64(r.Memory)
 		if place.Adapter == "" {
-			acc.models[place.Model] = true
+			if m := p.fleet.Models[place.Model]; m != nil && m.Version == place.Version {
+				acc.models[place.Model] = true
+			}
 			p.copies[place.Model] = append(p.copies[place.Model], copyOf{acc, r})
 			p.reserveAdapters(acc, place)
 		}
@@ -189,11 +216,19 @@
 }
 
 func (p *planner) acc(place ledger.Place) *accelerator {
-	i := slices.IndexFunc(p.accs, func(a *accelerator) bool { return a.server.Name == place.Server && a.number == place.Accelerator })
-	if i < 0 {
+	list := p.index[place.Server]
+	if int(place.Accelerator) >= len(list) {
 		return nil
 	}
-	return p.accs[i]
+	return list[place.Accelerator]
+}
+
+// hasBase reports whether a copy of an adapter's model stays on its accelerator.
+func (p *planner) hasBase(place ledger.Place) bool {
+	acc := p.acc(place)
+	return slices.ContainsFunc(p.copies[place.Model], func(c copyOf) bool {
+		return c.acc == acc && c.resident.Phase != wire.Phase_PHASE_UNLOADING
+	})
 }
 
 func (p *planner) unwanted(place ledger.Place) string {
@@ -202,6 +237,8 @@
 		switch {
 		case a == nil || a.Model != place.Model:
 			return "not in the fleet file any more"
+		case !p.hasBase(place):
+			return "its model is not there any more"
 		case a.Version != place.Version && p.in.State.ReadyElsewhere(place):
 			return "version " + a.Version + " is ready"
 		}
@@ -211,7 +248,7 @@
 	switch {
 	case m == nil:
 		return "not in the fleet file any more"
-	case m.Version != place.Version && p.in.State.ReadyElsewhere(place):
+	case m.Version != place.Version && p.in.State.ReadyElsewhere(place) && p.in.State.Stranded(place) == "":
 		return "version " + m.Version + " is ready"
 	}
 	return ""
@@ -240,93 +277,3 @@
 
 // mayLoad is rule 6.
 func (p *planner) mayLoad() bool { return p.loads < p.fleet.LoadsAtOnce }
-
-// need is one model that wants another copy (1).
-type need struct {
-	model *fleet.Model
-	rank  int
-	why   string
-}
-
-const (
-	rankNoCopy = iota
-	rankBelowLeast
-	rankDemand
-)
-
-func (p *planner) models() {
-	needs := p.needs()
-	for _, n := range needs {
-		p.place(n)
-	}
-}
-
-func (p *planner) needs() []need {
-	var list []need
-	for _, m := range p.fleet.SortedModels() {
-		have := p.serving(m)
-		switch {
-		case have == 0:
-			list = append(list, need{m, rankNoCopy, "no copy"})
-		case have < m.Copies:
-			list = append(list, need{m, rankBelowLeast, fmt.Sprintf("%d of %d copies", have, m.Copies)})
-		}
-	}
-	slices.SortStableFunc(list, func(a, b need) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(b.model.Priority, a.model.Priority), cmp.Compare(p.in.Demand[b.model.Name], p.in.Demand[a.model.Name]))
-	})
-	return list
-}
-
-// serving counts the ready and coming copies of the wanted version on servers
-// that work.
-func (p *planner) serving(m *fleet.Model) int {
-	count := 0
-	for _, c := range p.copies[m.Name] {
-		if c.resident.Item.Version == m.Version && c.resident.Phase != wire.Phase_PHASE_UNLOADING && !p.unusable(c.acc.server) {
-			count++
-		}
-	}
-	return count
-}
-
-// place is rule 2.
-func (p *planner) place(n need) {
-	if !p.mayLoad() {
-		return
-	}
-	halls := map[string]bool{}
-	for _, c := range p.copies[n.model.Name] {
-		halls[c.acc.server.Hall] = true
-	}
-	var best *accelerator
-	for _, a := range p.accs {
-		if a.busy || a.models[n.model.Name] || !n.model.MayRunIn(a.server.Hall) || a.free < int64(n.model.Footprint()) {
-			continue
-		}
-		if best == nil || better(a, best, halls) {
-			best = a
-		}
-	}
-	if best == nil {
-		p.noRoom(n)
-		return
-	}
-	p.loads++
-	best.free -= int64(n.model.Footprint())
-	best.models[n.model.Name] = true
-	p.order(best, wire.OrderAction_ORDER_LOAD, &wire.Item{Model: n.model.Name, Version: n.model.Version}, n.model.Memory, n.why)
-}
-
-func better(a, b *accelerator, halls map[string]bool) bool {
-	if newA, newB := !halls[a.server.Hall], !halls[b.server.Hall]; newA != newB {
-		return newA
-	}
-	return a.free > b.free
-}
-
-func (p *planner) noRoom(n need) {
-	if n.rank == rankNoCopy {
-		p.plan.Shortages = append(p.plan.Shortages, Shortage{n.model.Name, fmt.Sprintf("no accelerator has %d bytes free now", n.model.Footprint())})
-	}
-}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,197 @@
+package placement_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"leverdrum/placement"
+	"leverdrum/standin"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+func TestPlacement(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement")
+}
+
+// carryOut issues and closes all orders of a plan as done, and returns how many
+// were issued and how many the ledger turned down.
+func carryOut(st *state.State, plan placement.Plan, check ...func()) (issued, refused int) {
+	for _, d := range plan.Decisions {
+		r := standin.Agree(st, &wire.Command{Kind: &wire.Command_Issue{Issue: &wire.IssueOrder{Order: d.Order}}})
+		if r.Err != nil {
+			refused++
+			continue
+		}
+		issued++
+		standin.Agree(st, &wire.Command{Kind: &wire.Command_Close{Close: &wire.CloseOrder{Id: r.Order.Id, Outcome: wire.OrderOutcome_OUTCOME_DONE}}})
+		for _, f := range check {
+			f()
+		}
+	}
+	return issued, refused
+}
+
+// settle decides and carries out until nothing is left to do.
+func settle(st *state.State, demand map[string]placement.Demand) (orders int, plan placement.Plan) {
+	for range 400 {
+		plan = placement.Decide(placement.Input{State: st, Demand: demand, Since: time.Hour})
+		issued, refused := carryOut(st, plan)
+		ExpectWithOffset(1, refused).To(BeZero(), "the plan must respect the ledger")
+		orders += issued
+		if issued == 0 {
+			return orders, plan
+		}
+	}
+	Fail("the decisions never come to rest")
+	return 0, plan
+}
+
+func agreed(text string) *state.State {
+	GinkgoHelper()
+	st, err := standin.Agreed(text)
+	Expect(err).NotTo(HaveOccurred())
+	return st
+}
+
+// copies returns the servers on which a model, or an adapter, is ready.
+func copies(st *state.State, name, version string) (servers []string) {
+	for p, r := range st.Residents {
+		isIt := p.Adapter == name || p.Adapter == "" && p.Model == name
+		if isIt && p.Version == version && r.Phase == wire.Phase_PHASE_READY {
+			servers = append(servers, p.Server)
+		}
+	}
+	return servers
+}
+
+const two = `
+[fleet]
+number = 1
+loads-at-once = 8
+move-weight = 10
+[hall a]
+[hall b]
+[class c]
+deadline = 10s
+[kind k]
+memory = 10GiB
+checks-fences = true
+concurrency = 10
+[server s1]
+address = 127.0.0.1:1
+hall = a
+kind = k
+[server s2]
+address = 127.0.0.1:2
+hall = a
+kind = k
+[server s3]
+address = 127.0.0.1:3
+hall = b
+kind = k
+`
+
+var _ = Describe("placement", func() {
+	DescribeTable("makes all models and adapters of the examples resident, with their copies",
+		func(file string) {
+			text, err := os.ReadFile(filepath.Join("..", "examples", file))
+			Expect(err).NotTo(HaveOccurred())
+			st := agreed(string(text))
+			_, plan := settle(st, nil)
+			Expect(plan.Shortages).To(BeEmpty())
+			for name, m := range st.Fleet.Models {
+				Expect(len(copies(st, name, m.Version))).To(BeNumerically(">=", m.Copies), name)
+			}
+			for name, a := range st.Fleet.Adapters {
+				Expect(copies(st, name, a.Version)).NotTo(BeEmpty(), name)
+			}
+		},
+		Entry(nil, "buecherbruecke.ini"), Entry(nil, "tabua.ini"),
+	)
+
+	It("spreads copies over data halls", func() {
+		st := agreed(two + "[model m]\nversion = 1\nmemory = 4GiB\nclass = c\ncopies = 2\n")
+		settle(st, nil)
+		Expect(copies(st, "m", "1")).To(ContainElement("s3"))
+		Expect(copies(st, "m", "1")).To(HaveLen(2))
+	})
+
+	It("brings back what a lost server held, the models without a copy first", func() {
+		st := agreed(two + "[model m]\nversion = 1\nmemory = 4GiB\nclass = c\ncopies = 2\n[model n]\nversion = 1\nmemory = 4GiB\nclass = c\n")
+		settle(st, nil)
+		lost := copies(st, "n", "1")[0]
+		plan := placement.Decide(placement.Input{State: st, Down: map[string]bool{lost: true}})
+		Expect(plan.Decisions).NotTo(BeEmpty())
+		Expect(plan.Decisions[0].Order.Item.Model).To(Equal("n"))
+		Expect(plan.Decisions[0].Reason).To(Equal("no copy"))
+	})
+
+	It("changes a version without a moment in which the model or its adapter has no copy", func() {
+		st := agreed(two + "[model m]\nversion = 1\nmemory = 4GiB\nclass = c\n[adapter x]\nmodel = m\nversion = 1\nmemory = 1GiB\n")
+		settle(st, nil)
+		next := "# next\n" + two + "[model m]\nversion = 2\nmemory = 4GiB\nclass = c\n[adapter x]\nmodel = m\nversion = 1\nmemory = 1GiB\n"
+		Expect(standin.Apply(st, next, 2).Apply).To(Equal(state.Accepted))
+		for range 20 {
+			carryOut(st, placement.Decide(placement.Input{State: st}), func() {
+				Expect(len(copies(st, "m", "1")) + len(copies(st, "m", "2"))).To(BeNumerically(">", 0))
+				Expect(copies(st, "x", "1")).NotTo(BeEmpty())
+			})
+		}
+		Expect(copies(st, "m", "1")).To(BeEmpty())
+		Expect(copies(st, "m", "2")).To(HaveLen(1))
+		Expect(copies(st, "x", "1")).To(HaveLen(1))
+	})
+
+	It("adds a copy when demand is worth the move, and not when it is not", func() {
+		text := two + "[model m]\nversion = 1\nmemory = 4GiB\nclass = c\n"
+		heavy := map[string]placement.Demand{"m": {Requests: 20, Places: 16}}
+		st := agreed(text)
+		settle(st, heavy)
+		Expect(len(copies(st, "m", "1"))).To(BeNumerically(">=", 2))
+		dear := agreed("# dear\n" + text)
+		dear.Fleet.MoveWeight = 1e9
+		settle(dear, heavy)
+		Expect(copies(dear, "m", "1")).To(HaveLen(1))
+	})
+
+	It("leaves copies where they are when demand falls", func() {
+		st := agreed(two + "[model m]\nversion = 1\nmemory = 4GiB\nclass = c\n")
+		settle(st, map[string]placement.Demand{"m": {Requests: 20, Places: 16}})
+		orders, _ := settle(st, map[string]placement.Demand{"m": {Requests: 1, Places: 1}})
+		Expect(orders).To(BeZero())
+	})
+
+	It("takes a copy that can be spared to make room for a model without one", func() {
+		st := agreed(two + "[model m]\nversion = 1\nmemory = 7GiB\nclass = c\n[model n]\nversion = 1\nmemory = 7GiB\nclass = c\n")
+		standin.Ready(st, "s1", 0, &wire.Item{Model: "m", Version: "1"}, 7<<30)
+		standin.Ready(st, "s2", 0, &wire.Item{Model: "m", Version: "1"}, 7<<30)
+		standin.Ready(st, "s3", 0, &wire.Item{Model: "m", Version: "1"}, 7<<30)
+		settle(st, nil)
+		Expect(copies(st, "n", "1")).To(HaveLen(1))
+		Expect(copies(st, "m", "1")).To(HaveLen(2))
+	})
+
+	It("opens no more loads at once than the weight store serves", func() {
+		text := two
+		for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"} {
+			text += "[model " + name + "]\nversion = 1\nmemory = 1GiB\nclass = c\n"
+		}
+		Expect(placement.Decide(placement.Input{State: agreed(text)}).Decisions).To(HaveLen(8))
+	})
+
+	It("gives no orders to a server that leaves, is down or is not known yet", func() {
+		st := agreed(two + "[model m]\nversion = 1\nmemory = 4GiB\nclass = c\ncopies = 3\nmax-copies = 3\n")
+		st.Servers["s1"].Leaving = true
+		delete(st.Servers, "s2")
+		plan := placement.Decide(placement.Input{State: st, Down: map[string]bool{"s3": true}})
+		Expect(plan.Decisions).To(BeEmpty())
+		Expect(plan.Shortages).To(HaveLen(1))
+	})
+})
--- a/route/route.go
+++ b/route/route.go
@@ -255,15 +255,16 @@
 // placeResidents lists, under each model and adapter, the servers where it is
 // ready. Copies of an old version serve until one of the wanted is ready.
 func (d *Directory) placeResidents(t *Table, view *state.State) {
+	bases := readyBases(view)
 	wanted := map[string]bool{}
 	for p, r := range view.Residents {
-		if d.serves(view, p, r) && p.Version == wantedVersion(view.Fleet, p) {
+		if d.serves(view, bases, p, r) && p.Version == wantedVersion(view.Fleet, p) {
 			wanted[nameOf(p)] = true
 		}
 	}
 	for p, r := range view.Residents {
 		target := t.Models[nameOf(p)]
-		if target == nil || !d.serves(view, p, r) {
+		if target == nil || !d.serves(view, bases, p, r) {
 			continue
 		}
 		if wanted[nameOf(p)] && p.Version != wantedVersion(view.Fleet, p) {
@@ -290,7 +291,10 @@
 	return ""
 }
 
-func (d *Directory) serves(view *state.State, p ledger.Place, r *wire.Resident) bool {
+func (d *Directory) serves(view *state.State, bases map[base]bool, p ledger.Place, r *wire.Resident) bool {
+	if p.Adapter != "" && !bases[base{p.Server, p.Accelerator, p.Model}] {
+		return false
+	}
 	s := view.Fleet.Servers[p.Server]
 	if r.Phase != wire.Phase_PHASE_READY || s == nil || s.Leaving { // (1)
 		return false
@@ -298,6 +302,23 @@
 	return !view.Servers[p.Server].GetLeaving() && !d.gone[p.Server]
 }
 
+// base is where a model is ready, in whatever version.
+type base struct {
+	server      string
+	accelerator uint32
+	model       string
+}
+
+func readyBases(view *state.State) map[base]bool {
+	bases := map[base]bool{}
+	for p, r := range view.Residents {
+		if p.Adapter == "" && r.Phase == wire.Phase_PHASE_READY {
+			bases[base{p.Server, p.Accelerator, p.Model}] = true
+		}
+	}
+	return bases
+}
+
 // hallBonus is how much more load, as a share of its size, a backend in the
 // own hall may have and still be preferred (5).
 const hallBonus = 0.1
--- a/spread/follow.go
+++ b/spread/follow.go
@@ -25,6 +25,7 @@
 	skip := 0
 	for ctx.Err() == nil {
 		if s.opts.Replica.Status().Role == consensus.Leader {
+			s.Age() // notes the lease
 			pause(ctx, hold)
 			continue
 		}
@@ -133,7 +134,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	sent := s.opts.Replica.Now()
-	question := &wire.Follow{Member: s.opts.Replica.ID(), Index: s.opts.Replica.View().Index, Subtree: s.subtree()}
+	question := &wire.Follow{Member: s.opts.Replica.ID(), Index: s.opts.Replica.View().Index, Subtree: s.subtree(), Demand: s.dueDemand()}
 	response, err := s.opts.Caller.Call(ctx, parent, &wire.Request{Kind: &wire.Request_Follow{Follow: question}})
 	if err != nil {
 		return Error.Wrap(err)
@@ -156,9 +157,10 @@
 	age := time.Duration(u.AgeMs) * time.Millisecond
 	at := sent + time.Duration(u.HeldMs)*time.Millisecond - age
 	s.markParent(parent)
+	complete := s.opts.Replica.View().Index >= u.Index
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if u.Fresh && (!s.fresh || at > s.freshAt) {
+	if complete && u.Fresh && (!s.fresh || at > s.freshAt) {
 		s.fresh, s.freshAt, s.path = true, at, u.Path
 		s.leader = u.Leader
 	}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -66,6 +66,8 @@
 	// Seeds are the names of boxes known from the settings.
 	Seeds       []string
 	ConfigLease time.Duration
+	// Demand returns what this box was asked for lately.
+	Demand func() []*wire.Demand
 }
 
 // Spreader is one box's part in the tree.
@@ -82,6 +84,14 @@
 	parent   string
 	parentAt time.Time
 	advanced chan struct{} // one of the subtree has applied more
+	demand   map[string]demandOf
+	demandAt time.Duration // when the own subtree's demand was sent last
+}
+
+// demandOf is what a child reported of itself and its subtree.
+type demandOf struct {
+	at   time.Duration
+	list []*wire.Demand
 }
 
 type holding struct {
@@ -96,7 +106,7 @@
 
 // New returns a Spreader; Run makes it work.
 func New(opts Options) *Spreader {
-	return &Spreader{opts: opts, holdings: map[string]holding{}, probes: map[string]probe{}, advanced: make(chan struct{}, 1)}
+	return &Spreader{opts: opts, holdings: map[string]holding{}, probes: map[string]probe{}, advanced: make(chan struct{}, 1), demand: map[string]demandOf{}}
 }
 
 // Run asks parents and, without news, all boxes, until the context ends.
@@ -121,12 +131,14 @@
 // Age returns how long ago a leader was certain to lead when it sent what this
 // box has; false when the box has never heard of one.
 func (s *Spreader) Age() (time.Duration, bool) {
-	if age, held := s.opts.Replica.Lease(); held {
-		return age, true
-	}
+	age, held := s.opts.Replica.Lease()
+	now := s.opts.Replica.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.opts.Replica.Now() - s.freshAt, s.fresh
+	if held && (!s.fresh || now-age > s.freshAt) {
+		s.fresh, s.freshAt = true, now-age // stays known when the lease ends
+	}
+	return now - s.freshAt, s.fresh
 }
 
 // Current is rule 5.
@@ -167,6 +179,7 @@
 // Answer answers a child (1, 3).
 func (s *Spreader) Answer(ctx context.Context, from *wire.Member, f *wire.Follow) (*wire.FollowUpdate, error) {
 	s.noteHoldings(state.MemberID(from), f)
+	s.noteDemand(state.MemberID(from), f)
 	if f.Urgent {
 		return &wire.FollowUpdate{}, nil
 	}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -17,6 +17,13 @@
 // NewPlatform returns an empty list.
 func NewPlatform() *Platform { return &Platform{list: []platform.Machine{}} }
 
+// Replace replaces the list.
+func (p *Platform) Replace(list []platform.Machine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list = list
+}
+
 // ServeHTTP serves the list.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
--- a/state/state.go
+++ b/state/state.go
@@ -275,36 +275,32 @@
 }
 
 // serverSeen takes over what a server said. Under a new incarnation it has lost
-// what was resident, but an order that may still arrive stays counted when the
-// server does not check fences.
+// what was resident. One that does not check fences may still run an order that
+// was given before, be it open or closed: it is quarantined, and gets nothing
+// until its state was read after none can arrive any more.
 func (s *State) serverSeen(seen *wire.ServerSeen) {
 	if s.Fleet == nil || s.Fleet.Servers[seen.Server] == nil {
 		return
 	}
+	next := &wire.ServerState{Name: seen.Server, Incarnation: seen.Incarnation, Leaving: seen.Leaving}
 	old := s.Servers[seen.Server]
 	if old.GetIncarnation() != seen.Incarnation {
-		s.restartServer(seen)
+		s.takeResidents(seen)
+		next.Quarantined = !s.Fleet.Servers[seen.Server].Kind.ChecksFences
+	} else if old.Quarantined {
+		next.Quarantined = !seen.Settled
+		if seen.Settled {
+			s.takeResidents(seen)
+		}
 	}
-	s.Servers[seen.Server] = &wire.ServerState{Name: seen.Server, Incarnation: seen.Incarnation, Leaving: seen.Leaving}
+	s.Servers[seen.Server] = next
 }
 
-func (s *State) restartServer(seen *wire.ServerSeen) {
-	late := map[ledger.Place]bool{}
-	for id, o := range s.Orders {
-		if o.Server != seen.Server {
-			continue
-		}
-		if o.Action == wire.OrderAction_ORDER_LOAD && !s.Fleet.Servers[seen.Server].Kind.ChecksFences {
-			late[ledger.PlaceOf(o)] = true
-			continue
-		}
-		delete(s.Orders, id)
-	}
-	maps.DeleteFunc(s.Residents, func(p ledger.Place, _ *wire.Resident) bool { return p.Server == seen.Server && !late[p] })
+// takeResidents replaces all that was known of a server.
+func (s *State) takeResidents(seen *wire.ServerSeen) {
+	s.forgetServer(seen.Server)
 	for _, r := range seen.Residents {
-		if place := ledger.PlaceOfResident(r); !late[place] {
-			s.Residents[place] = r
-		}
+		s.Residents[ledger.PlaceOfResident(r)] = r
 	}
 }
 
