--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The targets that README.md and .ci/run use.
 GO ?= go
 
-.PHONY: build run smoke unit test race bench lint generate docs
+.PHONY: build run smoke unit test race bench curve lint generate docs
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -31,6 +31,10 @@
 	$(GO) test -run xxx -bench . -benchtime 1x ./bench
 	$(GO) test -run xxx -bench RouteChoice ./bench
 
+# The curve of attainment against moves, docs/day.csv and docs/day.svg.
+curve:
+	DAY_OUT=$(CURDIR)/docs $(GO) test -run DayCurve -count 1 ./bench
+
 # Needs protoc; the generated code is committed.
 generate:
 	$(GO) build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
--- /dev/null
+++ b/bench/day_test.go
@@ -0,0 +1,385 @@
+package bench
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"leverdrum/placement"
+	"leverdrum/standin"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+// A day is replayed in steps against the real decisions and the real ledger;
+// servers and requests are sums only. What a server cannot do of the work that
+// the copies on it get is not answered in time.
+const (
+	dayStep   = 30 * time.Second
+	daySteps  = int(24 * time.Hour / dayStep)
+	loadSteps = 1 // a load or unload takes a step
+	// serviceTime is how long one request keeps a place.
+	serviceTime = 2 * time.Second
+	// peakUse is the mean use of all places, were the demand's peaks all at once.
+	meanUse = 0.45
+	// warmSteps are left out of the account: the first placement takes its time.
+	warmSteps = 20
+)
+
+// day is the demand of one fleet over a day, and what fails.
+type day struct {
+	models []string
+	rates  [][]float64 // requests a second, by step and model
+	down   func(step int, server, hall string) bool
+}
+
+// newDay draws a day: each model's demand follows the sun from its own place on
+// the globe, and some models have an hour of ten times the demand.
+func newDay(st *state.State, seed uint64) *day {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	d := &day{}
+	for _, m := range st.Fleet.SortedModels() {
+		d.models = append(d.models, m.Name)
+	}
+	weight := make([]float64, len(d.models))
+	phase := make([]float64, len(d.models))
+	surge := make([]int, len(d.models))
+	for i := range d.models {
+		weight[i] = 1 / math.Pow(float64(1+rng.IntN(len(d.models))), 0.8)
+		phase[i] = float64(rng.IntN(3)) * 8 // three regions
+		surge[i] = -1
+		if rng.IntN(3) == 0 {
+			surge[i] = rng.IntN(daySteps)
+		}
+	}
+	hour := float64(time.Hour / dayStep)
+	places := 0.0
+	for _, s := range st.Fleet.Servers {
+		places += float64(s.Kind.Concurrency)
+	}
+	sum := 0.0
+	for step := range daySteps {
+		row := make([]float64, len(d.models))
+		for i := range d.models {
+			sun := math.Sin((float64(step)/hour - phase[i] - 6) / 24 * 2 * math.Pi)
+			row[i] = weight[i] * (0.1 + max(0, sun))
+			if surge[i] >= 0 {
+				row[i] *= surgeAt(float64(step-surge[i]) / hour)
+			}
+			sum += row[i]
+		}
+		d.rates = append(d.rates, row)
+	}
+	scale := meanUse * places / serviceTime.Seconds() / (sum / float64(daySteps))
+	for _, row := range d.rates {
+		for i := range row {
+			row[i] *= scale
+		}
+	}
+	d.down = failures(st)
+	return d
+}
+
+// surgeAt is the factor of a surge so many hours after it began: tenfold within
+// an hour, and back within another.
+func surgeAt(hours float64) float64 {
+	switch {
+	case hours < 0 || hours > 2:
+		return 1
+	case hours < 1:
+		return math.Pow(10, hours)
+	}
+	return math.Pow(10, 2-hours)
+}
+
+// failures takes three servers away for an hour each, and one hall for half an
+// hour.
+func failures(st *state.State) func(step int, server, hall string) bool {
+	servers := st.Fleet.SortedServers()
+	hour := int(time.Hour / dayStep)
+	return func(step int, server, hall string) bool {
+		for i, at := range []int{4 * hour, 10 * hour, 19 * hour} {
+			if server == servers[i*5].Name && step >= at && step < at+hour {
+				return true
+			}
+		}
+		return hall == servers[1].Hall && step >= 14*hour && step < 14*hour+hour/2
+	}
+}
+
+// mean returns the day's average demand.
+func (d *day) mean() []float64 {
+	sum := make([]float64, len(d.models))
+	for _, row := range d.rates {
+		for i, r := range row {
+			sum[i] += r / float64(daySteps)
+		}
+	}
+	return sum
+}
+
+func (d *day) demand(row []float64) map[string]placement.Demand {
+	m := map[string]placement.Demand{}
+	for i, name := range d.models {
+		m[name] = placement.Demand{Requests: row[i], Places: row[i] * serviceTime.Seconds()}
+	}
+	return m
+}
+
+// outcome is what a policy reached over a day.
+type outcome struct {
+	offered, attained float64
+	moves             uint64
+	unreachable       int // model-steps without a copy on a server that works
+}
+
+func (o outcome) attainment() float64 { return o.attained / o.offered }
+
+// replay runs a policy through the day. The policy sees the demand of the step
+// before. The frozen policy only brings back what was lost.
+func replay(t testing.TB, text string, d *day, weight float64, frozen bool) outcome {
+	st, err := standin.Agreed(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	st.Fleet.MoveWeight = weight
+	settleFirst(t, st, d)
+	var o outcome
+	before := st.Moves
+	due := map[uint64]int{}
+	wasDown := map[string]bool{}
+	for step := range daySteps {
+		closeDue(st, due, step)
+		down := notice(st, d, step, wasDown)
+		seen := d.rates[max(0, step-1)]
+		in := placement.Input{State: st, Demand: d.demand(seen), Down: down, Since: time.Hour}
+		if frozen {
+			in.Since = 0 // moves nothing for demand's sake
+		}
+		for _, dec := range placement.Decide(in).Decisions {
+			dec.Order.First = false
+			if r := standin.Agree(st, &wire.Command{Kind: &wire.Command_Issue{Issue: &wire.IssueOrder{Order: dec.Order}}}); r.Err == nil {
+				due[r.Order.Id] = step + loadSteps
+			}
+		}
+		if step >= warmSteps {
+			o.add(st, d, step, down)
+		}
+	}
+	o.moves = st.Moves - before
+	return o
+}
+
+// settleFirst lets the first placement be made for the day's average demand,
+// which the baseline then keeps.
+func settleFirst(t testing.TB, st *state.State, d *day) {
+	weight := st.Fleet.MoveWeight
+	st.Fleet.MoveWeight = min(weight, 1)
+	for range 1000 {
+		plan := placement.Decide(placement.Input{State: st, Demand: d.demand(d.mean()), Since: time.Hour})
+		if len(plan.Decisions) == 0 {
+			st.Fleet.MoveWeight = weight
+			return
+		}
+		for _, dec := range plan.Decisions {
+			r := standin.Agree(st, &wire.Command{Kind: &wire.Command_Issue{Issue: &wire.IssueOrder{Order: dec.Order}}})
+			if r.Err != nil {
+				t.Fatal(r.Err)
+			}
+			closeOrder(st, r.Order.Id)
+		}
+	}
+	t.Fatal("the first placement does not come to rest")
+}
+
+func closeOrder(st *state.State, id uint64) {
+	standin.Agree(st, &wire.Command{Kind: &wire.Command_Close{Close: &wire.CloseOrder{Id: id, Outcome: wire.OrderOutcome_OUTCOME_DONE}}})
+}
+
+func closeDue(st *state.State, due map[uint64]int, step int) {
+	for id, at := range due {
+		if step >= at {
+			closeOrder(st, id)
+			delete(due, id)
+		}
+	}
+}
+
+// notice returns who is down. A server that comes back has lost everything.
+func notice(st *state.State, d *day, step int, wasDown map[string]bool) map[string]bool {
+	down := map[string]bool{}
+	for name, s := range st.Fleet.Servers {
+		if d.down(step, name, s.Hall) {
+			down[name], wasDown[name] = true, true
+			continue
+		}
+		if wasDown[name] {
+			delete(wasDown, name)
+			for _, settled := range []bool{false, true} {
+				standin.Agree(st, &wire.Command{Kind: &wire.Command_Server{Server: &wire.ServerSeen{Server: name, Incarnation: fmt.Sprint("i", step), Settled: settled}}})
+			}
+		}
+	}
+	return down
+}
+
+// add counts one step: each model's requests go to its copies so that their
+// servers are used alike, as far as they can be.
+func (o *outcome) add(st *state.State, d *day, step int, down map[string]bool) {
+	copies := map[string][]string{}
+	for p, r := range st.Residents {
+		if p.Adapter == "" && r.Phase == wire.Phase_PHASE_READY && !down[p.Server] {
+			copies[p.Model] = append(copies[p.Model], p.Server)
+		}
+	}
+	size := map[string]float64{}
+	for name, s := range st.Fleet.Servers {
+		size[name] = float64(s.Kind.Concurrency)
+	}
+	share := map[string][]float64{}
+	for model, list := range copies {
+		slices.Sort(list)
+		share[model] = make([]float64, len(list))
+		for i := range list {
+			share[model][i] = 1 / float64(len(list))
+		}
+	}
+	work := func() map[string]float64 {
+		sum := map[string]float64{}
+		for i, model := range d.models {
+			for c, server := range copies[model] {
+				sum[server] += d.rates[step][i] * serviceTime.Seconds() * share[model][c]
+			}
+		}
+		return sum
+	}
+	for range 12 {
+		use := work()
+		for _, model := range d.models {
+			total := 0.0
+			for c, server := range copies[model] {
+				share[model][c] *= math.Sqrt(size[server] / max(use[server], 0.01))
+				total += share[model][c]
+			}
+			for c := range copies[model] {
+				share[model][c] /= total
+			}
+		}
+	}
+	use := work()
+	for i, model := range d.models {
+		rate := d.rates[step][i] * dayStep.Seconds()
+		o.offered += rate
+		if len(copies[model]) == 0 {
+			o.unreachable++
+		}
+		for c, server := range copies[model] {
+			o.attained += rate * share[model][c] * min(1, size[server]/max(use[server], 1e-9))
+		}
+	}
+}
+
+// bound is what no placement can exceed: every place could serve every model.
+func bound(st *state.State, d *day) float64 {
+	offered, attained := 0.0, 0.0
+	for step := warmSteps; step < daySteps; step++ {
+		places, wanted := 0.0, 0.0
+		for name, s := range st.Fleet.Servers {
+			if !d.down(step, name, s.Hall) {
+				places += float64(s.Kind.Concurrency)
+			}
+		}
+		for _, r := range d.rates[step] {
+			wanted += r
+		}
+		offered += wanted
+		attained += min(wanted, places/serviceTime.Seconds())
+	}
+	return attained / offered
+}
+
+func fleetFile(t testing.TB, name string) string {
+	text, err := os.ReadFile(filepath.Join("..", "examples", name+".ini"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+const frozenWeight = 1e18
+
+// BenchmarkDay replays a day of each user and compares the policy with static
+// placement by average demand, with one that follows demand at any price, and
+// with the bound.
+func BenchmarkDay(b *testing.B) {
+	for _, user := range []string{"buecherbruecke", "tabua"} {
+		b.Run(user, func(b *testing.B) {
+			text := fleetFile(b, user)
+			for b.Loop() {
+				st, err := standin.Agreed(text)
+				if err != nil {
+					b.Fatal(err)
+				}
+				d := newDay(st, 7)
+				ours := replay(b, text, d, st.Fleet.MoveWeight, false)
+				static := replay(b, text, d, frozenWeight, true)
+				greedy := replay(b, text, d, 0, false)
+				report := func(name string, o outcome) {
+					b.ReportMetric(o.attainment(), name+"-attainment")
+					b.ReportMetric(float64(o.moves), name+"-moves")
+				}
+				report("ours", ours)
+				report("static", static)
+				report("greedy", greedy)
+				b.ReportMetric(bound(st, d), "bound-attainment")
+				b.ReportMetric(float64(ours.unreachable), "unreachable-steps")
+				if ours.attainment() <= static.attainment() {
+					b.Error("the policy must beat static placement")
+				}
+				if ours.moves > greedy.moves {
+					b.Error("the policy must move less than one without a price")
+				}
+			}
+		})
+	}
+}
+
+// TestDayCurve writes the curve of attainment against moves as day.csv and
+// day.svg into the folder that DAY_OUT names.
+func TestDayCurve(t *testing.T) {
+	folder := os.Getenv("DAY_OUT")
+	if folder == "" {
+		t.Skip("DAY_OUT names no folder; make curve does")
+	}
+	var out strings.Builder
+	out.WriteString("user,move-weight,attainment,moves,unreachable-steps\n")
+	curves := map[string][]point{}
+	for _, user := range []string{"buecherbruecke", "tabua"} {
+		text := fleetFile(t, user)
+		st, err := standin.Agreed(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d := newDay(st, 7)
+		add := func(label string, o outcome) {
+			fmt.Fprintf(&out, "%s,%s,%.4f,%d,%d\n", user, label, o.attainment(), o.moves, o.unreachable)
+			curves[user] = append(curves[user], point{label, o})
+		}
+		for _, weight := range []float64{0, 1, 10, 30, 100, 200, 400, 800, 1600, 3200} {
+			add(strconv.FormatFloat(weight, 'g', -1, 64), replay(t, text, d, weight, false))
+		}
+		add("static", replay(t, text, d, frozenWeight, true))
+		fmt.Fprintf(&out, "%s,bound,%.4f,0,0\n", user, bound(st, d))
+	}
+	if err := os.WriteFile(filepath.Join(folder, "day.csv"), []byte(out.String()), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	drawCurves(t, filepath.Join(folder, "day.svg"), curves)
+}
--- a/control/orders_test.go
+++ b/control/orders_test.go
@@ -484,3 +484,31 @@
 	g.Expect(issued).To(BeNumerically(">", 2000), "the runs must give orders, or they prove nothing")
 	g.Expect(ran).To(BeNumerically(">", 2000))
 }
+
+// TestWhatClosesAtOnce is about servers without fences: after anything but a
+// load that was done, a load still on its way could arrive uncounted.
+func TestWhatClosesAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		action wire.OrderAction
+		done   bool
+		want   bool
+	}{
+		{wire.OrderAction_ORDER_LOAD, true, true},
+		{wire.OrderAction_ORDER_LOAD, false, false},
+		{wire.OrderAction_ORDER_UNLOAD, true, false},
+		{wire.OrderAction_ORDER_UNLOAD, false, false},
+	} {
+		NewWithT(t).Expect(control.ClosesAtOnce(&wire.Order{Action: c.action}, engine.Outcome{Done: c.done})).To(Equal(c.want), "%+v", c)
+	}
+}
+
+func TestNothingIsSettledWhileLoading(t *testing.T) {
+	g := NewWithT(t)
+	o := &wire.Order{Action: wire.OrderAction_ORDER_LOAD, Server: "s", Item: &wire.Item{Model: "m", Version: "1"}}
+	_, settled := control.Settle(o, &engine.State{Residents: []engine.Resident{{Model: "m", Version: "1", Loading: true}}})
+	g.Expect(settled).To(BeFalse())
+	out, settled := control.Settle(o, &engine.State{Residents: []engine.Resident{{Model: "m", Version: "1"}}})
+	g.Expect(settled && out.Done).To(BeTrue())
+	out, settled = control.Settle(o, &engine.State{})
+	g.Expect(settled && !out.Done).To(BeTrue())
+}
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -30,7 +30,7 @@
 // spreadWork books each model's demand in equal parts on the servers of its
 // copies.
 func (p *planner) spreadWork() {
-	for _, m := range p.fleet.Models {
+	for _, m := range p.fleet.SortedModels() { // sums depend on their order
 		p.book(m, 1)
 	}
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -116,6 +116,24 @@
 		Entry(nil, "buecherbruecke.ini"), Entry(nil, "tabua.ini"),
 	)
 
+	It("gives the same orders for the same input", func() {
+		text, err := os.ReadFile(filepath.Join("..", "examples", "tabua.ini"))
+		Expect(err).NotTo(HaveOccurred())
+		st := agreed(string(text))
+		demand := map[string]placement.Demand{}
+		for i, m := range st.Fleet.SortedModels() {
+			demand[m.Name] = placement.Demand{Requests: 1.1 * float64(i), Places: 0.37 * float64(i)}
+		}
+		st.Fleet.MoveWeight = 0
+		settle(st, nil)
+		first := placement.Decide(placement.Input{State: st, Demand: demand, Since: time.Hour})
+		Expect(first.Decisions).NotTo(BeEmpty())
+		for range 20 {
+			again := placement.Decide(placement.Input{State: st, Demand: demand, Since: time.Hour})
+			Expect(again).To(Equal(first))
+		}
+	})
+
 	It("spreads copies over data halls", func() {
 		st := agreed(two + "[model m]\nversion = 1\nmemory = 4GiB\nclass = c\ncopies = 2\n")
 		settle(st, nil)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -72,7 +72,7 @@
 mutant ledger-no-room-check $ledger 's/used > usable \|\| o.Memory > usable-used/used > usable+o.Memory*9/' control 'TestMemory'
 mutant ledger-forgets-unloading $ledger 's/(if p.Server == server && p.Accelerator == accelerator) \{/$1 \&\& r.Phase != wire.Phase_PHASE_UNLOADING {/' control 'TestMemory'
 mutant ledger-forgets-loading $ledger 's/(if p.Server == server && p.Accelerator == accelerator) \{/$1 \&\& r.Phase != wire.Phase_PHASE_LOADING {/' control 'TestMemory'
-mutant unload-closes-at-once control/orders.go 's/return o.Action == wire.OrderAction_ORDER_LOAD && out.Done/return true/' control 'TestMemory'
+mutant unload-closes-at-once control/orders.go 's/return o.Action == wire.OrderAction_ORDER_LOAD && out.Done/return true/' control 'TestWhatCloses'
 mutant break-before-make $ledger 's/func \(b \*Book\) ReadyElsewhere\(place Place\) bool \{/func (b *Book) ReadyElsewhere(place Place) bool {\n\tif place.Server != "" {\n\t\treturn true\n\t}/' placement 'TestPlacement'
 mutant no-hall-spread placement/needs.go 's/return newA\n/return newB\n/' placement 'TestPlacement'
 mutant no-price placement/demand.go 's/best.worth <= p.fleet.MoveWeight/best.worth <= 0/' placement 'TestPlacement'
