--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -48,10 +48,22 @@
 }
 
 func serve(t testing.TB, h http.Handler) string {
-	s := httptest.NewUnstartedServer(h)
-	s.Start()
-	t.Cleanup(s.Close)
-	return s.Listener.Addr().String()
+	address, _ := serveUntil(t, h)
+	return address
+}
+
+// serveUntil serves until stop is called or the test ends.
+func serveUntil(t testing.TB, h http.Handler) (address string, stop func()) {
+	s := httptest.NewServer(h)
+	var once sync.Once
+	stop = func() {
+		once.Do(func() {
+			s.CloseClientConnections()
+			s.Close()
+		})
+	}
+	t.Cleanup(stop)
+	return s.Listener.Addr().String(), stop
 }
 
 // newBed loads one model on one stand-in by hand.
--- a/e2e/bench_test.go
+++ b/e2e/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"testing"
@@ -67,3 +68,120 @@
 		return true
 	})
 }
+
+// BenchmarkCalls measures, on 3 boxes with a disk and 3 without, one call at a
+// time: direct to the service, through a box, and through a box under a key.
+func BenchmarkCalls(b *testing.B) {
+	c := newCluster(b, 3, 3)
+	c.withAll()
+	c.start()
+	c.applyNow(1)
+	c.inForceEverywhere(1, 20*time.Second)
+	ctx := context.Background()
+	const calls = 400
+	run := 0
+	call := func(box *boxProc, path string, keyed bool) func(int) {
+		run++
+		return func(i int) {
+			header := map[string]string{}
+			if keyed {
+				header["Idempotency-Key"] = fmt.Sprint("bench-", run, "-", i)
+			}
+			if a := box.post(ctx, path, "x", header); a.status != http.StatusOK {
+				b.Fatal(a)
+			}
+		}
+	}
+	direct := &boxProc{entry: c.address["shop0"]}
+	through := c.boxes[4]
+	for b.Loop() {
+		for _, row := range []struct {
+			name string
+			f    func(int)
+		}{
+			{"direct", call(direct, "/stock", false)},
+			{"repeatable", call(through, "/services/shop/stock", false)},
+			{"once", call(through, "/services/shop/orders", false)},
+			{"keyed", call(through, "/services/shop/orders", true)},
+		} {
+			measure(50, row.f)
+			median, worst := measure(calls, row.f)
+			b.ReportMetric(ms(median), row.name+"-ms")
+			b.ReportMetric(ms(worst), row.name+"-worst-ms")
+		}
+	}
+}
+
+// BenchmarkAtRest measures what boxes spend without any request, and the time
+// until another box leads after the leader was killed.
+func BenchmarkAtRest(b *testing.B) {
+	for _, others := range []int{0, 4, 8, 16} {
+		b.Run(fmt.Sprint(3+others, "boxes"), func(b *testing.B) {
+			c := newCluster(b, 3, others)
+			c.fleet = smallFleet
+			c.start()
+			c.applyNow(1)
+			c.inForceEverywhere(1, 20*time.Second)
+			for b.Loop() {
+				const span = 5 * time.Second
+				before := c.costs()
+				time.Sleep(span)
+				after := c.costs()
+				leader := c.leader()
+				for role, boxes := range c.byRole(leader) {
+					n := float64(len(boxes)) * span.Seconds()
+					var bytes, messages, cpu, memory float64
+					for _, name := range boxes {
+						x, y := before[name], after[name]
+						bytes += y.bytes - x.bytes
+						messages += y.messages - x.messages
+						cpu += y.cpu - x.cpu
+						memory += y.memory
+					}
+					b.ReportMetric(bytes/n, role+"-B/s")
+					b.ReportMetric(messages/n, role+"-msg/s")
+					b.ReportMetric(100*cpu/n, role+"-%cpu")
+					b.ReportMetric(memory/float64(len(boxes))/(1<<20), role+"-MB")
+				}
+				began := time.Now()
+				leader.kill()
+				eventually(b, "another box leads", 10*time.Second, func() bool {
+					l := c.leader()
+					return l != nil && l != leader
+				})
+				b.ReportMetric(ms(time.Since(began)), "failover-ms")
+			}
+		})
+	}
+}
+
+// cost is what a box has spent so far.
+type cost struct{ bytes, messages, cpu, memory float64 }
+
+func (c *cluster) costs() map[string]cost {
+	m := map[string]cost{}
+	for _, b := range c.boxes {
+		m[b.name] = cost{
+			b.metric(`leverdrum_peer_bytes_total{direction="in"}`) + b.metric(`leverdrum_peer_bytes_total{direction="out"}`),
+			b.metric(`leverdrum_peer_messages_total{direction="in"}`) + b.metric(`leverdrum_peer_messages_total{direction="out"}`),
+			b.metric("process_cpu_seconds_total"), b.metric("process_resident_memory_bytes"),
+		}
+	}
+	return m
+}
+
+// byRole sorts the boxes into the leader, the other voters, and the rest.
+func (c *cluster) byRole(leader *boxProc) map[string][]string {
+	m := map[string][]string{}
+	for _, b := range c.boxes {
+		switch {
+		case b == leader:
+			m["leader"] = append(m["leader"], b.name)
+		case b.disk:
+			m["voter"] = append(m["voter"], b.name)
+		default:
+			m["entry"] = append(m["entry"], b.name)
+		}
+	}
+	return m
+}
