--- a/admin/rows.go
+++ b/admin/rows.go
@@ -12,7 +12,7 @@
 )
 
 // silentAfter is the age of a report at which a box is shown as silent.
-const silentAfter = 3 * time.Second
+const silentAfter = 5 * time.Second
 
 func phaseName(p wire.Phase) string {
 	switch p {
--- /dev/null
+++ b/bench/state_test.go
@@ -0,0 +1,63 @@
+package bench
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"leverdrum/claim"
+	"leverdrum/route"
+	"leverdrum/state"
+)
+
+// BenchmarkState measures, for four sizes with six copies a model, what the
+// agreed state takes in memory and as a snapshot, and what each change of it
+// costs a box: a copy for the readers and a new table of routes.
+func BenchmarkState(b *testing.B) {
+	for _, size := range []struct{ servers, accelerators, models int }{{150, 8, 100}, {300, 8, 200}, {600, 8, 400}, {1200, 8, 800}} {
+		b.Run(fmt.Sprintf("%dx%d", size.servers, size.models), func(b *testing.B) {
+			before := heap()
+			st := placed(b, size.servers, size.accelerators, size.models, 6)
+			held := heap() - before
+			data, err := proto.Marshal(st.Encode())
+			if err != nil {
+				b.Fatal(err)
+			}
+			d := route.NewDirectory("h0")
+			var keep *state.State
+			for b.Loop() {
+				keep = st.Clone()
+				d.Update(keep)
+			}
+			b.ReportMetric(float64(held)/(1<<20), "state-MB")
+			b.ReportMetric(float64(len(data))/(1<<10), "snapshot-KB")
+			runtime.KeepAlive(st)
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkEpoch measures what a change of the list of boxes costs a box for
+// its claims.
+func BenchmarkEpoch(b *testing.B) {
+	for _, boxes := range []int{11, 50, 100, 200, 400} {
+		b.Run(fmt.Sprint(boxes), func(b *testing.B) {
+			list := make([]claim.Process, boxes)
+			for i := range list {
+				list[i] = claim.Process{ID: fmt.Sprint("box", i, "/process"), Hall: fmt.Sprint("h", i%9)}
+			}
+			for b.Loop() {
+				t := claim.NewTable("box1/process")
+				t.Enter(0, []claim.Epoch{{Number: 1, Processes: list}, {Number: 2, Processes: list[1:]}})
+			}
+		})
+	}
+}
--- a/box/answer.go
+++ b/box/answer.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"leverdrum/internal/wait"
 	"leverdrum/peer"
 	"leverdrum/reason"
 	"leverdrum/replica"
@@ -88,6 +89,9 @@
 	case wire.ForwardKind_FORWARD_READ:
 		return leadRead(ctx, p)
 	case wire.ForwardKind_FORWARD_JOIN:
+		if !mayJoin(p, f.Member) {
+			return nil, replica.ErrBusy
+		}
 		_, err := p.replica.Propose(ctx, &wire.Command{Kind: &wire.Command_Join{Join: f.Member}})
 		return &wire.ForwardAnswer{}, err
 	case wire.ForwardKind_FORWARD_LEAVE:
@@ -98,6 +102,14 @@
 	return nil, Error.New("unknown call")
 }
 
+// mayJoin keeps a leader that is cut off from most boxes from making the list
+// longer until those it hears are the majority of it: the others may go on as
+// the majority of the list that they know.
+func mayJoin(p *parts, m *wire.Member) bool {
+	members := p.replica.View().Members
+	return len(members) == 0 || members[m.GetBox()] != nil || p.spread.HearsMajority()
+}
+
 // leadApply has the file agreed, and then waits until it is in force on a
 // majority of the boxes: from then on a box that hears from a majority knows of
 // it, whatever becomes of the control boxes.
@@ -147,7 +159,7 @@
 			return nil, why
 		}
 		sent = sent || mayHaveRun(err)
-		pause(ctx, forwardPause)
+		wait.For(ctx, forwardPause)
 	}
 	if sent && call.Kind == wire.ForwardKind_FORWARD_APPLY {
 		return nil, reason.ApplyUnknown
@@ -185,15 +197,6 @@
 	return response.GetForward(), nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // keepMembership sees to it that the agreed list shows this box as it is.
 func (b *Box) keepMembership(ctx context.Context, p *parts) {
 	f := &forwarder{b, p}
@@ -202,7 +205,7 @@
 		if !proto.Equal(p.replica.View().Members[self.Box], self) {
 			b.join(ctx, f, self)
 		}
-		pause(ctx, joinEvery)
+		wait.For(ctx, joinEvery)
 	}
 }
 
--- a/box/box.go
+++ b/box/box.go
@@ -41,6 +41,8 @@
 	// readHeaderTimeout bounds operators' headers.
 	readHeaderTimeout = 5 * time.Second
 	maxHeaderBytes    = 64 << 10
+	// idleTimeout is how long a caller's connection may be idle.
+	idleTimeout = 2 * time.Minute
 )
 
 // Box is one running box.
@@ -129,7 +131,7 @@
 		return nil
 	}
 	b.entryHTTP = &http.Server{
-		Handler: http.HandlerFunc(b.serveEntry), ReadHeaderTimeout: b.settings.HeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: http.HandlerFunc(b.serveEntry), ReadHeaderTimeout: b.settings.HeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	return b.serveHTTP(b.entryHTTP, b.settings.EntryListen)
 }
@@ -247,7 +249,7 @@
 	p.guard = keyed.New(state.ProcessID(self), r, b.pool, b.meters)
 	p.entry = entry.New(entry.Options{
 		Directory: p.directory, View: r.View, Current: func() bool { return b.warm.Load() && p.spread.Current() }, Sender: proxy.NewSender(),
-		Meters: b.meters, Records: b.records, MaxBody: s.MaxBody, Guard: p.guard,
+		Meters: b.meters, Records: b.records, MaxBody: s.MaxBody, BodyTimeout: s.BodyTimeout, Guard: p.guard,
 	})
 	p.admin = admin.New(admin.Options{
 		Box: s.Box, Cluster: &forwarder{b, p}, View: r.View, Ready: b.ready, Records: b.records, Meters: b.meters,
--- a/control/control.go
+++ b/control/control.go
@@ -199,17 +199,13 @@
 		return
 	}
 	ages := c.reportAges()
-	members := c.opts.Replica.View().Members
-	heard := 0
 	var silent []*wire.Member
-	for _, m := range members {
-		if age, ok := ages[state.MemberID(m)]; ok && age < downAfter {
-			heard++
-		} else if !ok || age > forgetBox/2 {
+	for _, m := range c.opts.Replica.View().Members {
+		if age, ok := ages[state.MemberID(m)]; !ok || age > forgetBox/2 {
 			silent = append(silent, m)
 		}
 	}
-	if heard <= len(members)/2 || len(silent) == 0 {
+	if len(silent) == 0 || !c.opts.Spread.HearsMajority() {
 		return
 	}
 	m := silent[0]
--- a/control/orders.go
+++ b/control/orders.go
@@ -8,6 +8,7 @@
 
 	"leverdrum/engine"
 	"leverdrum/fleet"
+	"leverdrum/internal/wait"
 	"leverdrum/ledger"
 	"leverdrum/meter"
 	"leverdrum/wire"
@@ -44,7 +45,7 @@
 			c.close(ctx, o, out)
 			return
 		}
-		sleep(ctx, resendPause)
+		wait.For(ctx, resendPause)
 	}
 }
 
@@ -62,7 +63,7 @@
 	}
 	latest := time.Now().Add(s.Kind.OrderLate)
 	for c.mayGoOn(ctx, o) {
-		sleep(ctx, round)
+		wait.For(ctx, round)
 		r, ok := c.report(o.Server)
 		if !ok || r.began.Before(latest) {
 			continue
@@ -129,7 +130,7 @@
 		if _, err := c.propose(ctx, cmd); err == nil {
 			return
 		}
-		sleep(ctx, resendPause)
+		wait.For(ctx, resendPause)
 	}
 }
 
@@ -154,12 +155,3 @@
 func placeOf(server string, r engine.Resident) ledger.Place {
 	return ledger.Place{Server: server, Accelerator: r.Accelerator, Model: r.Model, Adapter: r.Adapter, Version: r.Version}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -414,6 +414,14 @@
 	})
 }
 
+// up starts all boxes and waits until the first file is in force on all.
+func (c *cluster) up() {
+	c.t.Helper()
+	c.start()
+	c.applyNow(1)
+	c.inForceEverywhere(1, 60*time.Second)
+}
+
 // inForceEverywhere waits until all boxes have the file of a number.
 func (c *cluster) inForceEverywhere(number uint64, limit time.Duration) {
 	c.t.Helper()
--- /dev/null
+++ b/e2e/orders_test.go
@@ -0,0 +1,77 @@
+package e2e
+
+import (
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"leverdrum/standin"
+)
+
+// TestFrozenLeaderDuringLoads freezes the leading box again and again while
+// files that change what is to be resident are applied, over servers that check
+// fences, servers that do not, and slow or lost orders. The servers judge.
+func TestFrozenLeaderDuringLoads(t *testing.T) {
+	rounds := 4
+	if testing.Short() {
+		rounds = 2
+	}
+	g := NewWithT(t)
+	c := newCluster(t, 3, 1)
+	defer c.dumpLogs()
+	servers := smallFleet + "[kind fenced]\nmemory = 10GiB\nchecks-fences = true\n[kind plain]\nmemory = 10GiB\norder-late = 1s\n"
+	for i, kind := range []string{"fenced", "plain", "fenced", "plain"} {
+		name := fmt.Sprint("engine", i)
+		c.engines[name] = standin.NewEngine(standin.EngineOptions{
+			Accelerators: 1, Memory: 10 << 30, ChecksFences: kind == "fenced", Concurrency: 4, LoadTime: 150 * time.Millisecond,
+		})
+		servers += fmt.Sprintf("[server %s]\naddress = %s\nhall = hall%d\nkind = %s\n", name, c.serve(name, c.engines[name]), i%2, kind)
+	}
+	c.fleet = servers + modelsOf(0)
+	c.up()
+	for round := 1; round <= rounds; round++ {
+		for i, e := range c.engines {
+			e.Set(standin.Faults{LoseOrderAnswers: strings.HasSuffix(i, fmt.Sprint(round%4)), OrderDelayMs: 50 * round})
+		}
+		c.fleet = servers + modelsOf(round)
+		leader := c.leader()
+		c.applyNow(round + 1)
+		time.Sleep(100 * time.Millisecond)
+		leader.signal(syscall.SIGSTOP)
+		time.Sleep(1200 * time.Millisecond)
+		leader.signal(syscall.SIGCONT)
+		time.Sleep(500 * time.Millisecond)
+	}
+	for _, e := range c.engines {
+		e.Set(standin.Faults{})
+	}
+	eventually(t, "all models are ready in their new versions", 60*time.Second, func() bool {
+		s := c.read()
+		if s == nil || s.Orders > 0 {
+			return false
+		}
+		for _, m := range s.Models {
+			if len(m.Ready) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	for name, e := range c.engines {
+		a := e.Account()
+		g.Expect(a.Overcommits).To(BeZero(), "by the account of %s, which held up to %d bytes", name, a.Peak)
+	}
+}
+
+// modelsOf returns models whose versions change from round to round.
+func modelsOf(round int) string {
+	var b strings.Builder
+	for i := range 6 {
+		fmt.Fprintf(&b, "[model m%d]\nversion = %d\nmemory = %dGiB\nclass = any\n", i, (round+i)/2, 2+i%3)
+	}
+	return b.String()
+}
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -47,15 +46,3 @@
 func (*budget) jitter(n int) time.Duration {
 	return time.Duration(rand.Int64N(int64(2*retryPause) << n))
 }
-
-// pause waits, and reports false when the context ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -15,6 +15,7 @@
 	"leverdrum/engine"
 	"leverdrum/proxy"
 	"leverdrum/reason"
+	"leverdrum/route"
 )
 
 // chatHead is what routing needs of a chat request.
@@ -24,49 +25,73 @@
 
 // chat serves POST /v1/chat/completions.
 func (e *Entry) chat(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
-	id := requestID(r)
-	body, why := e.readBody(w, r)
-	if why != nil {
-		e.refuse(w, id, why, "")
+	a, ok := e.arrive(w, r)
+	if !ok {
 		return
 	}
 	var head chatHead
-	if err := json.Unmarshal(body, &head); err != nil || head.Model == "" {
-		e.refuse(w, id, reason.BadRequest, "a JSON object with the key model is needed")
-		return
-	}
-	table, why := e.usable()
-	if why != nil {
-		e.refuse(w, id, why, "")
+	if err := json.Unmarshal(a.body, &head); err != nil || head.Model == "" {
+		e.refuse(w, a.id, reason.BadRequest, "a JSON object with the key model is needed")
 		return
 	}
-	target := table.Models[head.Model]
+	target := a.table.Models[head.Model]
 	if target == nil {
-		e.refuse(w, id, reason.UnknownModel, head.Model)
+		e.refuse(w, a.id, reason.UnknownModel, head.Model)
 		return
 	}
 	if len(target.Backends) == 0 {
 		e.noteDemand(target, 0)
-		e.refuse(w, id, reason.NotResident, head.Model)
+		e.refuse(w, a.id, reason.NotResident, head.Model)
 		return
 	}
 	e.serve(w, r, &job{
-		id: id, arrived: arrived, target: target, repeatable: true,
-		attempt: proxy.Attempt{Method: http.MethodPost, Path: engine.ChatPath, Header: r.Header, Body: body},
+		id: a.id, arrived: a.at, target: target, repeatable: true,
+		attempt: proxy.Attempt{Method: http.MethodPost, Path: engine.ChatPath, Header: r.Header, Body: a.body},
 	})
 }
 
-// readBody reads the whole body, which a retry needs.
+// arrival is a request that was read whole while this box may serve.
+type arrival struct {
+	id    string
+	at    time.Time
+	body  []byte
+	table *route.Table
+}
+
+// arrive reads a request, or refuses it.
+func (e *Entry) arrive(w http.ResponseWriter, r *http.Request) (*arrival, bool) {
+	a := &arrival{id: requestID(r), at: time.Now()}
+	var why *reason.Reason
+	if a.body, why = e.readBody(w, r); why == nil {
+		a.table, why = e.usable()
+	}
+	if why != nil {
+		e.refuse(w, a.id, why, "")
+		return nil, false
+	}
+	return a, true
+}
+
+// readBody reads the whole body, which a retry needs. Its time is bounded here
+// and not by the server's ReadTimeout, which would end long answers too.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *reason.Reason) {
+	control := http.NewResponseController(w)
+	if e.opts.BodyTimeout > 0 {
+		// A writer that knows no deadlines is a test's.
+		_ = control.SetReadDeadline(time.Now().Add(e.opts.BodyTimeout))
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.opts.MaxBody))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, reason.BodyTooLarge
 	case err != nil:
+		// The deadline stays: the server itself still waits for the rest of the
+		// body before it closes the connection.
+		w.Header().Set("Connection", "close")
 		return nil, reason.BadRequest
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
@@ -95,29 +120,21 @@
 
 // service serves everything under /services/NAME/.
 func (e *Entry) service(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
-	id := requestID(r)
-	body, why := e.readBody(w, r)
-	if why != nil {
-		e.refuse(w, id, why, "")
-		return
-	}
-	table, why := e.usable()
-	if why != nil {
-		e.refuse(w, id, why, "")
+	a, ok := e.arrive(w, r)
+	if !ok {
 		return
 	}
 	name := chi.URLParam(r, "service")
-	target := table.Services[name]
+	target := a.table.Services[name]
 	if target == nil {
-		e.refuse(w, id, reason.UnknownService, name)
+		e.refuse(w, a.id, reason.UnknownService, name)
 		return
 	}
 	path := strings.TrimPrefix(r.URL.Path, "/services/"+name)
 	uri := strings.TrimPrefix(r.URL.RequestURI(), "/services/"+name)
 	j := &job{
-		id: id, arrived: arrived, target: target, repeatable: target.Service.Repeatable(r.Method, path),
-		attempt: proxy.Attempt{Method: r.Method, Path: uri, Header: r.Header, Body: body},
+		id: a.id, arrived: a.at, target: target, repeatable: target.Service.Repeatable(r.Method, path),
+		attempt: proxy.Attempt{Method: r.Method, Path: uri, Header: r.Header, Body: a.body},
 	}
 	j.key = keyOf(r, j)
 	e.serve(w, r, j)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,6 +45,8 @@
 	Meters  *meter.Meters
 	Records *record.Book
 	MaxBody int64
+	// BodyTimeout bounds the reading of a body; 0: no bound.
+	BodyTimeout time.Duration
 	// Guard guards the keys of calls that may run at most once.
 	Guard Guard
 }
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"leverdrum/admit"
+	"leverdrum/internal/wait"
 	"leverdrum/meter"
 	"leverdrum/proxy"
 	"leverdrum/reason"
@@ -123,7 +124,7 @@
 		return false
 	}
 	e.opts.Meters.Retry(retry)
-	return pause(ctx, e.budget.jitter(n))
+	return wait.For(ctx, e.budget.jitter(n))
 }
 
 // retryReason says why a failed attempt may be followed by another, nil when it
--- a/keyed/keyed.go
+++ b/keyed/keyed.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"leverdrum/claim"
+	"leverdrum/internal/wait"
 	"leverdrum/meter"
 	"leverdrum/replica"
 	"leverdrum/wire"
@@ -26,8 +27,10 @@
 	acquireTimeout = 1500 * time.Millisecond
 	// recordTimeout bounds waiting until a majority keeps an answer.
 	recordTimeout = 500 * time.Millisecond
-	// pullEvery is the time between two looks at what is still to be taken over.
+	// pullEvery is the time between two looks at what is still to be taken over,
+	// and restEvery the same when nothing is.
 	pullEvery = 50 * time.Millisecond
+	restEvery = time.Second
 	// sweepEvery is the time between two looks for claims that have ended.
 	sweepEvery = 10 * time.Second
 	// keepBody is the largest body, in bytes, that is kept of an answer.
@@ -70,7 +73,7 @@
 			g.table.Sweep(g.now())
 			g.mu.Unlock()
 		}
-		timer := time.NewTimer(pullEvery)
+		timer := time.NewTimer(g.untilNext())
 		select {
 		case <-changed:
 		case <-timer.C:
@@ -80,6 +83,15 @@
 	}
 }
 
+func (g *Guard) untilNext() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.table.Pulls(g.now())) > 0 {
+		return pullEvery
+	}
+	return restEvery
+}
+
 func (g *Guard) enter() {
 	var epochs []claim.Epoch
 	for _, e := range g.replica.View().Epochs {
@@ -111,24 +123,19 @@
 		if answer.Verdict != claim.NotReady {
 			break
 		}
-		pause(ctx, againPause)
+		wait.For(ctx, againPause)
 	}
 	g.meters.Count(meter.Claims, string(answer.Verdict)).Inc()
-	if answer.Verdict != claim.Granted {
+	switch answer.Verdict {
+	case claim.Granted:
+	case claim.NotReady:
+		go g.Release(key, attempt) // the refusal must not wait for holders that are gone
+	default:
 		g.Release(key, attempt)
 	}
 	return answer
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (g *Guard) holders(key string) (holders []string, epoch uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -27,7 +27,7 @@
 )
 
 // heardWithin is how fresh the report of a stand-in must be (3).
-const heardWithin = 2 * time.Second
+const heardWithin = 4 * time.Second
 
 // Input is what the leader sees.
 type Input struct {
--- /dev/null
+++ b/replica/loop.go
@@ -0,0 +1,249 @@
+package replica
+
+import (
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"leverdrum/consensus"
+	"leverdrum/state"
+	"leverdrum/wal"
+	"leverdrum/wire"
+)
+
+func (r *Replica) run() {
+	defer close(r.done)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		idle := false
+		select {
+		case <-r.stop:
+			return
+		case <-ticker.C:
+			idle = true
+		case f := <-r.events:
+			f()
+			r.drain()
+		}
+		if time.Now().Before(r.pausedTil) {
+			continue
+		}
+		r.core.Tick(r.Now())
+		if err := r.settle(idle); err != nil {
+			r.opts.Fatal(err)
+			return
+		}
+	}
+}
+
+func (r *Replica) drain() {
+	for range batchLength {
+		select {
+		case f := <-r.events:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// settle carries out the core's effects in the order that they need. When
+// nothing came but the clock, and the role stayed, there is nothing to publish.
+func (r *Replica) settle(idle bool) error {
+	out := r.core.Take()
+	if err := r.persist(&out); err != nil {
+		if errors.Is(err, wal.ErrFull) {
+			return r.withdraw(err)
+		}
+		return err
+	}
+	for _, m := range out.Messages {
+		r.opts.Send(m)
+	}
+	if err := r.applyTo(out.Commit); err != nil {
+		return err
+	}
+	r.answerReads(&out)
+	if !idle || r.core.Role() != r.Status().Role || len(out.Messages) > 0 {
+		r.publishStatus()
+	}
+	return r.compact()
+}
+
+func (r *Replica) persist(out *consensus.Output) error {
+	if out.Snapshot != nil {
+		return r.installSnapshot(out)
+	}
+	if out.Hard == nil && len(out.Entries) == 0 {
+		return nil
+	}
+	return r.opts.Storage.Append(&wire.Batch{Entries: out.Entries, HardState: out.Hard})
+}
+
+func (r *Replica) installSnapshot(out *consensus.Output) error {
+	st, err := decodeSnapshot(out.Snapshot)
+	if err != nil {
+		return err
+	}
+	hard := out.Hard
+	if hard == nil {
+		hard = &wire.HardState{Term: r.core.Term(), Vote: r.core.Vote()}
+	}
+	if err := r.opts.Storage.SaveSnapshot(out.Snapshot, hard, out.Entries); err != nil {
+		return err
+	}
+	r.jumpTo(st)
+	return nil
+}
+
+// jumpTo takes over a newer state as a whole.
+func (r *Replica) jumpTo(st *state.State) {
+	if st.Index <= r.master.Index {
+		return
+	}
+	r.master = st
+	r.recent = nil
+	r.publish()
+}
+
+// withdraw takes the member out until its disk has room, and then lets it start
+// again from what is durable, as after a crash.
+func (r *Replica) withdraw(cause error) error {
+	r.opts.Log.Warn("data folder full, member paused", zap.Error(cause))
+	r.failWaiting()
+	r.pausedTil = time.Now().Add(fullPause)
+	if err := r.opts.Storage.Reload(); err != nil {
+		return err
+	}
+	if err := r.restore(); err != nil {
+		return err
+	}
+	r.publishStatus()
+	return nil
+}
+
+func (r *Replica) failWaiting() {
+	for index, p := range r.waiting {
+		p.answer <- outcome{err: ErrUnknown}
+		delete(r.waiting, index)
+	}
+	for token, answer := range r.reads {
+		answer <- ErrNotLeader
+		delete(r.reads, token)
+	}
+}
+
+// applyTo applies what the core holds as agreed and the state has not seen yet.
+func (r *Replica) applyTo(commit uint64) error {
+	before := r.master.Index
+	for r.master.Index < commit {
+		e := r.core.Entry(r.master.Index + 1)
+		if e == nil {
+			return Error.New("the agreed entry %d is missing", r.master.Index+1)
+		}
+		r.applyOne(e)
+	}
+	r.dropStale()
+	if r.master.Index > before {
+		r.publish()
+	}
+	return nil
+}
+
+func (r *Replica) applyOne(e *wire.Entry) {
+	result := r.master.Apply(e)
+	r.remember(e)
+	p := r.waiting[e.Index]
+	if p == nil {
+		return
+	}
+	delete(r.waiting, e.Index)
+	if p.term != e.Term {
+		p.answer <- outcome{err: ErrUnknown}
+		return
+	}
+	p.answer <- outcome{result: result}
+}
+
+// dropStale tells those whose proposal cannot be watched any more: the box
+// leads no longer and another leader decides what becomes of it.
+func (r *Replica) dropStale() {
+	if r.core.Role() == consensus.Leader || len(r.waiting) == 0 {
+		return
+	}
+	for index, p := range r.waiting {
+		p.answer <- outcome{err: ErrUnknown}
+		delete(r.waiting, index)
+	}
+}
+
+func (r *Replica) remember(e *wire.Entry) {
+	r.recent = append(r.recent, e)
+	if len(r.recent) >= 2*recentLength {
+		r.recent = append([]*wire.Entry(nil), r.recent[recentLength:]...)
+	}
+}
+
+func (r *Replica) answerReads(out *consensus.Output) {
+	for _, ready := range out.Reads {
+		if answer := r.reads[ready.Token]; answer != nil {
+			delete(r.reads, ready.Token)
+			answer <- nil
+		}
+	}
+	for _, token := range out.DroppedReads {
+		if answer := r.reads[token]; answer != nil {
+			delete(r.reads, token)
+			answer <- ErrNotLeader
+		}
+	}
+}
+
+// publish shows the new state to readers and wakes those who wait for it.
+func (r *Replica) publish() {
+	r.view.Store(r.master.Clone())
+	next := make(chan struct{})
+	close(*r.changed.Swap(&next))
+}
+
+func (r *Replica) publishStatus() {
+	now := r.Now()
+	s := &Status{
+		Role: r.core.Role(), Term: r.core.Term(), Leader: r.core.Leader(), Commit: r.core.Commit(),
+		Voters: r.core.Config().Voters, Established: r.core.Established(),
+	}
+	if age, held := r.core.LeaseAge(now); held {
+		s.LeaseFrom, s.LeaseHeld = now-age, true
+	}
+	if s.Role == consensus.Leader {
+		s.Heard, s.Holding = map[string]time.Duration{}, map[string]bool{}
+		for _, id := range r.core.Peers() {
+			ago, holds := r.core.Heard(id)
+			s.Heard[id], s.Holding[id] = now-ago, holds
+		}
+	}
+	r.status.Store(s)
+}
+
+func (r *Replica) compact() error {
+	if r.core.LogLength() < r.opts.CompactAfter || r.core.Commit() != r.master.Index {
+		return nil
+	}
+	data, err := proto.Marshal(r.master.Encode())
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	snapshot, err := r.core.Compact(r.master.Index, data)
+	if err != nil {
+		return nil // nothing new to compact
+	}
+	hard := &wire.HardState{Term: r.core.Term(), Vote: r.core.Vote()}
+	err = r.opts.Storage.SaveSnapshot(snapshot, hard, r.core.Tail())
+	if errors.Is(err, wal.ErrFull) {
+		return r.withdraw(err)
+	}
+	return err
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,126 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"leverdrum/route"
+	"leverdrum/standin"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+// newDirectory returns a directory of three servers, one of them in another
+// hall, that all hold one model.
+func newDirectory(t *testing.T) (*route.Directory, *state.State, *route.Target) {
+	text := "[fleet]\nnumber = 1\n[hall a]\n[hall b]\n[class c]\ndeadline = 1s\n[kind k]\nmemory = 1GiB\nconcurrency = 10\n"
+	for i, hall := range []string{"a", "a", "b"} {
+		text += fmt.Sprintf("[server s%d]\naddress = 127.0.0.1:%d\nhall = %s\nkind = k\n", i, i+1, hall)
+	}
+	st, err := standin.Agreed(text + "[model m]\nversion = 1\nmemory = 1B\nclass = c\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 {
+		standin.Ready(st, fmt.Sprint("s", i), 0, &wire.Item{Model: "m", Version: "1"}, 1)
+	}
+	d := route.NewDirectory("a")
+	d.Update(st)
+	return d, st, d.Table().Models["m"]
+}
+
+// chosen counts which servers are chosen in many draws, nothing being in flight.
+func chosen(d *route.Directory, target *route.Target) map[string]int {
+	count := map[string]int{}
+	for range 300 {
+		if b, _ := d.Choose(target, time.Now(), nil); b != nil {
+			count[b.Name]++
+		}
+	}
+	return count
+}
+
+func TestOwnHallIsPreferred(t *testing.T) {
+	d, _, target := newDirectory(t)
+	count := chosen(d, target)
+	g := NewWithT(t)
+	g.Expect(count["s2"]).To(BeZero(), "%v", count)
+	g.Expect(count["s0"]).To(BeNumerically(">", 50))
+	for range 5 {
+		d.Backends()["s0"].Begin()
+		d.Backends()["s1"].Begin()
+	}
+	g.Expect(chosen(d, target)["s2"]).To(BeNumerically(">", 100), "preference yields to load (5)")
+}
+
+func TestLeavingByEachWord(t *testing.T) {
+	for name, leave := range map[string]func(d *route.Directory, st *state.State){
+		"the server's own": func(d *route.Directory, _ *state.State) { d.Backends()["s0"].SetLeaving(true) },
+		"the platform's":   func(d *route.Directory, _ *state.State) { d.SetGone(map[string]bool{"s0": true}) },
+		"the fleet file's": func(_ *route.Directory, st *state.State) { st.Fleet.Servers["s0"].Leaving = true },
+		"the agreed":       func(_ *route.Directory, st *state.State) { st.Servers["s0"].Leaving = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, st, _ := newDirectory(t)
+			leave(d, st)
+			d.Update(st)
+			NewWithT(t).Expect(chosen(d, d.Table().Models["m"])["s0"]).To(BeZero())
+		})
+	}
+}
+
+func TestEjectionEndsAndIsIgnoredWhenAllAreOut(t *testing.T) {
+	g := NewWithT(t)
+	d, _, target := newDirectory(t)
+	now := time.Now()
+	bad := d.Backends()["s0"]
+	g.Expect(bad.Failed(now)).To(BeFalse())
+	g.Expect(bad.Failed(now)).To(BeFalse())
+	g.Expect(bad.Failed(now)).To(BeTrue(), "the third failure in a row takes it out")
+	g.Expect(chosen(d, target)["s0"]).To(BeZero())
+	b, _ := d.Choose(target, now.Add(time.Second), []*route.Backend{d.Backends()["s1"], d.Backends()["s2"]})
+	g.Expect(b).To(Equal(bad), "its time is up")
+	for _, name := range []string{"s1", "s2"} {
+		for range 3 {
+			d.Backends()[name].Failed(now)
+		}
+	}
+	g.Expect(chosen(d, target)).NotTo(BeEmpty(), "all out is no reason to refuse (2)")
+}
+
+func TestLimitAdapts(t *testing.T) {
+	g := NewWithT(t)
+	d, _, _ := newDirectory(t)
+	b := d.Backends()["s0"]
+	now := time.Now()
+	b.TooLate(now)
+	b.TooLate(now)
+	g.Expect(b.Limit()).To(BeNumerically("~", 20.0/3, 0.01), "it falls once a second at most (6)")
+	for range 7 {
+		b.Begin()
+	}
+	g.Expect(b.HasRoom()).To(BeFalse())
+	for range 100 {
+		b.InTime()
+	}
+	g.Expect(b.Limit()).To(BeNumerically(">", 7))
+	g.Expect(b.HasRoom()).To(BeTrue())
+}
+
+func TestAdapterNeedsItsModelBeside(t *testing.T) {
+	g := NewWithT(t)
+	text := "[fleet]\nnumber = 1\n[hall a]\n[class c]\ndeadline = 1s\n[kind k]\nmemory = 1GiB\n[server s0]\naddress = 127.0.0.1:1\nhall = a\nkind = k\n" +
+		"[model m]\nversion = 1\nmemory = 1B\nclass = c\n[adapter x]\nmodel = m\nversion = 1\nmemory = 1B\n"
+	st, err := standin.Agreed(text)
+	g.Expect(err).NotTo(HaveOccurred())
+	standin.Ready(st, "s0", 0, &wire.Item{Model: "m", Adapter: "x", Version: "1"}, 1)
+	d := route.NewDirectory("a")
+	d.Update(st)
+	g.Expect(d.Table().Models["x"].Backends).To(BeEmpty())
+	standin.Ready(st, "s0", 0, &wire.Item{Model: "m", Version: "1"}, 1)
+	d.Update(st)
+	g.Expect(d.Table().Models["x"].Backends).To(HaveLen(1))
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -77,4 +77,9 @@
 mutant no-hall-spread placement/needs.go 's/return newA\n/return newB\n/' placement 'TestPlacement'
 mutant no-price placement/demand.go 's/best.worth <= p.fleet.MoveWeight/best.worth <= 0/' placement 'TestPlacement'
 mutant no-quarantine state/state.go 's/next.Quarantined = !s.Fleet.Servers\[seen.Server\].Kind.ChecksFences/next.Quarantined = false/' control 'TestMemory'
+mutant leaderless-serving spread/spread.go 's/return s.majorityAgrees\(\)/return false/' e2e 'TestServingGoesOn'
+mutant cut-off-serves-on spread/spread.go 's/return s.majorityAgrees\(\)/return true/' e2e 'TestCutOff'
+mutant leaving-ignored route/route.go 's/if b.leaving.Load\(\) \|\| /if /; s/return !view.Servers\[p.Server\].GetLeaving\(\) && !d.gone\[p.Server\]/return true/; s/s == nil \|\| s.Leaving/s == nil/' e2e 'TestLeaving'
+mutant second-file-wins state/state.go 's/if first := s.accepted\(a.Number\); first != nil \{/if first := s.accepted(a.Number); first != nil \&\& first.Digest == a.Digest {/' e2e 'TestRacing'
+mutant no-stand-in membership/membership.go 's/if standIn == "" \{/if standIn != "x" {/' e2e 'TestSecondLoss'
 exit $missed
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,6 +41,7 @@
 		{Name: "listen", Type: conf.Address, Default: "", Text: "Where callers reach this box; needed by the role entry."},
 		{Name: "max-body", Type: conf.Bytes, Default: "8MiB", Text: "Largest body of a request."},
 		{Name: "header-timeout", Type: conf.Duration, Default: "5s", Text: "How long a caller may take to send the headers."},
+		{Name: "body-timeout", Type: conf.Duration, Default: "30s", Text: "How long a caller may take to send a whole request."},
 		{Name: "balancer-lag", Type: conf.Duration, Default: "3s", Text: "How long requests are still taken after the readiness check failed at a planned stop."},
 		{Name: "stop-timeout", Type: conf.Duration, Default: "10m", Text: "How long a planned stop waits for requests in flight."},
 	}},
@@ -91,6 +92,7 @@
 	EntryListen   string
 	MaxBody       int64
 	HeaderTimeout time.Duration
+	BodyTimeout   time.Duration
 	BalancerLag   time.Duration
 	StopTimeout   time.Duration
 
@@ -156,7 +158,7 @@
 		Cluster: cluster.String("name"), FirstMembers: cluster.List("first-members"), Boxes: addresses(cluster.List("boxes")),
 		PeerListen: peer.String("listen"), PeerAdvertise: cmp.Or(peer.String("advertise"), peer.String("listen")), PlainAnywhere: peer.String("plain-text") == "anywhere",
 		EntryListen: entry.String("listen"), MaxBody: int64(entry.Bytes("max-body")),
-		HeaderTimeout: entry.Duration("header-timeout"), BalancerLag: entry.Duration("balancer-lag"), StopTimeout: entry.Duration("stop-timeout"),
+		HeaderTimeout: entry.Duration("header-timeout"), BodyTimeout: entry.Duration("body-timeout"), BalancerLag: entry.Duration("balancer-lag"), StopTimeout: entry.Duration("stop-timeout"),
 		OperatorListen: d.Part("operator").String("listen"),
 		DataFolder:     data.String("folder"), DataLimit: int64(data.Bytes("limit")), CompactAfter: data.Int("compact-after"),
 		TLS:             TLS{tls.String("certificate"), tls.String("key"), tls.String("authority")},
--- a/spread/follow.go
+++ b/spread/follow.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/errs"
 
 	"leverdrum/consensus"
+	"leverdrum/internal/wait"
 	"leverdrum/state"
 	"leverdrum/wire"
 )
@@ -26,12 +27,12 @@
 	for ctx.Err() == nil {
 		if s.opts.Replica.Status().Role == consensus.Leader {
 			s.Age() // notes the lease
-			pause(ctx, hold)
+			wait.For(ctx, hold)
 			continue
 		}
 		parents := s.parents()
 		if len(parents) == 0 {
-			pause(ctx, hold)
+			wait.For(ctx, hold)
 			continue
 		}
 		if s.parentOutdated() {
@@ -40,20 +41,11 @@
 		if err := s.ask(ctx, parents[skip%len(parents)]); err != nil {
 			skip++
 			s.markParent("")
-			pause(ctx, retryPause)
+			wait.For(ctx, retryPause)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (s *Spreader) markParent(box string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -134,7 +126,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	sent := s.opts.Replica.Now()
-	question := &wire.Follow{Member: s.opts.Replica.ID(), Index: s.opts.Replica.View().Index, Subtree: s.subtree(), Demand: s.dueDemand()}
+	question := &wire.Follow{Member: s.opts.Replica.ID(), Index: s.opts.Replica.View().Index, Subtree: s.dueSubtree(), Demand: s.dueDemand()}
 	response, err := s.opts.Caller.Call(ctx, parent, &wire.Request{Kind: &wire.Request_Follow{Follow: question}})
 	if err != nil {
 		return Error.Wrap(err)
@@ -176,6 +168,21 @@
 	return slices.DeleteFunc(s.Holdings(), func(h *wire.Holding) bool { return h.Member == own })
 }
 
+// dueSubtree returns the subtree when it is time to repeat it.
+func (s *Spreader) dueSubtree() []*wire.Holding {
+	now := s.opts.Replica.Now()
+	s.mu.Lock()
+	due := now-s.reportAt >= reportEvery
+	if due {
+		s.reportAt = now
+	}
+	s.mu.Unlock()
+	if !due {
+		return nil
+	}
+	return s.subtree()
+}
+
 // reportPause gathers the reports of several boxes into one.
 const reportPause = 3 * time.Millisecond
 
@@ -187,7 +194,7 @@
 			return
 		case <-s.advanced:
 		}
-		pause(ctx, reportPause)
+		wait.For(ctx, reportPause)
 		s.mu.Lock()
 		parent := s.parent
 		s.mu.Unlock()
@@ -211,7 +218,7 @@
 		if age, fresh := s.Age(); !fresh || age > s.opts.ConfigLease/2 {
 			s.probeAll(ctx)
 		}
-		pause(ctx, probeEvery)
+		wait.For(ctx, probeEvery)
 	}
 }
 
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -14,7 +14,7 @@
 //  4. Each question carries the index in force on the asker and on those that
 //     ask through it, so that the leader knows where a file is in force. When
 //     one of those advances, the asker reports it without waiting for its own
-//     question to come back.
+//     question to come back; else it repeats the list once a second.
 //  5. A box is current while its news is younger than the configuration lease.
 //     Without such news it is current only while it hears from a majority of
 //     all boxes and none of them is ahead of it. A file counts as accepted once
@@ -36,7 +36,7 @@
 
 const (
 	// hold is how long a parent holds a question without news (1).
-	hold = 200 * time.Millisecond
+	hold = 400 * time.Millisecond
 	// askTimeout bounds one question.
 	askTimeout = hold + 800*time.Millisecond
 	// retryPause is the wait before the next parent is asked.
@@ -44,9 +44,12 @@
 	// preferAgain is how long a box stays with another parent than the tree's.
 	preferAgain = 10 * time.Second
 	// staleParent is the age of news at which another parent is tried.
-	staleParent = time.Second
+	staleParent = 2 * time.Second
 	// fanOut is how many boxes of a hall ask the same box (2).
 	fanOut = 8
+	// reportEvery is the time between two reports of the whole subtree when
+	// nothing advances.
+	reportEvery = time.Second
 	// probeEvery is the time between two looks at all boxes (5).
 	probeEvery = 400 * time.Millisecond
 	// forgetHolding is when the report of a box counts as lost.
@@ -86,6 +89,7 @@
 	advanced chan struct{} // one of the subtree has applied more
 	demand   map[string]demandOf
 	demandAt time.Duration // when the own subtree's demand was sent last
+	reportAt time.Duration // when the own subtree's holdings were sent last
 }
 
 // demandOf is what a child reported of itself and its subtree.
@@ -290,6 +294,23 @@
 	return have, len(members)
 }
 
+// HearsMajority reports whether a majority of the listed boxes was heard lately,
+// this box included.
+func (s *Spreader) HearsMajority() bool {
+	heard := map[string]bool{}
+	for _, h := range s.Holdings() {
+		heard[h.Member] = h.AgeMs <= uint32(s.opts.ConfigLease.Milliseconds())
+	}
+	members := s.opts.Replica.View().Members
+	count := 0
+	for _, m := range members {
+		if heard[state.MemberID(m)] {
+			count++
+		}
+	}
+	return count > len(members)/2
+}
+
 // AwaitMajority waits until a majority of the listed boxes has applied an
 // index, or the context ends.
 func (s *Spreader) AwaitMajority(ctx context.Context, index uint64) (have, boxes int) {
--- /dev/null
+++ b/state/state_test.go
@@ -0,0 +1,93 @@
+package state_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"leverdrum/fleet"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+func apply(st *state.State, number uint64, mark string) state.Result {
+	text := "# " + mark + "\n[fleet]\nnumber = " + string(rune('0'+number)) + "\n[class c]\ndeadline = 1s\n"
+	data, err := proto.Marshal(&wire.Command{Kind: &wire.Command_Apply{Apply: &wire.ApplyFleet{
+		Number: number, Digest: fleet.Digest([]byte(text)), Text: text, Operator: mark,
+	}}})
+	if err != nil {
+		panic(err)
+	}
+	return st.Apply(&wire.Entry{Index: st.Index + 1, Term: 1, Kind: wire.EntryKind_ENTRY_COMMAND, Data: data})
+}
+
+// TestApply goes through files one after another; each row says what becomes of
+// one, and who is named as the winner.
+func TestApply(t *testing.T) {
+	st := state.New()
+	for _, row := range []struct {
+		number uint64
+		mark   string
+		want   state.ApplyOutcome
+		winner string
+	}{
+		{2, "anna", state.Accepted, "anna"},
+		{2, "anna", state.Resent, "anna"},
+		{2, "timoci", state.Conflict, "anna"},
+		{1, "timoci", state.Older, "anna"},
+		{5, "timoci", state.Accepted, "timoci"},
+		{2, "anna", state.Superseded, "anna"},
+		{2, "timoci", state.Conflict, "anna"},
+		{3, "anna", state.Older, "timoci"},
+		{5, "anna", state.Conflict, "timoci"},
+	} {
+		g := NewWithT(t)
+		r := apply(st, row.number, row.mark)
+		g.Expect(r.Apply).To(Equal(row.want), "%+v", row)
+		g.Expect(r.Winner.GetOperator()).To(Equal(row.winner), "%+v", row)
+	}
+	NewWithT(t).Expect(st.Version.Number).To(BeEquivalentTo(5))
+}
+
+func TestFileThatIsNotWhatItClaims(t *testing.T) {
+	g := NewWithT(t)
+	st := state.New()
+	for _, a := range []*wire.ApplyFleet{
+		{Number: 1, Digest: "x", Text: "[fleet]\nnumber = 1\n"},
+		{Number: 1, Digest: fleet.Digest([]byte("[fleet]\nnumber = 2\n")), Text: "[fleet]\nnumber = 2\n"},
+		{Number: 1, Digest: fleet.Digest([]byte("gibberish")), Text: "gibberish"},
+	} {
+		data, err := proto.Marshal(&wire.Command{Kind: &wire.Command_Apply{Apply: a}})
+		g.Expect(err).NotTo(HaveOccurred())
+		r := st.Apply(&wire.Entry{Index: st.Index + 1, Kind: wire.EntryKind_ENTRY_COMMAND, Data: data})
+		g.Expect(r.Apply).To(Equal(state.Invalid))
+		g.Expect(st.Fleet).To(BeNil())
+	}
+}
+
+func TestSnapshotHoldsEverything(t *testing.T) {
+	g := NewWithT(t)
+	st := state.New()
+	apply(st, 1, "anna")
+	for _, c := range []*wire.Command{
+		{Kind: &wire.Command_Join{Join: &wire.Member{Box: "one", Incarnation: "i", Process: "p"}}},
+		{Kind: &wire.Command_Join{Join: &wire.Member{Box: "two", Incarnation: "i", Process: "q", Leaving: true}}},
+	} {
+		data, err := proto.Marshal(c)
+		g.Expect(err).NotTo(HaveOccurred())
+		st.Apply(&wire.Entry{Index: st.Index + 1, Kind: wire.EntryKind_ENTRY_COMMAND, Data: data})
+	}
+	g.Expect(st.Epochs).To(HaveLen(1), "a box that leaves guards no keys")
+	again, err := state.Decode(st.Encode())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(proto.Equal(again.Encode(), st.Encode())).To(BeTrue())
+}
+
+func TestUnreadableEntryChangesNothing(t *testing.T) {
+	g := NewWithT(t)
+	st := state.New()
+	r := st.Apply(&wire.Entry{Index: 1, Kind: wire.EntryKind_ENTRY_COMMAND, Data: []byte{0xff}})
+	g.Expect(r.Err).To(HaveOccurred())
+	g.Expect(st.Index).To(BeEquivalentTo(1))
+}
