--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,12 +56,17 @@
 	return admit.NewGate(d), d.Table()
 }
 
+// noting guards what the tests note of several requests.
+var noting sync.Mutex
+
 // run enters, reports whether it may start and after what wait, and works.
 func run(g *admit.Gate, target *route.Target, caller string, work time.Duration, entered func(why *reason.Reason, waited time.Duration)) {
 	began := time.Now()
 	t := &admit.Ticket{Target: target, Caller: caller, Deadline: began.Add(target.Class.Deadline)}
 	b, why := g.Enter(context.Background(), t)
+	noting.Lock()
 	entered(why, time.Since(began))
+	noting.Unlock()
 	if why == nil {
 		time.Sleep(work)
 		g.Leave(b, t, work)
@@ -92,6 +98,9 @@
 			synctest.Wait()
 		}
 		time.Sleep(time.Second)
+		synctest.Wait()
+		noting.Lock()
+		defer noting.Unlock()
 		NewWithT(t).Expect(order[2:3]).To(Equal([]string{"urgent4"}), "%v", order)
 	})
 }
@@ -110,6 +119,9 @@
 			synctest.Wait()
 		}
 		time.Sleep(time.Second)
+		synctest.Wait()
+		noting.Lock()
+		defer noting.Unlock()
 		NewWithT(t).Expect(order[2]).To(Equal("modest"), "%v", order)
 	})
 }
@@ -132,9 +144,14 @@
 			synctest.Wait()
 		}
 		g := NewWithT(t)
+		noting.Lock()
 		g.Expect(refused).To(BeNumerically(">=", 30), "most must be refused on arrival")
 		g.Expect(longest).To(BeZero())
+		noting.Unlock()
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		noting.Lock()
+		defer noting.Unlock()
 		g.Expect(answered + refused).To(Equal(40))
 		g.Expect(answered).To(BeNumerically(">=", 6), "four rounds of two fit into the deadline, less what is kept for late ones")
 		g.Expect(longest).To(BeNumerically("<=", time.Second-work), "nobody waits when its own work does not fit any more (3)")
@@ -179,6 +196,9 @@
 		synctest.Wait()
 		g.Expect(gate.Waiting()).To(BeZero())
 		time.Sleep(time.Second)
+		synctest.Wait()
+		noting.Lock()
+		defer noting.Unlock()
 		g.Expect(target.Backends[0].InFlight()).To(BeZero())
 	})
 }
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -33,7 +33,11 @@
 		panic(err)
 	}
 	daemonPath = filepath.Join(folder, "leverdrumd")
-	if out, err := exec.Command("go", "build", "-o", daemonPath, "leverdrum/cmd/leverdrumd").CombinedOutput(); err != nil {
+	build := []string{"build", "-o", daemonPath}
+	if os.Getenv("E2E_RACE") != "" { // daemons that report data races in their logs and exit 66
+		build = append(build, "-race")
+	}
+	if out, err := exec.Command("go", append(build, "leverdrum/cmd/leverdrumd")...).CombinedOutput(); err != nil {
 		panic(string(out))
 	}
 	status := m.Run()
@@ -295,8 +299,15 @@
 	return string(data)
 }
 
-// dumpLogs shows the end of each box's log when the test failed.
+// dumpLogs shows the end of each box's log when the test failed, and fails it
+// when a daemon reported a data race.
 func (c *cluster) dumpLogs() {
+	for _, b := range c.boxes {
+		if text := b.log(); strings.Contains(text, "DATA RACE") {
+			i := strings.Index(text, "DATA RACE")
+			c.t.Errorf("%s: %s", b.name, text[i:min(len(text), i+3000)])
+		}
+	}
 	if !c.t.Failed() {
 		return
 	}
