state: moves are counted where they are agreed

Cause: on reading the status of a fresh fleet it showed 2 moves: the second copy of a model that is to have two counted as one, since the leader called a load 'first' only while no copy stood anywhere. Now the agreed state counts: a load is part of the first placement if the item never had so many copies and the fleet file asks for them.

--- a/bench/day_test.go
+++ b/bench/day_test.go
@@ -164,7 +164,6 @@
 			in.Since = 0 // moves nothing for demand's sake
 		}
 		for _, dec := range placement.Decide(in).Decisions {
-			dec.Order.First = false
 			if r := standin.Agree(st, &wire.Command{Kind: &wire.Command_Issue{Issue: &wire.IssueOrder{Order: dec.Order}}}); r.Err == nil {
 				due[r.Order.Id] = step + loadSteps
 			}
--- a/control/control.go
+++ b/control/control.go
@@ -347,7 +347,6 @@
 		if d.Order.Action == wire.OrderAction_ORDER_LOAD && !c.allowLoad(view.Fleet) {
 			continue
 		}
-		d.Order.First = firstPlacement(c.opts.Replica.View(), d.Order)
 		result, err := c.propose(ctx, &wire.Command{Kind: &wire.Command_Issue{Issue: &wire.IssueOrder{Order: d.Order}}})
 		if err != nil {
 			return
@@ -382,17 +381,6 @@
 	c.short = next
 }
 
-// firstPlacement reports whether an item has never had a copy, so that loading
-// it is no move.
-func firstPlacement(view *state.State, o *wire.Order) bool {
-	for p := range view.Residents {
-		if p.Model == o.Item.Model && p.Adapter == o.Item.Adapter {
-			return false
-		}
-	}
-	return true
-}
-
 // allowLoad keeps loads to the rate of the weight store.
 func (c *Controller) allowLoad(f *fleet.Fleet) bool {
 	limit := rate.Limit(f.LoadsPerSecond)
--- a/state/state.go
+++ b/state/state.go
@@ -74,6 +74,9 @@
 
 	// Moves counts the loads behind the first placement of each item.
 	Moves uint64
+	// Most is the most copies that each model or adapter ever had, loads under
+	// way included, by name.
+	Most map[string]uint32
 
 	ledger.Book
 }
@@ -81,7 +84,7 @@
 // New returns the state before the first entry.
 func New() *State {
 	return &State{
-		Members: map[string]*wire.Member{},
+		Members: map[string]*wire.Member{}, Most: map[string]uint32{},
 		Book: ledger.Book{
 			Servers:   map[string]*wire.ServerState{},
 			Residents: map[ledger.Place]*wire.Resident{},
@@ -97,6 +100,7 @@
 	c.Servers = maps.Clone(s.Servers)
 	c.Residents = maps.Clone(s.Residents)
 	c.Orders = maps.Clone(s.Orders)
+	c.Most = maps.Clone(s.Most)
 	c.History = slices.Clone(s.History)
 	return &c
 }
@@ -236,15 +240,36 @@
 	phase := wire.Phase_PHASE_LOADING
 	if o.Action == wire.OrderAction_ORDER_UNLOAD {
 		phase = wire.Phase_PHASE_UNLOADING
-	} else if !o.First {
-		s.Moves++
 	}
 	s.Residents[ledger.PlaceOf(o)] = &wire.Resident{
 		Server: o.Server, Accelerator: o.Accelerator, Item: o.Item, Memory: s.sizeOf(o), Phase: phase, Order: o.Id,
 	}
+	if o.Action == wire.OrderAction_ORDER_LOAD {
+		s.countMove(o.Item)
+	}
 	return Result{Order: o}
 }
 
+// countMove counts a load as a move, unless it is part of the first placement:
+// the item never had so many copies, and the fleet file asks for them.
+func (s *State) countMove(item *wire.Item) {
+	name := cmp.Or(item.Adapter, item.Model)
+	have := uint32(0)
+	for p := range s.Residents {
+		if p.Model == item.Model && p.Adapter == item.Adapter {
+			have++
+		}
+	}
+	wanted := uint32(1)
+	if m := s.Fleet.Models[item.Model]; m != nil {
+		wanted = uint32(m.Copies)
+	}
+	if have <= s.Most[name] || have > wanted {
+		s.Moves++
+	}
+	s.Most[name] = max(s.Most[name], have)
+}
+
 // sizeOf keeps the size that was counted when the item was loaded.
 func (s *State) sizeOf(o *wire.Order) uint64 {
 	if r := s.Residents[ledger.PlaceOf(o)]; r != nil {
@@ -308,7 +333,7 @@
 func (s *State) Encode() *wire.State {
 	w := &wire.State{
 		Index: s.Index, Fleet: s.Version, FleetText: s.Text, History: s.History,
-		Moves: s.Moves, Epochs: s.Epochs,
+		Moves: s.Moves, Most: s.Most, Epochs: s.Epochs,
 	}
 	for _, k := range slices.Sorted(maps.Keys(s.Members)) {
 		w.Members = append(w.Members, s.Members[k])
@@ -342,6 +367,7 @@
 		}
 		s.Fleet = f
 	}
+	maps.Copy(s.Most, w.GetMost())
 	for _, m := range w.GetMembers() {
 		s.Members[m.Box] = m
 	}
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"leverdrum/fleet"
+	"leverdrum/standin"
 	"leverdrum/state"
 	"leverdrum/wire"
 )
@@ -84,6 +85,40 @@
 	g.Expect(proto.Equal(again.Encode(), st.Encode())).To(BeTrue())
 }
 
+// TestMovesAreWhatComesBehindTheFirstPlacement counts loads of a model that is to
+// have two copies.
+func TestMovesAreWhatComesBehindTheFirstPlacement(t *testing.T) {
+	g := NewWithT(t)
+	text := "[fleet]\nnumber = 1\n[hall a]\n[class c]\ndeadline = 1s\n[kind k]\nmemory = 1GiB\nchecks-fences = true\n[model m]\nversion = 1\nmemory = 1MiB\nclass = c\ncopies = 2\n"
+	for _, name := range []string{"s0", "s1", "s2"} {
+		text += "[server " + name + "]\naddress = 127.0.0.1:1\nhall = a\nkind = k\n"
+	}
+	st, err := standin.Agreed(text)
+	g.Expect(err).NotTo(HaveOccurred())
+	order := func(action wire.OrderAction, server string) {
+		r := standin.Agree(st, &wire.Command{Kind: &wire.Command_Issue{Issue: &wire.IssueOrder{Order: &wire.Order{
+			Action: action, Server: server, ServerIncarnation: "i", Item: &wire.Item{Model: "m", Version: "1"}, Memory: 1 << 20,
+		}}}})
+		g.Expect(r.Err).NotTo(HaveOccurred())
+		standin.Agree(st, &wire.Command{Kind: &wire.Command_Close{Close: &wire.CloseOrder{Id: r.Order.Id, Outcome: wire.OrderOutcome_OUTCOME_DONE}}})
+	}
+	for _, row := range []struct {
+		action wire.OrderAction
+		server string
+		moves  uint64
+	}{
+		{wire.OrderAction_ORDER_LOAD, "s0", 0},
+		{wire.OrderAction_ORDER_LOAD, "s1", 0},
+		{wire.OrderAction_ORDER_LOAD, "s2", 1}, // more than the file asks for
+		{wire.OrderAction_ORDER_UNLOAD, "s0", 1},
+		{wire.OrderAction_ORDER_UNLOAD, "s1", 1},
+		{wire.OrderAction_ORDER_LOAD, "s0", 2}, // a copy that it had before
+	} {
+		order(row.action, row.server)
+		g.Expect(st.Moves).To(Equal(row.moves), "%+v", row)
+	}
+}
+
 func TestUnreadableEntryChangesNothing(t *testing.T) {
 	g := NewWithT(t)
 	st := state.New()
