--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -94,7 +94,7 @@
 			}
 		}
 		for i, name := range []string{"common", "common", "common", "common", "urgent"} {
-			go run(gate, table.Models[name], "c", work, note(fmt.Sprint(name, i)))
+			go run(gate, table.Models[name], "c", work+time.Duration(i), note(fmt.Sprint(name, i))) // none ends with another
 			synctest.Wait()
 		}
 		time.Sleep(time.Second)
