--- a/spread/demand.go
+++ b/spread/demand.go
@@ -58,14 +58,7 @@
 
 // dueDemand returns the subtree's demand when it is time to report it.
 func (s *Spreader) dueDemand() []*wire.Demand {
-	now := s.opts.Replica.Now()
-	s.mu.Lock()
-	due := now-s.demandAt >= demandEvery
-	if due {
-		s.demandAt = now
-	}
-	s.mu.Unlock()
-	if !due {
+	if !s.due(&s.demandAt, demandEvery) {
 		return nil
 	}
 	sum := s.Demand()
--- a/spread/follow.go
+++ b/spread/follow.go
@@ -170,19 +170,25 @@
 
 // dueSubtree returns the subtree when it is time to repeat it.
 func (s *Spreader) dueSubtree() []*wire.Holding {
-	now := s.opts.Replica.Now()
-	s.mu.Lock()
-	due := now-s.reportAt >= reportEvery
-	if due {
-		s.reportAt = now
-	}
-	s.mu.Unlock()
-	if !due {
+	if !s.due(&s.reportAt, reportEvery) {
 		return nil
 	}
 	return s.subtree()
 }
 
+// due reports whether it is time to send again what was last sent at the time
+// that last holds, and notes that it is sent now.
+func (s *Spreader) due(last *time.Duration, every time.Duration) bool {
+	now := s.opts.Replica.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now-*last < every {
+		return false
+	}
+	*last = now
+	return true
+}
+
 // reportPause gathers the reports of several boxes into one.
 const reportPause = 3 * time.Millisecond
 
