--- a/Makefile
+++ b/Makefile
@@ -53,4 +53,4 @@
 
 # The pages that are made from the program's tables.
 docs: build
-	for page in reasons metrics settings fleet; do bin/leverdrum docs $$page > docs/$$(echo $$page | tr a-z A-Z).md; done
+	for page in reasons metrics events settings fleet; do bin/leverdrum docs $$page > docs/$$(echo $$page | tr a-z A-Z).md; done
--- a/box/answer.go
+++ b/box/answer.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"leverdrum/event"
 	"leverdrum/internal/wait"
 	"leverdrum/peer"
 	"leverdrum/reason"
@@ -214,6 +215,6 @@
 	defer cancel()
 	call := &wire.Forward{Kind: wire.ForwardKind_FORWARD_JOIN, Member: self, DeadlineMs: uint32(forwardTimeout.Milliseconds())}
 	if _, why := f.Forward(ctx, call); why == nil {
-		b.log.Info("listed", zap.Bool("leaving", self.Leaving))
+		event.Listed.Log(b.log, zap.Bool("leaving", self.Leaving))
 	}
 }
--- a/box/box.go
+++ b/box/box.go
@@ -20,6 +20,7 @@
 	"leverdrum/control"
 	"leverdrum/engine"
 	"leverdrum/entry"
+	"leverdrum/event"
 	"leverdrum/keyed"
 	"leverdrum/meter"
 	"leverdrum/peer"
@@ -107,7 +108,7 @@
 		}
 		b.store = store
 		if store.Loaded().Torn {
-			b.log.Warn("an unacknowledged last record was cut off")
+			event.TornRecord.Log(b.log)
 		}
 	}
 	b.id = newIdentity(b.settings, b.store)
@@ -203,7 +204,7 @@
 		return
 	}
 	b.parts.Store(p)
-	b.log.Info("box in its cluster", zap.String("member", p.replica.ID()))
+	event.ClusterJoined.Log(b.log, zap.String("member", p.replica.ID()))
 	if b.store != nil {
 		b.tellFormed(ctx)
 	}
--- a/box/form.go
+++ b/box/form.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"leverdrum/event"
 	"leverdrum/state"
 	"leverdrum/wire"
 )
@@ -92,7 +93,7 @@
 	if err := b.store.Reload(); err != nil {
 		return Error.Wrap(err)
 	}
-	b.log.Info("cluster formed", zap.Strings("voters", voters))
+	event.ClusterFormed.Log(b.log, zap.Strings("voters", voters))
 	return b.id.Adopt(rand.Text())
 }
 
--- a/box/stop.go
+++ b/box/stop.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"leverdrum/event"
 )
 
 // closeTimeout bounds the end of operators' calls.
@@ -24,7 +26,7 @@
 // The error tells that requests were still in flight when the time was up.
 func (b *Box) Stop() error {
 	b.stopping.Store(true) // (1)
-	b.log.Info("stopping")
+	event.Stopping.Log(b.log)
 	b.id.setLeaving() // (2)
 	p := b.parts.Load()
 	if p != nil {
@@ -49,7 +51,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), b.settings.StopTimeout)
 	defer cancel()
 	if err := b.entryHTTP.Shutdown(ctx); err != nil {
-		b.log.Warn("requests were cut off by the stop", zap.Error(err))
+		event.CutOff.Log(b.log, zap.Error(err))
 		return Error.Wrap(err)
 	}
 	return nil
--- a/certs/certs.go
+++ b/certs/certs.go
@@ -11,6 +11,8 @@
 
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
+
+	"leverdrum/event"
 )
 
 // Error is the class of this package's errors.
@@ -95,11 +97,11 @@
 	}
 	l, err := s.load()
 	if err != nil {
-		s.log.Warn("certificates not taken over", zap.Error(err))
+		event.CertificatesRefuse.Log(s.log, zap.Error(err))
 		return
 	}
 	s.current.Store(l)
-	s.log.Info("certificates taken over")
+	event.CertificatesTaken.Log(s.log)
 }
 
 // Server returns a configuration that wants a certificate of the other side.
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -69,7 +69,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(string(data)).To(Equal(page))
 		},
-		Entry(nil, "reasons", "REASONS.md"), Entry(nil, "metrics", "METRICS.md"),
+		Entry(nil, "reasons", "REASONS.md"), Entry(nil, "metrics", "METRICS.md"), Entry(nil, "events", "EVENTS.md"),
 		Entry(nil, "settings", "SETTINGS.md"), Entry(nil, "fleet", "FLEET.md"),
 	)
 })
--- a/command/read.go
+++ b/command/read.go
@@ -14,6 +14,7 @@
 	"github.com/google/subcommands"
 
 	"leverdrum/admin"
+	"leverdrum/event"
 	"leverdrum/fleet"
 	"leverdrum/internal/conf"
 	"leverdrum/meter"
@@ -178,13 +179,13 @@
 
 func (*docsCommand) Name() string             { return "docs" }
 func (*docsCommand) Synopsis() string         { return "print a page made from the program's tables" }
-func (*docsCommand) Usage() string            { return "docs reasons|metrics|settings|fleet\n" }
+func (*docsCommand) Usage() string            { return "docs reasons|metrics|events|settings|fleet\n" }
 func (*docsCommand) SetFlags(_ *flag.FlagSet) {}
 
 func (c *docsCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	page, ok := Page(f.Arg(0))
 	if !ok {
-		fmt.Fprintln(c.p.err, "one of reasons, metrics, settings and fleet must be named")
+		fmt.Fprintln(c.p.err, "one of reasons, metrics, events, settings and fleet must be named")
 		return ExitUsage
 	}
 	c.p.print(&docsResult{page})
@@ -205,6 +206,11 @@
 		for _, m := range meter.All() {
 			fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", m.Name, m.Kind, strings.Join(m.Labels, ", "), m.Text)
 		}
+	case "events":
+		fmt.Fprint(&b, "# Log events\n\nMade by `leverdrum docs events` from package event. Each line of the log carries its code under `event`.\n\n| code | level | message | what to do |\n| --- | --- | --- | --- |\n")
+		for _, e := range event.All() {
+			fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", e.Code, e.Level, e.Title, e.Text)
+		}
 	case "settings":
 		b.WriteString("# Settings of a box\n\nMade by `leverdrum docs settings` from package settings.\n\n" + conf.Markdown(settings.Schema))
 	case "fleet":
--- a/control/control.go
+++ b/control/control.go
@@ -27,6 +27,7 @@
 	"golang.org/x/time/rate"
 
 	"leverdrum/engine"
+	"leverdrum/event"
 	"leverdrum/fleet"
 	"leverdrum/ledger"
 	"leverdrum/membership"
@@ -159,7 +160,7 @@
 		c.opts.Meters.Count(meter.Elections).Inc()
 	}
 	c.opts.Meters.Gauge(meter.Leads).Set(value)
-	c.opts.Log.Info("leadership changed", zap.Bool("leads", leads), zap.Uint64("term", c.opts.Replica.Status().Term))
+	event.LeadershipChanged.Log(c.opts.Log, zap.Bool("leads", leads), zap.Uint64("term", c.opts.Replica.Status().Term))
 }
 
 func (c *Controller) propose(ctx context.Context, cmd *wire.Command) (state.Result, error) {
@@ -186,7 +187,7 @@
 		c.opts.Replica.Learn(action.Learn)
 	case action.Voters != nil:
 		if err := c.opts.Replica.ChangeVoters(action.Voters); err == nil {
-			c.opts.Log.Info("voters changed", zap.Strings("from", status.Voters), zap.Strings("to", action.Voters), zap.String("why", action.Reason))
+			event.VotersChanged.Log(c.opts.Log, zap.Strings("from", status.Voters), zap.Strings("to", action.Voters), zap.String("why", action.Reason))
 		}
 	}
 }
@@ -219,7 +220,7 @@
 	m := silent[0]
 	cmd := &wire.Command{Kind: &wire.Command_Leave{Leave: &wire.Leave{Box: m.Box, Incarnation: m.Incarnation}}}
 	if _, err := c.propose(ctx, cmd); err == nil {
-		c.opts.Log.Info("box taken off the list", zap.String("member", state.MemberID(m)))
+		event.BoxForgotten.Log(c.opts.Log, zap.String("member", state.MemberID(m)))
 	}
 }
 
--- a/control/orders.go
+++ b/control/orders.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"leverdrum/engine"
+	"leverdrum/event"
 	"leverdrum/fleet"
 	"leverdrum/internal/wait"
 	"leverdrum/ledger"
@@ -58,7 +59,7 @@
 			return
 		}
 		if err != nil {
-			c.opts.Log.Warn("order without an answer", zap.Uint64("order", o.Id), zap.String("server", o.Server), zap.Error(err))
+			event.OrderUnanswered.Log(c.opts.Log, zap.Uint64("order", o.Id), zap.String("server", o.Server), zap.Error(err))
 		}
 	}
 	latest := time.Now().Add(s.Kind.OrderLate)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"leverdrum/box"
 	"leverdrum/certs"
+	"leverdrum/event"
 	"leverdrum/peer"
 	"leverdrum/settings"
 )
@@ -103,7 +104,7 @@
 func openTLS(s *settings.Settings, log *zap.Logger, done <-chan struct{}) (peer.TLS, error) {
 	if !s.TLS.On() {
 		if s.PlainAnywhere {
-			log.Warn("box-to-box and operators' traffic goes in plain text by [peer] plain-text = anywhere")
+			event.PlainText.Log(log)
 		}
 		return peer.Plain{}, nil
 	}
@@ -122,24 +123,24 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	tls, err := openTLS(s, log, done)
 	if err != nil {
-		log.Error("cannot start", zap.Error(err))
+		event.CannotStart.Log(log, zap.Error(err))
 		return subcommands.ExitFailure
 	}
 	b, err := box.Start(s, tls, log)
 	if err != nil {
-		log.Error("cannot start", zap.Error(err))
+		event.CannotStart.Log(log, zap.Error(err))
 		return subcommands.ExitFailure
 	}
-	log.Info("started", zap.Strings("roles", s.Roles))
+	event.Started.Log(log, zap.Strings("roles", s.Roles))
 	select {
 	case err := <-b.Fatal():
-		log.Error("cannot go on", zap.Error(err))
+		event.CannotGoOn.Log(log, zap.Error(err))
 		return subcommands.ExitFailure
 	case <-signals:
 	}
 	if err := b.Stop(); err != nil {
 		return exitCutOff
 	}
-	log.Info("stopped")
+	event.Stopped.Log(log)
 	return subcommands.ExitSuccess
 }
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -121,6 +121,8 @@
 	entry    string
 	operator string
 	folder   string
+	// advertised is where the other boxes reach it.
+	advertised string
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -137,7 +139,10 @@
 	servers  map[string]*httptest.Server
 	fleet    string // text behind [fleet] number
 	platform *standin.Platform
-	extra    string // more settings for all boxes
+	first    string // members, as settings list them
+	seeds    string
+	extra    string            // more settings for all boxes
+	own      map[string]string // the same, of one box
 }
 
 func freeAddress(t testing.TB, ip string) string {
@@ -154,7 +159,7 @@
 func newCluster(t testing.TB, disks, others int) *cluster {
 	c := &cluster{
 		t: t, way: &way{cut: map[[2]string]bool{}}, engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{},
-		address: map[string]string{}, servers: map[string]*httptest.Server{}, platform: standin.NewPlatform(),
+		address: map[string]string{}, servers: map[string]*httptest.Server{}, platform: standin.NewPlatform(), own: map[string]string{},
 	}
 	c.serve("platform", c.platform)
 	for i := range disks + others {
@@ -182,25 +187,25 @@
 // start starts all boxes behind their forwarders.
 func (c *cluster) start() {
 	c.t.Helper()
-	advertised := map[string]string{}
 	for _, b := range c.boxes {
 		l, err := net.Listen("tcp", strings.Replace(b.ip, "127.0.7.", "127.0.8.", 1)+":0")
 		if err != nil {
 			c.t.Fatal(err)
 		}
 		c.t.Cleanup(func() { l.Close() })
-		advertised[b.name] = l.Addr().String()
+		b.advertised = l.Addr().String()
 		go c.way.forward(l, b.ip, b.listen)
 	}
 	var first, seeds []string
 	for _, b := range c.boxes {
 		if b.disk {
 			first = append(first, b.name)
-			seeds = append(seeds, b.name+"="+advertised[b.name])
+			seeds = append(seeds, b.name+"="+b.advertised)
 		}
 	}
+	c.first, c.seeds = strings.Join(first, ", "), strings.Join(seeds, ", ")
 	for _, b := range c.boxes {
-		b.writeSettings(advertised[b.name], first, seeds)
+		b.writeSettings()
 		b.start()
 		c.t.Cleanup(b.kill)
 	}
@@ -208,7 +213,7 @@
 
 func (b *boxProc) settingsPath() string { return filepath.Join(filepath.Dir(b.folder), "box.ini") }
 
-func (b *boxProc) writeSettings(advertise string, first, seeds []string) {
+func (b *boxProc) writeSettings() {
 	roles, data := "entry", ""
 	if b.disk {
 		roles, data = "control, entry", "[data]\nfolder = "+b.folder+"\ncompact-after = 64\n"
@@ -232,7 +237,7 @@
 [platform]
 address = %s
 every = 200ms
-%s%s`, b.name, b.hall, roles, strings.Join(first, ", "), strings.Join(seeds, ", "), b.listen, advertise, b.entry, b.operator, b.c.address["platform"], data, b.c.extra)
+%s%s%s`, b.name, b.hall, roles, b.c.first, b.c.seeds, b.listen, b.advertised, b.entry, b.operator, b.c.address["platform"], data, b.c.extra, b.c.own[b.name])
 	if err := os.WriteFile(b.settingsPath(), []byte(text), 0o600); err != nil {
 		b.c.t.Fatal(err)
 	}
--- a/e2e/outage_test.go
+++ b/e2e/outage_test.go
@@ -176,3 +176,33 @@
 	}
 	c.inForceEverywhere(uint64(number), 20*time.Second)
 }
+
+// TestFollowersFullDisk: a voter whose folder is full pauses; the others go on,
+// and it catches up once it has room.
+func TestFollowersFullDisk(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(t, 3, 0)
+	defer c.dumpLogs()
+	c.fleet = smallFleet + "# " + strings.Repeat("x", 4000) + "\n"
+	full := c.boxes[2]
+	c.own[full.name] = "limit = 100KB\n"
+	c.start()
+	c.applyNow(1)
+	if c.leader() == full {
+		full.kill()
+		eventually(t, "another box leads", 20*time.Second, func() bool { l := c.leader(); return l != nil && l != full })
+		full.start()
+	}
+	const files = 60
+	for number := 2; number <= files; number++ {
+		c.applyNow(number)
+	}
+	g.Expect(full.log()).To(ContainSubstring("data-folder-full"))
+	g.Expect(full.get("/healthz")).To(Equal(http.StatusOK), "it runs on")
+	c.own[full.name] = ""
+	full.writeSettings()
+	full.kill()
+	full.start()
+	c.inForceEverywhere(files, 30*time.Second)
+	g.Expect(c.read().Voters).To(HaveLen(3))
+}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,58 @@
+// Package event is the table of everything that leverdrum logs. A line is logged
+// only when a state changes; how often something happens is for the metrics. The
+// docs are made from the table.
+package event
+
+import (
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Event is one row of the table.
+type Event struct {
+	// Code is stable: programs may look for it.
+	Code string
+	// Level is how grave it is.
+	Level zapcore.Level
+	// Title is the line's message.
+	Title string
+	// Text says what to do about it.
+	Text string
+}
+
+// The events.
+var (
+	Started            = add(Event{"started", zapcore.InfoLevel, "The box has started.", "Nothing."})
+	Stopping           = add(Event{"stopping", zapcore.InfoLevel, "A planned stop begins.", "Nothing; it ends with stopped."})
+	Stopped            = add(Event{"stopped", zapcore.InfoLevel, "The planned stop is done; nothing was cut off.", "Nothing."})
+	CutOff             = add(Event{"cut-off", zapcore.WarnLevel, "Requests were cut off by the stop.", "Raise [entry] stop-timeout above the longest deadline."})
+	CannotStart        = add(Event{"cannot-start", zapcore.ErrorLevel, "The box cannot start.", "Mend what the error names."})
+	CannotGoOn         = add(Event{"cannot-go-on", zapcore.ErrorLevel, "The box cannot go on and ends.", "Look at the disk that the error names; start the box again."})
+	PlainText          = add(Event{"plain-text", zapcore.WarnLevel, "Box-to-box and operators' traffic goes in plain text, by [peer] plain-text = anywhere.", "Set [tls] where the network is not trusted."})
+	CertificatesTaken  = add(Event{"certificates-taken", zapcore.InfoLevel, "New certificates are in use.", "Nothing."})
+	CertificatesRefuse = add(Event{"certificates-refused", zapcore.WarnLevel, "Changed certificates cannot be used; the old ones stay in use.", "Mend the files; they are read again by themselves."})
+	TornRecord         = add(Event{"torn-record", zapcore.WarnLevel, "An unacknowledged last record was cut off the log.", "Nothing: the box died while it wrote."})
+	DataFolderFull     = add(Event{"data-folder-full", zapcore.WarnLevel, "The data folder is full; the member pauses.", "Free some space or raise [data] limit."})
+	ClusterFormed      = add(Event{"cluster-formed", zapcore.InfoLevel, "The first members have formed the cluster.", "Nothing; it happens once in a cluster's life."})
+	ClusterJoined      = add(Event{"cluster-joined", zapcore.InfoLevel, "The box is in its cluster.", "Nothing."})
+	Listed             = add(Event{"listed", zapcore.InfoLevel, "The agreed list shows the box as it is.", "Nothing."})
+	LeadershipChanged  = add(Event{"leadership-changed", zapcore.InfoLevel, "The box began or ceased to lead.", "Nothing, unless it happens often: then look at the network and disks of the voters."})
+	VotersChanged      = add(Event{"voters-changed", zapcore.InfoLevel, "A voter was replaced.", "Bring the silent box back, or replace it."})
+	BoxForgotten       = add(Event{"box-forgotten", zapcore.InfoLevel, "A silent box was taken off the list.", "Nothing; it is listed again when it comes back."})
+	OrderUnanswered    = add(Event{"order-unanswered", zapcore.WarnLevel, "An order to a model server got no answer.", "Nothing: its room stays counted until the server's state settles it."})
+)
+
+var table []Event
+
+func add(e Event) *Event {
+	table = append(table, e)
+	return &e
+}
+
+// All returns the table.
+func All() []Event { return table }
+
+// Log writes the event's line, with its code.
+func (e *Event) Log(log *zap.Logger, fields ...zap.Field) {
+	log.Log(e.Level, e.Title, append(fields, zap.String("event", e.Code))...)
+}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -3,17 +3,9 @@
 import (
 	"bufio"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -28,6 +20,7 @@
 	"leverdrum/meter"
 	"leverdrum/peer"
 	"leverdrum/reason"
+	"leverdrum/standin"
 	"leverdrum/wire"
 
 	"github.com/prometheus/client_golang/prometheus/testutil"
@@ -64,44 +57,27 @@
 var probe = &wire.Request{Kind: &wire.Request_Probe{Probe: &wire.Probe{}}}
 
 // authority issues certificates.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
+type authority struct{ *standin.Authority }
 
 func newAuthority() *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	Expect(err).NotTo(HaveOccurred())
-	t := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
-	der, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
-	Expect(err).NotTo(HaveOccurred())
-	cert, err := x509.ParseCertificate(der)
+	GinkgoHelper()
+	a, err := standin.NewAuthority()
 	Expect(err).NotTo(HaveOccurred())
-	return &authority{cert, key}
+	return &authority{a}
 }
 
 // issue writes the files of a box and opens them.
 func (a *authority) issue(name string) *certs.Source {
-	folder := GinkgoT().TempDir()
-	s, err := certs.Open(a.write(folder, name), zap.NewNop())
+	GinkgoHelper()
+	s, err := certs.Open(a.write(GinkgoT().TempDir(), name), zap.NewNop())
 	Expect(err).NotTo(HaveOccurred())
 	return s
 }
 
 func (a *authority) write(folder, name string) certs.Files {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	GinkgoHelper()
+	f, err := a.Write(folder, name)
 	Expect(err).NotTo(HaveOccurred())
-	t := &x509.Certificate{SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name}, NotAfter: time.Now().Add(time.Hour)}
-	der, err := x509.CreateCertificate(rand.Reader, t, a.cert, &key.PublicKey, a.key)
-	Expect(err).NotTo(HaveOccurred())
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	Expect(err).NotTo(HaveOccurred())
-	f := certs.Files{Certificate: filepath.Join(folder, "c"), Key: filepath.Join(folder, "k"), Authority: filepath.Join(folder, "a")}
-	for path, block := range map[string]*pem.Block{
-		f.Certificate: {Type: "CERTIFICATE", Bytes: der}, f.Key: {Type: "EC PRIVATE KEY", Bytes: keyDER}, f.Authority: {Type: "CERTIFICATE", Bytes: a.cert.Raw},
-	} {
-		Expect(os.WriteFile(path, pem.EncodeToMemory(block), 0o600)).To(Succeed())
-	}
 	return f
 }
 
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"leverdrum/consensus"
+	"leverdrum/event"
 	"leverdrum/state"
 	"leverdrum/wal"
 	"leverdrum/wire"
@@ -112,7 +113,7 @@
 // withdraw takes the member out until its disk has room, and then lets it start
 // again from what is durable, as after a crash.
 func (r *Replica) withdraw(cause error) error {
-	r.opts.Log.Warn("data folder full, member paused", zap.Error(cause))
+	event.DataFolderFull.Log(r.opts.Log, zap.Error(cause))
 	r.failWaiting()
 	r.pausedTil = time.Now().Add(fullPause)
 	if err := r.opts.Storage.Reload(); err != nil {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -83,4 +83,8 @@
 mutant second-file-wins state/state.go 's/if first := s.accepted\(a.Number\); first != nil \{/if first := s.accepted(a.Number); first != nil \&\& first.Digest == a.Digest {/' e2e 'TestRacing'
 mutant no-stand-in membership/membership.go 's/if standIn == "" \{/if standIn != "x" {/' e2e 'TestSecondLoss'
 mutant no-balancer-lag box/stop.go 's/time.Sleep\(b.settings.BalancerLag\)/time.Sleep(0)/' e2e 'TestRolling'
+mutant refusal-closes-first peer/server.go 's/\t\ts.linger\(y\)\n//' peer 'TestPeer'
+mutant full-follower-ends replica/loop.go 's/if errors.Is\(err, wal.ErrFull\) \{\n\t\t\treturn r.withdraw\(err\)/if false {\n\t\t\treturn r.withdraw(err)/' e2e 'TestFollowersFullDisk'
+mutant any-certificate-name peer/peer.go 's/case certified != "" && certified != h.Self.Box:/case false:/' e2e 'TestWholeDaemonsOverTLS'
+mutant certificates-kept certs/certs.go 's/s.current.Store\(l\)\n\tevent/_ = l\n\tevent/' peer 'TestPeer'
 exit $missed
