stream, entry: a stream that breaks off goes on at another server

Also found on the way: a service's event stream was taken for broken because it lacks the chat interface's last event. Weighed: the caller resumes (every client would need it, and none knows the version); buffering whole streams (no first token in time); this: the box relays whole events, and asks a server of the same version and a kind that resumes for what lies behind the last id. Three times at most, from the retry budget.

Before: TestRequestsUnderFailure and the specs "never lets a broken stream look whole". After: property TestNothingTwiceNothingMissing; specs "whose model servers resume streams"; go test ./e2e -run TestRequestsUnderFailure with resuming engines: ok, 30 s. scripts/mutants.sh stream-*: all five noticed (begins-anew only after its spec was made to tell; the first one could not). Left: a stream that stalls without breaking waits for its deadline.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -21,12 +21,17 @@
 
 // Paths and headers of the protocol.
 const (
-	StatePath  = "/state"
-	OrderPath  = "/orders"
-	ChatPath   = "/v1/chat/completions"
-	HeaderID   = "X-Attempt-Id" // sent with a request, repeated in its answer
-	HeaderRan  = "X-Not-Run"    // "true" in an answer: the request was not run
-	StreamDone = "data: [DONE]" // the last event of a whole stream
+	StatePath = "/state"
+	OrderPath = "/orders"
+	ChatPath  = "/v1/chat/completions"
+	HeaderID  = "X-Attempt-Id" // sent with a request, repeated in its answer
+	HeaderRan = "X-Not-Run"    // "true" in an answer: the request was not run
+	// HeaderVersion, in an answer, is the version of the weights that give it.
+	HeaderVersion = "X-Model-Version"
+	// HeaderLastEvent, in a request, asks a server that resumes streams to go on
+	// behind the event of this id. Ids rise by one from 1.
+	HeaderLastEvent = "Last-Event-Id"
+	StreamDone      = "data: [DONE]" // the last event of a whole stream
 )
 
 // Actions of an order.
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -44,6 +44,8 @@
 		e.refuse(w, a.id, reason.NotResident, head.Model)
 		return
 	}
+	// Only the box knows by which version a stream began, so only it continues one.
+	r.Header.Del(engine.HeaderLastEvent)
 	e.serve(w, r, &job{
 		id: a.id, arrived: a.at, target: target, repeatable: true,
 		attempt: proxy.Attempt{Method: http.MethodPost, Path: engine.ChatPath, Header: r.Header, Body: a.body},
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -69,7 +69,7 @@
 		return
 	}
 	e.opts.Guard.Record(j.key, attempt, digest, resultOf(res.answer))
-	e.pass(w, j, res)
+	e.pass(ctx, w, j, res)
 }
 
 // keepFailure releases the key if the call did not run, else records that its
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -35,6 +35,7 @@
 	attempt    proxy.Attempt
 	ticket     *admit.Ticket
 	last       result // of the newest failed attempt
+	tries      int    // attempts so far
 }
 
 func (j *job) class() string { return j.target.Class.Name }
@@ -62,7 +63,7 @@
 	}
 	res := e.try(ctx, j)
 	if res.why == nil {
-		e.pass(w, j, res)
+		e.pass(ctx, w, j, res)
 		return
 	}
 	if r.Context().Err() != nil {
@@ -98,7 +99,7 @@
 		if why != nil {
 			return result{why: why}
 		}
-		answer, failure := e.attempt(ctx, j, b, n)
+		answer, failure := e.attempt(ctx, j, b)
 		if failure == nil {
 			return result{answer: answer, backend: b}
 		}
@@ -141,9 +142,10 @@
 	return nil
 }
 
-func (e *Entry) attempt(ctx context.Context, j *job, b *route.Backend, n int) (*proxy.Answer, *proxy.Failure) {
+func (e *Entry) attempt(ctx context.Context, j *job, b *route.Backend) (*proxy.Answer, *proxy.Failure) {
 	a := j.attempt
-	a.ID = j.id + "." + strconv.Itoa(n)
+	a.ID = j.id + "." + strconv.Itoa(j.tries)
+	j.tries++
 	a.Address = b.Address
 	a.Once = !j.repeatable
 	a.Header = a.Header.Clone()
@@ -170,21 +172,18 @@
 }
 
 // pass hands the answer to the caller and frees the place at the backend.
-func (e *Entry) pass(w http.ResponseWriter, j *job, res result) {
-	answered := time.Duration(0)
-	defer func() {
-		e.noteDemand(j.target, time.Since(j.ticket.Began()))
-		e.gate.Leave(res.backend, j.ticket, answered)
-	}()
+func (e *Entry) pass(ctx context.Context, w http.ResponseWriter, j *job, res result) {
 	outcome := setHead(w, j, res.answer)
 	if res.answer.Rest == nil {
-		answered = time.Since(j.ticket.Began())
 		// A caller that has gone does not read its answer.
 		_, _ = w.Write(res.answer.Body)
+		e.left(j, &res, time.Since(j.ticket.Began()))
 		e.passed(j, res.backend, outcome)
 		return
 	}
-	err := proxy.CopyRest(w, res.answer)
+	answered, isStream := time.Duration(0), res.answer.Stream
+	defer func() { e.left(j, &res, answered) }()
+	err := e.passRest(ctx, w, j, &res)
 	switch {
 	case err == nil:
 		answered = time.Since(j.ticket.Began())
@@ -192,7 +191,15 @@
 	case errors.Is(err, proxy.ErrCallerGone):
 		e.finished(j, "caller-gone", "the caller hung up")
 	default:
-		e.breakOff(w, j, res, err)
+		e.breakOff(w, j, res.backend, isStream, err)
+	}
+}
+
+// left frees the place at the backend, if one is held.
+func (e *Entry) left(j *job, res *result, answered time.Duration) {
+	e.noteDemand(j.target, time.Since(j.ticket.Began()))
+	if res.backend != nil {
+		e.gate.Leave(res.backend, j.ticket, answered)
 	}
 }
 
@@ -224,11 +231,13 @@
 
 // breakOff makes sure that a part of an answer is not taken for the whole: a
 // stream gets an error event, and the connection breaks without its last chunk.
-func (e *Entry) breakOff(w http.ResponseWriter, j *job, res result, cause error) {
+func (e *Entry) breakOff(w http.ResponseWriter, j *job, b *route.Backend, isStream bool, cause error) {
 	e.opts.Meters.Refuse(reason.StreamBroke)
-	e.blame(res.backend, &proxy.Failure{Outcome: reason.Unknown, Reason: reason.StreamBroke, Cause: cause})
+	if b != nil { // else it was blamed before the stream was to go on elsewhere
+		e.blame(b, &proxy.Failure{Outcome: reason.Unknown, Reason: reason.StreamBroke, Cause: cause})
+	}
 	e.finished(j, string(reason.Unknown), cause.Error())
-	if res.answer.Stream {
+	if isStream {
 		body, err := json.Marshal(errorBody(j.id, reason.StreamBroke, ""))
 		if err == nil {
 			fmt.Fprintf(w, "event: error\ndata: %s\n\n", body)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -51,6 +51,8 @@
 	Memory       uint64 // bytes of one accelerator
 	KVReserve    uint64 // bytes of one accelerator
 	Concurrency  int
+	// Resumes tells that a stream may go on at another server of the kind.
+	Resumes bool
 }
 
 // Usable returns the bytes of one accelerator that models and adapters may take.
@@ -201,6 +203,7 @@
 		k := &Kind{
 			Name: p.Name, ChecksFences: p.Bool("checks-fences"), OrderLate: p.Duration("order-late"),
 			Accelerators: p.Int("accelerators"), Memory: p.Bytes("memory"), KVReserve: p.Bytes("kv-reserve"), Concurrency: p.Int("concurrency"),
+			Resumes: p.Bool("resumes-streams"),
 		}
 		if k.KVReserve >= k.Memory {
 			p.Fault("kv-reserve", "leaves no memory for models", "less than memory")
--- a/fleet/schema.go
+++ b/fleet/schema.go
@@ -26,6 +26,7 @@
 		{Name: "memory", Type: conf.Bytes, Required: true, Text: "Memory of one accelerator."},
 		{Name: "kv-reserve", Type: conf.Bytes, Default: "0B", Text: "Memory of one accelerator kept for KV cache."},
 		{Name: "concurrency", Type: conf.Int, Default: "16", Min: 1, Text: "Requests that one server batches well."},
+		{Name: "resumes-streams", Type: conf.Bool, Default: "false", Text: "Whether it numbers the events of its streams and goes on behind the one that Last-Event-Id names."},
 	}},
 	{Kind: "server", Named: true, Text: "A model server.", Keys: []conf.Key{
 		{Name: "address", Type: conf.Address, Required: true, Text: "Its address."},
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -32,6 +32,7 @@
 
 	"leverdrum/engine"
 	"leverdrum/reason"
+	"leverdrum/stream"
 )
 
 // Error is the class of this package's errors.
@@ -69,6 +70,8 @@
 	Rest   io.ReadCloser
 	// Stream tells that Rest is a stream of events.
 	Stream bool
+	// Version is the version of the weights, "" when the backend does not say.
+	Version string
 }
 
 // Failure says why there is no answer.
@@ -194,7 +197,7 @@
 		resp.Body.Close()
 		return nil, &Failure{reason.NotRun, reason.BackendRefused, Error.New("the backend server answered %d, not run", resp.StatusCode)}
 	}
-	answer := &Answer{Status: resp.StatusCode, Header: http.Header{}}
+	answer := &Answer{Status: resp.StatusCode, Header: http.Header{}, Version: resp.Header.Get(engine.HeaderVersion)}
 	PassHeaders(answer.Header, resp.Header)
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		answer.Rest, answer.Stream = resp.Body, true
@@ -233,55 +236,61 @@
 
 const copyBuffer = 16 << 10
 
-// CopyRest passes the rest of an answer on as it comes. The answer was whole
-// only if no error comes back (3).
-func CopyRest(w http.ResponseWriter, answer *Answer) error {
+// CopyRest passes the rest of an answer on as it comes; a stream goes through
+// the relay. The answer was whole only if no error comes back (3).
+func CopyRest(w http.ResponseWriter, answer *Answer, relay *stream.Relay) error {
 	defer answer.Rest.Close()
-	flusher := http.NewResponseController(w)
+	c := copier{w, http.NewResponseController(w), relay, nil}
 	buf := make([]byte, copyBuffer)
-	var tail tail
 	for {
 		n, err := answer.Rest.Read(buf)
 		if n > 0 {
-			tail.add(buf[:n])
-			if _, werr := w.Write(buf[:n]); werr != nil {
-				return Error.Wrap(errors.Join(ErrCallerGone, werr))
+			if perr := c.pass(buf[:n]); perr != nil {
+				return perr
 			}
-			if answer.Stream {
-				flusher.Flush()
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return tail.judge(answer.Stream)
 		}
 		if err != nil {
-			return Error.Wrap(err)
+			return c.end(err)
 		}
 	}
 }
 
-// ErrCallerGone: the caller hung up.
-var ErrCallerGone = errors.New("the caller hung up")
-
-// tail keeps the last bytes of a stream.
-type tail struct{ last []byte }
-
-const tailLength = 32
+type copier struct {
+	w       http.ResponseWriter
+	flusher *http.ResponseController
+	relay   *stream.Relay // nil for what is no stream
+	out     []byte
+}
 
-func (t *tail) add(b []byte) {
-	if len(b) >= tailLength {
-		t.last = append(t.last[:0], b[len(b)-tailLength:]...)
-		return
+func (c *copier) pass(b []byte) error {
+	var broken error
+	if c.relay != nil {
+		c.out, broken = c.relay.Feed(c.out[:0], b)
+		b = c.out
 	}
-	t.last = append(t.last, b...)
-	if over := len(t.last) - tailLength; over > 0 {
-		t.last = t.last[over:]
+	if len(b) > 0 {
+		if _, err := c.w.Write(b); err != nil {
+			return Error.Wrap(errors.Join(ErrCallerGone, err))
+		}
+		if c.relay != nil {
+			_ = c.flusher.Flush() // a caller that has gone is met at the next write
+		}
 	}
+	return Error.Wrap(broken)
 }
 
-func (t *tail) judge(stream bool) error {
-	if !stream || bytes.HasSuffix(bytes.TrimSpace(t.last), []byte(engine.StreamDone)) {
+// end says whether the answer was whole when its body ended with err.
+func (c *copier) end(err error) error {
+	switch {
+	case c.relay != nil && c.relay.Done():
 		return nil
+	case !errors.Is(err, io.EOF):
+		return Error.Wrap(err)
+	case c.relay != nil && !c.relay.Whole():
+		return ErrTruncated
 	}
-	return ErrTruncated
+	return nil
 }
+
+// ErrCallerGone: the caller hung up.
+var ErrCallerGone = errors.New("the caller hung up")
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -108,6 +108,7 @@
 var (
 	RetryUnreached = add(Reason{"retry-unreached", Retries, "The backend server could not be reached; another is tried.", "See which servers are down.", 0, NotRun, 0})
 	RetryRefused   = add(Reason{"retry-refused", Retries, "The backend server refused without running; another is tried.", "See why it refuses.", 0, NotRun, 0})
+	RetryStream    = add(Reason{"retry-stream", Retries, "A stream broke off and is continued at a server that resumes streams.", "See why it breaks.", 0, Unknown, 0})
 	RetryBroke     = add(Reason{"retry-broke", Retries, "The connection broke before an answer to a repeatable request.", "See why it breaks.", 0, Unknown, 0})
 )
 
--- a/route/route.go
+++ b/route/route.go
@@ -38,6 +38,8 @@
 	Address     string
 	Hall        string
 	Concurrency int
+	// Resumes tells that it goes on with streams that others began.
+	Resumes bool
 
 	inFlight     atomic.Int64
 	reported     atomic.Int64 // work of others, from the last report
@@ -227,19 +229,22 @@
 func (d *Directory) refresh(f *fleet.Fleet) {
 	next := map[string]*Backend{}
 	for name, s := range f.Servers {
-		next[name] = d.keep(name, s.Address, s.Hall, s.Kind.Concurrency)
+		next[name] = d.keep(&Backend{Name: name, Address: s.Address, Hall: s.Hall, Concurrency: s.Kind.Concurrency, Resumes: s.Kind.Resumes})
 	}
 	for name, i := range f.Instances {
-		next[name] = d.keep(name, i.Address, i.Hall, i.Concurrency)
+		next[name] = d.keep(&Backend{Name: name, Address: i.Address, Hall: i.Hall, Concurrency: i.Concurrency})
 	}
 	d.backends = next
 }
 
-func (d *Directory) keep(name, address, hall string, concurrency int) *Backend {
-	if b := d.backends[name]; b != nil && b.Address == address && b.Hall == hall && b.Concurrency == concurrency {
+// keep returns the backend that is known already if it is the same.
+func (d *Directory) keep(next *Backend) *Backend {
+	b := d.backends[next.Name]
+	if b != nil && b.Address == next.Address && b.Hall == next.Hall && b.Concurrency == next.Concurrency && b.Resumes == next.Resumes {
 		return b
 	}
-	return &Backend{Name: name, Address: address, Hall: hall, Concurrency: concurrency, limit: float64(concurrency)}
+	next.limit = float64(next.Concurrency)
+	return next
 }
 
 func (d *Directory) serviceTarget(name string, s *fleet.Service) *Target {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -23,8 +23,8 @@
   elif (cd "$copy" && go vet "./$package" >/dev/null 2>&1 && timeout 300 go test -count=1 -run "$test" "./$package" >"$copy/out" 2>&1); then
     echo "$name: NOT NOTICED by $package $test"
     missed=1
-  elif grep -q -e '^--- FAIL' -e '^panic:' -e '\[FAIL\]' "$copy/out" 2>/dev/null; then
-    echo "$name: noticed by $package $test: $(grep -m1 -oE 'rapid\] failed after [0-9]+ tests: .*|panic: .*|Expected.*|--- FAIL.*' "$copy/out" | cut -c1-110)"
+  elif grep -aq -e '^--- FAIL' -e '^panic:' -e '\[FAIL\]' "$copy/out" 2>/dev/null; then
+    echo "$name: noticed by $package $test: $(grep -m1 -aoE 'rapid\] failed after [0-9]+ tests: .*|panic: .*|Expected.*|--- FAIL.*' "$copy/out" | cut -c1-110)"
   else
     echo "$name: the changed copy does not build"
     missed=1
@@ -64,6 +64,12 @@
 mutant truncated-stream $proxy 's/return ErrTruncated/return nil/' entry 'TestEntry'
 mutant broken-stream-ends-cleanly entry/serve.go 's/panic\(http.ErrAbortHandler\)/return/' entry 'TestEntry'
 mutant retry-what-may-not entry/serve.go 's/case j.repeatable && f.Reason/case f.Reason/' entry 'TestEntry'
+relay=stream/stream.go
+mutant stream-partial-event $relay 's/\tr.partial = nil\n//' stream 'TestNothingTwice'
+mutant stream-gap $relay 's/case id != r.position\+1 && r.resumed:/case false:/' stream 'TestRelay'
+mutant stream-twice $relay 's/case id <= r.position && r.resumed:/case false:/; s/case id != r.position\+1 && r.resumed:/case false:/' stream 'TestNothingTwice'
+mutant stream-other-version entry/stream.go 's/ && answer.Version == version//' entry 'TestEntry'
+mutant stream-begins-anew entry/stream.go 's/if !b.Resumes \{/if false {/' entry 'TestEntry'
 mutant no-priority admit/admit.go 's/return pa > pb/return pa < pb/' admit 'TestUrgent'
 mutant no-fair-share admit/admit.go 's/return ca < cb/return ca > cb/' admit 'TestCallers'
 mutant hold-until-deadline admit/admit.go 's/\.Add\(-g.took\[t.Target.Name\].likely\(\)\)//' admit 'TestWaitingEnds'
--- a/standin/agreed.go
+++ b/standin/agreed.go
@@ -57,6 +57,13 @@
 	}
 }
 
+// Drop makes a model server drop a model at once.
+func (e *Engine) Drop(accelerator uint32, model, version string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.residents, keyOf(accelerator, model, "", version))
+}
+
 func (e *Engine) nextFence() uint64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
