route, entry: servers that fail grey are found out

One that failed every other time never failed three times in a row. Now: failed answers count (unless others fail at the same request), repeatable requests go on elsewhere out of the budget, a share of failures ejects, an ejected server comes back with one request, and a repeatable attempt that takes far longer than its kind usually does is given up once. While most of a target's servers are out, ejections do not count. No retry is paid for when no other server is left. Ruled out: hedging, see DESIGN.md.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 # Attainment under overload next to random and round-robin choice (90 s), and
 # figures of whole boxes: apply, calls, failover.
 figures:
-	$(GO) test -run xxx -bench Attainment -benchtime 1x ./bench
+	$(GO) test -run xxx -bench 'Attainment|Grey' -benchtime 1x ./bench
 	$(GO) test -run xxx -bench . -benchtime 1x ./e2e
 
 # The curve of attainment against moves, docs/day.csv and docs/day.svg.
--- a/bench/load_test.go
+++ b/bench/load_test.go
@@ -175,3 +175,36 @@
 	}
 	return b.box
 }
+
+// grey are ways in which one of four servers fails without being dead.
+var grey = []struct {
+	name   string
+	faults standin.Faults
+}{
+	{"slow", standin.Faults{DelayMs: 300}},
+	{"mute", standin.Faults{DelayMs: 60_000}},
+	{"half-mute", standin.Faults{DelayMs: 60_000, Every: 2}},
+	{"half-broken", standin.Faults{BreakBefore: true, Every: 2}},
+	{"errors", standin.Faults{Status: http.StatusInternalServerError}},
+	{"half-errors", standin.Faults{Status: http.StatusInternalServerError, Every: 2}},
+}
+
+// BenchmarkGrey compares the box with random choice at 0.6 of capacity while one
+// server of four fails grey.
+func BenchmarkGrey(b *testing.B) {
+	for _, g := range grey {
+		for _, policy := range []string{"box", "random"} {
+			b.Run(g.name+"/"+policy, func(b *testing.B) {
+				for b.Loop() {
+					bed := newLoadBed(b)
+					address := bed.addressOf(b, policy)
+					offer(address, 0.3*loadCapacity, 1, func() {}) // warm
+					bed.engines[0].Set(g.faults)
+					got := offer(address, 0.6*loadCapacity, 2, func() {})
+					b.ReportMetric(got.urgent, "urgent")
+					b.ReportMetric(got.bulk, "bulk")
+				}
+			})
+		}
+	}
+}
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -42,6 +42,13 @@
 	return true
 }
 
+// left reports whether there is a retry in the budget.
+func (b *budget) left() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.earned >= 1
+}
+
 // jitter draws the wait before the retry behind attempt n.
 func (*budget) jitter(n int) time.Duration {
 	return time.Duration(rand.Int64N(int64(2*retryPause) << n))
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"maps"
+	"math/bits"
 	"net/http"
 	"slices"
 	"strings"
@@ -20,7 +21,17 @@
 
 // chatHead is what routing needs of a chat request.
 type chatHead struct {
-	Model string `json:"model"`
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens int    `json:"max_tokens"`
+}
+
+// kind groups the request with others that take about as long to begin.
+func (h *chatHead) kind() kindOfCall {
+	if h.Stream {
+		return kindOfCall{target: h.Model}
+	}
+	return kindOfCall{target: h.Model, method: http.MethodPost, size: bits.Len(uint(max(0, h.MaxTokens)))}
 }
 
 // chat serves POST /v1/chat/completions.
@@ -47,7 +58,7 @@
 	// Only the box knows by which version a stream began, so only it continues one.
 	r.Header.Del(engine.HeaderLastEvent)
 	e.serve(w, r, &job{
-		id: a.id, arrived: a.at, target: target, repeatable: true,
+		id: a.id, arrived: a.at, target: target, repeatable: true, kind: head.kind(),
 		attempt: proxy.Attempt{Method: http.MethodPost, Path: engine.ChatPath, Header: r.Header, Body: a.body},
 	})
 }
@@ -136,6 +147,7 @@
 	uri := strings.TrimPrefix(r.URL.RequestURI(), "/services/"+name)
 	j := &job{
 		id: a.id, arrived: a.at, target: target, repeatable: target.Service.Repeatable(r.Method, path),
+		kind:    kindOfCall{"/" + name, r.Method, bits.Len(uint(len(a.body)))},
 		attempt: proxy.Attempt{Method: r.Method, Path: uri, Header: r.Header, Body: a.body},
 	}
 	j.key = keyOf(r, j)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,6 +56,7 @@
 	opts     Options
 	gate     *admit.Gate
 	budget   *budget
+	patience *patience
 	demand   *demand
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -65,7 +66,7 @@
 
 // New returns an Entry.
 func New(opts Options) *Entry {
-	e := &Entry{opts: opts, gate: admit.NewGate(opts.Directory), budget: newBudget(), demand: newDemand()}
+	e := &Entry{opts: opts, gate: admit.NewGate(opts.Directory), budget: newBudget(), patience: newPatience(), demand: newDemand()}
 	r := chi.NewRouter()
 	r.Post("/v1/chat/completions", e.chat)
 	r.Get("/v1/models", e.models)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -200,6 +200,8 @@
 		Entry("it breaks off within its answer", standin.Faults{BreakAfter: 10}, reason.RetryBroke),
 		Entry("it refuses", standin.Faults{Refuse: true}, reason.RetryRefused),
 		Entry("it answers another attempt", standin.Faults{WrongID: true}, reason.RetryBroke),
+		Entry("it fails", standin.Faults{Status: 500}, reason.RetryFailed),
+		Entry("it takes far longer than usual", standin.Faults{DelayMs: 60_000, Every: 3}, reason.RetrySlow),
 	)
 
 	DescribeTable("says what is known when all servers fail",
@@ -300,6 +302,24 @@
 		Expect(testutil.ToFloat64(b.meters.Count(meter.RetriesMade, reason.RetryStream.Code))).To(BeNumerically(">", 0))
 	})
 
+	It("passes on the answer of a server that failed when the others fail too, and ejects nobody for it", func() {
+		b.both(standin.Faults{Status: 503})
+		for range 10 {
+			r := b.chat(ask)
+			Expect(r.status).To(Equal(503))
+			Expect(r.outcome).To(Equal("failed"))
+			Expect(r.body).To(Equal("failed\n"))
+		}
+		Expect(testutil.ToFloat64(b.meters.Count(meter.Ejections))).To(BeZero(), "the fault may be the request's")
+	})
+	It("asks no other server when a call that may not be repeated failed", func() {
+		b.shop.Set(standin.Faults{Status: 500})
+		r := b.do("POST", "/services/shop/orders", "one", entry.HeaderRequestID, "order1")
+		Expect(r.status).To(Equal(500))
+		Expect(r.outcome).To(Equal("failed"))
+		Expect(b.shop.Account().Ran).To(Equal(map[string]int{"order1": 1}))
+	})
+
 	It("gives up a caller that does not send its body, and lets answers take longer than that", func() {
 		c, err := net.Dial("tcp", b.address)
 		Expect(err).NotTo(HaveOccurred())
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -34,16 +34,18 @@
 	key        string // of a call that may run at most once; "" without one
 	attempt    proxy.Attempt
 	ticket     *admit.Ticket
-	last       result // of the newest failed attempt
-	tries      int    // attempts so far
+	kind       kindOfCall
+	tries      int // attempts so far
+	// suspects are backends whose failed answers are not yet held against them.
+	suspects []*route.Backend
 }
 
 func (j *job) class() string { return j.target.Class.Name }
 
 func (j *job) deadline() time.Time { return j.arrived.Add(j.target.Class.Deadline) }
 
-// result is how a job ended: with an answer, whose place at the backend is
-// still held, or with a reason.
+// result is how a job ended: with an answer or with a reason. Backend is the one
+// whose place is still held, nil for none.
 type result struct {
 	answer  *proxy.Answer
 	backend *route.Backend
@@ -91,33 +93,69 @@
 // try makes the attempts.
 func (e *Entry) try(ctx context.Context, j *job) result {
 	e.budget.first()
-	for n := range maxTries {
+	last := result{}
+	for j.tries < maxTries {
 		b, why := e.gate.Enter(ctx, j.ticket)
-		if why != nil && n > 0 {
-			break // the failure of the attempt before tells more
+		if why != nil && j.tries > 0 {
+			return last // the failure of the attempt before tells more
 		}
 		if why != nil {
 			return result{why: why}
 		}
 		answer, failure := e.attempt(ctx, j, b)
-		if failure == nil {
+		j.ticket.Tried = append(j.ticket.Tried, b)
+		if failure == nil && (!failed(answer) || !e.mayRetry(ctx, j, failedAnswer(answer))) {
+			e.settle(j, b, answer)
 			return result{answer: answer, backend: b}
 		}
 		e.gate.Leave(b, j.ticket, 0)
-		j.ticket.Tried = append(j.ticket.Tried, b)
-		last := result{why: failure.Reason, detail: failure.Cause.Error()}
-		if !e.mayRetry(ctx, j, failure, n) {
+		if failure == nil { // it is given to the caller if the next attempt gives none
+			j.suspects = append(j.suspects, b)
+			last = result{answer: answer}
+			continue
+		}
+		last = result{why: failure.Reason, detail: failure.Cause.Error()}
+		if !e.mayRetry(ctx, j, failure) {
 			return last
 		}
-		j.last = last
 	}
-	return j.last
+	return last
+}
+
+// failed reports whether an answer says that the backend failed at the request.
+func failed(a *proxy.Answer) bool {
+	switch a.Status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return a.Rest == nil
+	}
+	return false
+}
+
+func failedAnswer(a *proxy.Answer) *proxy.Failure {
+	return &proxy.Failure{Outcome: reason.Failed, Reason: reason.BackendFailed, Cause: fmt.Errorf("the backend server answered %d", a.Status)}
 }
 
+// settle notes what an answer says of the backends. A failed answer is held
+// against its backend, unless others failed at the same request: then the fault
+// may be the request's.
+func (e *Entry) settle(j *job, b *route.Backend, a *proxy.Answer) {
+	switch {
+	case !failed(a):
+		b.Succeeded()
+		for _, suspect := range j.suspects {
+			e.blame(suspect, &proxy.Failure{Outcome: reason.Failed, Reason: reason.BackendFailed, Cause: errOthersDid})
+		}
+	case len(j.suspects) == 0:
+		e.blame(b, failedAnswer(a))
+	}
+}
+
+var errOthersDid = errors.New("it failed at a request that another backend server answered")
+
 // mayRetry reports whether a failed attempt is followed by another.
-func (e *Entry) mayRetry(ctx context.Context, j *job, f *proxy.Failure, n int) bool {
+func (e *Entry) mayRetry(ctx context.Context, j *job, f *proxy.Failure) bool {
 	retry := retryReason(j, f)
-	if retry == nil || ctx.Err() != nil || n == maxTries-1 {
+	if retry == nil || ctx.Err() != nil || j.tries == maxTries || len(j.ticket.Tried) >= len(j.target.Backends) {
 		return false
 	}
 	if !e.budget.retry() {
@@ -125,7 +163,7 @@
 		return false
 	}
 	e.opts.Meters.Retry(retry)
-	return wait.For(ctx, e.budget.jitter(n))
+	return wait.For(ctx, e.budget.jitter(j.tries-1))
 }
 
 // retryReason says why a failed attempt may be followed by another, nil when it
@@ -136,8 +174,14 @@
 		return reason.RetryUnreached
 	case f.Outcome == reason.NotRun:
 		return reason.RetryRefused
-	case j.repeatable && f.Reason == reason.BackendBroke:
+	case !j.repeatable:
+		return nil
+	case f.Reason == reason.BackendBroke:
 		return reason.RetryBroke
+	case f.Reason == reason.BackendFailed:
+		return reason.RetryFailed
+	case errors.Is(f.Cause, errSlow):
+		return reason.RetrySlow
 	}
 	return nil
 }
@@ -150,15 +194,11 @@
 	a.Once = !j.repeatable
 	a.Header = a.Header.Clone()
 	a.Header.Set(HeaderDeadline, strconv.FormatInt(time.Until(j.deadline()).Milliseconds(), 10))
-	answer, failure := e.opts.Sender.Send(ctx, &a)
-	if failure == nil {
-		b.Succeeded()
-		return answer, nil
-	}
-	if !errors.Is(failure.Cause, context.Canceled) {
+	answer, failure := e.sendPatiently(ctx, j, &a)
+	if failure != nil && !errors.Is(failure.Cause, context.Canceled) {
 		e.blame(b, failure)
 	}
-	return nil, failure
+	return answer, failure
 }
 
 // blame notes a failure that is the backend's.
@@ -221,6 +261,10 @@
 
 // passed notes a whole answer.
 func (e *Entry) passed(j *job, b *route.Backend, outcome reason.Outcome) {
+	if b == nil {
+		e.finished(j, string(outcome), "by a backend server whose answer was kept while others were tried")
+		return
+	}
 	if now := time.Now(); now.After(j.deadline()) {
 		b.TooLate(now)
 	} else {
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -70,6 +70,7 @@
 	NotReached     = add(Reason{"not-reached", Callers, "No backend server could be reached.", "Come back.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	BackendRefused = add(Reason{"backend-refused", Callers, "The backend server said that it did not run the request.", "Come back.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	BackendBroke   = add(Reason{"backend-broke", Callers, "The connection broke before an answer; the request may have run.", "Do not assume either; ask with the same key where the call has one.", http.StatusBadGateway, Unknown, 0})
+	BackendFailed  = add(Reason{"backend-failed", Callers, "The backend server failed at the request.", "Its own answer goes back; see there.", 0, Failed, 0})
 	BackendLate    = add(Reason{"backend-late", Callers, "No answer came within the deadline; the request may have run.", "Do not assume either; ask with the same key where the call has one.", http.StatusGatewayTimeout, Unknown, 0})
 	StreamBroke    = add(Reason{"stream-broke", Callers, "The stream broke off; what came is not the whole answer.", "Ask again if the call may be repeated.", 0, Unknown, 0})
 	KeyInProgress  = add(Reason{"key-in-progress", Callers, "A call with this key is running.", "Come back with the same key for its answer.", http.StatusConflict, Unknown, 1 * second})
@@ -108,6 +109,8 @@
 var (
 	RetryUnreached = add(Reason{"retry-unreached", Retries, "The backend server could not be reached; another is tried.", "See which servers are down.", 0, NotRun, 0})
 	RetryRefused   = add(Reason{"retry-refused", Retries, "The backend server refused without running; another is tried.", "See why it refuses.", 0, NotRun, 0})
+	RetryFailed    = add(Reason{"retry-failed", Retries, "The backend server failed at a repeatable request.", "See why it fails.", 0, Failed, 0})
+	RetrySlow      = add(Reason{"retry-slow", Retries, "The backend server took far longer over a repeatable request than others do.", "See what slows it down.", 0, Unknown, 0})
 	RetryStream    = add(Reason{"retry-stream", Retries, "A stream broke off and is continued at a server that resumes streams.", "See why it breaks.", 0, Unknown, 0})
 	RetryBroke     = add(Reason{"retry-broke", Retries, "The connection broke before an answer to a repeatable request.", "See why it breaks.", 0, Unknown, 0})
 )
--- a/route/route.go
+++ b/route/route.go
@@ -3,8 +3,10 @@
 // Rules:
 //
 //  1. A backend that leaves, by whichever word, gets nothing new.
-//  2. An ejected backend gets nothing until its time is up, unless all are
-//     ejected.
+//  2. A backend is ejected when three answers in a row fail, or more than 30 % of
+//     them lately. It gets nothing until its time is up, and then one request at
+//     first. Ejections do not count where no other backend is left to try, and
+//     while more than half of a target's are ejected: then the fault is not theirs.
 //  3. Of two backends drawn at random the one with less work for its size is
 //     taken. Drawing two keeps the boxes from running together to the one that
 //     looked idle in an old report.
@@ -20,10 +22,8 @@
 
 import (
 	"maps"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"leverdrum/fleet"
 	"leverdrum/ledger"
@@ -31,114 +31,6 @@
 	"leverdrum/wire"
 )
 
-// Backend is one backend server as this box sees it. Its counters live on from
-// table to table.
-type Backend struct {
-	Name        string
-	Address     string
-	Hall        string
-	Concurrency int
-	// Resumes tells that it goes on with streams that others began.
-	Resumes bool
-
-	inFlight     atomic.Int64
-	reported     atomic.Int64 // work of others, from the last report
-	ejectedUntil atomic.Int64 // unix nanoseconds
-	failures     atomic.Int32 // in a row
-	leaving      atomic.Bool
-
-	limitMu sync.Mutex
-	limit   float64
-	shrunk  time.Time
-}
-
-// Begin counts a request in.
-func (b *Backend) Begin() { b.inFlight.Add(1) }
-
-// End counts a request out.
-func (b *Backend) End() { b.inFlight.Add(-1) }
-
-// InFlight returns this box's own requests in flight.
-func (b *Backend) InFlight() int64 { return b.inFlight.Load() }
-
-const (
-	// shrinkBy and shrinkEvery are how a limit falls (6).
-	shrinkBy    = 2.0 / 3
-	shrinkEvery = time.Second
-	// mostOver is how far above a backend's size its limit may grow.
-	mostOver = 2
-)
-
-// HasRoom reports whether the box's limit at the backend is not reached (6).
-func (b *Backend) HasRoom() bool {
-	b.limitMu.Lock()
-	defer b.limitMu.Unlock()
-	return float64(b.inFlight.Load()) < b.limit
-}
-
-// Limit returns how many requests the box keeps in flight at most (6).
-func (b *Backend) Limit() float64 {
-	b.limitMu.Lock()
-	defer b.limitMu.Unlock()
-	return b.limit
-}
-
-// InTime lets the limit grow (6).
-func (b *Backend) InTime() {
-	b.limitMu.Lock()
-	defer b.limitMu.Unlock()
-	if float64(b.inFlight.Load()) >= b.limit-1 {
-		b.limit = min(b.limit+1/b.limit, float64(b.Concurrency*mostOver))
-	}
-}
-
-// TooLate makes the limit fall (6).
-func (b *Backend) TooLate(now time.Time) {
-	b.limitMu.Lock()
-	defer b.limitMu.Unlock()
-	if now.Sub(b.shrunk) < shrinkEvery {
-		return
-	}
-	b.shrunk = now
-	b.limit = max(1, b.limit*shrinkBy)
-}
-
-// Report takes over what the backend says it runs and queues (4).
-func (b *Backend) Report(work int) { b.reported.Store(max(0, int64(work)-b.inFlight.Load())) }
-
-// SetLeaving takes over the backend's own or the platform's word.
-func (b *Backend) SetLeaving(v bool) { b.leaving.Store(v) }
-
-// load is the work for the backend's size (4).
-func (b *Backend) load() float64 {
-	return float64(b.inFlight.Load()+b.reported.Load()) / float64(b.Concurrency)
-}
-
-const (
-	// ejectAfter is how many failures in a row take a backend out.
-	ejectAfter = 3
-	// ejectFor is how long it stays out the first time; it doubles from time to
-	// time up to ejectMost.
-	ejectFor  = 500 * time.Millisecond
-	ejectMost = 30 * time.Second
-)
-
-// Failed notes a failure, and reports whether it took the backend out (2).
-func (b *Backend) Failed(now time.Time) bool {
-	n := b.failures.Add(1)
-	if n < ejectAfter {
-		return false
-	}
-	out := min(ejectFor<<min(n-ejectAfter, 8), ejectMost)
-	b.ejectedUntil.Store(now.Add(out).UnixNano())
-	return true
-}
-
-// Succeeded notes an answer.
-func (b *Backend) Succeeded() { b.failures.Store(0) }
-
-func (b *Backend) ejected(now time.Time) bool { return b.ejectedUntil.Load() > now.UnixNano() }
-
 // Target is what a request may go to.
 type Target struct {
 	Name     string
@@ -323,77 +215,3 @@
 	}
 	return bases
 }
-
-// hallBonus is how much more load, as a share of its size, a backend in the
-// own hall may have and still be preferred (5).
-const hallBonus = 0.1
-
-// Choose picks a backend, passing over those in tried. Without one it reports
-// whether some could be taken but for their limits.
-func (d *Directory) Choose(t *Target, now time.Time, tried []*Backend) (b *Backend, busy bool) {
-	for _, ejectedToo := range []bool{false, true} { // (2)
-		b, full := d.draw(t.Backends, now, tried, ejectedToo)
-		if b != nil {
-			return b, false
-		}
-		if full {
-			return nil, true
-		}
-	}
-	return nil, false
-}
-
-func (d *Directory) draw(list []*Backend, now time.Time, tried []*Backend, ejectedToo bool) (b *Backend, full bool) {
-	if len(list) == 0 {
-		return nil, false
-	}
-	may := func(b *Backend) bool {
-		if b.leaving.Load() || contains(tried, b) || !ejectedToo && b.ejected(now) {
-			return false
-		}
-		room := b.HasRoom()
-		full = full || !room
-		return room
-	}
-	first := firstFrom(list, rand.IntN(len(list)), nil, may)
-	second := firstFrom(list, rand.IntN(len(list)), first, may)
-	if first == nil || second == nil {
-		return first, full
-	}
-	return d.less(first, second), false // (3)
-}
-
-// firstFrom returns the first backend that may be taken, beginning at start and
-// passing over one.
-func firstFrom(list []*Backend, start int, not *Backend, may func(*Backend) bool) *Backend {
-	for i := range list {
-		b := list[(start+i)%len(list)]
-		if b != not && may(b) {
-			return b
-		}
-	}
-	return nil
-}
-
-func (d *Directory) less(a, b *Backend) *Backend {
-	loadA, loadB := a.load(), b.load()
-	if a.Hall == d.hall && b.Hall != d.hall { // (5)
-		loadA -= hallBonus
-	}
-	if b.Hall == d.hall && a.Hall != d.hall {
-		loadB -= hallBonus
-	}
-	if loadB < loadA {
-		return b
-	}
-	return a
-}
-
-func contains(list []*Backend, b *Backend) bool {
-	for _, x := range list {
-		if x == b {
-			return true
-		}
-	}
-	return false
-}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -91,6 +91,30 @@
 	g.Expect(chosen(d, target)).NotTo(BeEmpty(), "all out is no reason to refuse (2)")
 }
 
+func TestHalfFailingIsEjected(t *testing.T) {
+	g := NewWithT(t)
+	d, _, target := newDirectory(t)
+	now := time.Now()
+	bad := d.Backends()["s0"]
+	answers := 0
+	for ; chosen(d, target)["s0"] > 0 && answers < 100; answers += 2 { // it never fails twice in a row
+		bad.Succeeded()
+		bad.Failed(now)
+	}
+	g.Expect(answers).To(BeNumerically("<", 30))
+	g.Expect(bad.Limit()).To(BeEquivalentTo(1), "it comes back with one request (2)")
+	g.Expect(bad.Failed(now.Add(time.Second))).To(BeTrue(), "one failure takes it out again")
+	for range 100 {
+		bad.Succeeded()
+	}
+	g.Expect(bad.Failed(now.Add(time.Minute))).To(BeFalse(), "it is well again")
+	for range 3 { // two of three are out
+		d.Backends()["s1"].Failed(now)
+		bad.Failed(now)
+	}
+	g.Expect(chosen(d, target)).To(HaveKey("s0"), "when most are out the fault is not theirs")
+}
+
 func TestLimitAdapts(t *testing.T) {
 	g := NewWithT(t)
 	d, _, _ := newDirectory(t)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -247,7 +247,7 @@
 	if q.MaxTokens == 0 {
 		q.MaxTokens = defaultTokens
 	}
-	f := e.get()
+	f := e.next()
 	e.setID(w, r, f)
 	version, resident := e.find(q.Model)
 	if !resident || f.Refuse {
@@ -261,7 +261,14 @@
 	}
 	defer release()
 	e.ran(r)
-	time.Sleep(time.Duration(f.DelayMs) * time.Millisecond)
+	if f.Status != 0 {
+		http.Error(w, "failed", f.Status)
+		return
+	}
+	if !wait.For(r.Context(), time.Duration(f.DelayMs)*time.Millisecond) {
+		e.cancelled()
+		return
+	}
 	if f.BreakBefore {
 		breakOff()
 	}
--- a/standin/service.go
+++ b/standin/service.go
@@ -73,7 +73,7 @@
 		answerJSON(w, http.StatusOK, s.Account())
 		return
 	}
-	f := s.get()
+	f := s.next()
 	if f.Refuse {
 		w.Header().Set(engine.HeaderRan, "true")
 		http.Error(w, "not run", http.StatusServiceUnavailable)
@@ -89,6 +89,10 @@
 		breakOff()
 	}
 	w.Header().Set(engine.HeaderID, r.Header.Get(engine.HeaderID))
+	if f.Status != 0 {
+		http.Error(w, "failed", f.Status)
+		return
+	}
 	answerJSON(w, http.StatusOK, answer)
 }
 
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -31,6 +31,10 @@
 	DelayMs int `json:"delay_ms"`
 	// BreakAfter closes the connection after so many bytes of an answer's body.
 	BreakAfter int `json:"break_after"`
+	// Status, unless 0, answers requests that ran with this status at once.
+	Status int `json:"status"`
+	// Every makes only each n-th request misbehave; 0 means each one.
+	Every int `json:"every"`
 	// BreakBefore closes the connection after a request ran, before its answer.
 	BreakBefore bool `json:"break_before"`
 	// NoLastEvent ends streams cleanly but without their last event.
@@ -48,8 +52,9 @@
 }
 
 type faults struct {
-	mu  sync.Mutex
-	now Faults
+	mu    sync.Mutex
+	now   Faults
+	count int // of requests
 }
 
 func (f *faults) get() Faults {
@@ -58,6 +63,17 @@
 	return f.now
 }
 
+// next returns the faults of the next request.
+func (f *faults) next() Faults {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.count++
+	if f.now.Every > 1 && f.count%f.now.Every != 0 {
+		return Faults{Leaving: f.now.Leaving}
+	}
+	return f.now
+}
+
 // Set replaces the faults.
 func (f *faults) Set(v Faults) {
 	f.mu.Lock()
