entry, admit, proxy: the first token has a deadline, and silent streams go on

Cause: the fleet file's first-token was read and used nowhere, so that attainment counted streams by their end only; and a server that falls silent in mid-stream held its caller until the deadline. Now a stream counts as in time only if its first event is; admission refuses at once what would begin too late; and a stream that is silent for its class's stall-after is continued at another server where servers resume streams and the retry budget has something left (else it waits on: cutting it would only lose it). Ruled out: stalling measured against the usual pause; a fixed bound by class is what an operator can reason about.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -9,7 +9,8 @@
 //     flight here; of equal ones the one that has waited longest.
 //  3. A request is refused at once when it cannot be answered in time: when the
 //     work before it and its own, at the times seen lately, end behind its
-//     deadline. While it waits the same holds of its own work.
+//     deadline, or the first event of its stream would come too late. While it
+//     waits the same holds of its own work.
 //  4. A caller may take at most half of the waiting room while others wait too.
 //  5. What is given up is answered at once. Nothing is held back.
 package admit
@@ -34,6 +35,8 @@
 	Target   *route.Target
 	Caller   string
 	Deadline time.Time
+	// FirstBy is when the first event of a stream is due; zero for none.
+	FirstBy time.Time
 	// Tried are backends that the request must not go to again.
 	Tried []*route.Backend
 
@@ -54,6 +57,7 @@
 	callers map[string]int       // in flight
 	queued  map[string]int       // waiting, by caller
 	took    map[string]*estimate // by target
+	first   map[string]*estimate // time to a stream's first event, by target
 }
 
 // estimate is how long answers of a target took lately.
@@ -75,7 +79,7 @@
 
 // NewGate returns a gate before the backends of a directory.
 func NewGate(d *route.Directory) *Gate {
-	return &Gate{directory: d, callers: map[string]int{}, queued: map[string]int{}, took: map[string]*estimate{}}
+	return &Gate{directory: d, callers: map[string]int{}, queued: map[string]int{}, took: map[string]*estimate{}, first: map[string]*estimate{}}
 }
 
 // Enter waits until the ticket may start and returns its backend, counted in,
@@ -101,7 +105,7 @@
 	if b == nil && !busy {
 		return nil, reason.NoServer
 	}
-	if now.Add(g.expectedWait(t) + g.took[t.Target.Name].likely()).After(t.Deadline) { // (3)
+	if now.Add(g.expectedWait(t)).After(g.latest(t)) { // (3)
 		return nil, reason.Overloaded
 	}
 	if len(g.waiting) >= waitingRoom {
@@ -116,6 +120,18 @@
 	return nil, nil
 }
 
+// latest returns when the ticket must start at the latest (3).
+func (g *Gate) latest(t *Ticket) time.Time {
+	latest := t.Deadline.Add(-g.took[t.Target.Name].likely())
+	if t.FirstBy.IsZero() {
+		return latest
+	}
+	if first := t.FirstBy.Add(-g.first[t.Target.Name].likely()); first.Before(latest) {
+		return first
+	}
+	return latest
+}
+
 // goesBefore reports whether somebody waits who could use the backend's room
 // and goes before the ticket.
 func (g *Gate) goesBefore(b *route.Backend, t *Ticket) bool {
@@ -185,7 +201,7 @@
 // before its deadline any more (3).
 func (g *Gate) wait(ctx context.Context, t *Ticket) (*route.Backend, *reason.Reason) {
 	g.mu.Lock()
-	latest := t.Deadline.Add(-g.took[t.Target.Name].likely())
+	latest := g.latest(t)
 	g.mu.Unlock()
 	timer := time.NewTimer(time.Until(latest))
 	defer timer.Stop()
@@ -228,17 +244,24 @@
 		delete(g.callers, t.Caller)
 	}
 	if answered > 0 {
-		g.learn(t.Target.Name, answered)
+		learn(g.took, t.Target.Name, answered)
 	}
 	g.startWaiting(time.Now())
 }
 
-func (g *Gate) learn(target string, answered time.Duration) {
-	if e := g.took[target]; e != nil {
-		e.learn(answered)
+// First notes how long the first event of a stream took.
+func (g *Gate) First(t *Ticket, took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	learn(g.first, t.Target.Name, took)
+}
+
+func learn(all map[string]*estimate, target string, took time.Duration) {
+	if e := all[target]; e != nil {
+		e.learn(took)
 		return
 	}
-	g.took[target] = &estimate{mean: answered}
+	all[target] = &estimate{mean: took}
 }
 
 // startWaiting starts as many as there is room for, the first by rule 2 first.
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -202,3 +202,31 @@
 		g.Expect(target.Backends[0].InFlight()).To(BeZero())
 	})
 }
+
+func TestLateFirstEventIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate, table := newGate(t)
+		enter := func(firstBy time.Duration) (*admit.Ticket, *route.Backend, *reason.Reason) {
+			now := time.Now()
+			k := &admit.Ticket{Target: table.Models["common"], Deadline: now.Add(time.Hour), FirstBy: now.Add(firstBy)}
+			b, why := gate.Enter(context.Background(), k)
+			return k, b, why
+		}
+		k, b, _ := enter(time.Second)
+		time.Sleep(work)
+		gate.First(k, work)
+		gate.Leave(b, k, work)
+		for range 2 { // both places are taken
+			_, _, why := enter(time.Second)
+			NewWithT(t).Expect(why).To(BeNil())
+		}
+		began := time.Now()
+		_, _, why := enter(work / 2)
+		g := NewWithT(t)
+		g.Expect(why).To(Equal(reason.Overloaded))
+		g.Expect(time.Since(began)).To(BeZero())
+		_, _, why = enter(2 * work)
+		g.Expect(why).To(Equal(reason.Overloaded))
+		g.Expect(time.Since(began)).To(BeNumerically("<", 2*work), "it is told while the first event could still come in time elsewhere")
+	})
+}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -58,7 +58,7 @@
 	// Only the box knows by which version a stream began, so only it continues one.
 	r.Header.Del(engine.HeaderLastEvent)
 	e.serve(w, r, &job{
-		id: a.id, arrived: a.at, target: target, repeatable: true, kind: head.kind(),
+		id: a.id, arrived: a.at, target: target, repeatable: true, kind: head.kind(), stream: head.Stream,
 		attempt: proxy.Attempt{Method: http.MethodPost, Path: engine.ChatPath, Header: r.Header, Body: a.body},
 	})
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -62,7 +62,7 @@
 	resumes = append(resumes, false, false)
 	b := &bed{shop: standin.NewService("shop", "Idempotency-Key", 0), meters: meter.New()}
 	b.current.Store(true)
-	text := "[fleet]\nnumber = 1\n[hall a]\n[class c]\ndeadline = " + deadline + "\n[class urgent]\ndeadline = " + deadline + "\npriority = 5\n"
+	text := "[fleet]\nnumber = 1\n[hall a]\n[class c]\nstall-after = 100ms\nfirst-token = 1s\ndeadline = " + deadline + "\n[class urgent]\ndeadline = " + deadline + "\npriority = 5\n"
 	for i := range b.engines {
 		text += fmt.Sprintf("[kind k%d]\nmemory = 1GiB\nconcurrency = 2\nresumes-streams = %v\n", i, resumes[i])
 		b.engines[i] = standin.NewEngine(standin.EngineOptions{Accelerators: 1, Memory: 1 << 30, ChecksFences: true, Concurrency: 2, Resumes: resumes[i]})
@@ -267,6 +267,15 @@
 			r := b.chat(stream)
 			Expect(standin.ReadStream(strings.NewReader(r.body))).To(Equal(right))
 		})
+		It("goes on at another server when one falls silent, and leaves the silent one", func() {
+			b.engines[0].Set(standin.Faults{StallAfter: 450})
+			for range 10 { // the silent one is drawn at least once but for one in 2^10 runs
+				r := b.chat(stream)
+				Expect(standin.ReadStream(strings.NewReader(r.body))).To(Equal(right))
+			}
+			Expect(b.engines[1].Account().Resumed).To(BeNumerically(">", 0))
+			Eventually(func() int { return b.engines[0].Account().Cancelled }).Should(BeNumerically(">", 0))
+		})
 		DescribeTable("breaks visibly rather than",
 			func(spoil func()) {
 				spoil()
@@ -320,6 +329,17 @@
 		Expect(b.shop.Account().Ran).To(Equal(map[string]int{"order1": 1}))
 	})
 
+	It("counts a stream as in time only if its first event is", func() {
+		inTime := func() float64 { return testutil.ToFloat64(b.meters.Count(meter.InTime, "c")) }
+		Expect(b.chat(stream).outcome).To(Equal("done"))
+		Expect(inTime()).To(BeEquivalentTo(1))
+		b.both(standin.Faults{DelayMs: 1200})
+		Expect(b.chat(stream).outcome).To(Equal("done"))
+		Expect(inTime()).To(BeEquivalentTo(1))
+		Expect(b.chat(ask).outcome).To(Equal("done"))
+		Expect(inTime()).To(BeEquivalentTo(2), "what is no stream has its deadline only")
+	})
+
 	It("gives up a caller that does not send its body, and lets answers take longer than that", func() {
 		c, err := net.Dial("tcp", b.address)
 		Expect(err).NotTo(HaveOccurred())
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -35,7 +35,9 @@
 	attempt    proxy.Attempt
 	ticket     *admit.Ticket
 	kind       kindOfCall
-	tries      int // attempts so far
+	stream     bool // the caller asked for one
+	tries      int  // attempts so far
+	firstLate  bool // the stream's first event came too late
 	// suspects are backends whose failed answers are not yet held against them.
 	suspects []*route.Backend
 }
@@ -59,6 +61,9 @@
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline())
 	defer cancel()
 	j.ticket = &admit.Ticket{Target: j.target, Caller: callerOf(r), Deadline: j.deadline()}
+	if first := j.target.Class.FirstToken; j.stream && first > 0 {
+		j.ticket.FirstBy = j.arrived.Add(first)
+	}
 	if j.key != "" {
 		e.serveKeyed(w, r, j)
 		return
@@ -265,7 +270,7 @@
 		e.finished(j, string(outcome), "by a backend server whose answer was kept while others were tried")
 		return
 	}
-	if now := time.Now(); now.After(j.deadline()) {
+	if now := time.Now(); now.After(j.deadline()) || j.firstLate {
 		b.TooLate(now)
 	} else {
 		b.InTime()
@@ -296,7 +301,7 @@
 	took := time.Since(j.arrived)
 	e.opts.Meters.Count(meter.Requests, j.class(), outcome).Inc()
 	e.opts.Meters.Observe(meter.Duration, j.class()).Observe(took.Seconds())
-	if outcome == string(reason.Done) && took <= j.target.Class.Deadline {
+	if outcome == string(reason.Done) && took <= j.target.Class.Deadline && !j.firstLate {
 		e.opts.Meters.Count(meter.InTime, j.class()).Inc()
 	}
 	e.opts.Records.Note(record.Request, j.id, outcome+" as "+j.target.Name, detail)
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"time"
 
 	"leverdrum/engine"
 	"leverdrum/meter"
@@ -22,12 +23,12 @@
 // place is held, nil for none.
 func (e *Entry) passRest(ctx context.Context, w http.ResponseWriter, j *job, res *result) error {
 	if !res.answer.Stream {
-		return proxy.CopyRest(w, res.answer, nil)
+		return proxy.CopyRest(w, res.answer, proxy.Copying{})
 	}
 	relay := stream.New(lastEvent(j))
 	version := res.answer.Version
 	for resumes := 0; ; {
-		err := proxy.CopyRest(w, res.answer, relay)
+		err := proxy.CopyRest(w, res.answer, e.copying(j, relay, res.backend))
 		if err == nil || errors.Is(err, proxy.ErrCallerGone) || errors.Is(err, stream.ErrGap) {
 			return err
 		}
@@ -49,6 +50,21 @@
 	}
 }
 
+// copying says how a stream is passed on: its first event is timed, and where it
+// can go on elsewhere it is broken off when it stalls.
+func (e *Entry) copying(j *job, relay *stream.Relay, b *route.Backend) proxy.Copying {
+	how := proxy.Copying{Relay: relay, First: func() {
+		e.gate.First(j.ticket, time.Since(j.ticket.Began()))
+		if due := j.ticket.FirstBy; !due.IsZero() && time.Now().After(due) {
+			j.firstLate = true
+		}
+	}}
+	if b.Resumes {
+		how.StallAfter, how.Stalled = j.target.Class.StallAfter, e.budget.left
+	}
+	return how
+}
+
 // lastEvent is the line of a stream's last event; services have none.
 func lastEvent(j *job) string {
 	if j.target.Service != nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -39,6 +39,7 @@
 	Name       string
 	Deadline   time.Duration
 	FirstToken time.Duration
+	StallAfter time.Duration
 	Priority   int
 }
 
@@ -190,7 +191,7 @@
 		f.Halls[p.Name] = &Hall{p.Name, p.String("region")}
 	}
 	for _, p := range r.doc.Parts("class") {
-		f.Classes[p.Name] = &Class{p.Name, p.Duration("deadline"), p.Duration("first-token"), p.Int("priority")}
+		f.Classes[p.Name] = &Class{p.Name, p.Duration("deadline"), p.Duration("first-token"), p.Duration("stall-after"), p.Int("priority")}
 	}
 	r.readServers()
 	r.readModels()
--- a/fleet/schema.go
+++ b/fleet/schema.go
@@ -16,7 +16,8 @@
 	}},
 	{Kind: "class", Named: true, Text: "A service class of requests.", Keys: []conf.Key{
 		{Name: "deadline", Type: conf.Duration, Required: true, Text: "Time from the arrival of a request to the end of its answer."},
-		{Name: "first-token", Type: conf.Duration, Default: "0s", Text: "Time to the first event of a stream; 0 means the deadline."},
+		{Name: "first-token", Type: conf.Duration, Default: "0s", Text: "Time from the arrival of a request to the first event of its stream; 0 means the deadline."},
+		{Name: "stall-after", Type: conf.Duration, Default: "2s", Text: "How long a stream may be silent before it is continued at another server, where servers resume streams; 0 means for ever."},
 		{Name: "priority", Type: conf.Int, Default: "0", Text: "Higher goes first."},
 	}},
 	{Kind: "kind", Named: true, Text: "A kind of model server.", Keys: []conf.Key{
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -36,7 +36,7 @@
 	RetriesMade  = Metric{"leverdrum_retries_total", Counter, "Requests sent once more, by reason.", []string{"reason"}}
 	RetriesSpent = Metric{"leverdrum_retries_denied_total", Counter, "Retries that the budget did not allow.", nil}
 	Requests     = Metric{"leverdrum_requests_total", Counter, "Requests by class and outcome.", []string{"class", "outcome"}}
-	InTime       = Metric{"leverdrum_requests_in_time_total", Counter, "Requests answered whole within the deadline of their class.", []string{"class"}}
+	InTime       = Metric{"leverdrum_requests_in_time_total", Counter, "Requests answered whole within the deadline of their class, streams with their first event in time.", []string{"class"}}
 	Duration     = Metric{"leverdrum_request_seconds", Histogram, "Time from arrival to the end of the answer.", []string{"class"}}
 	InFlight     = Metric{"leverdrum_requests_in_flight", Gauge, "Requests being served.", nil}
 	StateIndex   = Metric{"leverdrum_state_index", Gauge, "Index of the agreed state in force on this box.", nil}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -32,7 +32,6 @@
 
 	"leverdrum/engine"
 	"leverdrum/reason"
-	"leverdrum/stream"
 )
 
 // Error is the class of this package's errors.
@@ -230,67 +229,3 @@
 	io.Reader
 	io.Closer
 }
-
-// ErrTruncated: the stream ended without its last event.
-var ErrTruncated = Error.New("the stream ended without its last event")
-
-const copyBuffer = 16 << 10
-
-// CopyRest passes the rest of an answer on as it comes; a stream goes through
-// the relay. The answer was whole only if no error comes back (3).
-func CopyRest(w http.ResponseWriter, answer *Answer, relay *stream.Relay) error {
-	defer answer.Rest.Close()
-	c := copier{w, http.NewResponseController(w), relay, nil}
-	buf := make([]byte, copyBuffer)
-	for {
-		n, err := answer.Rest.Read(buf)
-		if n > 0 {
-			if perr := c.pass(buf[:n]); perr != nil {
-				return perr
-			}
-		}
-		if err != nil {
-			return c.end(err)
-		}
-	}
-}
-
-type copier struct {
-	w       http.ResponseWriter
-	flusher *http.ResponseController
-	relay   *stream.Relay // nil for what is no stream
-	out     []byte
-}
-
-func (c *copier) pass(b []byte) error {
-	var broken error
-	if c.relay != nil {
-		c.out, broken = c.relay.Feed(c.out[:0], b)
-		b = c.out
-	}
-	if len(b) > 0 {
-		if _, err := c.w.Write(b); err != nil {
-			return Error.Wrap(errors.Join(ErrCallerGone, err))
-		}
-		if c.relay != nil {
-			_ = c.flusher.Flush() // a caller that has gone is met at the next write
-		}
-	}
-	return Error.Wrap(broken)
-}
-
-// end says whether the answer was whole when its body ended with err.
-func (c *copier) end(err error) error {
-	switch {
-	case c.relay != nil && c.relay.Done():
-		return nil
-	case !errors.Is(err, io.EOF):
-		return Error.Wrap(err)
-	case c.relay != nil && !c.relay.Whole():
-		return ErrTruncated
-	}
-	return nil
-}
-
-// ErrCallerGone: the caller hung up.
-var ErrCallerGone = errors.New("the caller hung up")
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -422,6 +422,11 @@
 		if sent += n; f.BreakAfter > 0 && sent >= f.BreakAfter {
 			breakOff()
 		}
+		if f.StallAfter > 0 && sent >= f.StallAfter {
+			<-r.Context().Done()
+			e.cancelled()
+			return
+		}
 	}
 	if f.NoLastEvent {
 		return
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -35,6 +35,8 @@
 	Status int `json:"status"`
 	// Every makes only each n-th request misbehave; 0 means each one.
 	Every int `json:"every"`
+	// StallAfter says nothing more after so many bytes of a stream.
+	StallAfter int `json:"stall_after"`
 	// BreakBefore closes the connection after a request ran, before its answer.
 	BreakBefore bool `json:"break_before"`
 	// NoLastEvent ends streams cleanly but without their last event.
