route, entry: sessions keep their backend, which yields to load

Cause: engines keep prompt prefixes, and least-loaded choice sends each turn of a conversation elsewhere, where all of it is read anew. Proof: TestSessionsKeepTheirBackend; mutant affinity-herds noticed. The stand-in's prefix cache is our own model.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -37,8 +37,7 @@
 	Deadline time.Time
 	// FirstBy is when the first event of a stream is due; zero for none.
 	FirstBy time.Time
-	// Tried are backends that the request must not go to again.
-	Tried []*route.Backend
+	route.Wish
 
 	since   time.Time
 	began   time.Time
@@ -97,7 +96,7 @@
 
 // offer starts the ticket, queues it, or refuses it.
 func (g *Gate) offer(now time.Time, t *Ticket) (*route.Backend, *reason.Reason) {
-	b, busy := g.directory.Choose(t.Target, now, t.Tried)
+	b, busy := g.directory.Choose(t.Target, now, t.Wish)
 	if b != nil && !g.goesBefore(b, t) { // (1)
 		g.start(b, t)
 		return b, nil
@@ -273,7 +272,7 @@
 			if best != nil && !g.less(w, best) {
 				continue
 			}
-			if b, _ := g.directory.Choose(w.Target, now, w.Tried); b != nil {
+			if b, _ := g.directory.Choose(w.Target, now, w.Wish); b != nil {
 				best, place = w, b
 			}
 		}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
 
 	"leverdrum/engine"
@@ -24,6 +25,28 @@
 	Model     string `json:"model"`
 	Stream    bool   `json:"stream"`
 	MaxTokens int    `json:"max_tokens"`
+	// Messages are read as far as they tell the session.
+	Messages []json.RawMessage `json:"messages"`
+}
+
+// sessionMessages is how many messages tell sessions apart: mostly the system's
+// and the caller's first, which stand in all later turns too.
+const sessionMessages = 2
+
+// session returns the hash of what stays the same in all turns of a session: its
+// name if the caller gives one, else its first messages. 0 means none.
+func (h *chatHead) session(name string) uint64 {
+	if name == "" && len(h.Messages) == 0 {
+		return 0
+	}
+	d := xxhash.New()
+	_, _ = d.WriteString(h.Model + "\n" + name) // a hash takes everything
+	if name == "" {
+		for _, m := range h.Messages[:min(len(h.Messages), sessionMessages)] {
+			_, _ = d.Write(m)
+		}
+	}
+	return d.Sum64()
 }
 
 // kind groups the request with others that take about as long to begin.
@@ -58,7 +81,7 @@
 	// Only the box knows by which version a stream began, so only it continues one.
 	r.Header.Del(engine.HeaderLastEvent)
 	e.serve(w, r, &job{
-		id: a.id, arrived: a.at, target: target, repeatable: true, kind: head.kind(), stream: head.Stream,
+		id: a.id, arrived: a.at, target: target, repeatable: true, kind: head.kind(), stream: head.Stream, session: head.session(r.Header.Get(HeaderSession)),
 		attempt: proxy.Attempt{Method: http.MethodPost, Path: engine.ChatPath, Header: r.Header, Body: a.body},
 	})
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,8 @@
 	HeaderRequestID = "X-Request-Id"
 	// HeaderReplayed marks the answer of an earlier call with the same key.
 	HeaderReplayed = "X-Leverdrum-Replayed"
+	// HeaderSession names the session that a chat request belongs to.
+	HeaderSession = "X-Session"
 	// HeaderCaller names the caller, for fair shares.
 	HeaderCaller = "X-Caller"
 )
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -35,9 +35,10 @@
 	attempt    proxy.Attempt
 	ticket     *admit.Ticket
 	kind       kindOfCall
-	stream     bool // the caller asked for one
-	tries      int  // attempts so far
-	firstLate  bool // the stream's first event came too late
+	stream     bool   // the caller asked for one
+	session    uint64 // hash of the session, 0 for none
+	tries      int    // attempts so far
+	firstLate  bool   // the stream's first event came too late
 	// suspects are backends whose failed answers are not yet held against them.
 	suspects []*route.Backend
 }
@@ -60,7 +61,7 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, j *job) {
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline())
 	defer cancel()
-	j.ticket = &admit.Ticket{Target: j.target, Caller: callerOf(r), Deadline: j.deadline()}
+	j.ticket = &admit.Ticket{Target: j.target, Caller: callerOf(r), Deadline: j.deadline(), Wish: route.Wish{Session: j.session}}
 	if first := j.target.Class.FirstToken; j.stream && first > 0 {
 		j.ticket.FirstBy = j.arrived.Add(first)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -18,6 +18,7 @@
 	Number           uint64
 	AttainmentWeight float64
 	MoveWeight       float64
+	AffinitySlack    float64
 	LoadsPerSecond   float64
 	LoadsAtOnce      int
 
@@ -186,6 +187,7 @@
 	f := r.fleet
 	f.Number = uint64(head.Int("number"))
 	f.AttainmentWeight, f.MoveWeight = head.Float("attainment-weight"), head.Float("move-weight")
+	f.AffinitySlack = head.Float("affinity-slack")
 	f.LoadsPerSecond, f.LoadsAtOnce = head.Float("loads-per-second"), head.Int("loads-at-once")
 	for _, p := range r.doc.Parts("hall") {
 		f.Halls[p.Name] = &Hall{p.Name, p.String("region")}
--- a/route/backend.go
+++ b/route/backend.go
@@ -16,6 +16,7 @@
 	// Resumes tells that it goes on with streams that others began.
 	Resumes bool
 
+	hash         uint64 // of the name
 	inFlight     atomic.Int64
 	reported     atomic.Int64 // work of others, from the last report
 	ejectedUntil atomic.Int64 // unix nanoseconds
--- a/route/choose.go
+++ b/route/choose.go
@@ -1,17 +1,40 @@
 package route
 
 import (
+	"encoding/binary"
 	"math/rand/v2"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // hallBonus is how much more load, as a share of its size, a backend in the
 // own hall may have and still be preferred (5).
 const hallBonus = 0.1
 
-// Choose picks a backend, passing over those in tried. Without one it reports
-// whether some could be taken but for their limits.
-func (d *Directory) Choose(t *Target, now time.Time, tried []*Backend) (b *Backend, busy bool) {
+// Wish is what a request asks of the choice besides its target.
+type Wish struct {
+	// Tried are backends to pass over.
+	Tried []*Backend
+	// Session is the hash of the session that the request belongs to, 0 for none.
+	Session uint64
+}
+
+// Choose picks a backend. Without one it reports whether some could be taken but
+// for their limits.
+func (d *Directory) Choose(t *Target, now time.Time, w Wish) (b *Backend, busy bool) {
+	b, busy = d.choose(t, now, w.Tried)
+	if b == nil || w.Session == 0 || t.AffinitySlack == 0 {
+		return b, busy
+	}
+	home := homeOf(t.Backends, now, w)
+	if home != nil && home.HasRoom() && home.load() <= b.load()+t.AffinitySlack { // (7)
+		return home, false
+	}
+	return b, false
+}
+
+func (d *Directory) choose(t *Target, now time.Time, tried []*Backend) (b *Backend, busy bool) {
 	if !mostEjected(t.Backends, now) {
 		b, full := d.draw(t.Backends, now, tried, false)
 		if b != nil || full {
@@ -22,6 +45,26 @@
 	return b, b == nil && full
 }
 
+// homeOf returns the session's backend: the one of those that work with the
+// highest hash of both, so that all boxes find the same one and few sessions move
+// when backends come and go (7).
+func homeOf(list []*Backend, now time.Time, w Wish) *Backend {
+	var home *Backend
+	var highest uint64
+	for _, b := range list {
+		if b.leaving.Load() || b.ejected(now) || contains(w.Tried, b) {
+			continue
+		}
+		var both [16]byte
+		binary.LittleEndian.PutUint64(both[:8], w.Session)
+		binary.LittleEndian.PutUint64(both[8:], b.hash)
+		if h := xxhash.Sum64(both[:]); home == nil || h > highest {
+			home, highest = b, h
+		}
+	}
+	return home
+}
+
 // mostEjected is the end of rule 2.
 func mostEjected(list []*Backend, now time.Time) bool {
 	out := 0
--- a/route/route.go
+++ b/route/route.go
@@ -18,6 +18,10 @@
 //     The limit starts at the backend's size, falls by a third when answers come
 //     late, are refused or break, at most once a second, and grows by one for
 //     each full round of answers that came in time while it was reached.
+//  7. A request of a session goes to the session's own backend, which keeps the
+//     prefix of its prompt, unless that one is busier than the one chosen
+//     otherwise by more than the fleet file's affinity-slack, as a share of its
+//     size.
 package route
 
 import (
@@ -25,6 +29,8 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
+
 	"leverdrum/fleet"
 	"leverdrum/ledger"
 	"leverdrum/state"
@@ -37,6 +43,8 @@
 	Class    *fleet.Class
 	Service  *fleet.Service // nil for models
 	Backends []*Backend
+	// AffinitySlack is how much busier a session's backend may be (7).
+	AffinitySlack float64
 }
 
 // Table maps names to targets. It does not change.
@@ -105,10 +113,10 @@
 	d.refresh(view.Fleet)
 	t := &Table{Models: map[string]*Target{}, Services: map[string]*Target{}, Index: view.Index}
 	for name, m := range view.Fleet.Models {
-		t.Models[name] = &Target{Name: name, Class: m.Class}
+		t.Models[name] = &Target{Name: name, Class: m.Class, AffinitySlack: view.Fleet.AffinitySlack}
 	}
 	for name, a := range view.Fleet.Adapters {
-		t.Models[name] = &Target{Name: name, Class: view.Fleet.Models[a.Model].Class}
+		t.Models[name] = &Target{Name: name, Class: view.Fleet.Models[a.Model].Class, AffinitySlack: view.Fleet.AffinitySlack}
 	}
 	for name, s := range view.Fleet.Services {
 		t.Services[name] = d.serviceTarget(name, s)
@@ -135,7 +143,7 @@
 	if b != nil && b.Address == next.Address && b.Hall == next.Hall && b.Concurrency == next.Concurrency && b.Resumes == next.Resumes {
 		return b
 	}
-	next.limit = float64(next.Concurrency)
+	next.limit, next.hash = float64(next.Concurrency), xxhash.Sum64String(next.Name)
 	return next
 }
 
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -36,7 +36,7 @@
 func chosen(d *route.Directory, target *route.Target) map[string]int {
 	count := map[string]int{}
 	for range 300 {
-		if b, _ := d.Choose(target, time.Now(), nil); b != nil {
+		if b, _ := d.Choose(target, time.Now(), route.Wish{}); b != nil {
 			count[b.Name]++
 		}
 	}
@@ -81,7 +81,7 @@
 	g.Expect(bad.Failed(now)).To(BeFalse())
 	g.Expect(bad.Failed(now)).To(BeTrue(), "the third failure in a row takes it out")
 	g.Expect(chosen(d, target)["s0"]).To(BeZero())
-	b, _ := d.Choose(target, now.Add(time.Second), []*route.Backend{d.Backends()["s1"], d.Backends()["s2"]})
+	b, _ := d.Choose(target, now.Add(time.Second), route.Wish{Tried: []*route.Backend{d.Backends()["s1"], d.Backends()["s2"]}})
 	g.Expect(b).To(Equal(bad), "its time is up")
 	for _, name := range []string{"s1", "s2"} {
 		for range 3 {
@@ -148,3 +148,43 @@
 	d.Update(st)
 	g.Expect(d.Table().Models["x"].Backends).To(HaveLen(1))
 }
+
+// TestSessionsKeepTheirBackend is rule 7: two boxes find the same backend for a
+// session, it yields to load, and only the sessions of a backend that goes move.
+func TestSessionsKeepTheirBackend(t *testing.T) {
+	g := NewWithT(t)
+	const sessions = 300
+	d, st, target := newDirectory(t)
+	other := route.NewDirectory("b")
+	other.Update(st)
+	home := func(d *route.Directory, session int) string {
+		b, _ := d.Choose(d.Table().Models["m"], time.Now(), route.Wish{Session: uint64(session)})
+		return b.Name
+	}
+	count, before := map[string]int{}, make([]string, sessions+1)
+	for s := 1; s <= sessions; s++ {
+		before[s] = home(d, s)
+		count[before[s]]++
+		g.Expect(home(other, s)).To(Equal(before[s]))
+	}
+	for _, name := range []string{"s0", "s1", "s2"} {
+		g.Expect(count[name]).To(BeNumerically(">", sessions/5), "%v", count)
+	}
+	d.Backends()["s1"].SetLeaving(true)
+	for s := 1; s <= sessions; s++ {
+		if before[s] == "s1" {
+			g.Expect(home(d, s)).NotTo(Equal("s1"))
+		} else {
+			g.Expect(home(d, s)).To(Equal(before[s]))
+		}
+	}
+	d.Backends()["s1"].SetLeaving(false)
+	for range 7 { // of 10 places, with a slack of half its size
+		d.Backends()["s0"].Begin()
+	}
+	for s := 1; s <= sessions; s++ {
+		g.Expect(home(d, s)).NotTo(Equal("s0"), "it yields to load")
+	}
+	b, _ := d.Choose(target, time.Now(), route.Wish{Session: 1, Tried: []*route.Backend{d.Backends()[before[1]]}})
+	g.Expect(b.Name).NotTo(Equal(before[1]), "a retry goes elsewhere")
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -79,6 +79,7 @@
 mutant late-first-event entry/serve.go 's/ && !j.firstLate//' entry 'TestEntry'
 mutant silent-stream entry/stream.go 's/\tif b.Resumes \{\n\t\thow/\tif false {\n\t\thow/' entry 'TestEntry'
 mutant late-first-admitted admit/admit.go 's/first.Before\(latest\)/false/' admit 'TestLateFirst'
+mutant affinity-herds route/choose.go 's/ && home.load\(\) <= b.load\(\)\+t.AffinitySlack//' route 'TestSessions'
 mutant no-priority admit/admit.go 's/return pa > pb/return pa < pb/' admit 'TestUrgent'
 mutant no-fair-share admit/admit.go 's/return ca < cb/return ca > cb/' admit 'TestCallers'
 mutant hold-until-deadline admit/admit.go 's/t.Deadline.Add\(-g.took\[t.Target.Name\].likely\(\)\)/t.Deadline/' admit 'TestWaitingEnds'
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -29,6 +29,10 @@
 	Concurrency  int
 	TokenTime    time.Duration
 	LoadTime     time.Duration
+	// PrefillByte is the time of reading one byte of a prompt that is not among
+	// the Prefixes message ends that the server keeps.
+	PrefillByte time.Duration
+	Prefixes    int
 	// Resumes numbers the events of streams and goes on behind Last-Event-Id.
 	Resumes bool
 	// Store is the weight store's address, "" for none.
@@ -56,6 +60,7 @@
 	mux         *http.ServeMux
 	slots       chan struct{}
 	incarnation string
+	prefixes    *prefixes
 
 	mu        sync.Mutex
 	residents map[string]*engine.Resident
@@ -74,6 +79,8 @@
 	f.IntVar(&o.Concurrency, "concurrency", 16, "requests at once")
 	f.DurationVar(&o.TokenTime, "token-time", time.Millisecond, "time of one token")
 	f.DurationVar(&o.LoadTime, "load-time", 50*time.Millisecond, "time of one load without a store")
+	f.DurationVar(&o.PrefillByte, "prefill-byte", 0, "time of reading one byte of a prompt that is not kept")
+	f.IntVar(&o.Prefixes, "prefixes", 1000, "prompt messages that are kept")
 	f.BoolVar(&o.Resumes, "resumes-streams", true, "number the events of streams and go on with streams of others")
 	f.StringVar(&o.Store, "store", "", "address of the weight store")
 	return func() http.Handler {
@@ -90,6 +97,7 @@
 func NewEngine(o EngineOptions) *Engine {
 	e := &Engine{
 		opts: o, mux: http.NewServeMux(), slots: make(chan struct{}, o.Concurrency), incarnation: rand.Text(),
+		prefixes:  newPrefixes(o.Prefixes, o.PrefillByte),
 		residents: map[string]*engine.Resident{}, outcomes: map[uint64]engine.Outcome{}, account: EngineAccount{Ran: map[string]int{}},
 	}
 	e.mux.HandleFunc("GET "+engine.StatePath, e.state)
@@ -229,9 +237,10 @@
 }
 
 type chatRequest struct {
-	Model     string `json:"model"`
-	Stream    bool   `json:"stream"`
-	MaxTokens int    `json:"max_tokens"`
+	Model     string            `json:"model"`
+	Messages  []json.RawMessage `json:"messages"`
+	Stream    bool              `json:"stream"`
+	MaxTokens int               `json:"max_tokens"`
 }
 
 // defaultTokens is the length of an answer that was not asked for in tokens.
@@ -272,6 +281,10 @@
 	if f.BreakBefore {
 		breakOff()
 	}
+	if !wait.For(r.Context(), e.prefixes.read(q.Model, q.Messages)) {
+		e.cancelled()
+		return
+	}
 	w.Header().Set(engine.HeaderVersion, version)
 	words := Words(q.Model, version, body, q.MaxTokens)
 	if q.Stream {
