consensus, control: a voter is shown as replaced only when it is

The test killed the second voter then, while the old configuration of which it was a part was still needed: two of three lost at once. An operator who waits for the repair, as OPERATING.md says, would have done the same. Ruled out: the election (both remaining voters campaigned by the joint configuration and could not win it). Now NeededVoters gives all whose votes may still be needed; status lists them, the leader starts no other change meanwhile, and the log says voters-changing and voters-changed.

Before: the new TestReplacedVoterIsNeededUntilTheChangeEnds fails (mutant replaced-too-early).

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -300,12 +300,28 @@
 	return nil
 }
 
+// NeededVoters returns the voters. While a change is under way (settled is false)
+// they are all whose votes may still be needed: those of the agreed configuration
+// and of the newer ones in the log. A voter counts as replaced only when it is not
+// among them any more.
+func (n *Node) NeededVoters() (voters []string, settled bool) {
+	agreed := n.log.configAt(n.commit)
+	newer := n.log.configsBehind(n.commit)
+	needed := map[string]bool{}
+	for _, c := range append(newer, agreed) {
+		for _, id := range slices.Concat(c.GetVoters(), c.GetOutgoing()) {
+			needed[id] = true
+		}
+	}
+	return sortedKeys(needed), len(newer) == 0 && len(agreed.GetOutgoing()) == 0
+}
+
 // ChangeVoters starts a change to the given voters.
 func (n *Node) ChangeVoters(voters []string) error {
 	if !n.Established() || n.transferred { // (2.4)
 		return ErrNotLeader
 	}
-	if n.log.configIndex() > n.commit || len(n.Config().Outgoing) > 0 { // (2.4)
+	if _, settled := n.NeededVoters(); !settled { // (2.4)
 		return ErrChangeUnderWay
 	}
 	if len(voters) == 0 {
--- a/consensus/consensus_test.go
+++ b/consensus/consensus_test.go
@@ -205,6 +205,37 @@
 	g.Expect(n.Role()).To(Equal(consensus.PreCandidate), "nobody else may hold the newest configuration (1.6)")
 }
 
+// TestReplacedVoterIsNeededUntilTheChangeEnds: a process test killed the second
+// voter while the first one's replacement was shown and not yet agreed.
+func TestReplacedVoterIsNeededUntilTheChangeEnds(t *testing.T) {
+	g := NewWithT(t)
+	config := func(index uint64, c *wire.Config) *wire.Entry {
+		data, err := proto.Marshal(c)
+		g.Expect(err).NotTo(HaveOccurred())
+		return &wire.Entry{Index: index, Term: 1, Kind: wire.EntryKind_ENTRY_CONFIG, Data: data}
+	}
+	old, next := []string{"b0/0", "b1/0", "b2/0"}, []string{"b1/0", "b2/0", "s1/0"}
+	entries := []*wire.Entry{config(2, &wire.Config{Voters: next, Outgoing: old}), config(3, &wire.Config{Voters: next})}
+	for _, c := range []struct {
+		commit  uint64
+		entries int
+		voters  []string
+		settled bool
+	}{
+		{1, 0, old, true},
+		{1, 1, []string{"b0/0", "b1/0", "b2/0", "s1/0"}, false},
+		{2, 1, []string{"b0/0", "b1/0", "b2/0", "s1/0"}, false},
+		{2, 2, []string{"b0/0", "b1/0", "b2/0", "s1/0"}, false},
+		{3, 2, next, true},
+	} {
+		n := consensus.New(options("b1/0"), 0, &wire.HardState{Term: 1}, formed(old...), nil)
+		n.Receive(0, &wire.Message{Type: wire.MessageType_MESSAGE_APPEND, From: "b2/0", To: "b1/0", Term: 1, Index: 1, LogTerm: 1, Entries: entries[:c.entries], Commit: c.commit})
+		voters, settled := n.NeededVoters()
+		g.Expect(voters).To(Equal(c.voters), "%+v", c)
+		g.Expect(settled).To(Equal(c.settled), "%+v", c)
+	}
+}
+
 func TestSingleVoterAgreesAlone(t *testing.T) {
 	g := NewWithT(t)
 	n := consensus.New(options("b0/0"), 0, &wire.HardState{Term: 1}, formed("b0/0"), nil)
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -120,6 +120,17 @@
 	return noConfig
 }
 
+// configsBehind returns the configurations behind an index.
+func (l *log) configsBehind(index uint64) []*wire.Config {
+	var list []*wire.Config
+	for _, c := range l.configs {
+		if c.index > index {
+			list = append(list, c.config)
+		}
+	}
+	return list
+}
+
 func (l *log) configIndex() uint64 {
 	if len(l.configs) == 0 {
 		return l.snapshotIndex()
--- a/control/control.go
+++ b/control/control.go
@@ -86,6 +86,7 @@
 	quarantine map[string]time.Time
 	sending    map[uint64]bool
 	short      map[string]string
+	voters     []string // settled, as this leader saw them last
 	leading    bool
 	term       uint64 // of the leadership
 	ledSince   time.Time
@@ -172,6 +173,10 @@
 // repairVoters follows package membership.
 func (c *Controller) repairVoters() {
 	status := c.opts.Replica.Status()
+	if !status.Settled {
+		return // one change after the other
+	}
+	c.noteVoters(status.Voters)
 	in := membership.Input{
 		Self: c.opts.Replica.ID(), Voters: status.Voters, Wanted: c.opts.Wanted, RepairAfter: c.opts.RepairAfter,
 		Members: c.opts.Replica.View().Members, Silent: map[string]time.Duration{}, HoldsAll: status.Holding,
@@ -187,11 +192,19 @@
 		c.opts.Replica.Learn(action.Learn)
 	case action.Voters != nil:
 		if err := c.opts.Replica.ChangeVoters(action.Voters); err == nil {
-			event.VotersChanged.Log(c.opts.Log, zap.Strings("from", status.Voters), zap.Strings("to", action.Voters), zap.String("why", action.Reason))
+			event.VotersChanging.Log(c.opts.Log, zap.Strings("from", status.Voters), zap.Strings("to", action.Voters), zap.String("why", action.Reason))
 		}
 	}
 }
 
+// noteVoters logs that a change has come to its end.
+func (c *Controller) noteVoters(voters []string) {
+	if c.voters != nil && !slices.Equal(c.voters, voters) {
+		event.VotersChanged.Log(c.opts.Log, zap.Strings("voters", voters))
+	}
+	c.voters = voters
+}
+
 func (c *Controller) reportAges() map[string]time.Duration {
 	ages := map[string]time.Duration{}
 	for _, h := range c.opts.Spread.Holdings() {
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -213,9 +213,9 @@
 func (r *Replica) publishStatus() {
 	now := r.Now()
 	s := &Status{
-		Role: r.core.Role(), Term: r.core.Term(), Leader: r.core.Leader(), Commit: r.core.Commit(),
-		Voters: r.core.Config().Voters, Established: r.core.Established(),
+		Role: r.core.Role(), Term: r.core.Term(), Leader: r.core.Leader(), Commit: r.core.Commit(), Established: r.core.Established(),
 	}
+	s.Voters, s.Settled = r.core.NeededVoters()
 	if age, held := r.core.LeaseAge(now); held {
 		s.LeaseFrom, s.LeaseHeld = now-age, true
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -103,7 +103,10 @@
 	Term   uint64
 	Leader string
 	Commit uint64
-	Voters []string
+	// Voters are, while a change is under way, all whose votes may be needed;
+	// Settled is false then.
+	Voters  []string
+	Settled bool
 	// LeaseFrom is when the leader's last answered round was sent, on the
 	// replica's own clock (Now); LeaseHeld is false for others.
 	LeaseFrom time.Duration
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -46,6 +46,7 @@
 mutant lease-after-transfer $core 's/ \|\| n.transferred \{\n\t\treturn 0, false/ {\n\t\treturn 0, false/' consensus 'TestTransfer'
 mutant transfer-for-ever $core 's/late := n.transferred && n.now >= n.transferEnds/late := false/' consensus 'TestTransfer'
 mutant old-incarnation $step 's/if m.To != n.opts.ID \{\n\t\treturn/if false {\n\t\treturn/' consensus 'TestLostDiskDoesNotVote'
+mutant replaced-too-early $core 's/range append\(newer, agreed\)/range []*wire.Config{n.Config()}/' consensus 'TestReplacedVoter'
 mutant removed-leader $core 's/return index > n.commit && isVoter/return index > n.commit+1<<40 \&\& isVoter/' consensus 'TestRemovedVoter'
 claim=claim/claim.go
 mutant claim-no-take-over $claim 's/\tsl.pulling, sl.pulled, sl.since = to, map\[string\]bool\{\}, now/\tsl.ready = to/' claim 'TestAtMostOneCallAKey|TestRolling'
