placement: moves come to an end; a nearly full fleet is repacked

Cause 1: nothing repacked a fleet in which a model fits in sum but on no one accelerator; it stayed without a copy. Now (rule 8) copies in the way are loaded elsewhere first, the fewest bytes that do. Ruled out: hysteresis by age (hides it), remembering what room is for (state that must be agreed).

--- a/fleet/schema.go
+++ b/fleet/schema.go
@@ -7,7 +7,7 @@
 	{Kind: "fleet", Required: true, Text: "The file as a whole.", Keys: []conf.Key{
 		{Name: "number", Type: conf.Int, Min: 1, Required: true, Text: "The file's number. A file replaces one of a lower number only."},
 		{Name: "attainment-weight", Type: conf.Float, Default: "1", Text: "Worth of one request a second answered in time."},
-		{Name: "move-weight", Type: conf.Float, Default: "200", Text: "Price of one move, in requests answered in time. 30 to 100 follows demand closely, 200 to 800 moves little; docs/DESIGN.md has the curve."},
+		{Name: "move-weight", Type: conf.Float, Default: "200", Text: "Price of one move, in requests answered in time. 100 to 400 follows demand closely, 800 moves little; docs/DESIGN.md has the curve."},
 		{Name: "affinity-slack", Type: conf.Float, Default: "0.5", Text: "How much busier, as a share of its size, the model server that holds a session's prompt prefix may be and still be taken; 0 turns affinity off."},
 		{Name: "loads-per-second", Type: conf.Float, Default: "2", Min: 0.01, Text: "Loads that the weight store takes a second."},
 		{Name: "loads-at-once", Type: conf.Int, Default: "8", Min: 1, Text: "Loads that the weight store serves at full speed at once."},
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
 	"leverdrum/fleet"
+	"leverdrum/wire"
 )
 
 const (
@@ -21,6 +23,14 @@
 
 func (l *load) use() float64 { return l.work / l.size }
 
+// late is how many requests a second come too late by the excess.
+func (l *load) late() float64 {
+	if l.work <= 0 {
+		return 0
+	}
+	return l.excess() / l.work * l.requests
+}
+
 // excess is the work that is above good use.
 func (l *load) excess() float64 { return max(0, l.work-goodUse*l.size) }
 
@@ -38,9 +48,10 @@
 // book adds (or takes off, with -1) the model's work on the servers of its
 // copies.
 func (p *planner) book(m *fleet.Model, sign float64) {
-	list := p.serving(m)
+	list, d := p.serving(m), p.in.Demand[m.Name]
 	for _, c := range list {
-		c.acc.load.work += sign * p.in.Demand[m.Name].Places / float64(len(list))
+		c.acc.load.work += sign * d.Places / float64(len(list))
+		c.acc.load.requests += sign * d.Requests / float64(len(list))
 	}
 }
 
@@ -69,10 +80,24 @@
 		if best == nil || best.worth <= p.fleet.MoveWeight {
 			return
 		}
+		if p.disturbed(best) {
+			return
+		}
 		p.move(best)
 	}
 }
 
+// disturbed reports whether a move reckons with servers whose copies make room in
+// this round: what it is worth is known only when that room is used.
+func (p *planner) disturbed(c *candidate) bool {
+	for _, l := range c.touched {
+		if p.clearing[l] {
+			return true
+		}
+	}
+	return false
+}
+
 // candidate is one more copy of a model and what it is worth, in requests
 // answered in time.
 type candidate struct {
@@ -80,6 +105,8 @@
 	acc   *accelerator
 	out   []copyOf // copies that make room for it
 	worth float64
+	// touched are the servers whose work it changes.
+	touched []*load
 }
 
 func (p *planner) bestMove() *candidate {
@@ -100,21 +127,58 @@
 	if d.Places == 0 || len(list) == 0 || len(list) >= m.MaxCopies {
 		return nil
 	}
-	share := d.Places / float64(len(list))
-	relief := 0.0
-	for _, c := range list {
-		relief += min(c.acc.load.excess(), share/float64(len(list)+1))
-	}
-	if relief == 0 {
+	if !slices.ContainsFunc(list, func(c copyOf) bool { return c.acc.load.excess() > 0 }) {
 		return nil
 	}
 	acc, out := p.placeForMore(m)
 	if acc == nil {
 		return nil
 	}
-	gain := min(relief, acc.load.room()) // in places
-	requests := gain / d.Places * d.Requests
-	return &candidate{m, acc, out, requests * lasts.Seconds() * p.fleet.AttainmentWeight}
+	requests, touched := p.spared(m, acc, out)
+	return &candidate{m, acc, out, requests * lasts.Seconds() * p.fleet.AttainmentWeight, touched}
+}
+
+// spared returns how many requests a second fewer come too late with one more
+// copy of the model and without those that make room for it. Each move that is
+// made lowers the sum over all servers, so that moves come to an end (7). It
+// returns the servers whose work changes, too.
+func (p *planner) spared(m *fleet.Model, acc *accelerator, out []copyOf) (float64, []*load) {
+	touched := map[*load]load{acc.load: *acc.load}
+	models := []*fleet.Model{m}
+	for _, c := range out {
+		models = append(models, p.fleet.Models[c.resident.Item.Model])
+	}
+	copies := map[string][]copyOf{}
+	for _, x := range models {
+		copies[x.Name] = slices.Clone(p.copies[x.Name])
+		for _, c := range p.serving(x) {
+			touched[c.acc.load] = *c.acc.load
+		}
+	}
+	before := lateOf(touched)
+	for _, c := range out {
+		p.dropCopy(p.fleet.Models[c.resident.Item.Model], c)
+	}
+	p.addCopy(m, copyOf{acc, &wire.Resident{Server: acc.server.Name, Item: &wire.Item{Model: m.Name, Version: m.Version}, Phase: wire.Phase_PHASE_LOADING}})
+	after := lateOf(touched)
+	for l, was := range touched {
+		*l = was
+	}
+	maps.Copy(p.copies, copies)
+	return before - after, slices.Collect(maps.Keys(touched))
+}
+
+// lateOf sums in the order of size, since sums of fractions depend on it.
+func lateOf(loads map[*load]load) (sum float64) {
+	var list []float64
+	for l := range loads {
+		list = append(list, l.late())
+	}
+	slices.Sort(list)
+	for _, v := range list {
+		sum += v
+	}
+	return sum
 }
 
 // placeForMore returns the accelerator of the server with the most room for
@@ -145,6 +209,9 @@
 		p.load(c.model, c.acc, fmt.Sprintf("demand of %.1f requests a second on %d copies", d.Requests, len(p.serving(c.model))))
 		return
 	}
+	for _, l := range c.touched {
+		p.clearing[l] = true
+	}
 	for _, out := range c.out {
 		p.evict(out, "makes room for a copy of "+c.model.Name)
 	}
--- a/placement/needs.go
+++ b/placement/needs.go
@@ -120,6 +120,9 @@
 			best, bestOut = a, out
 		}
 	}
+	if best == nil && n.have == 0 && p.repack(n.model) { // (8)
+		return
+	}
 	if best == nil {
 		p.plan.Shortages = append(p.plan.Shortages, Shortage{n.model.Name, fmt.Sprintf("%s; no accelerator has %d bytes free now", n.why(), n.model.Footprint())})
 		return
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -21,6 +21,9 @@
 //     over the time that demand is taken to last, is worth more than the price
 //     of a move. A copy that is not needed any more stays until its room is:
 //     taking it away would gain nothing.
+//  8. A model without any copy, for which there is room in sum but on no one
+//     accelerator, gets it by shifting copies that stand in the way: they are
+//     loaded elsewhere first, the fewest bytes that do, and go by rule 5 then.
 package placement
 
 import (
@@ -102,8 +105,8 @@
 	resident *wire.Resident
 }
 
-// load is the work of one server, in places.
-type load struct{ work, size float64 }
+// load is the work of one server: in places, of so many, and in requests a second.
+type load struct{ work, size, requests float64 }
 
 type planner struct {
 	in     Input
@@ -112,11 +115,13 @@
 	index  map[string][]*accelerator
 	copies map[string][]copyOf // by model, any version and phase
 	loads  int
-	plan   Plan
+	// clearing are servers on which copies make room in this round.
+	clearing map[*load]bool
+	plan     Plan
 }
 
 func newPlanner(in Input) *planner {
-	p := &planner{in: in, fleet: in.State.Fleet, copies: map[string][]copyOf{}}
+	p := &planner{in: in, fleet: in.State.Fleet, copies: map[string][]copyOf{}, clearing: map[*load]bool{}}
 	p.index = map[string][]*accelerator{}
 	for _, s := range p.fleet.SortedServers() {
 		l := &load{size: float64(s.Kind.Concurrency)}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -1,8 +1,11 @@
 package placement_test
 
 import (
+	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -196,6 +199,60 @@
 		Expect(copies(st, "m", "1")).To(HaveLen(2))
 	})
 
+	DescribeTable("shifts what stands in the way of a model that fits in sum only (8)",
+		func(models, ready map[string]string, want string, orders int) {
+			text := two
+			for _, name := range slices.Sorted(maps.Keys(models)) {
+				text += "[model " + name + "]\nversion = 1\nclass = c\nmemory = " + models[name] + "\n"
+			}
+			st := agreed(text)
+			for name, server := range ready {
+				standin.Ready(st, server, 0, &wire.Item{Model: name, Version: "1"}, st.Fleet.Models[name].Memory)
+			}
+			for range 30 { // at each order every model but the new one keeps a copy
+				carryOut(st, placement.Decide(placement.Input{State: st}), func() {
+					for name := range ready {
+						Expect(copies(st, name, "1")).NotTo(BeEmpty(), name)
+					}
+				})
+			}
+			Expect(copies(st, want, "1")).To(HaveLen(1))
+			Expect(int(st.Index)-7).To(Equal(2*orders), "orders, each issued and closed")
+			_, plan := settle(st, nil)
+			Expect(plan.Shortages).To(BeEmpty())
+		},
+		Entry("by one shift", map[string]string{"a": "6GiB", "b": "4GiB", "c": "4GiB", "new": "7GiB"},
+			map[string]string{"a": "s1", "b": "s2", "c": "s3"}, "new", 3),
+		Entry("by two shifts", map[string]string{"a": "7GiB", "b": "3GiB", "c": "3GiB", "d": "7GiB", "new": "10GiB"},
+			map[string]string{"a": "s1", "b": "s2", "c": "s2", "d": "s3"}, "new", 5),
+	)
+
+	It("waits for a shift that is under way", func() {
+		text := two + "[server s4]\naddress = 127.0.0.1:4\nhall = b\nkind = k\n"
+		ready := map[string]int{"a": 6, "b": 4, "c": 4, "d": 6}
+		for name, size := range ready {
+			text += fmt.Sprintf("[model %s]\nversion = 1\nclass = c\nmemory = %dGiB\n", name, size)
+		}
+		st := agreed(text + "[model new]\nversion = 1\nclass = c\nmemory = 7GiB\n")
+		for name, server := range map[string]string{"a": "s1", "b": "s2", "c": "s3", "d": "s4"} {
+			standin.Ready(st, server, 0, &wire.Item{Model: name, Version: "1"}, uint64(ready[name])<<30)
+		}
+		first := placement.Decide(placement.Input{State: st}).Decisions
+		Expect(first).To(HaveLen(1))
+		Expect(standin.Agree(st, &wire.Command{Kind: &wire.Command_Issue{Issue: &wire.IssueOrder{Order: first[0].Order}}}).Err).NotTo(HaveOccurred())
+		Expect(placement.Decide(placement.Input{State: st}).Decisions).To(BeEmpty())
+	})
+
+	It("says so when shifting does not help", func() {
+		st := agreed(two + "[model a]\nversion = 1\nmemory = 6GiB\nclass = c\n[model b]\nversion = 1\nmemory = 6GiB\nclass = c\n[model c]\nversion = 1\nmemory = 6GiB\nclass = c\n")
+		st.Fleet.Models["a"].Memory = 10 << 30 // as if a server had been lost
+		standin.Ready(st, "s1", 0, &wire.Item{Model: "b", Version: "1"}, 6<<30)
+		standin.Ready(st, "s2", 0, &wire.Item{Model: "c", Version: "1"}, 6<<30)
+		plan := placement.Decide(placement.Input{State: st, Down: map[string]bool{"s3": true}})
+		Expect(plan.Decisions).To(BeEmpty())
+		Expect(plan.Shortages).To(HaveLen(1))
+	})
+
 	It("opens no more loads at once than the weight store serves", func() {
 		text := two
 		for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"} {
