--- a/placement/demand.go
+++ b/placement/demand.go
@@ -40,7 +40,7 @@
 // spreadWork books each model's demand in equal parts on the servers of its
 // copies.
 func (p *planner) spreadWork() {
-	for _, m := range p.fleet.SortedModels() { // sums depend on their order
+	for _, m := range p.models { // sums depend on their order
 		p.book(m, 1)
 	}
 }
@@ -111,7 +111,7 @@
 
 func (p *planner) bestMove() *candidate {
 	var best *candidate
-	for _, m := range p.fleet.SortedModels() {
+	for _, m := range p.models {
 		if c := p.candidate(m); c != nil && (best == nil || c.worth > best.worth) {
 			best = c
 		}
@@ -187,7 +187,7 @@
 	var best *accelerator
 	var bestOut []copyOf
 	for _, a := range p.accs {
-		if !p.mayHold(m, a) || best != nil && a.load.room() <= best.load.room() {
+		if best != nil && a.load.room() <= best.load.room() || !p.mayHold(m, a) {
 			continue
 		}
 		lack := int64(m.Footprint()) - a.free
--- a/placement/needs.go
+++ b/placement/needs.go
@@ -39,7 +39,7 @@
 
 func (p *planner) needs() []need {
 	var list []need
-	for _, m := range p.fleet.SortedModels() {
+	for _, m := range p.models {
 		if have := len(p.serving(m)); have < m.Copies {
 			list = append(list, need{m, have})
 		}
@@ -56,7 +56,7 @@
 func (p *planner) serving(m *fleet.Model) []copyOf {
 	var list []copyOf
 	for _, c := range p.copies[m.Name] {
-		if c.resident.Item.Version == m.Version && c.resident.Phase != wire.Phase_PHASE_UNLOADING && !p.unusable(c.acc.server) {
+		if c.resident.Item.Version == m.Version && c.resident.Phase != wire.Phase_PHASE_UNLOADING && !c.acc.unusable {
 			list = append(list, c)
 		}
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -30,6 +30,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"leverdrum/fleet"
@@ -92,12 +93,13 @@
 }
 
 type accelerator struct {
-	server *fleet.Server
-	load   *load
-	number uint32
-	free   int64 // bytes, less what is promised to adapters of copies there
-	busy   bool  // takes no further order now
-	models map[string]bool
+	server   *fleet.Server
+	load     *load
+	number   uint32
+	free     int64 // bytes, less what is promised to adapters of copies there
+	unusable bool  // its server leaves or does not answer: copies there do not count
+	busy     bool  // takes no further order now
+	models   map[string]bool
 }
 
 type copyOf struct {
@@ -111,6 +113,8 @@
 type planner struct {
 	in     Input
 	fleet  *fleet.Fleet
+	models []*fleet.Model // sorted
+	places []ledger.Place // of residents, sorted
 	accs   []*accelerator
 	index  map[string][]*accelerator
 	copies map[string][]copyOf // by model, any version and phase
@@ -123,11 +127,14 @@
 func newPlanner(in Input) *planner {
 	p := &planner{in: in, fleet: in.State.Fleet, copies: map[string][]copyOf{}, clearing: map[*load]bool{}}
 	p.index = map[string][]*accelerator{}
+	p.models = p.fleet.SortedModels()
+	p.places = slices.SortedFunc(maps.Keys(in.State.Residents), comparePlaces)
 	for _, s := range p.fleet.SortedServers() {
 		l := &load{size: float64(s.Kind.Concurrency)}
+		unusable := p.unusable(s)
 		for n := range s.Kind.Accelerators {
-			a := &accelerator{server: s, load: l, number: uint32(n), free: int64(s.Kind.Usable()), models: map[string]bool{}}
-			a.busy = p.unusable(s) || in.State.Servers[s.Name].Quarantined
+			a := &accelerator{server: s, load: l, number: uint32(n), free: int64(s.Kind.Usable()), models: map[string]bool{}, unusable: unusable}
+			a.busy = unusable || in.State.Servers[s.Name].Quarantined
 			p.index[s.Name] = append(p.index[s.Name], a)
 			p.accs = append(p.accs, a)
 		}
@@ -154,14 +161,22 @@
 	}
 }
 
+// comparePlaces compares no more than it must: it takes a good part of a decision
+// at the long-run size.
+func comparePlaces(a, b ledger.Place) int {
+	if c := strings.Compare(a.Server, b.Server); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.Accelerator, b.Accelerator); c != 0 {
+		return c
+	}
+	return cmp.Or(strings.Compare(a.Model, b.Model), strings.Compare(a.Adapter, b.Adapter), strings.Compare(a.Version, b.Version))
+}
+
 // countResidents books what is resident, and the room of the adapters that each
 // copy still lacks.
 func (p *planner) countResidents() {
-	places := slices.SortedFunc(maps.Keys(p.in.State.Residents), func(a, b ledger.Place) int {
-		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Accelerator, b.Accelerator), cmp.Compare(a.Model, b.Model),
-			cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Version, b.Version))
-	})
-	for _, place := range places {
+	for _, place := range p.places {
 		list := p.index[place.Server]
 		if int(place.Accelerator) >= len(list) {
 			continue
@@ -204,22 +219,28 @@
 	}
 }
 
-// unloads is rule 4.
+// unloads is rule 4. Adapters go before the models that they stand beside.
 func (p *planner) unloads() {
-	for _, place := range slices.SortedFunc(maps.Keys(p.in.State.Residents), func(a, b ledger.Place) int {
-		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Accelerator, b.Accelerator), cmp.Compare(b.Adapter, a.Adapter), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version))
-	}) {
-		r := p.in.State.Residents[place]
-		acc := p.acc(place)
-		if r.Phase != wire.Phase_PHASE_READY || acc == nil || acc.busy {
-			continue
-		}
-		if why := p.unwanted(place); why != "" {
-			p.order(acc, wire.OrderAction_ORDER_UNLOAD, r.Item, r.Memory, why)
+	for _, adapters := range []bool{true, false} {
+		for _, place := range p.places {
+			if (place.Adapter != "") == adapters {
+				p.unloadUnwanted(place)
+			}
 		}
 	}
 }
 
+func (p *planner) unloadUnwanted(place ledger.Place) {
+	r := p.in.State.Residents[place]
+	acc := p.acc(place)
+	if r.Phase != wire.Phase_PHASE_READY || acc == nil || acc.busy {
+		return
+	}
+	if why := p.unwanted(place); why != "" {
+		p.order(acc, wire.OrderAction_ORDER_UNLOAD, r.Item, r.Memory, why)
+	}
+}
+
 func (p *planner) acc(place ledger.Place) *accelerator {
 	list := p.index[place.Server]
 	if int(place.Accelerator) >= len(list) {
@@ -261,7 +282,7 @@
 
 // adapters is rule 3.
 func (p *planner) adapters() {
-	for _, m := range p.fleet.SortedModels() {
+	for _, m := range p.models {
 		for _, c := range p.copies[m.Name] {
 			if c.resident.Phase == wire.Phase_PHASE_READY && c.resident.Item.Version == m.Version {
 				p.adaptersOf(m, c.acc)
