--- a/placement/demand.go
+++ b/placement/demand.go
@@ -195,7 +195,7 @@
 			best, bestOut = a, nil
 			continue
 		}
-		if out, ok := p.spare(a, lack); ok {
+		if out, ok := p.spare(a, lack, false); ok {
 			best, bestOut = a, out
 		}
 	}
--- a/placement/needs.go
+++ b/placement/needs.go
@@ -115,7 +115,7 @@
 		if !p.mayHold(n.model, a) {
 			continue
 		}
-		out, ok := p.spare(a, int64(n.model.Footprint())-a.free)
+		out, ok := p.spare(a, int64(n.model.Footprint())-a.free, n.have == 0)
 		if ok && (best == nil || len(out) < len(bestOut)) {
 			best, bestOut = a, out
 		}
@@ -133,12 +133,13 @@
 }
 
 // spare returns copies on an accelerator that can go so that so many bytes
-// become free: those whose models keep a ready copy, and their least number,
-// elsewhere; the least asked for go first.
-func (p *planner) spare(a *accelerator, bytes int64) ([]copyOf, bool) {
+// become free: those whose models keep a ready copy elsewhere, and, unless the
+// room is for a model without any copy, their least number; the least asked for go
+// first.
+func (p *planner) spare(a *accelerator, bytes int64, forFirst bool) ([]copyOf, bool) {
 	var list []copyOf
 	for name := range a.models {
-		if c, ok := p.spareCopy(name, a); ok {
+		if c, ok := p.spareCopy(name, a, forFirst); ok {
 			list = append(list, c)
 		}
 	}
@@ -155,7 +156,7 @@
 }
 
 // spareCopy returns the model's copy on an accelerator if it can go.
-func (p *planner) spareCopy(name string, a *accelerator) (copyOf, bool) {
+func (p *planner) spareCopy(name string, a *accelerator, forFirst bool) (copyOf, bool) {
 	m := p.fleet.Models[name]
 	if m == nil {
 		return copyOf{}, false
@@ -172,7 +173,8 @@
 		}
 	}
 	place := ledger.Place{Server: a.server.Name, Accelerator: a.number, Model: name, Version: m.Version}
-	return here, found && ready >= 1 && all > m.Copies && p.settled(m, a) && p.in.State.Stranded(place) == ""
+	enough := forFirst || all > m.Copies
+	return here, found && ready >= 1 && enough && p.settled(m, a) && p.in.State.Stranded(place) == ""
 }
 
 // settled reports whether nothing of the model is being moved on an accelerator.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -15,7 +15,8 @@
 //     more, when it is of an old version and the new one is ready, or to make
 //     room while another copy of it is ready. The ledger checks that again.
 //  5. When nothing has room for a copy that is needed, the fewest copies that
-//     can be spared on one accelerator make room for it.
+//     can be spared on one accelerator make room for it: those beyond their
+//     model's least number, and for a model without any copy all but the last.
 //  6. At most as many loads are open at once as the weight store serves well.
 //  7. Demand moves a copy only when what it gains, in requests answered in time
 //     over the time that demand is taken to last, is worth more than the price
--- a/placement/rest_test.go
+++ b/placement/rest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -103,8 +104,15 @@
 		for i := range models {
 			for s := range servers {
 				name := fmt.Sprint("s", s)
-				if used := book.Used(name, 0); !had[fmt.Sprint("m", i)] && !down[name] && used+uint64(sizes[i])<<30 <= 10<<30 {
-					rt.Fatalf("m%d has no copy and fits on %s", i, name)
+				used := book.Used(name, 0)
+				for j := range models { // what another model's second copy takes counts as room
+					other := fmt.Sprint("m", j)
+					if on := copies(st, other, "1"); slices.Contains(on, name) && len(slices.DeleteFunc(on, func(s string) bool { return down[s] })) > 1 {
+						used -= uint64(sizes[j]) << 30
+					}
+				}
+				if !had[fmt.Sprint("m", i)] && !down[name] && used+uint64(sizes[i])<<30 <= 10<<30 {
+					rt.Fatalf("m%d has no copy and would fit on %s beside the last copies there", i, name)
 				}
 			}
 		}
