spread: reports in bits, a tree that is one, ages that do not grow with depth

Causes, found one behind the other with make capacity: 1. A report had one row a box. Now it names boxes by bits in an agreed epoch's list (why not counts: DESIGN.md). 2. The leader's messages still grew with the boxes. A trace on 19 boxes showed that a box without a vote does not know who votes, took voters for mates of its hall, and so asked them: up to eight children a hall on the leader. The tree now goes by the agreed list: disk or none (TestTree). 3. News aged by up to 0.4 s a level, and a box probes all others when its news is older than 1.5 s. A parent now also answers when it has heard anew itself.

Bench and consensus tests share what stood twice.

--- a/bench/affinity_test.go
+++ b/bench/affinity_test.go
@@ -11,13 +11,7 @@
 	"time"
 
 	"leverdrum/engine"
-	"leverdrum/entry"
-	"leverdrum/meter"
-	"leverdrum/proxy"
-	"leverdrum/record"
-	"leverdrum/route"
 	"leverdrum/standin"
-	"leverdrum/state"
 	"leverdrum/wire"
 )
 
@@ -54,12 +48,7 @@
 	}
 	var boxes []string
 	for range affinityBoxes {
-		d := route.NewDirectory("a")
-		d.Update(st)
-		boxes = append(boxes, serve(t, entry.New(entry.Options{
-			Directory: d, View: func() *state.State { return st }, Current: func() bool { return true }, Sender: proxy.NewSender(),
-			Meters: meter.New(), Records: record.NewBook(100), MaxBody: 1 << 20,
-		})))
+		boxes = append(boxes, serveEntry(t, st))
 	}
 	return boxes
 }
--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -72,13 +72,17 @@
 	address := serve(t, e)
 	st := oneModel(t, address)
 	e.Hold(0, "m", "", "1", 1)
+	return &bed{direct: address, through: serveEntry(t, st)}
+}
+
+// serveEntry serves an entry box before the backend servers of an agreed state.
+func serveEntry(t testing.TB, st *state.State) string {
 	d := route.NewDirectory("a")
 	d.Update(st)
-	en := entry.New(entry.Options{
+	return serve(t, entry.New(entry.Options{
 		Directory: d, View: func() *state.State { return st }, Current: func() bool { return true }, Sender: proxy.NewSender(),
 		Meters: meter.New(), Records: record.NewBook(100), MaxBody: 1 << 20,
-	})
-	return &bed{direct: address, through: serve(t, en)}
+	}))
 }
 
 func oneModel(t testing.TB, address string) *state.State {
--- a/bench/load_test.go
+++ b/bench/load_test.go
@@ -12,13 +12,8 @@
 	"time"
 
 	"leverdrum/engine"
-	"leverdrum/entry"
-	"leverdrum/meter"
 	"leverdrum/proxy"
-	"leverdrum/record"
-	"leverdrum/route"
 	"leverdrum/standin"
-	"leverdrum/state"
 	"leverdrum/wire"
 )
 
@@ -62,12 +57,7 @@
 			standin.Ready(st, fmt.Sprint("s", i), 0, &wire.Item{Model: m, Version: "1"}, 1)
 		}
 	}
-	d := route.NewDirectory("a")
-	d.Update(st)
-	b.box = serve(t, entry.New(entry.Options{
-		Directory: d, View: func() *state.State { return st }, Current: func() bool { return true }, Sender: proxy.NewSender(),
-		Meters: meter.New(), Records: record.NewBook(100), MaxBody: 1 << 20,
-	}))
+	b.box = serveEntry(t, st)
 	return b
 }
 
--- a/consensus/consensus_test.go
+++ b/consensus/consensus_test.go
@@ -208,17 +208,24 @@
 	g.Expect(n.Role()).To(Equal(consensus.Follower), "a transfer that nobody took up must end (4.3)")
 }
 
-func TestRemovedVoterCampaignsWhileItsLogMayBeNeeded(t *testing.T) {
-	g := NewWithT(t)
-	config := func(index uint64, c *wire.Config) *wire.Entry {
+// The change of voters that some tests are in the midst of.
+var old, next = []string{"b0/0", "b1/0", "b2/0"}, []string{"b1/0", "b2/0", "s1/0"}
+
+// changeOfVoters returns its two entries, behind a snapshot at index 1.
+func changeOfVoters(t *testing.T) (list []*wire.Entry) {
+	for i, c := range []*wire.Config{{Voters: next, Outgoing: old}, {Voters: next}} {
 		data, err := proto.Marshal(c)
-		g.Expect(err).NotTo(HaveOccurred())
-		return &wire.Entry{Index: index, Term: 1, Kind: wire.EntryKind_ENTRY_CONFIG, Data: data}
+		if err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, &wire.Entry{Index: uint64(i + 2), Term: 1, Kind: wire.EntryKind_ENTRY_CONFIG, Data: data})
 	}
-	old, next := []string{"b0/0", "b1/0", "b2/0"}, []string{"b1/0", "b2/0", "s1/0"}
-	n := consensus.New(options("b0/0"), 0, &wire.HardState{Term: 1}, formed(old...), []*wire.Entry{
-		config(2, &wire.Config{Voters: next, Outgoing: old}), config(3, &wire.Config{Voters: next}),
-	})
+	return list
+}
+
+func TestRemovedVoterCampaignsWhileItsLogMayBeNeeded(t *testing.T) {
+	g := NewWithT(t)
+	n := consensus.New(options("b0/0"), 0, &wire.HardState{Term: 1}, formed(old...), changeOfVoters(t))
 	n.Tick(time.Hour)
 	g.Expect(n.Role()).To(Equal(consensus.PreCandidate), "nobody else may hold the newest configuration (1.6)")
 }
@@ -227,13 +234,7 @@
 // voter while the first one's replacement was shown and not yet agreed.
 func TestReplacedVoterIsNeededUntilTheChangeEnds(t *testing.T) {
 	g := NewWithT(t)
-	config := func(index uint64, c *wire.Config) *wire.Entry {
-		data, err := proto.Marshal(c)
-		g.Expect(err).NotTo(HaveOccurred())
-		return &wire.Entry{Index: index, Term: 1, Kind: wire.EntryKind_ENTRY_CONFIG, Data: data}
-	}
-	old, next := []string{"b0/0", "b1/0", "b2/0"}, []string{"b1/0", "b2/0", "s1/0"}
-	entries := []*wire.Entry{config(2, &wire.Config{Voters: next, Outgoing: old}), config(3, &wire.Config{Voters: next})}
+	entries := changeOfVoters(t)
 	for _, c := range []struct {
 		commit  uint64
 		entries int
--- a/spread/follow.go
+++ b/spread/follow.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
 	"leverdrum/consensus"
@@ -75,11 +76,7 @@
 	}
 	view, status := s.opts.Replica.View(), s.opts.Replica.Status()
 	leader := boxOf(s.Leader())
-	if slices.Contains(status.Voters, s.opts.Replica.ID()) {
-		add(leader)
-	} else {
-		add(s.treeParent(view, status.Voters))
-	}
+	add(treeParent(view, s.opts.Self))
 	add(leader)
 	for _, id := range status.Voters {
 		add(boxOf(id))
@@ -87,33 +84,30 @@
 	for _, seed := range s.opts.Seeds {
 		add(seed)
 	}
-	for _, m := range hallMates(view, s.opts.Self.Hall, nil) {
+	for _, m := range hallMates(view, s.opts.Self.Hall) {
 		add(m)
 	}
 	return list
 }
 
-// treeParent is rule 2 for a box without a vote, "" when the list does not
-// tell.
-func (s *Spreader) treeParent(view *state.State, voters []string) string {
-	mates := hallMates(view, s.opts.Self.Hall, voters)
-	i := slices.Index(mates, s.opts.Self.Box)
-	if i > 0 {
-		return mates[(i-1)/fanOut]
+// treeParent is rule 2 for a box without a disk, "" when the list does not tell.
+// It goes by the agreed list alone: who votes is not known to those who do not.
+func treeParent(view *state.State, self *wire.Member) string {
+	if self.Disk {
+		return ""
 	}
-	for _, id := range voters {
-		if m := view.Members[boxOf(id)]; m != nil && m.Hall == s.opts.Self.Hall {
-			return m.Box
-		}
+	mates := hallMates(view, self.Hall)
+	if i := slices.Index(mates, self.Box); i > 0 {
+		return mates[(i-1)/fanOut]
 	}
-	return ""
+	return diskBox(view, self.Hall)
 }
 
-// hallMates returns the boxes of a hall that have no vote, by name.
-func hallMates(view *state.State, hall string, voters []string) []string {
+// hallMates returns the boxes of a hall that have no disk, by name.
+func hallMates(view *state.State, hall string) []string {
 	var list []string
 	for _, m := range view.Members {
-		if m.Hall == hall && !m.Leaving && !slices.Contains(voters, state.MemberID(m)) {
+		if m.Hall == hall && !m.Leaving && !m.Disk {
 			list = append(list, m.Box)
 		}
 	}
@@ -121,12 +115,39 @@
 	return list
 }
 
+// diskBox returns a box with a disk: of the hall, or else one of the others, by
+// the hall's name, so that halls without one are shared out.
+func diskBox(view *state.State, hall string) string {
+	var own, others []string
+	for _, m := range view.Members {
+		switch {
+		case !m.Disk || m.Leaving:
+		case m.Hall == hall:
+			own = append(own, m.Box)
+		default:
+			others = append(others, m.Box)
+		}
+	}
+	if len(own) == 0 {
+		own = others
+	}
+	if len(own) == 0 {
+		return ""
+	}
+	slices.Sort(own)
+	return own[xxhash.Sum64String(hall)%uint64(len(own))]
+}
+
 // ask puts one question to a parent and takes over its news.
 func (s *Spreader) ask(ctx context.Context, parent string) error {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	sent := s.opts.Replica.Now()
-	question := &wire.Follow{Member: s.opts.Replica.ID(), Index: s.opts.Replica.View().Index, Subtree: s.dueSubtree(), Demand: s.dueDemand()}
+	subtree := s.dueSubtree()
+	question := &wire.Follow{
+		Member: s.opts.Replica.ID(), Index: s.opts.Replica.View().Index, Demand: s.dueDemand(),
+		Epoch: subtree.epoch, Sets: subtree.sets, Subtree: subtree.rows,
+	}
 	response, err := s.opts.Caller.Call(ctx, parent, &wire.Request{Kind: &wire.Request_Follow{Follow: question}})
 	if err != nil {
 		return Error.Wrap(err)
@@ -155,6 +176,8 @@
 	if complete && u.Fresh && (!s.fresh || at > s.freshAt) {
 		s.fresh, s.freshAt, s.path = true, at, u.Path
 		s.leader = u.Leader
+		close(s.fresher)
+		s.fresher = make(chan struct{})
 	}
 	if !u.Fresh || age > staleParent {
 		return Error.New("box %s has no fresh news", parent)
@@ -163,15 +186,16 @@
 }
 
 // subtree is rule 4 on the side of the asker.
-func (s *Spreader) subtree() []*wire.Holding {
+func (s *Spreader) subtree() report {
 	own := s.opts.Replica.ID()
-	return slices.DeleteFunc(s.Holdings(), func(h *wire.Holding) bool { return h.Member == own })
+	others := slices.DeleteFunc(s.Holdings(), func(h *wire.Holding) bool { return h.Member == own })
+	return pack(others, s.opts.Replica.View())
 }
 
 // dueSubtree returns the subtree when it is time to repeat it.
-func (s *Spreader) dueSubtree() []*wire.Holding {
+func (s *Spreader) dueSubtree() report {
 	if !s.due(&s.reportAt, reportEvery) {
-		return nil
+		return report{}
 	}
 	return s.subtree()
 }
@@ -213,7 +237,11 @@
 func (s *Spreader) report(ctx context.Context, parent string) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	f := &wire.Follow{Member: s.opts.Replica.ID(), Index: s.opts.Replica.View().Index, Subtree: s.subtree(), Urgent: true}
+	subtree := s.subtree()
+	f := &wire.Follow{
+		Member: s.opts.Replica.ID(), Index: s.opts.Replica.View().Index, Urgent: true,
+		Epoch: subtree.epoch, Sets: subtree.sets, Subtree: subtree.rows,
+	}
 	// A report that is lost is made good by the next question.
 	_, _ = s.opts.Caller.Call(ctx, parent, &wire.Request{Kind: &wire.Request_Follow{Follow: f}})
 }
--- /dev/null
+++ b/spread/report_test.go
@@ -0,0 +1,127 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"leverdrum/internal/fixed"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+func TestMain(m *testing.M) {
+	fixed.Rapid(200)
+	m.Run()
+}
+
+func member(box, process int) *wire.Member {
+	return &wire.Member{Box: fmt.Sprintf("box%03d", box), Incarnation: fmt.Sprint("i", process), Process: fmt.Sprint("p", process), Hall: "a"}
+}
+
+// viewOf returns a state that lists members, under an epoch that lists those of
+// them that are named in listed.
+func viewOf(number uint64, members []*wire.Member, listed int) *state.State {
+	st := state.New()
+	e := &wire.Epoch{Number: number}
+	for i, m := range members {
+		st.Members[m.Box] = m
+		if i < listed {
+			e.Processes = append(e.Processes, &wire.Process{Id: state.ProcessID(m), Hall: m.Hall})
+		}
+	}
+	st.Epochs = []*wire.Epoch{e}
+	return st
+}
+
+// TestReportSaysWhatIsHeld: what goes up the tree names the same boxes with the
+// same indices, and ages at most a step older; and none that started again since.
+func TestReportSaysWhatIsHeld(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(rt, "boxes")
+		listed := rapid.IntRange(0, n).Draw(rt, "of the epoch")
+		var members, later []*wire.Member
+		var held []*wire.Holding
+		want := map[string]*wire.Holding{}
+		for i := range n {
+			members = append(members, member(i, 1))
+			again := rapid.Bool().Draw(rt, "starts again")
+			later = append(later, member(i, map[bool]int{false: 1, true: 2}[again]))
+			if !rapid.Bool().Draw(rt, "reported") {
+				continue
+			}
+			h := &wire.Holding{Member: state.MemberID(members[i]), Index: rapid.Uint64Range(1, 3).Draw(rt, "index"), AgeMs: rapid.Uint32Range(0, 2000).Draw(rt, "age")}
+			held = append(held, h)
+			if !again || i >= listed {
+				want[h.Member] = h
+			}
+		}
+		r := pack(held, viewOf(7, members, listed))
+		receiver := viewOf(8, later, n)
+		receiver.Epochs = append(viewOf(7, members, listed).Epochs, receiver.Epochs...)
+		got := unpack(r, receiver)
+		if len(got) != len(want) {
+			rt.Fatalf("%d rows, not %d", len(got), len(want))
+		}
+		for _, h := range got {
+			w := want[h.Member]
+			if w == nil || h.Index != w.Index || h.AgeMs < w.AgeMs || h.AgeMs >= w.AgeMs+uint32(ageStep.Milliseconds()) {
+				rt.Fatalf("%v became %v", w, h)
+			}
+		}
+	})
+}
+
+func TestReportOfAnUnknownEpochTellsNothing(t *testing.T) {
+	m := []*wire.Member{member(0, 1)}
+	r := pack([]*wire.Holding{{Member: state.MemberID(m[0]), Index: 5}}, viewOf(7, m, 1))
+	NewWithT(t).Expect(unpack(r, viewOf(8, m, 1))).To(BeEmpty(), "its places may be those of others")
+}
+
+// TestTree: 400 boxes in nine halls, three of them with a disk. Nobody has more
+// children than the fan-out, the leader's are few, and no way is long. The boxes
+// without a vote used to take the voters for hall mates, and a third of all boxes
+// asked the leader.
+func TestTree(t *testing.T) {
+	g := NewWithT(t)
+	st := state.New()
+	for i := range 400 {
+		m := &wire.Member{Box: fmt.Sprintf("box%03d", i), Hall: fmt.Sprint("hall", i%9), Disk: i < 3}
+		st.Members[m.Box] = m
+	}
+	children := map[string]int{}
+	for _, m := range st.Members {
+		children[treeParent(st, m)]++
+		steps := 0
+		for at := m; !at.Disk; steps++ {
+			at = st.Members[treeParent(st, at)]
+			g.Expect(steps).To(BeNumerically("<", 5), m.Box)
+			g.Expect(at.Hall == m.Hall || at.Disk).To(BeTrue(), "%s asks across halls", m.Box)
+		}
+	}
+	g.Expect(children[""]).To(Equal(3), "the leader is asked by boxes with a disk only")
+	disks := children["box000"] + children["box001"] + children["box002"]
+	g.Expect(disks).To(Equal(9), "one box a hall")
+	for box, n := range children {
+		g.Expect(n).To(BeNumerically("<=", fanOut), box)
+	}
+}
+
+// TestReportOf400BoxesIsSmall bounds what a leader hears in a second.
+func TestReportOf400BoxesIsSmall(t *testing.T) {
+	var members []*wire.Member
+	var held []*wire.Holding
+	for i := range 400 {
+		members = append(members, member(i, 1))
+		held = append(held, &wire.Holding{Member: state.MemberID(members[i]), Index: 1_000_000 + uint64(i%2), AgeMs: uint32(i%7) * 200})
+	}
+	size := func(r report) int {
+		return proto.Size(&wire.Follow{Epoch: r.epoch, Sets: r.sets, Subtree: r.rows})
+	}
+	g := NewWithT(t)
+	g.Expect(size(pack(held, viewOf(7, members, 400)))).To(BeNumerically("<", 1000))
+	g.Expect(size(report{rows: held})).To(BeNumerically(">", 7000), "one row a box")
+}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -4,17 +4,20 @@
 // Rules:
 //
 //  1. A box asks one parent for what it lacks. The parent holds the question
-//     until it has news, at most for a short time.
-//  2. The parents form a tree: voters ask the leader; in each data hall the
-//     first other box by name asks a voter, and the rest ask boxes of their
-//     hall. A parent that fails or has no fresh news is passed over.
+//     until it has news or has heard that nothing is new, at most for a short
+//     time. So the age of what a box knows does not grow with its depth.
+//  2. The parents form a tree: boxes with a disk ask the leader; in each data
+//     hall the first other box by name asks one with a disk, and the rest ask
+//     boxes of their hall. A parent that fails or has no fresh news is passed
+//     over.
 //  3. News carries its age: how long ago a leader was certain to lead. A box
 //     counts the age from before it asked, less the time that the parent held
 //     the question, so that news that was stuck on the way is old news.
 //  4. Each question carries the index in force on the asker and on those that
 //     ask through it, so that the leader knows where a file is in force. When
 //     one of those advances, the asker reports it without waiting for its own
-//     question to come back; else it repeats the list once a second.
+//     question to come back; else it repeats the list once a second. The list
+//     names boxes by their places in an epoch's list of processes.
 //  5. A box is current while its news is younger than the configuration lease.
 //     Without such news it is current only while it hears from a majority of
 //     all boxes and none of them is ahead of it. A file counts as accepted once
@@ -87,6 +90,7 @@
 	parent   string
 	parentAt time.Time
 	advanced chan struct{} // one of the subtree has applied more
+	fresher  chan struct{} // closed when fresher news has come
 	demand   map[string]demandOf
 	demandAt time.Duration // when the own subtree's demand was sent last
 	reportAt time.Duration // when the own subtree's holdings were sent last
@@ -110,7 +114,7 @@
 
 // New returns a Spreader; Run makes it work.
 func New(opts Options) *Spreader {
-	return &Spreader{opts: opts, holdings: map[string]holding{}, probes: map[string]probe{}, advanced: make(chan struct{}, 1), demand: map[string]demandOf{}}
+	return &Spreader{opts: opts, holdings: map[string]holding{}, probes: map[string]probe{}, advanced: make(chan struct{}, 1), fresher: make(chan struct{}), demand: map[string]demandOf{}}
 }
 
 // Run asks parents and, without news, all boxes, until the context ends.
@@ -206,6 +210,9 @@
 func (s *Spreader) awaitNews(ctx context.Context, index uint64) ([]*wire.Entry, *wire.State, error) {
 	timer := time.NewTimer(hold)
 	defer timer.Stop()
+	s.mu.Lock()
+	fresher := s.fresher
+	s.mu.Unlock()
 	for {
 		changed := s.opts.Replica.Changed()
 		if s.opts.Replica.View().Index > index {
@@ -213,6 +220,8 @@
 		}
 		select {
 		case <-changed:
+		case <-fresher:
+			return s.opts.Replica.Since(index)
 		case <-timer.C:
 			return nil, nil, nil
 		case <-ctx.Done():
@@ -233,13 +242,14 @@
 // noteHoldings is rule 4 on the side of the parent.
 func (s *Spreader) noteHoldings(asker string, f *wire.Follow) {
 	now := s.opts.Replica.Now()
+	rows := unpack(report{f.Epoch, f.Sets, f.Subtree}, s.opts.Replica.View())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.holdings[asker].index < f.Index {
 		s.noteAdvance()
 	}
 	s.holdings[asker] = holding{f.Index, now}
-	for _, h := range f.Subtree {
+	for _, h := range rows {
 		if h.Member == s.opts.Replica.ID() {
 			continue // from a time when this box asked others
 		}
