entry: the last attempt does not speak for an earlier one

Cause, found on reading: a repeatable request whose first attempt broke or failed (it ran), and whose second was refused or not reached, was answered with the second one's "not-run". Ruled out for keyed and other calls that may not be repeated: they are retried only after not-run.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -311,6 +311,22 @@
 		Expect(testutil.ToFloat64(b.meters.Count(meter.RetriesMade, reason.RetryStream.Code))).To(BeNumerically(">", 0))
 	})
 
+	DescribeTable("never says not run when an earlier attempt ran",
+		func(f standin.Faults) {
+			b.engines[0].Set(f)
+			b.engines[1].Set(standin.Faults{Refuse: true})
+			for i := range 20 { // the first server is drawn first at least once but for one in 2^20 runs
+				id := fmt.Sprint("call", i)
+				r := b.do(http.MethodPost, engine.ChatPath, ask, entry.HeaderRequestID, id)
+				ran := b.engines[0].Account().Ran[id]
+				Expect(r.outcome == "not-run" && ran > 0).To(BeFalse(), "%s ran %d times and got %s", id, ran, r.reason)
+			}
+			Expect(b.ran()).To(BeNumerically(">", 0))
+		},
+		Entry("and broke", standin.Faults{BreakBefore: true}),
+		Entry("and failed", standin.Faults{Status: 500}),
+	)
+
 	It("passes on the answer of a server that failed when the others fail too, and ejects nobody for it", func() {
 		b.both(standin.Faults{Status: 503})
 		for range 10 {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -120,7 +120,7 @@
 			last = result{answer: answer}
 			continue
 		}
-		last = result{why: failure.Reason, detail: failure.Cause.Error()}
+		last = last.and(result{why: failure.Reason, detail: failure.Cause.Error()})
 		if !e.mayRetry(ctx, j, failure) {
 			return last
 		}
@@ -128,6 +128,16 @@
 	return last
 }
 
+// and returns what is to be said after one more attempt: that it did not run
+// says nothing of an earlier one that did or may have.
+func (r result) and(next result) result {
+	mayHaveRun := r.answer != nil || r.why != nil && r.why.Outcome != reason.NotRun
+	if mayHaveRun && next.why.Outcome == reason.NotRun {
+		return r
+	}
+	return next
+}
+
 // failed reports whether an answer says that the backend failed at the request.
 func failed(a *proxy.Answer) bool {
 	switch a.Status {
