scripts: the truncated-stream mutant names the file that holds it now

Cause: proxy.go was split; the list, run in one go, said that the change does not apply. After: noticed by TestEntry.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -62,7 +62,7 @@
 mutant transport-key-header $proxy 's/req.Header\[strings.ToLower\(k\)\] = v/req.Header[k] = v/' entry 'TestTransport'
 mutant not-run-after-sending $proxy 's/return nil, classify\(err, connected.Load\(\)\)/return nil, classify(err, false)/' entry 'TestEntry'
 mutant late-answer $proxy 's/id != "" && id != a.ID/id != "" \&\& false/' entry 'TestEntry'
-mutant truncated-stream $proxy 's/return ErrTruncated/return nil/' entry 'TestEntry'
+mutant truncated-stream proxy/copy.go 's/return ErrTruncated/return nil/' entry 'TestEntry'
 mutant broken-stream-ends-cleanly entry/serve.go 's/panic\(http.ErrAbortHandler\)/return/' entry 'TestEntry'
 mutant retry-what-may-not entry/serve.go 's/case !j.repeatable:/case false:/' entry 'TestEntry'
 relay=stream/stream.go
