entry: what is remembered of calls is bounded

Cause, found on reading: patience keeps a row a kind of call, and a kind held the method, which callers choose freely: each new word was remembered for ever. Ruled out: lengths (by bits) and targets (from the fleet file).

--- a/entry/patience.go
+++ b/entry/patience.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/bits"
+	"net/http"
 	"sync"
 	"time"
 
@@ -32,6 +34,17 @@
 	size int
 }
 
+// kindOfService returns the kind of a service call. Methods beyond the common ones
+// are one kind: callers choose the word, and must not fill a box's memory with it.
+func kindOfService(name, method string, bodyLength int) kindOfCall {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions:
+	default:
+		method = ""
+	}
+	return kindOfCall{"/" + name, method, bits.Len(uint(bodyLength))}
+}
+
 // usual is how long a kind of call takes.
 type usual struct{ mean, deviation time.Duration }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -77,6 +77,7 @@
 mutant errors-look-well entry/serve.go 's/return a.Rest == nil/return false/' entry 'TestEntry'
 mutant blame-for-poison entry/serve.go 's/case len\(j.suspects\) == 0:/default:/' entry 'TestEntry'
 mutant last-attempt-tells entry/serve.go 's/next.why.Outcome == reason.NotRun \{/next.why.Outcome == "x" {/' entry 'TestEntry'
+mutant patience-unbounded entry/patience.go 's/\t\tmethod = ""\n//' entry 'TestPatience'
 mutant no-patience entry/patience.go 's/may := limit > 0/may := false/' entry 'TestEntry'
 mutant late-first-event entry/serve.go 's/ && !j.firstLate//' entry 'TestEntry'
 mutant silent-stream entry/stream.go 's/\tif b.Resumes \{\n\t\thow/\tif false {\n\t\thow/' entry 'TestEntry'
