--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -98,7 +98,7 @@
 mutant no-repack placement/needs.go 's/ && p.repack\(n.model\)/ \&\& false/' placement 'TestPlacement|TestDecisions'
 mutant repack-for-ever placement/repack.go 's/if p.shiftsUnderWay\(m\) \{/if false {/' placement 'TestPlacement|TestDecisions'
 mutant eviction-costs-nothing placement/demand.go 's/for _, c := range out \{\n\t\tp.dropCopy\(p.fleet.Models\[c.resident.Item.Model\], c\)\n\t\}\n\tp.addCopy/p.addCopy/' placement 'TestDecisions'
-mutant evictions-disturb placement/demand.go 's/if p.disturbed\(best\) \{/if false {/' placement 'TestDecisions'
+mutant evictions-disturb placement/demand.go 's/if p.disturbed\(best\) \{/if false {/' placement 'TestEvictions'
 mutant second-copy-before-first placement/needs.go 's/enough := forFirst \|\| all/enough := all/' placement 'TestDecisions'
 mutant demand-stays-in-the-box spread/demand.go 's/\t\taddDemand\(sum, d.list\)\n//' e2e 'TestDemandReaches'
 mutant no-quarantine state/state.go 's/next.Quarantined = !s.Fleet.Servers\[seen.Server\].Kind.ChecksFences/next.Quarantined = false/' control 'TestMemory'
