--- a/box/box.go
+++ b/box/box.go
@@ -262,7 +262,7 @@
 	p.control = control.New(control.Options{
 		Replica: r, Spread: p.spread, Engines: engines.At,
 		Gone: p.directory.Gone, Wanted: cmp.Or(s.Voters, len(s.FirstMembers)), RepairAfter: s.RepairAfter,
-		Counting: platform.NewEngines(allowed), Holder: s.Box, OrderPause: s.OrderPause, DisksOnly: s.VotersNeedDisks,
+		Counting: platform.NewEngines(allowed), Holder: s.Box, OrderPause: s.OrderPause, DemandSettles: s.DemandSettles, DisksOnly: s.VotersNeedDisks,
 		Records: b.records, Meters: b.meters, Log: b.log,
 	})
 	p.guard = keyed.New(state.ProcessID(self), r, b.pool, b.meters)
--- a/box/reports.go
+++ b/box/reports.go
@@ -44,7 +44,7 @@
 	var wg sync.WaitGroup
 	for name, backend := range p.directory.Backends() {
 		s := f.Servers[name]
-		if s == nil || len(f.Servers) > readAll && s.Hall != b.settings.Hall {
+		if s == nil || s.Pool != "" || len(f.Servers) > readAll && s.Hall != b.settings.Hall {
 			continue
 		}
 		wg.Go(func() {
--- a/control/control.go
+++ b/control/control.go
@@ -79,6 +79,8 @@
 	Holder string
 	// OrderPause is how long a new leader gives no orders (5).
 	OrderPause time.Duration
+	// DemandSettles is how long a new leader waits for demand to be reported.
+	DemandSettles time.Duration
 	// DisksOnly keeps boxes without a disk from voting.
 	DisksOnly   bool
 	Gone        func() map[string]bool
@@ -108,6 +110,7 @@
 	limiter    *rate.Limiter
 
 	heard  map[string]*heard    // announced servers, by id
+	counts map[string]uint64    // orders that servers have taken, where known (6)
 	wanted map[string]time.Time // models and adapters that requests wait for
 	kick   chan struct{}
 }
@@ -122,7 +125,7 @@
 	return &Controller{
 		opts: opts, reports: map[string]report{}, reading: map[string]bool{}, quarantine: map[string]time.Time{},
 		sending: map[uint64]bool{}, short: map[string]string{},
-		heard: map[string]*heard{}, wanted: map[string]time.Time{}, kick: make(chan struct{}, 1),
+		heard: map[string]*heard{}, counts: map[string]uint64{}, wanted: map[string]time.Time{}, kick: make(chan struct{}, 1),
 	}
 }
 
@@ -183,6 +186,7 @@
 		c.reports = map[string]report{}
 		c.quarantine = map[string]time.Time{}
 		c.heard = map[string]*heard{}
+		c.counts = map[string]uint64{}
 		c.wanted = map[string]time.Time{}
 		c.mu.Unlock()
 		c.opts.Meters.Count(meter.Elections).Inc()
@@ -389,7 +393,7 @@
 
 // decide issues what placement asks for, at the rate of the weight store.
 func (c *Controller) decide(ctx context.Context, view *state.State) {
-	plan := placement.Decide(placement.Input{State: view, Demand: c.demand(view), Down: c.down(view), Since: time.Since(c.ledSince), Wanted: c.wants()})
+	plan := placement.Decide(placement.Input{State: view, Demand: c.demand(view), Down: c.down(view), Since: time.Since(c.ledSince), Wanted: c.wants(), Settles: c.opts.DemandSettles})
 	c.noteShortages(plan.Shortages)
 	for _, d := range plan.Decisions {
 		if fromStore(view, d.Order) && !c.allowLoad(view.Fleet) {
@@ -409,6 +413,7 @@
 		what, d.Reason = "not issued: "+what, result.Err.Error()
 	}
 	c.opts.Records.Note(record.Model, nameOf(d.Order.Item), what, d.Reason)
+	event.OrderIssued.Log(c.opts.Log, zap.String("order", what), zap.String("why", d.Reason), zap.Uint64("id", result.Order.GetId()))
 }
 
 func nameOf(i *wire.Item) string {
--- a/control/counted.go
+++ b/control/counted.go
@@ -37,23 +37,44 @@
 	count  uint64
 	known  bool
 	unsure bool
+	// moved tells that the server's count is surely one more than before.
+	moved bool
 }
 
 // finishCounted is rule 6.
 func (c *Controller) finishCounted(ctx context.Context, o *wire.Order, s *fleet.Server) {
 	x := &counted{c: c, order: o, addr: s.Address, unsure: o.Term != c.opts.Replica.Status().Term}
+	if !x.unsure {
+		x.count, x.known = c.countOf(o.Server)
+	}
+	began := time.Now()
 	for c.mayGoOn(ctx, o) {
 		if out, done := x.step(ctx); done {
+			c.noteOrdered(x)
 			c.close(ctx, o, out)
-			c.noteOrdered(o.Server)
+			event.OrderClosed.Log(c.opts.Log, zap.Uint64("id", o.Id), zap.Bool("done", out.Done), zap.String("detail", out.Detail), zap.Duration("took", time.Since(began)))
 			return
 		}
 	}
 }
 
-func (c *Controller) noteOrdered(server string) {
+// countOf returns how many orders a server has taken, if that is known.
+func (c *Controller) countOf(server string) (uint64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, ok := c.counts[server]
+	return n, ok
+}
+
+// noteOrdered remembers a server's count behind an order, and when it was closed.
+func (c *Controller) noteOrdered(x *counted) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	server := x.order.Server
+	delete(c.counts, server)
+	if x.moved {
+		c.counts[server] = x.count + 1
+	}
 	if h := c.heard[server]; h != nil {
 		h.ordered = time.Now()
 	}
@@ -85,8 +106,10 @@
 	}
 	switch verdict {
 	case engine.Taken:
+		x.moved = true
 		return x.await(ctx)
 	case engine.Holds:
+		x.moved = x.order.Item.Adapter != "" && x.order.Action == wire.OrderAction_ORDER_UNLOAD
 		return engine.Outcome{Done: true}, true
 	case engine.Conflict:
 		x.known = false
--- a/event/event.go
+++ b/event/event.go
@@ -43,6 +43,12 @@
 	OrderUnanswered    = add(Event{"order-unanswered", zapcore.WarnLevel, "An order to a model server got no answer.", "Nothing: its room stays counted until the server's state settles it."})
 )
 
+// The events of orders.
+var (
+	OrderIssued = add(Event{"order-issued", zapcore.InfoLevel, "Placement decided on an order.", "Nothing; why names what decided it. One that was not issued is decided anew."})
+	OrderClosed = add(Event{"order-closed", zapcore.InfoLevel, "It is known what became of an order.", "Nothing, unless done is false often: see detail."})
+)
+
 // The events of announced backend servers.
 var (
 	ServerAnnounced = add(Event{"server-announced", zapcore.InfoLevel, "What a backend server says of itself was agreed.", "Nothing."})
--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -45,7 +45,7 @@
 // fill.
 func New() *Fleet {
 	f := newFleet()
-	f.AttainmentWeight, f.MoveWeight, f.AffinitySlack = 1, 200, 0.5
+	f.AttainmentWeight, f.MoveWeight, f.AffinitySlack, f.GoodUse = 1, 200, 0.5, 0.8
 	f.LoadsPerSecond, f.LoadsAtOnce = 2, 8
 	return f
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,8 +19,11 @@
 	AttainmentWeight float64
 	MoveWeight       float64
 	AffinitySlack    float64
-	LoadsPerSecond   float64
-	LoadsAtOnce      int
+	// GoodUse is the share of a model server's places up to which answers come in
+	// time.
+	GoodUse        float64
+	LoadsPerSecond float64
+	LoadsAtOnce    int
 
 	Halls     map[string]*Hall
 	Classes   map[string]*Class
@@ -208,7 +211,7 @@
 	f := r.fleet
 	f.Number = uint64(head.Int("number"))
 	f.AttainmentWeight, f.MoveWeight = head.Float("attainment-weight"), head.Float("move-weight")
-	f.AffinitySlack = head.Float("affinity-slack")
+	f.AffinitySlack, f.GoodUse = head.Float("affinity-slack"), head.Float("good-use")
 	f.LoadsPerSecond, f.LoadsAtOnce = head.Float("loads-per-second"), head.Int("loads-at-once")
 	for _, p := range r.doc.Parts("hall") {
 		f.Halls[p.Name] = &Hall{p.Name, p.String("region")}
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -11,12 +12,14 @@
 )
 
 const (
-	// goodUse is the share of a server's places up to which answers come in time.
-	goodUse = 0.8
 	// lasts is how long demand is taken to last.
 	lasts = 5 * time.Minute
-	// demandSettles is how long a new leader waits for demand to be reported.
-	demandSettles = 10 * time.Second
+	// DemandSettles is how long a new leader waits for demand to be reported,
+	// unless Input says otherwise.
+	DemandSettles = 10 * time.Second
+	// askedFor is the rate, in requests a second, from which an on-demand adapter
+	// counts as asked for (10).
+	askedFor = 0.15
 	// movesAtOnce bounds the copies that demand moves in one decision.
 	movesAtOnce = 4
 )
@@ -32,10 +35,10 @@
 }
 
 // excess is the work that is above good use.
-func (l *load) excess() float64 { return max(0, l.work-goodUse*l.size) }
+func (l *load) excess() float64 { return max(0, l.work-l.good*l.size) }
 
 // room is the work that still fits into good use.
-func (l *load) room() float64 { return max(0, goodUse*l.size-l.work) }
+func (l *load) room() float64 { return max(0, l.good*l.size-l.work) }
 
 // spreadWork books each model's demand in equal parts on the servers of its
 // copies.
@@ -69,7 +72,7 @@
 
 // followDemand is rule 7.
 func (p *planner) followDemand() {
-	if p.in.Since < demandSettles {
+	if p.in.Since < cmp.Or(p.in.Settles, DemandSettles) {
 		return
 	}
 	for range movesAtOnce {
@@ -124,7 +127,7 @@
 func (p *planner) candidate(m *fleet.Model) *candidate {
 	d := p.in.Demand[m.Name]
 	list := p.serving(m)
-	if d.Places == 0 || len(list) == 0 || len(list) >= m.MaxCopies {
+	if d.Places == 0 || len(list) == 0 || len(list) >= m.MaxCopies || p.roomFor[m.Name] { // (11)
 		return nil
 	}
 	if !slices.ContainsFunc(list, func(c copyOf) bool { return c.acc.load.excess() > 0 }) {
@@ -182,21 +185,26 @@
 }
 
 // placeForMore returns the accelerator of the server with the most room for
-// work, on which the copy fits or can be made to fit.
+// work, less the work of copies that must go, on which the copy fits or can be made to fit.
 func (p *planner) placeForMore(m *fleet.Model) (*accelerator, []copyOf) {
 	var best *accelerator
 	var bestOut []copyOf
+	most := 0.0
 	for _, a := range p.accs {
-		if best != nil && a.load.room() <= best.load.room() || !p.mayHold(m, a) {
+		if best != nil && a.load.room() <= most || !p.mayHold(m, a) {
 			continue
 		}
-		lack := int64(m.Footprint()) - a.free
-		if lack <= 0 {
-			best, bestOut = a, nil
-			continue
+		var out []copyOf
+		if lack := int64(m.Footprint()) - a.free; lack > 0 {
+			spared, ok := p.spare(a, lack, false)
+			if !ok {
+				continue
+			}
+			out = spared
 		}
-		if out, ok := p.spare(a, lack, false); ok {
-			best, bestOut = a, out
+		// What the copies in the way do must be done elsewhere.
+		if room := a.load.room() - p.missed(out); best == nil || room > most {
+			best, bestOut, most = a, out, room
 		}
 	}
 	return best, bestOut
@@ -213,6 +221,6 @@
 		p.clearing[l] = true
 	}
 	for _, out := range c.out {
-		p.evict(out, "makes room for a copy of "+c.model.Name)
+		p.evict(out, c.model.Name)
 	}
 }
--- a/placement/needs.go
+++ b/placement/needs.go
@@ -14,13 +14,14 @@
 type need struct {
 	model *fleet.Model
 	have  int
+	least int
 }
 
 func (n need) why() string {
 	if n.have == 0 {
 		return "no copy"
 	}
-	return fmt.Sprintf("%d of %d copies", n.have, n.model.Copies)
+	return fmt.Sprintf("%d of %d copies", n.have, n.least)
 }
 
 // fillNeeds places what has no copy, and then what has too few (1).
@@ -40,8 +41,8 @@
 func (p *planner) needs() []need {
 	var list []need
 	for _, m := range p.models {
-		if have := len(p.serving(m)); have < m.Copies {
-			list = append(list, need{m, have})
+		if have := len(p.serving(m)); have < p.least(m) {
+			list = append(list, need{m, have, p.least(m)})
 		}
 	}
 	slices.SortStableFunc(list, func(a, b need) int {
@@ -109,6 +110,9 @@
 
 // makeRoom is rule 5. The copy itself is placed once the room is there.
 func (p *planner) makeRoom(n need) {
+	if p.roomFor[n.model.Name] { // (11)
+		return
+	}
 	var best *accelerator
 	var bestOut []copyOf
 	for _, a := range p.accs {
@@ -116,7 +120,7 @@
 			continue
 		}
 		out, ok := p.spare(a, int64(n.model.Footprint())-a.free, n.have == 0)
-		if ok && (best == nil || len(out) < len(bestOut)) {
+		if ok && (best == nil || cmp.Or(cmp.Compare(len(out), len(bestOut)), cmp.Compare(p.missed(out), p.missed(bestOut))) < 0) {
 			best, bestOut = a, out
 		}
 	}
@@ -128,8 +132,17 @@
 		return
 	}
 	for _, c := range bestOut {
-		p.evict(c, "makes room for "+n.model.Name)
+		p.evict(c, n.model.Name)
+	}
+}
+
+// missed is the work, in places, that copies do.
+func (p *planner) missed(list []copyOf) (work float64) {
+	for _, c := range list {
+		m := p.fleet.Models[c.resident.Item.Model]
+		work += p.in.Demand[m.Name].Places / float64(max(1, len(p.serving(m))))
 	}
+	return work
 }
 
 // spare returns copies on an accelerator that can go so that so many bytes
@@ -173,7 +186,7 @@
 		}
 	}
 	place := ledger.Place{Server: a.server.Name, Accelerator: a.number, Model: name, Version: m.Version}
-	enough := forFirst || all > m.Copies
+	enough := forFirst || all > p.least(m)
 	return here, found && ready >= 1 && enough && p.settled(m, a) && p.in.State.Stranded(place) == ""
 }
 
@@ -188,8 +201,8 @@
 }
 
 // evict orders a copy away. Its adapters follow once they are without it.
-func (p *planner) evict(c copyOf, why string) {
-	p.order(c.acc, wire.OrderAction_ORDER_UNLOAD, c.resident.Item, c.resident.Memory, why)
+func (p *planner) evict(c copyOf, roomFor string) {
+	p.orderFor(c.acc, wire.OrderAction_ORDER_UNLOAD, c.resident.Item, c.resident.Memory, roomFor, "makes room for "+roomFor)
 	c.acc.busy = true // nothing else moves there in this round
 	p.dropCopy(p.fleet.Models[c.resident.Item.Model], c)
 }
--- a/placement/ondemand.go
+++ b/placement/ondemand.go
@@ -81,3 +81,28 @@
 	return place.Server == acc.server.Name && place.Accelerator == acc.number && place.Adapter != "" &&
 		r.Phase == wire.Phase_PHASE_READY && !p.in.Wanted[place.Adapter]
 }
+
+// least is the least number of copies of a model (10).
+func (p *planner) least(m *fleet.Model) int {
+	slots := p.slots[m.Pool]
+	if slots == 0 {
+		return m.Copies
+	}
+	return min(max(m.Copies, (p.asked[m.Name]+slots-1)/slots), m.MaxCopies)
+}
+
+// countAsked counts the on-demand adapters of each model that are asked for, and
+// the slots of each pool's servers (10).
+func (p *planner) countAsked() {
+	p.asked, p.slots = map[string]int{}, map[string]int{}
+	for name, pool := range p.fleet.Pools {
+		if pool.Kind != nil {
+			p.slots[name] = pool.Kind.AdapterSlots
+		}
+	}
+	for name, d := range p.in.Demand {
+		if a := p.fleet.Adapters[name]; a != nil && a.OnDemand && d.Requests >= askedFor {
+			p.asked[a.Model]++
+		}
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -28,6 +28,8 @@
 //  9. An on-demand adapter that requests wait for is loaded beside the copy of
 //     its model with the fewest adapters; where all slots are taken, the adapter
 //     that is asked for least goes.
+//  10. A model has at least so many copies that all its on-demand adapters that
+//     are asked for find a slot.
 package placement
 
 import (
@@ -65,6 +67,9 @@
 	Since time.Duration
 	// Wanted are models and on-demand adapters that requests wait for.
 	Wanted map[string]bool
+	// Settles is how long a new leader waits for demand to be reported; 0:
+	// DemandSettles.
+	Settles time.Duration
 }
 
 // Decision is one order with its reason.
@@ -115,7 +120,8 @@
 }
 
 // load is the work of one server: in places, of so many, and in requests a second.
-type load struct{ work, size, requests float64 }
+// good is the share of the places up to which answers come in time.
+type load struct{ work, size, requests, good float64 }
 
 type planner struct {
 	in     Input
@@ -128,7 +134,12 @@
 	loads  int
 	// clearing are servers on which copies make room in this round.
 	clearing map[*load]bool
-	plan     Plan
+	// asked counts the on-demand adapters of each model that are asked for; slots
+	// are the adapter slots of each pool's servers.
+	asked, slots map[string]int
+	// roomFor names the models that room is being made for (11).
+	roomFor map[string]bool
+	plan         Plan
 }
 
 func newPlanner(in Input) *planner {
@@ -137,7 +148,7 @@
 	p.models = p.fleet.SortedModels()
 	p.places = slices.SortedFunc(maps.Keys(in.State.Residents), comparePlaces)
 	for _, s := range p.fleet.SortedServers() {
-		l := &load{size: float64(s.Kind.Concurrency)}
+		l := &load{size: float64(s.Kind.Concurrency), good: p.fleet.GoodUse}
 		unusable := p.unusable(s)
 		for n := range s.Kind.Accelerators {
 			a := &accelerator{server: s, load: l, number: uint32(n), free: int64(s.Kind.Usable()), models: map[string]bool{}, unusable: unusable}
@@ -146,6 +157,7 @@
 			p.accs = append(p.accs, a)
 		}
 	}
+	p.countAsked()
 	p.countOrders()
 	p.countResidents()
 	p.spreadWork()
@@ -158,7 +170,11 @@
 }
 
 func (p *planner) countOrders() {
+	p.roomFor = map[string]bool{}
 	for _, o := range p.in.State.Orders {
+		if o.RoomFor != "" {
+			p.roomFor[o.RoomFor] = true
+		}
 		if o.Action == wire.OrderAction_ORDER_LOAD {
 			p.loads++
 		}
@@ -217,9 +233,14 @@
 }
 
 func (p *planner) order(acc *accelerator, action wire.OrderAction, item *wire.Item, memory uint64, why string) {
+	p.orderFor(acc, action, item, memory, "", why)
+}
+
+// orderFor is an order that makes room for a model.
+func (p *planner) orderFor(acc *accelerator, action wire.OrderAction, item *wire.Item, memory uint64, roomFor, why string) {
 	p.plan.Decisions = append(p.plan.Decisions, Decision{&wire.Order{
 		Action: action, Server: acc.server.Name, ServerIncarnation: p.in.State.Servers[acc.server.Name].GetIncarnation(),
-		Accelerator: acc.number, Item: item, Memory: memory, Reason: why,
+		Accelerator: acc.number, Item: item, Memory: memory, Reason: why, RoomFor: roomFor,
 	}, why})
 	if !acc.server.Kind.ChecksFences {
 		acc.busy = true
--- a/placement/repack.go
+++ b/placement/repack.go
@@ -54,7 +54,7 @@
 		}
 		room := a.free
 		for name := range a.models {
-			if other := p.fleet.Models[name]; other != nil && len(p.serving(other)) > other.Copies {
+			if other := p.fleet.Models[name]; other != nil && len(p.serving(other)) > p.least(other) {
 				room += int64(other.Footprint())
 			}
 		}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -59,6 +59,7 @@
 	}},
 	{Kind: "orders", Text: "Orders to model servers.", Keys: []conf.Key{
 		{Name: "pause", Type: conf.Duration, Default: "0s", Text: "How long a new leader gives no orders, so that the one before it surely gives none."},
+		{Name: "demand-settles", Type: conf.Duration, Default: "10s", Text: "How long a new leader waits for demand to be reported before it moves anything for its sake."},
 	}},
 	{Kind: "budget", Text: "Repeats of requests by host and path, over all boxes together.", Keys: []conf.Key{
 		{Name: "ratio", Type: conf.Float, Default: "0.1", Text: "Repeats that each request to a service earns."},
@@ -133,11 +134,12 @@
 	PlatformListen string
 	AcceptWait     time.Duration
 
-	OrderPause   time.Duration
-	BudgetRatio  float64
-	BudgetSlack  float64
-	BudgetWindow time.Duration
-	Memory       int64
+	OrderPause    time.Duration
+	DemandSettles time.Duration
+	BudgetRatio   float64
+	BudgetSlack   float64
+	BudgetWindow  time.Duration
+	Memory        int64
 
 	DataFolder   string
 	DataLimit    int64
@@ -203,7 +205,7 @@
 		Form: cluster.Bool("form"), Voters: cluster.Int("voters"), VotersNeedDisks: cluster.Bool("voters-need-disks"),
 		Dialect: entry.String("dialect"), ReadyListen: entry.String("ready-listen"),
 		OperatorListen: operator.String("listen"), PlatformListen: operator.String("platform-listen"), AcceptWait: operator.Duration("accept-wait"),
-		OrderPause:  d.Part("orders").Duration("pause"),
+		OrderPause: d.Part("orders").Duration("pause"), DemandSettles: d.Part("orders").Duration("demand-settles"),
 		BudgetRatio: budget.Float("ratio"), BudgetSlack: budget.Float("slack"), BudgetWindow: budget.Duration("window"),
 		Memory:     int64(d.Part("limits").Bytes("memory")),
 		DataFolder: data.String("folder"), DataLimit: int64(data.Bytes("limit")), CompactAfter: data.Int("compact-after"),
