box, control: recovery when all processes were killed; SIGHUP; inherited orders

A box that is named by its IP number is found without the state, and the leader calls on silent listed boxes.

--- a/box/box.go
+++ b/box/box.go
@@ -68,6 +68,8 @@
 	entryHTTP    *http.Server
 	// others serve what only some boxes have.
 	others []*http.Server
+	// boxes are the newest addresses by the settings, nil before a reload.
+	boxes  atomic.Pointer[map[string]string]
 	fatal  chan error
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -202,9 +204,32 @@
 			return m.PeerAddress
 		}
 	}
-	return b.settings.Boxes[box]
+	if address := b.known()[box]; address != "" {
+		return address
+	}
+	return b.settings.AddressOf(box)
+}
+
+// meet opens a session to a box, so that one which lost its state with its last
+// process learns of the cluster again.
+func (b *Box) meet(ctx context.Context, box string) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	_, _ = b.pool.Meet(ctx, box) // tried again while the box is silent
 }
 
+// known returns the addresses of boxes by the settings.
+func (b *Box) known() map[string]string {
+	if m := b.boxes.Load(); m != nil {
+		return *m
+	}
+	return b.settings.Boxes
+}
+
+// Reload takes over the addresses of known boxes; all else stays as it was at the
+// start.
+func (b *Box) Reload(s *settings.Settings) { b.boxes.Store(&s.Boxes) }
+
 // run finds the cluster and then keeps all parts going until the context ends.
 func (b *Box) run(ctx context.Context) {
 	if err := b.awaitCluster(ctx); err != nil {
@@ -261,7 +286,7 @@
 	engines := engine.NewClient(allowed)
 	p.control = control.New(control.Options{
 		Replica: r, Spread: p.spread, Engines: engines.At,
-		Gone: p.directory.Gone, Wanted: cmp.Or(s.Voters, len(s.FirstMembers)), RepairAfter: s.RepairAfter,
+		Gone: p.directory.Gone, Meet: b.meet, Wanted: cmp.Or(s.Voters, len(s.FirstMembers)), RepairAfter: s.RepairAfter,
 		Counting: platform.NewEngines(allowed), Holder: s.Box, OrderPause: s.OrderPause, DemandSettles: s.DemandSettles, DisksOnly: s.VotersNeedDisks,
 		Records: b.records, Meters: b.meters, Log: b.log,
 	})
--- a/box/form.go
+++ b/box/form.go
@@ -49,7 +49,8 @@
 		member *wire.Member
 	}
 	answers := make(chan answer)
-	for name := range b.settings.Boxes {
+	boxes := b.known()
+	for name := range boxes {
 		go func() {
 			if name == b.settings.Box {
 				answers <- answer{name, b.id.Self()}
@@ -63,7 +64,7 @@
 		}()
 	}
 	met := map[string]*wire.Member{}
-	for range b.settings.Boxes {
+	for range boxes {
 		if a := <-answers; a.member != nil {
 			met[a.box] = a.member
 		}
--- a/control/control.go
+++ b/control/control.go
@@ -64,6 +64,10 @@
 	expectedFor = 30 * time.Second
 	// resendPause is the wait before an order is sent again (3).
 	resendPause = 500 * time.Millisecond
+	// meetEvery is the time between two calls on a silent box, meetAfter the silence
+	// before the first.
+	meetEvery = time.Second
+	meetAfter = 2500 * time.Millisecond
 	// storeBurst is how many loads may begin at once when none began lately.
 	storeBurst = 3
 )
@@ -82,8 +86,10 @@
 	// DemandSettles is how long a new leader waits for demand to be reported.
 	DemandSettles time.Duration
 	// DisksOnly keeps boxes without a disk from voting.
-	DisksOnly   bool
-	Gone        func() map[string]bool
+	DisksOnly bool
+	Gone      func() map[string]bool
+	// Meet opens a session to a box; nil where boxes find the cluster by themselves.
+	Meet        func(ctx context.Context, box string)
 	Wanted      int // voters
 	RepairAfter time.Duration
 	Records     *record.Book
@@ -113,6 +119,7 @@
 	counts map[string]uint64    // orders that servers have taken, where known (6)
 	wanted map[string]time.Time // models and adapters that requests wait for
 	kick   chan struct{}
+	metAt  time.Time // when silent boxes were called on last
 }
 
 type report struct {
@@ -161,6 +168,7 @@
 	}
 	c.repairVoters()
 	c.forgetBoxes(ctx)
+	c.meetSilent(ctx)
 	c.expire(ctx, c.opts.Replica.View())
 	view := c.opts.Replica.View()
 	if view.Fleet == nil {
@@ -268,6 +276,21 @@
 	}
 }
 
+// meetSilent calls on listed boxes that are silent: after a restart such a box may
+// know only boxes that have forgotten the cluster, too.
+func (c *Controller) meetSilent(ctx context.Context) {
+	if c.opts.Meet == nil || time.Since(c.metAt) < meetEvery {
+		return
+	}
+	c.metAt = time.Now()
+	ages := c.reportAges()
+	for _, m := range c.opts.Replica.View().Members {
+		if age, ok := ages[state.MemberID(m)]; !ok || age > meetAfter {
+			go c.opts.Meet(ctx, m.Box)
+		}
+	}
+}
+
 // readStates begins to read the state of each server that is due. A server that
 // does not answer holds up nobody.
 func (c *Controller) readStates(ctx context.Context, view *state.State) {
--- a/control/counted.go
+++ b/control/counted.go
@@ -5,11 +5,13 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"leverdrum/engine"
 	"leverdrum/event"
 	"leverdrum/fleet"
 	"leverdrum/internal/wait"
+	"leverdrum/ledger"
 	"leverdrum/meter"
 	"leverdrum/state"
 	"leverdrum/wire"
@@ -37,13 +39,18 @@
 	count  uint64
 	known  bool
 	unsure bool
+	// inherited tells that another leader sent it, conflicts how often the server's
+	// count was another.
+	inherited bool
+	conflicts int
 	// moved tells that the server's count is surely one more than before.
 	moved bool
 }
 
 // finishCounted is rule 6.
 func (c *Controller) finishCounted(ctx context.Context, o *wire.Order, s *fleet.Server) {
-	x := &counted{c: c, order: o, addr: s.Address, unsure: o.Term != c.opts.Replica.Status().Term}
+	inherited := o.Term != c.opts.Replica.Status().Term
+	x := &counted{c: c, order: o, addr: s.Address, unsure: inherited, inherited: inherited}
 	if !x.unsure {
 		x.count, x.known = c.countOf(o.Server)
 	}
@@ -88,12 +95,19 @@
 			wait.For(ctx, countedResend)
 			return engine.Outcome{}, false
 		}
-		if x.unsure && !r.Busy && x.agrees(r) {
-			return engine.Outcome{Done: true, Detail: "by the server's report"}, true
-		}
-		if r.Busy {
+		switch {
+		case r.Busy:
 			wait.For(ctx, reportPause)
 			return engine.Outcome{}, false
+		case x.unsure && x.agrees(r):
+			return engine.Outcome{Done: true, Detail: "by the server's report"}, true
+		case x.inherited:
+			// What another box sent is not sent again under its fence. A copy that is
+			// late is met by the count: the next order conflicts, see surprised.
+			return engine.Outcome{Detail: "of another leader, not carried out by the server's report"}, true
+		case x.conflicts > 0 && x.surprised(r):
+			x.c.believe(ctx, x.order, r)
+			return engine.Outcome{Detail: "the server holds other things than agreed"}, true
 		}
 		x.count, x.known = r.Count, true
 	}
@@ -113,6 +127,7 @@
 		return engine.Outcome{Done: true}, true
 	case engine.Conflict:
 		x.known = false
+		x.conflicts++
 		wait.For(ctx, countedResend)
 		return engine.Outcome{}, false
 	}
@@ -167,6 +182,45 @@
 	return held == (x.order.Action == wire.OrderAction_ORDER_LOAD)
 }
 
+// surprised reports whether the server holds models or adapters that are not
+// agreed: then an order of an earlier time was carried out late, and this one may
+// not fit any more.
+func (x *counted) surprised(r *engine.Report) bool {
+	view := x.c.opts.Replica.View()
+	for held := range r.Holding {
+		place := ledger.Place{Server: x.order.Server, Model: held[0], Version: x.order.Item.Version}
+		if held[1] != "" {
+			place.Adapter = fleet.AdapterName(held[0], held[1])
+		}
+		if view.Residents[place] == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// believe has the server's report agreed in place of what was.
+func (c *Controller) believe(ctx context.Context, o *wire.Order, r *engine.Report) {
+	a := c.opts.Replica.View().Announced[o.Server]
+	if a == nil {
+		return
+	}
+	next := proto.CloneOf(a)
+	for held := range r.Holding {
+		item := &wire.Item{Model: held[0], Version: o.Item.Version}
+		if held[1] != "" {
+			item.Adapter = fleet.AdapterName(held[0], held[1])
+		}
+		next.Residents = append(next.Residents, item)
+	}
+	// The order itself is closed first: residents are taken over only while none is
+	// open.
+	c.close(ctx, o, engine.Outcome{Detail: "the server holds other things than agreed"})
+	if _, err := c.propose(ctx, &wire.Command{Kind: &wire.Command_Announce{Announce: next}}); err == nil {
+		event.ServerAnnounced.Log(c.opts.Log, zap.String("server", a.Id), zap.String("why", "its report"))
+	}
+}
+
 // expected is how long the order takes at least, by the fleet's figures.
 func (x *counted) expected(load bool) time.Duration {
 	view := x.c.opts.Replica.View()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -37,12 +37,7 @@
 // Exit statuses beside those of package subcommands.
 const exitCutOff subcommands.ExitStatus = 3
 
-// load reads the settings file that is named, or that the variable names.
-func load(f *flag.FlagSet, variable string) (*settings.Settings, bool) {
-	path := f.Arg(0)
-	if variable != "" {
-		path = os.Getenv(variable)
-	}
+func load(f *flag.FlagSet, path string) (*settings.Settings, bool) {
 	if path == "" || f.NArg() > 1 {
 		fmt.Fprintln(os.Stderr, "one settings file must be named")
 		return nil, false
@@ -63,7 +58,7 @@
 func (*checkCommand) SetFlags(_ *flag.FlagSet) {}
 
 func (*checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if _, ok := load(f, ""); !ok {
+	if _, ok := load(f, f.Arg(0)); !ok {
 		return subcommands.ExitUsageError
 	}
 	fmt.Println("ok")
@@ -82,6 +77,44 @@
 	f.StringVar(&c.variable, "settings-variable", "", "environment variable that names the settings file")
 }
 
+// path returns the settings file that is named, or that the variable names.
+func (c *runCommand) path(f *flag.FlagSet) string {
+	if c.variable != "" {
+		return os.Getenv(c.variable)
+	}
+	return f.Arg(0)
+}
+
+// await returns nil at a signal to stop, or why the box cannot go on. At SIGHUP it
+// calls again.
+func await(b *box.Box, signals <-chan os.Signal, again func()) error {
+	for {
+		select {
+		case err := <-b.Fatal():
+			return err
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return nil
+			}
+			again()
+		}
+	}
+}
+
+// reload reads the settings again. What cannot change while a box runs stays as it
+// is; faulty settings change nothing.
+func reload(b *box.Box, path string, log *zap.Logger) func() {
+	return func() {
+		next, err := settings.Load(path)
+		if err != nil {
+			event.SettingsRefused.Log(log, zap.Error(err))
+			return
+		}
+		b.Reload(next)
+		event.SettingsRead.Log(log)
+	}
+}
+
 // memoryShare is the part, in fifths, of the memory that the garbage collector
 // keeps below.
 const memoryShare = 4
@@ -93,14 +126,14 @@
 }
 
 func (c *runCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	s, ok := load(f, c.variable)
+	s, ok := load(f, c.path(f))
 	if !ok {
 		return subcommands.ExitUsageError
 	}
 	limitMemory(s)
 	log := newLog(s)
 	defer func() { _ = log.Sync() }()
-	return run(s, log)
+	return run(s, c.path(f), log)
 }
 
 func newLog(s *settings.Settings) *zap.Logger {
@@ -138,11 +171,11 @@
 	return source, nil
 }
 
-func run(s *settings.Settings, log *zap.Logger) subcommands.ExitStatus {
+func run(s *settings.Settings, path string, log *zap.Logger) subcommands.ExitStatus {
 	done := make(chan struct{})
 	defer close(done)
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	tls, err := openTLS(s, log, done)
 	if err != nil {
 		event.CannotStart.Log(log, zap.Error(err))
@@ -154,11 +187,9 @@
 		return subcommands.ExitFailure
 	}
 	event.Started.Log(log, zap.Strings("roles", s.Roles))
-	select {
-	case err := <-b.Fatal():
+	if err := await(b, signals, reload(b, path, log)); err != nil {
 		event.CannotGoOn.Log(log, zap.Error(err))
 		return subcommands.ExitFailure
-	case <-signals:
 	}
 	if err := b.Stop(); err != nil {
 		return exitCutOff
--- a/event/event.go
+++ b/event/event.go
@@ -28,6 +28,8 @@
 	CutOff             = add(Event{"cut-off", zapcore.WarnLevel, "Requests were cut off by the stop.", "Raise [entry] stop-timeout above the longest deadline."})
 	CannotStart        = add(Event{"cannot-start", zapcore.ErrorLevel, "The box cannot start.", "Mend what the error names."})
 	CannotGoOn         = add(Event{"cannot-go-on", zapcore.ErrorLevel, "The box cannot go on and ends.", "Look at the disk that the error names; start the box again."})
+	SettingsRead       = add(Event{"settings-read", zapcore.InfoLevel, "The settings were read again.", "Nothing; addresses of known boxes and the log level are in force, all else after a restart."})
+	SettingsRefused    = add(Event{"settings-refused", zapcore.WarnLevel, "Changed settings have faults; the old ones stay in force.", "Mend what the error names and send SIGHUP."})
 	PlainText          = add(Event{"plain-text", zapcore.WarnLevel, "Box-to-box and operators' traffic goes in plain text, by [peer] plain-text = anywhere.", "Set [tls] where the network is not trusted."})
 	CertificatesTaken  = add(Event{"certificates-taken", zapcore.InfoLevel, "New certificates are in use.", "Nothing."})
 	CertificatesRefuse = add(Event{"certificates-refused", zapcore.WarnLevel, "Changed certificates cannot be used; the old ones stay in use.", "Mend the files; they are read again by themselves."})
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -139,7 +139,7 @@
 	asked, slots map[string]int
 	// roomFor names the models that room is being made for (11).
 	roomFor map[string]bool
-	plan         Plan
+	plan    Plan
 }
 
 func newPlanner(in Input) *planner {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -240,6 +240,17 @@
 	}
 }
 
+// AddressOf returns the box-to-box address of a box that is named by its IP number,
+// as all boxes are where seeds are set; "" for other names.
+func (s *Settings) AddressOf(box string) string {
+	ip, err := netip.ParseAddr(box)
+	own, ownErr := netip.ParseAddrPort(s.PeerListen)
+	if !s.Seeded || err != nil || ownErr != nil {
+		return ""
+	}
+	return netip.AddrPortFrom(ip, own.Port()).String()
+}
+
 func addresses(list []string) map[string]string {
 	m := map[string]string{}
 	for _, item := range list {
