--- a/box/box.go
+++ b/box/box.go
@@ -68,6 +68,7 @@
 	entryHTTP    *http.Server
 	// others serve what only some boxes have.
 	others []*http.Server
+	met    met
 	// boxes are the newest addresses by the settings, nil before a reload.
 	boxes  atomic.Pointer[map[string]string]
 	fatal  chan error
@@ -210,12 +211,13 @@
 	return b.settings.AddressOf(box)
 }
 
-// meet opens a session to a box, so that one which lost its state with its last
-// process learns of the cluster again.
+// meet calls on a box, so that one which lost its state with its last process
+// learns of the cluster again and whom to ask.
 func (b *Box) meet(ctx context.Context, box string) {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	_, _ = b.pool.Meet(ctx, box) // tried again while the box is silent
+	// Tried again while the box is silent.
+	_, _ = b.pool.Call(ctx, box, &wire.Request{Kind: &wire.Request_Probe{Probe: &wire.Probe{Member: state.MemberID(b.id.Self())}}})
 }
 
 // known returns the addresses of boxes by the settings.
@@ -280,6 +282,7 @@
 	p := &parts{replica: r, directory: route.NewDirectory(s.Hall), acceptWait: s.AcceptWait, wants: make(chan []string, wantsLength)}
 	p.spread = spread.New(spread.Options{
 		Replica: r, Caller: b.pool, Self: self, Seeds: slices.Sorted(maps.Keys(s.Boxes)), ConfigLease: s.ConfigLease,
+		Met:    b.met.list,
 		Demand: func() []*wire.Demand { return append(p.entry.Demand(), p.gateway.Demand()...) },
 	})
 	allowed := func() bool { _, held := r.Lease(); return held }
@@ -407,6 +410,9 @@
 		err := b.id.Adopt(f.ClusterId)
 		return &wire.Response{Kind: &wire.Response_Form{Form: &wire.FormAnswer{Formed: err == nil}}}
 	}
+	if from.GetDisk() {
+		b.met.note(from.Box)
+	}
 	p := b.parts.Load()
 	if p == nil {
 		return notReady()
--- a/spread/follow.go
+++ b/spread/follow.go
@@ -84,6 +84,11 @@
 	for _, seed := range s.opts.Seeds {
 		add(seed)
 	}
+	if s.opts.Met != nil {
+		for _, box := range s.opts.Met() {
+			add(box)
+		}
+	}
 	for _, m := range hallMates(view, s.opts.Self.Hall) {
 		add(m)
 	}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -70,7 +70,9 @@
 	Caller  Caller
 	Self    *wire.Member
 	// Seeds are the names of boxes known from the settings.
-	Seeds       []string
+	Seeds []string
+	// Met returns boxes that called on this one lately; nil for none.
+	Met         func() []string
 	ConfigLease time.Duration
 	// Demand returns what this box was asked for lately.
 	Demand func() []*wire.Demand
