placement: room for models that nobody asks for is reserved, their loads come last

A first try put demand's moves before those needs and never came to rest (placement TestDecisionsComeToRest); with the room reserved it does.

--- a/placement/needs.go
+++ b/placement/needs.go
@@ -24,6 +24,35 @@
 	return fmt.Sprintf("%d of %d copies", n.have, n.least)
 }
 
+// reservation is a place for a model that is loaded later.
+type reservation struct {
+	need need
+	acc  *accelerator
+}
+
+func (p *planner) asksFor(m *fleet.Model) bool { return p.in.Demand[m.Name].Requests > 0 }
+
+// loadReserved orders the loads of models that nobody asks for (1).
+func (p *planner) loadReserved() {
+	for _, r := range p.reserved {
+		if !p.mayLoad() {
+			return
+		}
+		if r.acc.busy {
+			continue
+		}
+		r.acc.free += int64(r.need.model.Footprint())
+		p.load(r.need.model, r.acc, r.need.why())
+	}
+}
+
+// reserve keeps room for a model.
+func (p *planner) reserve(n need, a *accelerator) {
+	a.free -= int64(n.model.Footprint())
+	a.models[n.model.Name] = true
+	p.reserved = append(p.reserved, reservation{n, a})
+}
+
 // fillNeeds places what has no copy, and then what has too few (1).
 func (p *planner) fillNeeds() {
 	for _, n := range p.needs() {
@@ -31,7 +60,11 @@
 			return
 		}
 		if best := p.bestPlace(n.model); best != nil {
-			p.load(n.model, best, n.why())
+			if p.asksFor(n.model) {
+				p.load(n.model, best, n.why())
+			} else {
+				p.reserve(n, best)
+			}
 			continue
 		}
 		p.makeRoom(n)
@@ -46,12 +79,22 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b need) int {
-		return cmp.Or(cmp.Compare(min(a.have, 1), min(b.have, 1)), cmp.Compare(b.model.Priority, a.model.Priority),
+		return cmp.Or(cmp.Compare(min(a.have, 1), min(b.have, 1)), p.askedFirst(a, b), cmp.Compare(b.model.Priority, a.model.Priority),
 			cmp.Compare(p.in.Demand[b.model.Name].Requests, p.in.Demand[a.model.Name].Requests))
 	})
 	return list
 }
 
+func (p *planner) askedFirst(a, b need) int {
+	switch asksA, asksB := p.asksFor(a.model), p.asksFor(b.model); {
+	case asksA == asksB:
+		return 0
+	case asksA:
+		return -1
+	}
+	return 1
+}
+
 // serving returns the ready and coming copies of the wanted version on servers
 // that work.
 func (p *planner) serving(m *fleet.Model) []copyOf {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -6,7 +6,9 @@
 //
 //  1. A model without a ready or coming copy comes first, then one below its
 //     least number of copies, then one whose demand asks for more; within each
-//     by priority, then by demand.
+//     those that are asked for first, then by priority, then by demand. Models that
+//     nobody asks for only get their room reserved at first: they are loaded after
+//     the copies that demand asks for, as long as the weight store is the limit.
 //  2. A copy goes to an accelerator with room for the model and all its
 //     adapters: to a data hall without a copy, then to the server with the least
 //     work, then to the one with the most room.
@@ -101,6 +103,7 @@
 	p.adaptersOnDemand()
 	p.fillNeeds()
 	p.followDemand()
+	p.loadReserved()
 	return p.plan
 }
 
@@ -139,6 +142,8 @@
 	asked, slots map[string]int
 	// roomFor names the models that room is being made for (11).
 	roomFor map[string]bool
+	// reserved are places for models that nobody asks for (1).
+	reserved []reservation
 	plan    Plan
 }
 
