--- a/box/stop.go
+++ b/box/stop.go
@@ -48,6 +48,7 @@
 	}
 	if p != nil {
 		p.entry.Stop()
+		p.gateway.Stop()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), b.settings.StopTimeout)
 	defer cancel()
--- a/control/counted.go
+++ b/control/counted.go
@@ -25,6 +25,9 @@
 	adapterSettles = 15 * time.Millisecond
 	// reportPause is the time between two reports while an order is under way.
 	reportPause = 150 * time.Millisecond
+	// surprisesMost is how many reports in a row must name things that are not agreed
+	// before they are believed.
+	surprisesMost = 3
 	// countedResend is the wait before a counted order is sent again.
 	countedResend = 100 * time.Millisecond
 )
@@ -39,10 +42,10 @@
 	count  uint64
 	known  bool
 	unsure bool
-	// inherited tells that another leader sent it, conflicts how often the server's
-	// count was another.
+	// inherited tells that another leader sent it; surprises is how often in a row
+	// the server's report named things that are not agreed.
 	inherited bool
-	conflicts int
+	surprises int
 	// moved tells that the server's count is surely one more than before.
 	moved bool
 }
@@ -105,7 +108,12 @@
 			// What another box sent is not sent again under its fence. A copy that is
 			// late is met by the count: the next order conflicts, see surprised.
 			return engine.Outcome{Detail: "of another leader, not carried out by the server's report"}, true
-		case x.conflicts > 0 && x.surprised(r):
+		case x.surprised(r):
+			// Reports lag: only what stays is believed.
+			if x.surprises++; x.surprises < surprisesMost {
+				wait.For(ctx, reportPause)
+				return engine.Outcome{}, false
+			}
 			x.c.believe(ctx, x.order, r)
 			return engine.Outcome{Detail: "the server holds other things than agreed"}, true
 		}
@@ -127,7 +135,6 @@
 		return engine.Outcome{Done: true}, true
 	case engine.Conflict:
 		x.known = false
-		x.conflicts++
 		wait.For(ctx, countedResend)
 		return engine.Outcome{}, false
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -60,13 +61,15 @@
 	demand   *demand
 	wants    *wants
 	draining atomic.Bool
-	stopping atomic.Bool
+	// stopping is closed when no further request is taken and none waits any more.
+	stopping chan struct{}
+	stopOnce sync.Once
 	inFlight atomic.Int64
 }
 
 // New returns a Gateway.
 func New(opts Options) *Gateway {
-	g := &Gateway{opts: opts, dir: newDirectory(opts.Hall), demand: newDemand(), wants: newWants(opts.Want)}
+	g := &Gateway{opts: opts, dir: newDirectory(opts.Hall), demand: newDemand(), wants: newWants(opts.Want), stopping: make(chan struct{})}
 	g.budgets = newBudgets(opts.Budget, g.dir.boxes)
 	return g
 }
@@ -77,8 +80,17 @@
 // Drain closes each connection after its next answer.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
-// Stop refuses all further requests.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
+// Stop refuses all further requests, and those that wait for a server.
+func (g *Gateway) Stop() { g.stopOnce.Do(func() { close(g.stopping) }) }
+
+func (g *Gateway) stopped() bool {
+	select {
+	case <-g.stopping:
+		return true
+	default:
+		return false
+	}
+}
 
 // InFlight returns the count of requests being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
@@ -120,7 +132,7 @@
 
 func (g *Gateway) routeOf(t *table, r *http.Request) (*reason.Reason, *fleet.Route) {
 	switch {
-	case g.stopping.Load():
+	case g.stopped():
 		return reason.Stopping, nil
 	case t.routes == nil:
 		return reason.NoFleet, nil
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -169,6 +169,8 @@
 	case <-news:
 	case <-timer.C:
 	case <-ctx.Done():
+	case <-j.g.stopping:
+		return reason.Stopping
 	}
 	if ctx.Err() != nil {
 		return reason.NotResident
