--- a/gateway/job.go
+++ b/gateway/job.go
@@ -52,7 +52,11 @@
 	runs   int // sendings that may have run
 	stream events
 	headed bool // the head of the answer was passed on
-	last   *failure
+	// waited is the time to the first sending, first that to the first event, and
+	// longest the longest pause between two events.
+	waited, first, longest time.Duration
+	reckoned               float64 // milliseconds of reading at the chosen server
+	last                   *failure
 }
 
 func (g *Gateway) newJob(w http.ResponseWriter, r *http.Request, t *table, route *fleet.Route, body []byte, arrived time.Time) *job {
@@ -84,6 +88,7 @@
 		}
 		if j.attempt(ctx, c) {
 			j.g.opts.Meters.Observe(meter.Duration, j.route.Name).Observe(time.Since(j.arrived).Seconds())
+			j.noteDone()
 			return
 		}
 	}
@@ -184,7 +189,11 @@
 		j.giveUp(reason.BackendLate)
 		return true
 	}
+	if j.sends == 0 {
+		j.waited = time.Since(j.arrived)
+	}
 	j.sends++
+	j.reckoned = c.work
 	j.tried = append(j.tried, c.server)
 	s := c.server
 	s.begin(c.work)
@@ -209,6 +218,7 @@
 	first := func() {
 		s.first(time.Now(), c.work, time.Since(began))
 		pending = 0
+		j.first = time.Since(j.arrived)
 		if a.StatusCode < http.StatusMultipleChoices {
 			s.noteKept(j.keys)
 		}
@@ -333,6 +343,19 @@
 	j.g.refuse(j.w, j.id, why, time.Duration(comeBack*float64(j.route.Aim)))
 }
 
+// noteDone writes the line of a request that was answered.
+func (j *job) noteDone() {
+	if !j.headed || !j.g.opts.Log.Core().Enabled(event.RequestDone.Level) {
+		return
+	}
+	s := j.tried[len(j.tried)-1]
+	event.RequestDone.Log(j.g.opts.Log,
+		zap.String("request", j.id), zap.String("route", j.route.Name), zap.Int("sends", j.sends), zap.String("server", s.id),
+		zap.String("model", j.prompt.Model), zap.String("adapter", j.prompt.Adapter), zap.Int("tokens", j.prompt.Tokens),
+		zap.Duration("waited", j.waited), zap.Duration("first", j.first), zap.Duration("longest", j.longest),
+		zap.Duration("after", time.Since(j.arrived)), zap.Float64("reckoned", j.reckoned))
+}
+
 // note writes the line that explains a request that was not answered.
 func (j *job) note(outcome string, f *failure) {
 	fields := []zap.Field{
--- a/gateway/pass.go
+++ b/gateway/pass.go
@@ -111,8 +111,13 @@
 	flush := http.NewResponseController(j.w)
 	buf := make([]byte, relayBuffer)
 	begun := false
+	heard := time.Now()
 	for {
 		n, err := a.Body.Read(buf)
+		if begun && n > 0 {
+			j.longest = max(j.longest, time.Since(heard))
+		}
+		heard = time.Now()
 		out := j.stream.next(buf[:n])
 		if err == io.EOF {
 			out = append(out, j.stream.partial...)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -22,6 +22,7 @@
 	conns   *conns
 	leaving atomic.Bool
 	silent  atomic.Bool
+	reader  atomic.Bool // reads long prompts
 
 	mu       sync.Mutex
 	inFlight int
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -17,6 +17,9 @@
 	// DemandSettles is how long a new leader waits for demand to be reported,
 	// unless Input says otherwise.
 	DemandSettles = 10 * time.Second
+	// atHandBonus is how much more room, as a share of its size, a server seems to
+	// have that has the model at hand.
+	atHandBonus = 0.1
 	// askedFor is the rate, in requests a second, from which an on-demand adapter
 	// counts as asked for (10).
 	askedFor = 0.15
@@ -191,7 +194,7 @@
 	var bestOut []copyOf
 	most := 0.0
 	for _, a := range p.accs {
-		if best != nil && a.load.room() <= most || !p.mayHold(m, a) {
+		if !p.mayHold(m, a) {
 			continue
 		}
 		var out []copyOf
@@ -203,7 +206,11 @@
 			out = spared
 		}
 		// What the copies in the way do must be done elsewhere.
-		if room := a.load.room() - p.missed(out); best == nil || room > most {
+		room := a.load.room() - p.missed(out)
+		if p.atHand(m, a) { // (12)
+			room += atHandBonus * a.load.size
+		}
+		if best == nil || room > most {
 			best, bestOut, most = a, out, room
 		}
 	}
--- a/placement/needs.go
+++ b/placement/needs.go
@@ -115,7 +115,7 @@
 	}
 	var best *accelerator
 	for _, a := range p.accs {
-		if p.fits(m, a) && (best == nil || better(a, best, halls)) {
+		if p.fits(m, a) && (best == nil || p.better(m, a, best, halls)) {
 			best = a
 		}
 	}
@@ -131,7 +131,10 @@
 	return p.mayHold(m, a) && a.free >= int64(m.Footprint())
 }
 
-func better(a, b *accelerator, halls map[string]bool) bool {
+func (p *planner) better(m *fleet.Model, a, b *accelerator, halls map[string]bool) bool {
+	if handA, handB := p.atHand(m, a), p.atHand(m, b); handA != handB { // (12)
+		return handA
+	}
 	if newA, newB := !halls[a.server.Hall], !halls[b.server.Hall]; newA != newB {
 		return newA
 	}
@@ -249,3 +252,9 @@
 	c.acc.busy = true // nothing else moves there in this round
 	p.dropCopy(p.fleet.Models[c.resident.Item.Model], c)
 }
+
+// atHand reports whether a server can load a model from its own memory or disk
+// (12).
+func (p *planner) atHand(m *fleet.Model, a *accelerator) bool {
+	return slices.Contains(p.in.State.Announced[a.server.Name].GetAtHand(), m.Name)
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -144,7 +144,7 @@
 	roomFor map[string]bool
 	// reserved are places for models that nobody asks for (1).
 	reserved []reservation
-	plan    Plan
+	plan     Plan
 }
 
 func newPlanner(in Input) *planner {
