--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -20,13 +20,9 @@
 //  2. What a server has kept is known from this box's own sendings. Where nothing
 //     is known, the prompt's shared parts are taken to be kept at their home: the
 //     server with the highest hash of both, which all boxes find alike.
-//  3. A server reads prompts in pieces between the tokens of its other requests. A
-//     long prompt holds all of them up for longer than callers bear, so long ones
-//     are kept together: on the reading servers, a fixed share of the pool that all
-//     boxes find alike, or on the first copy of a model that has none there.
-//  4. A plain request goes to the one of two servers drawn at random that has
+//  3. A plain request goes to the one of two servers drawn at random that has
 //     less in flight, of the own data hall where that makes no difference.
-//  5. A server that failed lately, is silent, or was tried is taken only when no
+//  4. A server that failed lately, is silent, or was tried is taken only when no
 //     other is left; one that leaves never.
 
 const (
@@ -36,17 +32,6 @@
 	fullPenalty = 400.0
 	// hallPenalty is the cost in milliseconds of another data hall.
 	hallPenalty = 2.0
-	// longPrompt is the count of tokens of a prompt's own part from which it is
-	// long (3): at 38 a millisecond and in pieces of 2,048, five tokens of another
-	// request then take longer than 400 ms.
-	longPrompt = 6500
-	// readingShare is the part of a pool's servers, in hundredths, that read long
-	// prompts.
-	readingShare = 25
-	// strayPenalty is the cost in milliseconds of a long prompt elsewhere, and
-	// besidePenalty that of any other request on a reading server.
-	strayPenalty  = 150.0
-	besidePenalty = 10.0
 )
 
 // choice is a server with what a request is reckoned to cost there.
@@ -68,7 +53,7 @@
 	return d.cheapest(usable, now, p, keys)
 }
 
-// usable is rule 5.
+// usable is rule 4.
 func (d *directory) usable(list []*server, now time.Time, tried []*server) []*server {
 	var good, poor []*server
 	for _, s := range list {
@@ -87,7 +72,7 @@
 	return poor
 }
 
-// lighter is rule 4.
+// lighter is rule 3.
 func (d *directory) lighter(list []*server, now time.Time) *server {
 	a, b := list[rand.IntN(len(list))], list[rand.IntN(len(list))]
 	_, loadA := a.load(now)
@@ -107,16 +92,14 @@
 func (d *directory) cheapest(list []*server, now time.Time, p dialect.Prompt, keys []uint64) choice {
 	var best choice
 	least := 0.0
-	long := p.Tokens-sharedTokens(p) >= longPrompt
-	reading := readingServers(list)
-	home := homeOf(sameKind(list, reading, long), keys)
+	home := homeOf(list, keys)
 	for _, s := range list {
 		read := s.keptTokens(p, keys)
 		if read == 0 && s == home {
 			read = sharedTokens(p)
 		}
 		work := float64(p.Tokens-min(read, p.Tokens)) / readRate
-		cost := work + d.waiting(s, now) + kindPenalty(long, reading[s])
+		cost := work + d.waiting(s, now)
 		if best.server == nil || cost < least {
 			best, least = choice{s, work}, cost
 		}
@@ -124,52 +107,6 @@
 	return best
 }
 
-// readingServers returns those of a model's servers that read long prompts (3),
-// none where the model has one copy only.
-func readingServers(list []*server) map[*server]bool {
-	reading := map[*server]bool{}
-	if len(list) < 2 {
-		return reading
-	}
-	first := list[0]
-	for _, s := range list {
-		if s.reader.Load() {
-			reading[s] = true
-		}
-		if s.hash < first.hash {
-			first = s
-		}
-	}
-	if len(reading) == 0 || len(reading) == len(list) {
-		return map[*server]bool{first: true}
-	}
-	return reading
-}
-
-// sameKind returns the servers that a request of its length belongs to.
-func sameKind(list []*server, reading map[*server]bool, long bool) []*server {
-	if len(reading) == 0 {
-		return list
-	}
-	var out []*server
-	for _, s := range list {
-		if reading[s] == long {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
-func kindPenalty(long, reading bool) float64 {
-	switch {
-	case long && !reading:
-		return strayPenalty
-	case !long && reading:
-		return besidePenalty
-	}
-	return 0
-}
-
 func (d *directory) waiting(s *server, now time.Time) float64 {
 	waits, taken := s.load(now)
 	cost := waits
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -144,19 +143,9 @@
 		p.holding[name] = append(p.holding[name], s)
 	}
 	for _, p := range t.pools {
-		markReaders(p)
 		slices.SortFunc(p.servers, byID)
 		for _, list := range p.holding {
 			slices.SortFunc(list, byID)
 		}
 	}
 }
-
-// markReaders makes the servers with the lowest hashes those that read long
-// prompts.
-func markReaders(p *pool) {
-	list := slices.SortedFunc(slices.Values(p.servers), func(a, b *server) int { return cmp.Compare(a.hash, b.hash) })
-	for i, s := range list {
-		s.reader.Store(p.Kind != nil && i < len(list)*readingShare/100)
-	}
-}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -22,7 +22,6 @@
 	conns   *conns
 	leaving atomic.Bool
 	silent  atomic.Bool
-	reader  atomic.Bool // reads long prompts
 
 	mu       sync.Mutex
 	inFlight int
