gateway, state: a server that lacks a model is not gone; a new id silences the old one

Both took the server out for 30 s at that box. And a crashed server's old id stayed routable for 4.5 s beside the new.

--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -15,6 +15,7 @@
 	Deadline  string // milliseconds left
 	LastEvent string // of a stream to go on behind
 	Instance  string // the server that a request is for
+	ServerID  string // of the server that answers, where it tells
 	Rank      string // the request's urgency, 0 the highest
 	Stamp     string // of a server's own answer
 	NotRun    string // in an answer: the server did not run the request
@@ -38,7 +39,7 @@
 
 // Own is the product's own dialect.
 var Own = Dialect{
-	RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", LastEvent: "Last-Event-Id", Instance: "X-Instance",
+	RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", LastEvent: "Last-Event-Id", Instance: "X-Instance", ServerID: "X-Server-Id",
 	Rank: "X-Rank", Stamp: "X-Server-Stamp", NotRun: "X-Not-Run", Prompt: ownPrompt,
 }
 
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -43,7 +43,7 @@
 // choose returns a server of the list, or no choice when there is none.
 func (d *directory) choose(list []*server, p dialect.Prompt, keys []uint64, tried []*server) choice {
 	now := time.Now()
-	usable := d.usable(list, now, tried)
+	usable := d.usable(list, now, p, tried)
 	switch {
 	case len(usable) == 0:
 		return choice{}
@@ -53,13 +53,23 @@
 	return d.cheapest(usable, now, p, keys)
 }
 
+// wantedOf names what a prompt needs at a server: the model, or the adapter with
+// its model.
+func wantedOf(p dialect.Prompt) string {
+	if p.Adapter == "" {
+		return p.Model
+	}
+	return fleet.AdapterName(p.Model, p.Adapter)
+}
+
 // usable is rule 4.
-func (d *directory) usable(list []*server, now time.Time, tried []*server) []*server {
+func (d *directory) usable(list []*server, now time.Time, p dialect.Prompt, tried []*server) []*server {
 	var good, poor []*server
 	for _, s := range list {
 		switch {
 		case s.leaving.Load():
 		case slices.Contains(tried, s):
+		case p.Model != "" && s.lacking(wantedOf(p), now):
 		case s.out(now), s.silent.Load():
 			poor = append(poor, s)
 		default:
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -207,7 +207,7 @@
 	if f := j.judge(a); f != nil {
 		a.discard()
 		if a.StatusCode == http.StatusMisdirectedRequest {
-			s.gone(time.Now())
+			j.misdirected(s, a)
 		}
 		return j.failed(ctx, s, f)
 	}
@@ -242,6 +242,17 @@
 	return nil
 }
 
+// misdirected notes what a server said that did not run a request as not its own:
+// it is another than expected, or it lacks the model or the adapter.
+func (j *job) misdirected(s *server, a *answer) {
+	id := a.Header.Get(j.g.opts.Dialect.ServerID)
+	if id != "" && id != s.id || j.prompt.Model == "" {
+		s.gone(time.Now())
+		return
+	}
+	s.lack(wantedOf(j.prompt), time.Now())
+}
+
 // askAnother gives a server's own failure up for another server's answer, where
 // the request may be repeated (4).
 func (j *job) askAnother(s *server, a *answer) bool {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -30,6 +30,7 @@
 	kept     *kept
 	failures int // in a row
 	outUntil time.Time
+	lacks    map[string]time.Time // models and adapters that it lately said it lacks
 }
 
 func newServer(a *wire.Announcement) *server {
@@ -49,6 +50,10 @@
 	outMost  = 4 * time.Second
 	// goneFor is how long a server is out whose address another one has.
 	goneFor = 30 * time.Second
+	// lackFor is how long a server is passed over for a model that it said it lacks,
+	// though it is agreed that it has it: it may be about to have it, or the word of
+	// that is about to be corrected.
+	lackFor = 150 * time.Millisecond
 )
 
 func (s *server) begin(work float64) {
@@ -93,6 +98,28 @@
 	s.outUntil = now.Add(goneFor)
 }
 
+// lack notes that the server said that it lacks a model or adapter.
+func (s *server) lack(name string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lacks == nil {
+		s.lacks = map[string]time.Time{}
+	}
+	s.lacks[name] = now.Add(lackFor)
+}
+
+// lacking reports whether the server said lately that it lacks a model or adapter.
+func (s *server) lacking(name string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until, ok := s.lacks[name]
+	if ok && now.After(until) {
+		delete(s.lacks, name)
+		return false
+	}
+	return ok
+}
+
 func (s *server) out(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/state/announce.go
+++ b/state/announce.go
@@ -16,7 +16,9 @@
 //  1. Each start of a server is an id of its own. What is known of an id is
 //     dropped only when nothing of it can arrive any more (Withdraw.Forget).
 //  2. Leaving stays: a later word that the id is well changes nothing.
-//  3. Residents are taken over from the first announcement, and later only while
+//  3. Another id at the address of a known one makes that silent until it is heard
+//     again: most likely it was restarted, but words come late.
+//  4. Residents are taken over from the first announcement, and later only while
 //     no order is open, since an open order's memory must stay counted.
 
 // announce takes over what a server said of itself.
@@ -26,6 +28,9 @@
 	next.Sequence, next.RemainingMs, next.Residents = 0, 0, nil
 	next.Leaving = a.Leaving || old.GetLeaving() // (2)
 	s.Announced[a.Id] = next
+	if old == nil {
+		s.silenceOthers(next) // (3)
+	}
 	if old == nil || old.Service != next.Service || old.Address != next.Address || old.Hall != next.Hall {
 		s.mergeAnnounced()
 	}
@@ -33,11 +38,22 @@
 		return
 	}
 	s.Servers[a.Id] = &wire.ServerState{Name: a.Id, Incarnation: a.Id, Leaving: next.Leaving}
-	if !s.hasOrders(a.Id) { // (3)
+	if !s.hasOrders(a.Id) { // (4)
 		s.replaceResidents(a)
 	}
 }
 
+func (s *State) silenceOthers(a *wire.Announcement) {
+	for id, other := range s.Announced {
+		if id == a.Id || other.Address != a.Address || other.Silent {
+			continue
+		}
+		next := proto.CloneOf(other)
+		next.Silent = true
+		s.Announced[id] = next
+	}
+}
+
 func (s *State) hasOrders(server string) bool {
 	for _, o := range s.Orders {
 		if o.Server == server {
