--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -23,7 +23,7 @@
 //  3. A plain request goes to the one of two servers drawn at random that has
 //     less in flight, of the own data hall where that makes no difference.
 //  4. A server that failed lately, is silent, or was tried is taken only when no
-//     other is left; one that leaves never.
+//     other is left; one that leaves, or whose address another has, never.
 
 const (
 	// readRate is how many prompt tokens a server reads in a millisecond.
@@ -67,7 +67,7 @@
 	var good, poor []*server
 	for _, s := range list {
 		switch {
-		case s.leaving.Load():
+		case s.leaving.Load(), s.gone():
 		case slices.Contains(tried, s):
 		case p.Model != "" && s.lacking(wantedOf(p), now):
 		case s.out(now), s.silent.Load():
--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -12,8 +12,12 @@
 )
 
 const (
-	// demandSpan is the time over which demand is averaged.
-	demandSpan = 2 * time.Second
+	// newSpan and oldSpan are the times over which demand is averaged; trendShare is
+	// how much of the newer average's lead over the older one is added to it, since
+	// a load takes seconds.
+	newSpan    = time.Second
+	oldSpan    = 3 * time.Second
+	trendShare = 1.0
 	// demandLeast is the rate, in requests a second, below which nothing is told.
 	demandLeast = 0.02
 	// wantEvery is the least time between two wants of the same name.
@@ -28,15 +32,33 @@
 
 // rate is in events a second, weighted towards the newest.
 type rate struct {
-	requests, work float64
+	requests, work trend
 	at             time.Time
 }
 
+// trend is an average over a short and one over a longer time.
+type trend struct{ recent, older float64 }
+
+func (t *trend) fade(past time.Duration) {
+	t.recent *= math.Exp(-float64(past) / float64(newSpan))
+	t.older *= math.Exp(-float64(past) / float64(oldSpan))
+}
+
+func (t *trend) add(v float64) {
+	t.recent += v / newSpan.Seconds()
+	t.older += v / oldSpan.Seconds()
+}
+
+// ahead is the average that is to come if the trend lasts, not below the older.
+func (t *trend) ahead() float64 { return t.older + trendShare*(t.recent-t.older) }
+
 func newDemand() *demand { return &demand{rows: map[string]*rate{}} }
 
 func (r *rate) fade(now time.Time) {
-	f := math.Exp(-float64(now.Sub(r.at)) / float64(demandSpan))
-	r.requests, r.work, r.at = r.requests*f, r.work*f, now
+	past := now.Sub(r.at)
+	r.requests.fade(past)
+	r.work.fade(past)
+	r.at = now
 }
 
 // note counts a request that keeps a server busy for a time by itself.
@@ -57,8 +79,8 @@
 		d.rows[name] = r
 	}
 	r.fade(now)
-	r.requests += 1 / demandSpan.Seconds()
-	r.work += busy.Seconds() / demandSpan.Seconds()
+	r.requests.add(1)
+	r.work.add(busy.Seconds())
 }
 
 // list returns the rates; work is the share of one server that a model keeps busy,
@@ -69,13 +91,13 @@
 	defer d.mu.Unlock()
 	var list []*wire.Demand
 	for name, r := range d.rows {
-		if r.fade(now); r.requests < demandLeast {
+		if r.fade(now); r.requests.older < demandLeast {
 			delete(d.rows, name)
 			continue
 		}
 		model, _ := fleet.SplitAdapter(name)
 		list = append(list, &wire.Demand{
-			Model: name, MilliRequests: uint32(1000 * r.requests), MilliPlaces: uint32(1000 * r.work * float64(places(model))),
+			Model: name, MilliRequests: uint32(1000 * r.requests.ahead()), MilliPlaces: uint32(1000 * r.work.ahead() * float64(places(model))),
 		})
 	}
 	slices.SortFunc(list, func(a, b *wire.Demand) int {
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -247,7 +247,7 @@
 func (j *job) misdirected(s *server, a *answer) {
 	id := a.Header.Get(j.g.opts.Dialect.ServerID)
 	if id != "" && id != s.id || j.prompt.Model == "" {
-		s.gone(time.Now())
+		s.setGone()
 		return
 	}
 	s.lack(wantedOf(j.prompt), time.Now())
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -30,6 +30,7 @@
 	kept     *kept
 	failures int // in a row
 	outUntil time.Time
+	replaced bool                 // another server has the address
 	lacks    map[string]time.Time // models and adapters that it lately said it lacks
 }
 
@@ -48,8 +49,6 @@
 	outAfter = 2
 	outFirst = 400 * time.Millisecond
 	outMost  = 4 * time.Second
-	// goneFor is how long a server is out whose address another one has.
-	goneFor = 30 * time.Second
 	// lackFor is how long a server is passed over for a model that it said it lacks,
 	// though it is agreed that it has it: it may be about to have it, or the word of
 	// that is about to be corrected.
@@ -91,11 +90,17 @@
 	}
 }
 
-// gone notes that another server has the address.
-func (s *server) gone(now time.Time) {
+// setGone notes that another server has the address: this one never comes back.
+func (s *server) setGone() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.outUntil = now.Add(goneFor)
+	s.replaced = true
+}
+
+func (s *server) gone() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replaced
 }
 
 // lack notes that the server said that it lacks a model or adapter.
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -17,6 +17,9 @@
 	// DemandSettles is how long a new leader waits for demand to be reported,
 	// unless Input says otherwise.
 	DemandSettles = 10 * time.Second
+	// worthShare is the share of the worth of a copy that room is made for which
+	// another move must have to be made meanwhile.
+	worthShare = 0.3
 	// atHandBonus is how much more room, as a share of its size, a server seems to
 	// have that has the model at hand.
 	atHandBonus = 0.1
@@ -78,12 +81,16 @@
 	if p.in.Since < cmp.Or(p.in.Settles, DemandSettles) {
 		return
 	}
-	for range movesAtOnce {
+	least := p.fleet.MoveWeight
+	for i := range movesAtOnce {
 		if !p.mayLoad() {
 			return
 		}
 		best := p.bestMove()
-		if best == nil || best.worth <= p.fleet.MoveWeight {
+		if i == 0 {
+			least = max(least, worthShare*p.pendingWorth())
+		}
+		if best == nil || best.worth <= least {
 			return
 		}
 		if p.disturbed(best) {
@@ -93,6 +100,19 @@
 	}
 }
 
+// pendingWorth is what the best further copy would be worth of those models that
+// room is being made for: lesser ones do not take the weight store's rate from it.
+func (p *planner) pendingWorth() (worth float64) {
+	for name := range p.roomFor {
+		if m := p.fleet.Models[name]; m != nil {
+			if c := p.furtherCopy(m); c != nil {
+				worth = max(worth, c.worth)
+			}
+		}
+	}
+	return worth
+}
+
 // disturbed reports whether a move reckons with servers whose copies make room in
 // this round: what it is worth is known only when that room is used.
 func (p *planner) disturbed(c *candidate) bool {
@@ -128,9 +148,16 @@
 // candidate returns the best further copy of a model whose servers have more
 // work than they can do well.
 func (p *planner) candidate(m *fleet.Model) *candidate {
+	if p.roomFor[m.Name] { // (11)
+		return nil
+	}
+	return p.furtherCopy(m)
+}
+
+func (p *planner) furtherCopy(m *fleet.Model) *candidate {
 	d := p.in.Demand[m.Name]
 	list := p.serving(m)
-	if d.Places == 0 || len(list) == 0 || len(list) >= m.MaxCopies || p.roomFor[m.Name] { // (11)
+	if d.Places == 0 || len(list) == 0 || len(list) >= m.MaxCopies {
 		return nil
 	}
 	if !slices.ContainsFunc(list, func(c copyOf) bool { return c.acc.load.excess() > 0 }) {
--- a/spread/demand.go
+++ b/spread/demand.go
@@ -10,7 +10,7 @@
 
 const (
 	// demandEvery is the time between two reports of demand to the parent.
-	demandEvery = time.Second
+	demandEvery = 500 * time.Millisecond
 	// forgetDemand is the age at which a child's report counts no more.
 	forgetDemand = 3 * time.Second
 )
