--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -38,6 +38,7 @@
 type choice struct {
 	server *server
 	work   float64 // milliseconds of reading
+	waits  float64 // milliseconds before that
 }
 
 // choose returns a server of the list, or no choice when there is none.
@@ -109,9 +110,9 @@
 			read = sharedTokens(p)
 		}
 		work := float64(p.Tokens-min(read, p.Tokens)) / readRate
-		cost := work + d.waiting(s, now)
-		if best.server == nil || cost < least {
-			best, least = choice{s, work}, cost
+		waits := d.waiting(s, now)
+		if cost := work + waits; best.server == nil || cost < least {
+			best, least = choice{s, work, waits}, cost
 		}
 	}
 	return best
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -118,6 +118,9 @@
 			return choice{}, why
 		}
 		if c := j.g.dir.choose(list, j.prompt, j.keys, j.tried); c.server != nil {
+			if j.tooLate(c) {
+				return choice{}, reason.Overloaded
+			}
 			return c, nil
 		}
 		if why := j.wait(ctx, news, len(list) > 0); why != nil {
@@ -126,6 +129,23 @@
 	}
 }
 
+const (
+	// lateAims and lateLeft bound the reckoned time to the first event, in aims and as
+	// a share of the time left: what would take longer only takes time from others.
+	lateAims = 2.0
+	lateLeft = 0.5
+)
+
+// tooLate reports whether a stream that has not begun would hardly be answered in
+// time even at the server that is reckoned best.
+func (j *job) tooLate(c choice) bool {
+	if j.prompt.Model == "" || j.headed || j.sends > 0 || j.route.Kind != fleet.Streaming {
+		return false
+	}
+	limit := min(lateAims*milliseconds(j.route.Aim), lateLeft*milliseconds(j.left()))
+	return c.waits+c.work > limit
+}
+
 // candidates lists the servers that could run the request.
 func (j *job) candidates() ([]*server, *reason.Reason) {
 	t := j.g.dir.table()
@@ -196,10 +216,10 @@
 	j.reckoned = c.work
 	j.tried = append(j.tried, c.server)
 	s := c.server
-	s.begin(c.work)
-	pending := c.work
-	defer func() { s.end(pending) }()
 	began := time.Now()
+	s.begin(began, c.work)
+	unread := true
+	defer func() { s.end(began, c.work, unread) }()
 	a, f := exchange(ctx, s.conns, j.outgoing(s), j.g.opts.Dialect.RequestID)
 	if f != nil {
 		return j.failed(ctx, s, f)
@@ -216,8 +236,8 @@
 		return false
 	}
 	first := func() {
-		s.first(time.Now(), c.work, time.Since(began))
-		pending = 0
+		s.first(time.Now(), began, c.work)
+		unread = false
 		j.first = time.Since(j.arrived)
 		if a.StatusCode < http.StatusMultipleChoices {
 			s.noteKept(j.keys)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,8 +26,9 @@
 
 	mu       sync.Mutex
 	inFlight int
-	reading  float64 // milliseconds of prompts that wait for their first event
-	delay    decayed // by how much first events came later than their reading takes
+	reading  float64     // milliseconds of prompts that wait for their first event
+	pending  []time.Time // when those were sent, the oldest first
+	delay    decayed     // by how much first events came later than their reading takes
 	kept     *kept
 	failures int // in a row
 	outUntil time.Time
@@ -55,28 +57,41 @@
 	lackFor = 150 * time.Millisecond
 )
 
-func (s *server) begin(work float64) {
+func (s *server) begin(now time.Time, work float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight++
 	s.reading += work
+	s.pending = append(s.pending, now)
+}
+
+// settle forgets one that waited for its first event since a time.
+func (s *server) settle(began time.Time, work float64) {
+	s.reading = max(0, s.reading-work)
+	if i := slices.Index(s.pending, began); i >= 0 {
+		s.pending = slices.Delete(s.pending, i, i+1)
+	}
 }
 
 // first notes that the first event, or the answer, came after a time.
-func (s *server) first(now time.Time, work float64, took time.Duration) {
+func (s *server) first(now, began time.Time, work float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reading = max(0, s.reading-work)
-	s.delay.toward(now, max(0, float64(took)/float64(time.Millisecond)-work))
+	s.settle(began, work)
+	s.delay.toward(now, max(0, milliseconds(now.Sub(began))-work))
 	s.failures = 0
 }
 
-// end notes the end of a request; work is what has not been read of its prompt.
-func (s *server) end(work float64) {
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// end notes the end of a request. unread tells that its first event has not come.
+func (s *server) end(began time.Time, work float64, unread bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight--
-	s.reading = max(0, s.reading-work)
+	if unread {
+		s.settle(began, work)
+	}
 }
 
 // failed notes a failure, and takes the server out for a time after some.
@@ -135,7 +150,11 @@
 func (s *server) load(now time.Time) (waits, taken float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.reading + s.delay.at(now), float64(s.inFlight) / float64(s.slots)
+	late := s.delay.at(now)
+	if len(s.pending) > 0 {
+		late = max(late, milliseconds(now.Sub(s.pending[0]))-s.reading)
+	}
+	return s.reading + late, float64(s.inFlight) / float64(s.slots)
 }
 
 // decayed is a value that fades when nothing new is noted.
