gateway: servers that fall silent are given up where the request may be repeated

A server that sends nothing on any connection for 1.2 s is given up, a dial after 0.4 s. Callers are told to come back by what is waited for.

--- a/control/announce.go
+++ b/control/announce.go
@@ -18,7 +18,7 @@
 const (
 	// silentAfter is the silence after which an announced server gets work only
 	// when no other is left.
-	silentAfter = 4500 * time.Millisecond
+	silentAfter = 3300 * time.Millisecond
 	// forgetAfter is the silence after which nothing of an id can arrive any more.
 	forgetAfter = 30 * time.Second
 	// wantFor is how long a want lasts that is not repeated.
--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,7 +20,7 @@
 
 const (
 	// dialTimeout bounds the opening of a connection.
-	dialTimeout = time.Second
+	dialTimeout = 400 * time.Millisecond
 	// unsentTimeout is how long bytes may stay without an acknowledgement: a
 	// server behind a cut says nothing.
 	unsentTimeout = 4 * time.Second
@@ -36,6 +37,7 @@
 // conn is one connection; it carries one request at a time.
 type conn struct {
 	net.Conn
+	from  *conns
 	in    *bufio.Reader
 	since time.Time     // when it became idle
 	rest  time.Duration // how long it may be idle
@@ -50,6 +52,17 @@
 	open   int
 	most   int
 	closed bool
+
+	heard atomic.Int64 // when bytes came last, on any of them, in unix nanoseconds
+}
+
+// Read notes that the server was heard.
+func (x *conn) Read(b []byte) (int, error) {
+	n, err := x.Conn.Read(b)
+	if n > 0 {
+		x.from.heard.Store(time.Now().UnixNano())
+	}
+	return n, err
 }
 
 func newConns(address string) *conns { return &conns{address: address, most: 64} }
@@ -87,7 +100,9 @@
 		c.release()
 		return nil, false, Error.Wrap(err)
 	}
-	return &conn{Conn: raw, in: bufio.NewReaderSize(raw, readBuffer), rest: idleDefault}, true, nil
+	x = &conn{Conn: raw, from: c, rest: idleDefault}
+	x.in = bufio.NewReaderSize(x, readBuffer)
+	return x, true, nil
 }
 
 func (c *conns) takeIdle() *conn {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -57,12 +57,16 @@
 	from    *conns
 	written <-chan error // set while the request may still be on its way
 	stop    func() bool
+	watch   *watch
 	spoilt  bool // the connection must not be used again
 }
 
 // done ends the reading of an answer. whole tells that its body came to its end.
 func (a *answer) done(whole bool) {
 	stopped := a.stop()
+	if a.watch.stop() {
+		whole = false
+	}
 	if a.written != nil {
 		select {
 		case err := <-a.written:
@@ -96,6 +100,7 @@
 	why     *reason.Reason
 	cause   error
 	dial    bool // no connection was had
+	dark    bool // the server has fallen silent
 }
 
 func notRun(why *reason.Reason, cause error) *failure {
@@ -107,8 +112,9 @@
 }
 
 // exchange sends the request once and reads the head of its answer. The context
-// bounds the reading of the body too.
-func exchange(ctx context.Context, to *conns, o *outgoing, idHeader string) (*answer, *failure) {
+// bounds the reading of the body too. A server that falls silent is given up where
+// the request may be repeated.
+func exchange(ctx context.Context, to *conns, o *outgoing, idHeader string, repeatable bool) (*answer, *failure) {
 	x, _, err := to.get(ctx)
 	if err != nil {
 		f := notRun(reason.NotReached, err)
@@ -118,14 +124,24 @@
 	a := &answer{conn: x, from: to}
 	// A deadline in the past ends reads and writes that are under way.
 	a.stop = context.AfterFunc(ctx, func() { x.SetDeadline(time.Unix(1, 0)) })
+	if repeatable {
+		a.watch = watchOver(x)
+	}
 	if f := a.write(o); f != nil {
 		a.stop()
+		a.watch.stop()
 		to.drop(x)
 		return nil, f
 	}
 	if err := a.read(o, idHeader); err != nil {
 		a.stop()
+		dark := a.watch.stop()
 		to.drop(x)
+		if dark {
+			f := unknown(reason.BackendSilent, Error.Wrap(err))
+			f.dark = true
+			return nil, f
+		}
 		if ctx.Err() != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return nil, unknown(reason.BackendLate, Error.Wrap(err))
 		}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -26,8 +26,10 @@
 	notRunExtra = 2
 	// againPause is the wait before a server is asked again that was full.
 	againPause = 40 * time.Millisecond
-	// comeBack is when a caller is told to come back, as a share of its aim.
-	comeBack = 0.25
+	// comeBackShare is when a caller is told to come back, as a share of its aim.
+	comeBackShare = 0.25
+	// comeBackLoad is when it is told to come back for a model that is on its way.
+	comeBackLoad = 1500 * time.Millisecond
 	// waitLook is the time between two looks for a server while none came.
 	waitLook = 250 * time.Millisecond
 )
@@ -55,6 +57,7 @@
 	// waited is the time to the first sending, first that to the first event, and
 	// longest the longest pause between two events.
 	waited, first, longest time.Duration
+	behind                 float64 // milliseconds that the best server was behind
 	reckoned               float64 // milliseconds of reading at the chosen server
 	last                   *failure
 }
@@ -119,6 +122,7 @@
 		}
 		if c := j.g.dir.choose(list, j.prompt, j.keys, j.tried); c.server != nil {
 			if j.tooLate(c) {
+				j.behind = c.waits
 				return choice{}, reason.Overloaded
 			}
 			return c, nil
@@ -220,7 +224,7 @@
 	s.begin(began, c.work)
 	unread := true
 	defer func() { s.end(began, c.work, unread) }()
-	a, f := exchange(ctx, s.conns, j.outgoing(s), j.g.opts.Dialect.RequestID)
+	a, f := exchange(ctx, s.conns, j.outgoing(s), j.g.opts.Dialect.RequestID, j.route.Repeatable())
 	if f != nil {
 		return j.failed(ctx, s, f)
 	}
@@ -297,11 +301,14 @@
 		j.note("caller-gone", f)
 		return true
 	}
+	switch {
+	case f.dark, f.dial:
+		s.silenced(time.Now())
+	case f.outcome != reason.NotRun:
+		s.failed(time.Now())
+	}
 	if f.outcome != reason.NotRun {
 		j.runs++
-		s.failed(time.Now())
-	} else if f.dial {
-		s.failed(time.Now())
 	}
 	if ctx.Err() == nil && j.mayRepeat(f) {
 		j.countRetry(f)
@@ -371,7 +378,19 @@
 	if why.Status == 0 {
 		why = reason.BackendBroke
 	}
-	j.g.refuse(j.w, j.id, why, time.Duration(comeBack*float64(j.route.Aim)))
+	j.g.refuse(j.w, j.id, why, j.comeBack(why))
+}
+
+// comeBack is when the caller had best come back.
+func (j *job) comeBack(why *reason.Reason) time.Duration {
+	soon := time.Duration(comeBackShare * float64(j.route.Aim))
+	switch why {
+	case reason.Overloaded:
+		return max(soon, time.Duration(j.behind*float64(time.Millisecond)))
+	case reason.NotResident, reason.BackendRefused:
+		return max(soon, comeBackLoad)
+	}
+	return soon
 }
 
 // noteDone writes the line of a request that was answered.
--- a/gateway/pass.go
+++ b/gateway/pass.go
@@ -141,15 +141,17 @@
 			return true
 		}
 		if err != nil || j.stream.tooLarge() {
+			dark := a.watch.stop()
 			a.done(false)
-			return j.streamBroke(ctx, s, err)
+			return j.streamBroke(ctx, s, err, dark)
 		}
 	}
 }
 
 // streamBroke has a stream go on at another server, or breaks it off.
-func (j *job) streamBroke(ctx context.Context, s *server, err error) (answered bool) {
+func (j *job) streamBroke(ctx context.Context, s *server, err error, dark bool) (answered bool) {
 	f := j.broke(ctx, err)
+	f.dark = dark
 	if j.headed && (!j.route.Resumable || j.stream.noIDs) {
 		s.failed(time.Now())
 		j.last = f
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -51,6 +51,8 @@
 	outAfter = 2
 	outFirst = 400 * time.Millisecond
 	outMost  = 4 * time.Second
+	// outSilent is how long a silent server is out the first time.
+	outSilent = time.Second
 	// lackFor is how long a server is passed over for a model that it said it lacks,
 	// though it is agreed that it has it: it may be about to have it, or the word of
 	// that is about to be corrected.
@@ -105,6 +107,15 @@
 	}
 }
 
+// silenced notes that a server could not be reached or fell silent; it is taken out
+// at once.
+func (s *server) silenced(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failures = max(s.failures+1, outAfter)
+	s.outUntil = now.Add(min(outSilent<<min(s.failures-outAfter, 2), outMost))
+}
+
 // setGone notes that another server has the address: this one never comes back.
 func (s *server) setGone() {
 	s.mu.Lock()
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -73,6 +73,7 @@
 	BackendBroke   = add(Reason{"backend-broke", Callers, "The connection broke before an answer; the request may have run.", "Do not assume either; ask with the same key where the call has one.", http.StatusBadGateway, Unknown, 0})
 	BackendFailed  = add(Reason{"backend-failed", Callers, "The backend server failed at the request.", "Its own answer goes back; see there.", 0, Failed, 0})
 	BackendLate    = add(Reason{"backend-late", Callers, "No answer came within the deadline; the request may have run.", "Do not assume either; ask with the same key where the call has one.", http.StatusGatewayTimeout, Unknown, 0})
+	BackendSilent  = add(Reason{"backend-silent", Callers, "The backend server fell silent before an answer; the request may have run.", "Do not assume either; ask with the same key where the call has one.", http.StatusBadGateway, Unknown, 0})
 	StreamBroke    = add(Reason{"stream-broke", Callers, "The stream broke off; what came is not the whole answer.", "Ask again if the call may be repeated.", 0, Unknown, 0})
 	KeyInProgress  = add(Reason{"key-in-progress", Callers, "A call with this key is running.", "Come back with the same key for its answer.", http.StatusConflict, Unknown, 1 * second})
 	KeyUnknown     = add(Reason{"key-unknown", Callers, "A call with this key was sent; how it ended is not known.", "It is never sent again; look at the service.", http.StatusBadGateway, Unknown, 0})
