--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -23,7 +23,8 @@
 //  3. A plain request goes to the one of two servers drawn at random that has
 //     less in flight, of the own data hall where that makes no difference.
 //  4. A server that failed lately, is silent, or was tried is taken only when no
-//     other is left; one that leaves, or whose address another has, never.
+//     other is left. One that leaves is taken, while no other is there, for a part
+//     of the time that it keeps serving; one whose address another has, never.
 
 const (
 	// readRate is how many prompt tokens a server reads in a millisecond.
@@ -65,10 +66,15 @@
 
 // usable is rule 4.
 func (d *directory) usable(list []*server, now time.Time, p dialect.Prompt, tried []*server) []*server {
-	var good, poor []*server
+	var good, poor, parting []*server
 	for _, s := range list {
+		since, leaves := s.parted(now)
 		switch {
-		case s.leaving.Load(), s.gone():
+		case s.gone():
+		case leaves:
+			if since < d.parting && !slices.Contains(tried, s) {
+				parting = append(parting, s)
+			}
 		case slices.Contains(tried, s):
 		case p.Model != "" && s.lacking(wantedOf(p), now):
 		case s.out(now), s.silent.Load():
@@ -77,8 +83,11 @@
 			good = append(good, s)
 		}
 	}
-	if len(good) > 0 {
+	switch {
+	case len(good) > 0:
 		return good
+	case len(parting) > 0:
+		return parting
 	}
 	return poor
 }
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"leverdrum/fleet"
 	"leverdrum/state"
@@ -22,7 +23,6 @@
 // pool is one service with its servers.
 type pool struct {
 	*fleet.Pool
-	// servers takes work; those that leave are not among them.
 	servers []*server
 	// holding lists the servers where a model, or an adapter beside its model, is
 	// ready.
@@ -33,6 +33,8 @@
 // them.
 type directory struct {
 	hall string
+	// parting is how long a server that leaves is a last resort.
+	parting time.Duration
 
 	mu      sync.Mutex
 	servers map[string]*server // by id
@@ -41,8 +43,8 @@
 	changed atomic.Pointer[chan struct{}]
 }
 
-func newDirectory(hall string) *directory {
-	d := &directory{hall: hall, servers: map[string]*server{}}
+func newDirectory(hall string, parting time.Duration) *directory {
+	d := &directory{hall: hall, parting: parting, servers: map[string]*server{}}
 	d.current.Store(&table{})
 	first := make(chan struct{})
 	d.changed.Store(&first)
@@ -96,8 +98,8 @@
 			d.servers[id] = s
 		}
 		s.silent.Store(a.Silent)
-		if a.Leaving && !s.leaving.Swap(true) {
-			s.conns.close()
+		if a.Leaving && s.part(time.Now()) {
+			time.AfterFunc(d.parting, s.conns.close)
 		}
 		if p := view.Fleet.Pools[a.Service]; p != nil && p.MaxConnections > 0 {
 			s.conns.limit(max(minConnections, p.MaxConnections*connectionShare/100/d.boxes()))
@@ -116,7 +118,7 @@
 func (d *directory) fill(t *table, view *state.State) {
 	for id, a := range view.Announced {
 		p := t.pools[a.Service]
-		if p == nil || a.Leaving {
+		if p == nil {
 			continue
 		}
 		p.servers = append(p.servers, d.servers[id])
@@ -129,7 +131,7 @@
 	}
 	for place, r := range view.Residents {
 		s, a := d.servers[place.Server], view.Announced[place.Server]
-		if s == nil || a == nil || a.Leaving || r.Phase != wire.Phase_PHASE_READY || !ready[[2]string{place.Server, place.Model}] {
+		if s == nil || a == nil || r.Phase != wire.Phase_PHASE_READY || !ready[[2]string{place.Server, place.Model}] {
 			continue
 		}
 		p := t.pools[a.Service]
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,11 +46,13 @@
 	Current func() bool
 	// Want tells the leader of models and adapters that requests wait for. It must
 	// not block.
-	Want   func(names []string)
-	Hall   string
-	Budget Budget
-	Meters *meter.Meters
-	Log    *zap.Logger
+	Want func(names []string)
+	Hall string
+	// Parting is how long a server that leaves is a last resort.
+	Parting time.Duration
+	Budget  Budget
+	Meters  *meter.Meters
+	Log     *zap.Logger
 }
 
 // Gateway is the callers' side of a box whose routes go by host and path.
@@ -67,9 +69,13 @@
 	inFlight atomic.Int64
 }
 
+// partingShare is the part, in hundredths, of the parting time that is used: other
+// boxes told the server that it may go before this one knew.
+const partingShare = 50
+
 // New returns a Gateway.
 func New(opts Options) *Gateway {
-	g := &Gateway{opts: opts, dir: newDirectory(opts.Hall), demand: newDemand(), wants: newWants(opts.Want), stopping: make(chan struct{})}
+	g := &Gateway{opts: opts, dir: newDirectory(opts.Hall, opts.Parting*partingShare/100), demand: newDemand(), wants: newWants(opts.Want), stopping: make(chan struct{})}
 	g.budgets = newBudgets(opts.Budget, g.dir.boxes)
 	return g
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -21,7 +21,7 @@
 	slots   int
 	hash    uint64
 	conns   *conns
-	leaving atomic.Bool
+	leaving atomic.Int64 // since when, in unix nanoseconds; 0: it stays
 	silent  atomic.Bool
 
 	mu       sync.Mutex
@@ -43,6 +43,15 @@
 	}
 }
 
+// part notes that the server leaves, and reports whether that is news.
+func (s *server) part(now time.Time) bool { return s.leaving.CompareAndSwap(0, now.UnixNano()) }
+
+// parted reports for how long the server has been leaving; false when it stays.
+func (s *server) parted(now time.Time) (time.Duration, bool) {
+	since := s.leaving.Load()
+	return time.Duration(now.UnixNano() - since), since != 0
+}
+
 func byID(a, b *server) int { return cmp.Compare(a.id, b.id) }
 
 const (
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -45,6 +45,7 @@
 	{Kind: "entry", Text: "Callers' traffic.", Keys: []conf.Key{
 		{Name: "listen", Type: conf.Address, Default: "", Text: "Where callers reach this box; needed by the role entry."},
 		{Name: "dialect", Type: conf.Choice, Choices: []string{DialectOwn, DialectPlatform}, Default: DialectOwn, Text: "How headers of requests by host and path are named."},
+		{Name: "parting", Type: conf.Duration, Default: "0s", Text: "How long a backend server that leaves still gets requests that no other can take. Less than it keeps serving."},
 		{Name: "ready-listen", Type: conf.Address, Default: "", Text: "Where the platform asks whether this box takes requests; none: nowhere."},
 		{Name: "max-body", Type: conf.Bytes, Default: "8MiB", Text: "Largest body of a request."},
 		{Name: "header-timeout", Type: conf.Duration, Default: "5s", Text: "How long a caller may take to send the headers."},
@@ -124,6 +125,7 @@
 	EntryListen   string
 	Dialect       string
 	ReadyListen   string
+	Parting       time.Duration
 	MaxBody       int64
 	HeaderTimeout time.Duration
 	BodyTimeout   time.Duration
@@ -203,7 +205,7 @@
 		EntryListen: entry.String("listen"), MaxBody: int64(entry.Bytes("max-body")),
 		HeaderTimeout: entry.Duration("header-timeout"), BodyTimeout: entry.Duration("body-timeout"), BalancerLag: entry.Duration("balancer-lag"), StopTimeout: entry.Duration("stop-timeout"),
 		Form: cluster.Bool("form"), Voters: cluster.Int("voters"), VotersNeedDisks: cluster.Bool("voters-need-disks"),
-		Dialect: entry.String("dialect"), ReadyListen: entry.String("ready-listen"),
+		Dialect: entry.String("dialect"), ReadyListen: entry.String("ready-listen"), Parting: entry.Duration("parting"),
 		OperatorListen: operator.String("listen"), PlatformListen: operator.String("platform-listen"), AcceptWait: operator.Duration("accept-wait"),
 		OrderPause: d.Part("orders").Duration("pause"), DemandSettles: d.Part("orders").Duration("demand-settles"),
 		BudgetRatio: budget.Float("ratio"), BudgetSlack: budget.Float("slack"), BudgetWindow: budget.Duration("window"),
