--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -14,6 +14,7 @@
 // table is what requests are routed by; it does not change.
 type table struct {
 	number uint64 // of the configuration
+	index  uint64 // of the entry that brought it
 	routes *fleet.RouteTable
 	limits fleet.Limits
 	pools  map[string]*pool
@@ -68,9 +69,15 @@
 		return
 	}
 	t := &table{
-		number: view.Version.GetNumber(), routes: fleet.NewRouteTable(view.Fleet.Routes), limits: view.Fleet.Limits,
+		number: view.Version.GetNumber(), index: view.Version.GetIndex(), limits: view.Fleet.Limits,
 		pools: map[string]*pool{}, fleet: view.Fleet,
 	}
+	// Servers come and go far more often than routes change.
+	if old := d.current.Load(); old.routes != nil && old.index == t.index {
+		t.routes = old.routes
+	} else {
+		t.routes = fleet.NewRouteTable(view.Fleet.Routes)
+	}
 	for name, p := range view.Fleet.Pools {
 		t.pools[name] = &pool{Pool: p, holding: map[string][]*server{}}
 	}
