--- /dev/null
+++ b/box/platform_test.go
@@ -0,0 +1,227 @@
+package box_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"leverdrum/box"
+	"leverdrum/peer"
+	"leverdrum/platform/standin"
+	"leverdrum/settings"
+)
+
+// within is how long a test waits for what must come; far above what it takes.
+const within = 20 * time.Second
+
+// one is a cluster of one box before stand-ins of the platform's servers.
+type one struct {
+	t                     *testing.T
+	entry, control, ready string
+	servers               []*standin.Server
+	box                   *box.Box
+}
+
+func address(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startOne starts the box in this process.
+func startOne(t *testing.T) *one {
+	o := &one{t: t, entry: address(t), control: address(t), ready: address(t)}
+	p := address(t)
+	text := fmt.Sprintf(`[box]
+name = 127.0.0.1
+hall = h
+roles = control,entry
+[cluster]
+name = c
+seeds = %s
+form = true
+[peer]
+listen = %s
+[entry]
+listen = %s
+dialect = platform
+ready-listen = %s
+balancer-lag = 100ms
+[operator]
+listen = %s
+platform-listen = %s
+[data]
+folder = %s
+[orders]
+pause = 300ms
+demand-settles = 300ms
+[timing]
+config-lease = 1h
+`, p, p, o.entry, o.ready, address(t), o.control, filepath.Join(t.TempDir(), "data"))
+	s, err := settings.Parse("box.ini", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := box.Start(s, peer.Plain{}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.box = b
+	t.Cleanup(b.Kill)
+	return o
+}
+
+// config is a configuration of one service with models of a size each.
+func config(version int, models ...string) string {
+	var list []string
+	for _, m := range models {
+		list = append(list, fmt.Sprintf(`{"name":%q,"weights_mb":70,"load_s":0.1,"warm_s":0.1,"disk_s":0.1,"adapters":8,"adapter_mb":1}`, m))
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","hostname":"h.example","path_prefix":"/a/","route_type":"streaming","timeout_ms":15000,"target_latency_ms":5000,
+		"backend":"s","max_attempts":2,"resumable":true}],
+		"backends":[{"name":"s","max_connections":100,"engine":{"slots":64,"weights_mb":220,"adapter_slots":3,"loads_per_s":50,"models":[%s]}}]}`, version, strings.Join(list, ","))
+}
+
+func (o *one) server(id string, models ...string) *standin.Server {
+	s := &standin.Server{
+		ID: id, Service: "s", Hall: "h", Room: 220, AdapterSlots: 3, LoadTime: 100 * time.Millisecond, Beat: 100 * time.Millisecond,
+		Control: []string{o.control}, Events: 3, Weights: map[string]int{},
+	}
+	for i := range 9 {
+		s.Weights[fmt.Sprint("m", i)] = 70
+	}
+	if err := s.Start(models...); err != nil {
+		o.t.Fatal(err)
+	}
+	o.t.Cleanup(s.Stop)
+	o.servers = append(o.servers, s)
+	return s
+}
+
+func (o *one) apply(text string) int {
+	resp, err := http.Post("http://"+o.control+"/Config.Replace", "application/json", strings.NewReader(text))
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// ask sends one request for a model and returns its status and body.
+func (o *one) ask(id, model string) (int, string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+o.entry+"/a/x?q=1", bytes.NewReader([]byte("body")))
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Leverdrum-Request-Id", id)
+	req.Header.Set("Leverdrum-Deadline-Ms", "15000")
+	req.Header.Set("Leverdrum-Model", model)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
+
+const whole = "id: 1\ndata: %[1]s\n\nid: 2\ndata: %[1]s\n\nid: 3\ndata: %[1]s\n\n"
+
+func TestWholePath(t *testing.T) {
+	o := startOne(t)
+	g := NewWithT(t)
+	g.Eventually(func() int { return o.apply(config(1, "m1", "m2")) }, within).Should(Equal(http.StatusOK))
+	o.server("i-1", "m1")
+	g.Eventually(func() int { s, _ := o.ask("first", "m1"); return s }, within).Should(Equal(http.StatusOK))
+	status, body := o.ask("r1", "m1")
+	g.Expect(status).To(Equal(http.StatusOK))
+	g.Expect(body).To(Equal(fmt.Sprintf(whole, "i-1")))
+
+	status, body = o.ask("r2", "m2") // loaded because it is asked for
+	g.Expect(status).To(Equal(http.StatusOK), body)
+	status, body = o.ask("r3", "m1/a5") // and so is an adapter
+	g.Expect(status).To(Equal(http.StatusOK), body)
+	status, body = o.ask("r4", "unknown")
+	g.Expect(status).To(Equal(http.StatusNotFound), body)
+
+	g.Expect(o.apply(config(1, "m1"))).To(Equal(http.StatusOK), "other content under the version held is acknowledged and changes nothing")
+	g.Expect(o.apply("{")).To(Equal(http.StatusBadRequest))
+	resp, err := http.Get("http://" + o.control + "/Config.Get")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	read, _ := io.ReadAll(resp.Body)
+	g.Expect(string(read)).To(Equal(config(1, "m1", "m2")))
+	g.Expect(o.servers[0].Faults()).To(BeEmpty())
+	for id, n := range o.servers[0].Runs() {
+		g.Expect(n).To(Equal(1), id)
+	}
+}
+
+func TestModelOfALeavingServerIsLoadedElsewhere(t *testing.T) {
+	o := startOne(t)
+	g := NewWithT(t)
+	g.Eventually(func() int { return o.apply(config(1, "m1")) }, within).Should(Equal(http.StatusOK))
+	first := o.server("i-1", "m1")
+	g.Eventually(func() int { s, _ := o.ask("first", "m1"); return s }, within).Should(Equal(http.StatusOK))
+	second := o.server("i-2")
+	first.Drain()
+	g.Eventually(func() bool { return second.Holds("m1") }, within).Should(BeTrue())
+	g.Eventually(func() string { _, body := o.ask("after", "m1"); return body }, within).Should(Equal(fmt.Sprintf(whole, "i-2")))
+}
+
+// Orders that get no answer and are carried out late, after newer ones: no server
+// is ever ordered beyond its room, and what is asked for is served in the end.
+func TestLateOrdersNeverOverfill(t *testing.T) {
+	o := startOne(t)
+	g := NewWithT(t)
+	models := []string{"m1", "m2", "m3", "m4", "m5", "m6", "m7"}
+	g.Eventually(func() int { return o.apply(config(1, models...)) }, within).Should(Equal(http.StatusOK))
+	random := rand.New(rand.NewPCG(1, 2))
+	var mu sync.Mutex
+	for i := range 3 {
+		s := o.server(fmt.Sprint("i-", i), models[2*i], models[2*i+1])
+		_ = s // Late is set before any order comes: the leader pauses at first
+		s.Late = func() time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			if random.IntN(3) == 0 {
+				return time.Duration(50+random.IntN(700)) * time.Millisecond
+			}
+			return 0
+		}
+	}
+	deadline := time.Now().Add(6 * time.Second)
+	for n := 0; time.Now().Before(deadline); n++ {
+		var wg sync.WaitGroup
+		for range 6 {
+			model := models[random.IntN(len(models))]
+			if random.IntN(2) == 0 {
+				model += fmt.Sprint("/a", 1+random.IntN(8))
+			}
+			wg.Go(func() { o.ask(fmt.Sprint("r", n, model), model) })
+		}
+		wg.Wait()
+	}
+	for _, s := range o.servers {
+		g.Expect(s.Faults()).To(BeEmpty(), s.ID)
+	}
+	for _, m := range models {
+		status, body := o.ask("end-"+m, m)
+		g.Expect(status).To(Equal(http.StatusOK), "%s: %s", m, body)
+	}
+}
