--- /dev/null
+++ b/state/announce_test.go
@@ -0,0 +1,165 @@
+package state_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"leverdrum/fleet"
+	"leverdrum/ledger"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+// poolFormat is a codec that gives a fleet of one pool with a model.
+const poolFormat = "test-pool"
+
+func init() {
+	fleet.Register(poolFormat, func(text []byte) (*fleet.Fleet, error) {
+		f := fleet.New()
+		f.Number = 1
+		f.Pools["p"] = &fleet.Pool{Name: "p", Kind: &fleet.Kind{Name: "p", Accelerators: 1, Memory: 100, Concurrency: 4, CountsOrders: true, AdapterSlots: 2}}
+		f.Models["m"] = &fleet.Model{Name: "m", Version: "v", Memory: 60, Copies: 1, MaxCopies: 9, Pool: "p"}
+		for _, name := range []string{"m/a1", "m/a2", "m/a3"} {
+			f.Adapters[name] = &fleet.Adapter{Name: name, Model: "m", Version: "v", Memory: 1, OnDemand: true}
+		}
+		return f, nil
+	})
+}
+
+type log struct {
+	t  *testing.T
+	st *state.State
+}
+
+func newLog(t *testing.T) *log {
+	l := &log{t, state.New()}
+	l.apply(&wire.Command{Kind: &wire.Command_Apply{Apply: &wire.ApplyFleet{Number: 1, Format: poolFormat, Text: "x", Digest: fleet.Digest([]byte("x"))}}})
+	return l
+}
+
+func (l *log) apply(c *wire.Command) state.Result {
+	data, err := proto.Marshal(c)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	return l.st.Apply(&wire.Entry{Index: l.st.Index + 1, Term: 1, Kind: wire.EntryKind_ENTRY_COMMAND, Data: data})
+}
+
+func (l *log) announce(a *wire.Announcement) {
+	l.apply(&wire.Command{Kind: &wire.Command_Announce{Announce: a}})
+}
+
+func (l *log) order(o *wire.Order) state.Result {
+	o.ServerIncarnation = o.Server
+	return l.apply(&wire.Command{Kind: &wire.Command_Issue{Issue: &wire.IssueOrder{Order: o}}})
+}
+
+func (l *log) closeDone(id uint64) {
+	l.apply(&wire.Command{Kind: &wire.Command_Close{Close: &wire.CloseOrder{Id: id, Outcome: wire.OrderOutcome_OUTCOME_DONE}}})
+}
+
+func model() *wire.Item { return &wire.Item{Model: "m", Version: "v"} }
+
+func adapter(name string) *wire.Item {
+	return &wire.Item{Model: "m", Adapter: "m/" + name, Version: "v"}
+}
+
+func server(id string, items ...*wire.Item) *wire.Announcement {
+	return &wire.Announcement{Id: id, Service: "p", Address: "10.0.0.1:1", Hall: "h", Slots: 4, Engine: true, Residents: items}
+}
+
+func TestAnnouncedServersJoinTheFleet(t *testing.T) {
+	g := NewWithT(t)
+	l := newLog(t)
+	l.announce(server("i1", model()))
+	g.Expect(l.st.Fleet.Servers).To(HaveKey("i1"))
+	g.Expect(l.st.Fleet.Servers["i1"].Kind.CountsOrders).To(BeTrue())
+	g.Expect(l.st.Used("i1", 0)).To(BeEquivalentTo(60))
+
+	again, err := state.Decode(l.st.Encode())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again.Fleet.Servers).To(HaveKey("i1"), "a snapshot holds them")
+	g.Expect(proto.Equal(again.Encode(), l.st.Encode())).To(BeTrue())
+
+	l.apply(&wire.Command{Kind: &wire.Command_Withdraw{Withdraw: &wire.Withdraw{Id: "i1", Forget: true}}})
+	g.Expect(l.st.Fleet.Servers).NotTo(HaveKey("i1"))
+	g.Expect(l.st.Residents).To(BeEmpty())
+}
+
+func TestServersAnnouncedBeforeTheirServiceIsKnown(t *testing.T) {
+	g := NewWithT(t)
+	l := &log{t, state.New()}
+	l.announce(server("i1", model()))
+	l.apply(&wire.Command{Kind: &wire.Command_Apply{Apply: &wire.ApplyFleet{Number: 1, Format: poolFormat, Text: "x", Digest: fleet.Digest([]byte("x"))}}})
+	g.Expect(l.st.Fleet.Servers).To(HaveKey("i1"))
+	g.Expect(l.st.Used("i1", 0)).To(BeEquivalentTo(60), "its size is counted once it is known")
+}
+
+func TestLeavingStays(t *testing.T) {
+	g := NewWithT(t)
+	l := newLog(t)
+	leaving := server("i1", model())
+	leaving.Leaving = true
+	l.announce(server("i1", model()))
+	l.announce(leaving)
+	l.announce(server("i1", model()))
+	g.Expect(l.st.Announced["i1"].Leaving).To(BeTrue())
+	g.Expect(l.st.Servers["i1"].Leaving).To(BeTrue())
+	g.Expect(l.order(&wire.Order{Action: wire.OrderAction_ORDER_LOAD, Server: "i1", Item: adapter("a1"), Memory: 1}).Err).To(HaveOccurred())
+	l.apply(&wire.Command{Kind: &wire.Command_Withdraw{Withdraw: &wire.Withdraw{Id: "unknown"}}})
+	l.announce(server("i2"))
+	l.apply(&wire.Command{Kind: &wire.Command_Withdraw{Withdraw: &wire.Withdraw{Id: "i2"}}})
+	l.announce(server("i2"))
+	g.Expect(l.st.Announced["i2"].Leaving).To(BeTrue(), "gone stays gone")
+}
+
+func TestANewIDSilencesTheOldOneAtItsAddress(t *testing.T) {
+	g := NewWithT(t)
+	l := newLog(t)
+	l.announce(server("i1", model()))
+	l.announce(server("i2"))
+	g.Expect(l.st.Announced["i1"].Silent).To(BeTrue())
+	g.Expect(l.st.Announced["i2"].Silent).To(BeFalse())
+	l.announce(server("i1", model()))
+	g.Expect(l.st.Announced["i1"].Silent).To(BeFalse(), "it is heard again: words come late")
+	g.Expect(l.st.Announced["i2"].Silent).To(BeFalse())
+}
+
+func TestResidentsStandWhileAnOrderIsOpen(t *testing.T) {
+	g := NewWithT(t)
+	l := newLog(t)
+	l.announce(server("i1"))
+	r := l.order(&wire.Order{Action: wire.OrderAction_ORDER_LOAD, Server: "i1", Item: model(), Memory: 60})
+	g.Expect(r.Err).NotTo(HaveOccurred())
+	l.announce(server("i1"))
+	g.Expect(l.st.Used("i1", 0)).To(BeEquivalentTo(60), "what is ordered stays counted")
+	l.closeDone(r.Order.Id)
+	l.announce(server("i1"))
+	g.Expect(l.st.Used("i1", 0)).To(BeZero(), "and is taken from the server's word afterwards")
+}
+
+func TestAdapterSlots(t *testing.T) {
+	g := NewWithT(t)
+	l := newLog(t)
+	l.announce(server("i1", model()))
+	for _, name := range []string{"a1", "a2"} {
+		r := l.order(&wire.Order{Action: wire.OrderAction_ORDER_LOAD, Server: "i1", Item: adapter(name), Memory: 1})
+		g.Expect(r.Err).NotTo(HaveOccurred(), name)
+		l.closeDone(r.Order.Id)
+	}
+	r := l.order(&wire.Order{Action: wire.OrderAction_ORDER_LOAD, Server: "i1", Item: adapter("a3"), Memory: 1})
+	g.Expect(r.Err).To(MatchError(ContainSubstring("2 of 2 adapter slots")))
+	r = l.order(&wire.Order{Action: wire.OrderAction_ORDER_UNLOAD, Server: "i1", Item: adapter("a1")})
+	g.Expect(r.Err).NotTo(HaveOccurred(), "the last copy of an on-demand adapter may go")
+	l.closeDone(r.Order.Id)
+
+	l.announce(&wire.Announcement{Id: "i2", Service: "p", Address: "10.0.0.2:1", Engine: true, Residents: []*wire.Item{model()}})
+	r = l.order(&wire.Order{Action: wire.OrderAction_ORDER_UNLOAD, Server: "i1", Item: model()})
+	g.Expect(r.Err).NotTo(HaveOccurred())
+	l.closeDone(r.Order.Id)
+	for p := range l.st.Residents {
+		g.Expect(p).To(Equal(ledger.Place{Server: "i2", Model: "m", Version: "v"}), "adapters go with their model")
+	}
+}
