--- a/box/platform_test.go
+++ b/box/platform_test.go
@@ -209,15 +209,15 @@
 	g := NewWithT(t)
 	models := []string{"m1", "m2", "m3", "m4", "m5", "m6", "m7"}
 	g.Eventually(func() int { return o.apply(config(1, models...)) }, within).Should(Equal(http.StatusOK))
-	random := rand.New(rand.NewPCG(1, 2))
-	var mu sync.Mutex
+	random, lateness := rand.New(rand.NewPCG(1, 2)), rand.New(rand.NewPCG(3, 4))
+	var mu sync.Mutex // of lateness
 	for i := range 3 {
 		s := o.server(fmt.Sprint("i-", i), models[2*i], models[2*i+1])
 		s.SetLate(func() time.Duration {
 			mu.Lock()
 			defer mu.Unlock()
-			if random.IntN(3) == 0 {
-				return time.Duration(50+random.IntN(3000)) * time.Millisecond
+			if lateness.IntN(3) == 0 {
+				return time.Duration(50+lateness.IntN(3000)) * time.Millisecond
 			}
 			return 0
 		})
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -34,7 +34,6 @@
 
 	mu       sync.Mutex
 	requests []string // head and body, as they came
-	gone     int      // connections that the other side closed
 }
 
 // answer writes to a connection what the script wants, given a request's id, and
@@ -68,9 +67,6 @@
 		for {
 			line, err := in.ReadString('\n')
 			if err != nil {
-				b.mu.Lock()
-				b.gone++
-				b.mu.Unlock()
 				return
 			}
 			head += line
@@ -107,12 +103,6 @@
 	return append([]string(nil), b.requests...)
 }
 
-func (b *backend) left() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.gone
-}
-
 // setup is a gateway in front of backends, with one route of each kind under
 // /safe/, /unsafe/, /stream/ (resumable) and /once/ (a stream that is not).
 type setup struct {
@@ -120,7 +110,6 @@
 	gate *gateway.Gateway
 	view *state.State
 	at   string
-	logs strings.Builder
 }
 
 func newSetup(t *testing.T, timeout time.Duration, backends ...*backend) *setup {
