logline: log lines never hold up those who log; errors without their way

Cause: lines went to standard error in the way of requests, and each error carried the stack that it passed (zap's verbose field), half of a line. Lines are queued, written by one goroutine to standard output, dropped when their reader is too slow, and what was dropped is said.

--- a/box/platform.go
+++ b/box/platform.go
@@ -131,7 +131,7 @@
 		Kind: wire.ForwardKind_FORWARD_APPLY, Apply: &wire.ApplyFleet{Number: number, Digest: fleet.Digest(text), Text: string(text), Format: format},
 	})
 	if err != nil {
-		event.ConfigurationUnsure.Log(c.box.log, zap.Uint64("number", number), zap.Error(err))
+		event.ConfigurationUnsure.Log(c.box.log, zap.Uint64("number", number), event.Cause(err))
 		return err
 	}
 	if answer.Apply.Outcome == string(state.Invalid) {
@@ -191,5 +191,5 @@
 // Malformed notes a call that could not be read.
 func (c *platformCluster) Malformed(what string, err error) {
 	c.box.meters.Refuse(reason.BadRequest)
-	event.CallMalformed.Log(c.box.log, zap.String("call", what), zap.Error(err))
+	event.CallMalformed.Log(c.box.log, zap.String("call", what), event.Cause(err))
 }
--- a/box/stop.go
+++ b/box/stop.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"time"
 
-	"go.uber.org/zap"
-
 	"leverdrum/event"
 )
 
@@ -53,7 +51,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), b.settings.StopTimeout)
 	defer cancel()
 	if err := b.entryHTTP.Shutdown(ctx); err != nil {
-		event.CutOff.Log(b.log, zap.Error(err))
+		event.CutOff.Log(b.log, event.Cause(err))
 		return Error.Wrap(err)
 	}
 	return nil
--- a/certs/certs.go
+++ b/certs/certs.go
@@ -97,7 +97,7 @@
 	}
 	l, err := s.load()
 	if err != nil {
-		event.CertificatesRefuse.Log(s.log, zap.Error(err))
+		event.CertificatesRefuse.Log(s.log, event.Cause(err))
 		return
 	}
 	s.current.Store(l)
--- a/control/counted.go
+++ b/control/counted.go
@@ -121,7 +121,7 @@
 	}
 	verdict, err := x.give(ctx)
 	if err != nil {
-		event.OrderUnanswered.Log(x.c.opts.Log, zap.Uint64("order", x.order.Id), zap.String("server", x.order.Server), zap.Error(err))
+		event.OrderUnanswered.Log(x.c.opts.Log, zap.Uint64("order", x.order.Id), zap.String("server", x.order.Server), event.Cause(err))
 		x.unsure = true
 		wait.For(ctx, countedResend)
 		return engine.Outcome{}, false
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"leverdrum/box"
 	"leverdrum/certs"
 	"leverdrum/event"
+	"leverdrum/logline"
 	"leverdrum/peer"
 	"leverdrum/settings"
 )
@@ -107,7 +108,7 @@
 	return func() {
 		next, err := settings.Load(path)
 		if err != nil {
-			event.SettingsRefused.Log(log, zap.Error(err))
+			event.SettingsRefused.Log(log, event.Cause(err))
 			return
 		}
 		b.Reload(next)
@@ -136,16 +137,12 @@
 	return run(s, c.path(f), log)
 }
 
+// newLog writes JSON lines to standard output, without ever holding anybody up.
 func newLog(s *settings.Settings) *zap.Logger {
-	config := zap.NewProductionConfig()
-	config.Level = zap.NewAtomicLevelAt(level(s.LogLevel))
-	config.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
-	config.DisableCaller, config.DisableStacktrace = true, true
-	log, err := config.Build()
-	if err != nil {
-		return zap.NewNop()
-	}
-	return log.With(zap.String("box", s.Box), zap.String("hall", s.Hall))
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	core := logline.Core(zapcore.NewJSONEncoder(config), logline.New(os.Stdout), level(s.LogLevel))
+	return zap.New(core).With(zap.String("box", s.Box), zap.String("hall", s.Hall))
 }
 
 func level(name string) zapcore.Level {
@@ -178,17 +175,17 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	tls, err := openTLS(s, log, done)
 	if err != nil {
-		event.CannotStart.Log(log, zap.Error(err))
+		event.CannotStart.Log(log, event.Cause(err))
 		return subcommands.ExitFailure
 	}
 	b, err := box.Start(s, tls, log)
 	if err != nil {
-		event.CannotStart.Log(log, zap.Error(err))
+		event.CannotStart.Log(log, event.Cause(err))
 		return subcommands.ExitFailure
 	}
 	event.Started.Log(log, zap.Strings("roles", s.Roles))
 	if err := await(b, signals, reload(b, path, log)); err != nil {
-		event.CannotGoOn.Log(log, zap.Error(err))
+		event.CannotGoOn.Log(log, event.Cause(err))
 		return subcommands.ExitFailure
 	}
 	if err := b.Stop(); err != nil {
--- a/event/event.go
+++ b/event/event.go
@@ -81,6 +81,14 @@
 // All returns the table.
 func All() []Event { return table }
 
+// Cause is the field of an error: its text alone, without the way that it took.
+func Cause(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
+
 // Log writes the event's line, with its code.
 func (e *Event) Log(log *zap.Logger, fields ...zap.Field) {
 	log.Log(e.Level, e.Title, append(fields, zap.String("event", e.Code))...)
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -419,7 +419,7 @@
 		fields = append(fields, zap.String("server", j.tried[n-1].id))
 	}
 	if f != nil {
-		fields = append(fields, zap.String("last", f.why.Code), zap.Error(f.cause))
+		fields = append(fields, zap.String("last", f.why.Code), event.Cause(f.cause))
 	}
 	event.RequestFailed.Log(j.g.opts.Log, fields...)
 }
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -4,7 +4,6 @@
 	"errors"
 	"time"
 
-	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"leverdrum/consensus"
@@ -115,7 +114,7 @@
 // withdraw takes the member out until its disk has room, and then lets it start
 // again from what is durable, as after a crash.
 func (r *Replica) withdraw(cause error) error {
-	event.DataFolderFull.Log(r.opts.Log, zap.Error(cause))
+	event.DataFolderFull.Log(r.opts.Log, event.Cause(cause))
 	r.failWaiting()
 	r.pausedTil = time.Now().Add(fullPause)
 	if err := r.opts.Storage.Reload(); err != nil {
