--- a/box/answer.go
+++ b/box/answer.go
@@ -90,7 +90,7 @@
 	case wire.ForwardKind_FORWARD_WITHDRAW:
 		return &wire.ForwardAnswer{}, p.control.Withdraw(ctx, f.Withdraw)
 	case wire.ForwardKind_FORWARD_WANT:
-		return &wire.ForwardAnswer{}, p.control.Want(f.Wants)
+		return &wire.ForwardAnswer{}, p.control.Notice(ctx, f)
 	case wire.ForwardKind_FORWARD_READ:
 		return leadRead(ctx, p)
 	case wire.ForwardKind_FORWARD_JOIN:
--- a/control/announce.go
+++ b/control/announce.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 
 	"leverdrum/event"
 	"leverdrum/replica"
@@ -74,6 +73,7 @@
 	}
 	late := a.Sequence < h.sequence
 	if !late {
+		delete(c.refusing, a.Id)
 		h.at, h.sequence = time.Now(), a.Sequence
 	}
 	switch {
@@ -140,16 +140,18 @@
 	return err
 }
 
-// Want notes models and adapters that requests wait for.
-func (c *Controller) Want(list []*wire.Demand) error {
+// Notice takes over what a box met while it served: models and adapters that
+// requests wait for, and servers that refuse connections.
+func (c *Controller) Notice(ctx context.Context, f *wire.Forward) error {
 	if !c.leads() {
 		return replica.ErrNotLeader
 	}
 	c.mu.Lock()
-	for _, d := range list {
+	for _, d := range f.Wants {
 		c.wanted[d.Model] = time.Now()
 	}
 	c.mu.Unlock()
+	c.noteRefusing(ctx, f)
 	select {
 	case c.kick <- struct{}{}:
 	default:
@@ -186,24 +188,22 @@
 	led := time.Since(c.ledSince)
 	for id, a := range view.Announced {
 		silence := c.silence(id, led)
-		var cmd *wire.Command
 		switch {
 		case silence > forgetAfter:
-			cmd = &wire.Command{Kind: &wire.Command_Withdraw{Withdraw: &wire.Withdraw{Id: id, Forget: true}}}
+			c.forgetServer(ctx, id, silence)
 		case silence > silentAfter && !a.Silent:
-			next := proto.CloneOf(a)
-			next.Silent, next.Residents = true, residentItems(view, id)
-			cmd = &wire.Command{Kind: &wire.Command_Announce{Announce: next}}
-		default:
-			continue
-		}
-		if _, err := c.propose(ctx, cmd); err != nil {
-			return
+			c.markSilent(ctx, id, zap.Duration("silence", silence))
 		}
-		event.ServerSilent.Log(c.opts.Log, zap.String("server", id), zap.Duration("silence", silence), zap.Bool("forgotten", silence > forgetAfter))
 	}
 }
 
+func (c *Controller) forgetServer(ctx context.Context, id string, silence time.Duration) {
+	if _, err := c.propose(ctx, &wire.Command{Kind: &wire.Command_Withdraw{Withdraw: &wire.Withdraw{Id: id, Forget: true}}}); err != nil {
+		return
+	}
+	event.ServerSilent.Log(c.opts.Log, zap.String("server", id), zap.Duration("silence", silence), zap.Bool("forgotten", true))
+}
+
 func residentItems(view *state.State, id string) []*wire.Item {
 	var list []*wire.Item
 	for p, r := range view.Residents {
--- a/control/control.go
+++ b/control/control.go
@@ -14,8 +14,8 @@
 //     load was done closes it at once. Anything else stays open, and counted,
 //     until no order can arrive any more, and then the server's state, read
 //     after that, closes it.
-//  5. A new leader treats all open orders as sent and unanswered, and gives no
-//     order until the one before it can give none (OrderPause).
+//  5. A new leader treats all open orders as sent and unanswered, and gives a server
+//     none within OrderPause of an earlier leader's (pause.go).
 //  6. To a server that counts orders an order names the count that the server
 //     had before it. It is sent again under the same count until there is an
 //     answer: of all its copies, late ones included, the server takes at most
@@ -34,6 +34,7 @@
 	"leverdrum/engine"
 	"leverdrum/event"
 	"leverdrum/fleet"
+	"leverdrum/internal/wait"
 	"leverdrum/ledger"
 	"leverdrum/membership"
 	"leverdrum/meter"
@@ -48,6 +49,12 @@
 const (
 	// round is the time between two looks at everything.
 	round = 250 * time.Millisecond
+	// A round that something set off follows the one before by roundsShare times as
+	// long as that took, within these bounds: each order and each request that waits
+	// sets one off.
+	roundsLeast = 5 * time.Millisecond
+	roundsMost  = 100 * time.Millisecond
+	roundsShare = 4
 	// stateTimeout bounds reading one server's state.
 	stateTimeout = time.Second
 	// orderTimeout bounds one sending of an order; loads take long.
@@ -81,7 +88,7 @@
 	Counting engine.Counting
 	// Holder names this box in orders.
 	Holder string
-	// OrderPause is how long a new leader gives no orders (5).
+	// OrderPause is the least time between the orders of two leaders to a server (5).
 	OrderPause time.Duration
 	// DemandSettles is how long a new leader waits for demand to be reported.
 	DemandSettles time.Duration
@@ -115,11 +122,16 @@
 	ledSince   time.Time
 	limiter    *rate.Limiter
 
-	heard  map[string]*heard    // announced servers, by id
-	counts map[string]uint64    // orders that servers have taken, where known (6)
-	wanted map[string]time.Time // models and adapters that requests wait for
-	kick   chan struct{}
-	metAt  time.Time // when silent boxes were called on last
+	heard  map[string]*heard // announced servers, by id
+	counts map[string]uint64 // orders that servers have taken, where known (6)
+	// refusing holds, for each server, when a box last met it refusing connections.
+	refusing map[string]map[string]time.Time
+	ordered  map[string]ordered   // by server, see pause.go; nil before the first look
+	lacking  map[string]time.Time // since when models have no copy, see patience.go
+	askedAt  map[string]time.Time // when models were asked for last
+	wanted   map[string]time.Time // models and adapters that requests wait for
+	kick     chan struct{}
+	metAt    time.Time // when silent boxes were called on last
 }
 
 type report struct {
@@ -132,7 +144,7 @@
 	return &Controller{
 		opts: opts, reports: map[string]report{}, reading: map[string]bool{}, quarantine: map[string]time.Time{},
 		sending: map[uint64]bool{}, short: map[string]string{},
-		heard: map[string]*heard{}, counts: map[string]uint64{}, wanted: map[string]time.Time{}, kick: make(chan struct{}, 1),
+		heard: map[string]*heard{}, lacking: map[string]time.Time{}, askedAt: map[string]time.Time{}, refusing: map[string]map[string]time.Time{}, counts: map[string]uint64{}, wanted: map[string]time.Time{}, kick: make(chan struct{}, 1),
 	}
 }
 
@@ -142,7 +154,9 @@
 	defer ticker.Stop()
 	for {
 		changed := c.opts.Replica.Changed()
+		began := time.Now()
 		c.step(ctx)
+		wait.For(ctx, min(roundsMost, max(roundsLeast, roundsShare*time.Since(began))))
 		select {
 		case <-ctx.Done():
 			return
@@ -163,6 +177,7 @@
 		c.term = status.Term
 		c.turn(leads)
 	}
+	c.watchOrders(c.opts.Replica.View(), time.Now())
 	if !leads {
 		return
 	}
@@ -176,9 +191,7 @@
 	}
 	c.readStates(ctx, view)
 	c.noteServers(ctx, c.opts.Replica.View())
-	if time.Since(c.ledSince) < c.opts.OrderPause { // (5)
-		return
-	}
+	c.watchOrders(c.opts.Replica.View(), time.Now())
 	c.decide(ctx, c.opts.Replica.View())
 	c.drive(ctx, c.opts.Replica.View())
 }
@@ -194,6 +207,8 @@
 		c.reports = map[string]report{}
 		c.quarantine = map[string]time.Time{}
 		c.heard = map[string]*heard{}
+		c.refusing = map[string]map[string]time.Time{}
+		c.lacking, c.askedAt = map[string]time.Time{}, map[string]time.Time{}
 		c.counts = map[string]uint64{}
 		c.wanted = map[string]time.Time{}
 		c.mu.Unlock()
@@ -416,7 +431,12 @@
 
 // decide issues what placement asks for, at the rate of the weight store.
 func (c *Controller) decide(ctx context.Context, view *state.State) {
-	plan := placement.Decide(placement.Input{State: view, Demand: c.demand(view), Down: c.down(view), Since: time.Since(c.ledSince), Wanted: c.wants(), Settles: c.opts.DemandSettles})
+	in := placement.Input{
+		State: view, Demand: c.demand(view), Down: c.down(view), Held: c.held(view, time.Now()),
+		Wanted: c.wants(), Since: time.Since(c.ledSince), Settles: c.opts.DemandSettles,
+	}
+	c.weighModels(&in, time.Now())
+	plan := placement.Decide(in)
 	c.noteShortages(plan.Shortages)
 	for _, d := range plan.Decisions {
 		if fromStore(view, d.Order) && !c.allowLoad(view.Fleet) {
@@ -472,6 +492,9 @@
 // drive sees to it that each open order comes to its end.
 func (c *Controller) drive(ctx context.Context, view *state.State) {
 	for id, o := range view.Orders {
+		if c.inherited(o) && time.Since(c.ledSince) < c.opts.OrderPause { // (5)
+			continue
+		}
 		s := view.Fleet.Servers[o.Server]
 		c.mu.Lock()
 		busy := c.sending[id]
--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/zeebo/errs"
 )
@@ -45,7 +46,7 @@
 // fill.
 func New() *Fleet {
 	f := newFleet()
-	f.AttainmentWeight, f.MoveWeight, f.AffinitySlack, f.GoodUse = 1, 200, 0.5, 0.8
+	f.AttainmentWeight, f.MoveWeight, f.AffinitySlack, f.GoodUse, f.DemandLasts = 1, 200, 0.5, 0.8, 5*time.Minute
 	f.LoadsPerSecond, f.LoadsAtOnce = 2, 8
 	return f
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -18,7 +18,10 @@
 	Number           uint64
 	AttainmentWeight float64
 	MoveWeight       float64
-	AffinitySlack    float64
+	// DemandLasts is how long demand is taken to last: what a move gains is reckoned
+	// over that time.
+	DemandLasts   time.Duration
+	AffinitySlack float64
 	// GoodUse is the share of a model server's places up to which answers come in
 	// time.
 	GoodUse        float64
@@ -69,6 +72,9 @@
 	CountsOrders bool
 	// AdapterSlots bounds the adapters on one accelerator; 0: no bound.
 	AdapterSlots int
+	// FetchPerToken is how long a server takes to fetch one token of a prompt that
+	// another of its kind has kept; 0: it cannot.
+	FetchPerToken time.Duration
 }
 
 // Usable returns the bytes of one accelerator that models and adapters may take.
@@ -212,6 +218,7 @@
 	f.Number = uint64(head.Int("number"))
 	f.AttainmentWeight, f.MoveWeight = head.Float("attainment-weight"), head.Float("move-weight")
 	f.AffinitySlack, f.GoodUse = head.Float("affinity-slack"), head.Float("good-use")
+	f.DemandLasts = head.Duration("demand-lasts")
 	f.LoadsPerSecond, f.LoadsAtOnce = head.Float("loads-per-second"), head.Int("loads-at-once")
 	for _, p := range r.doc.Parts("hall") {
 		f.Halls[p.Name] = &Hall{p.Name, p.String("region")}
--- a/fleet/schema.go
+++ b/fleet/schema.go
@@ -10,6 +10,7 @@
 		{Name: "move-weight", Type: conf.Float, Default: "200", Text: "Price of one move, in requests answered in time. 100 to 400 follows demand closely, 800 moves little; docs/DESIGN.md has the curve."},
 		{Name: "affinity-slack", Type: conf.Float, Default: "0.5", Text: "How much busier, as a share of its size, the model server that holds a session's prompt prefix may be and still be taken; 0 turns affinity off."},
 		{Name: "good-use", Type: conf.Float, Default: "0.8", Min: 0.01, Text: "Share of a model server's places up to which answers come in time; demand above it moves copies."},
+		{Name: "demand-lasts", Type: conf.Duration, Default: "5m", Text: "How long demand is taken to last: what a move gains is reckoned over that time, and what it costs while the load lasts is taken off."},
 		{Name: "loads-per-second", Type: conf.Float, Default: "2", Min: 0.01, Text: "Loads that the weight store takes a second."},
 		{Name: "loads-at-once", Type: conf.Int, Default: "8", Min: 1, Text: "Loads that the weight store serves at full speed at once."},
 	}},
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -10,7 +10,9 @@
 //  3. An item has one open order at a time. A server that does not check fences
 //     has one open order an accelerator.
 //  4. The last ready copy of an item that is wanted is not ordered away, nor is
-//     a model from beside the last ready copy of an adapter.
+//     a model from beside the last ready copy of an adapter. A model that the server
+//     keeps at hand, in its memory or on its disk, is exempt: it can be had again
+//     there within a second, and on scarce hardware its room serves others until then.
 //  5. An order names the incarnation of the server that it was decided for.
 //     On-demand adapters are exempt: they can be had again in no time.
 //  6. A server that does not check fences gets no order after a restart until
@@ -21,6 +23,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/zeebo/errs"
 
@@ -179,7 +182,7 @@
 	if a := b.Fleet.Adapters[o.Item.Adapter]; a != nil && a.OnDemand { // (4)
 		return nil
 	}
-	if b.Wanted(o.Item) && !b.ReadyElsewhere(PlaceOf(o)) { // (4)
+	if b.Wanted(o.Item) && !b.ReadyElsewhere(PlaceOf(o)) && !b.AtHand(o.Server, o.Item.GetModel()) { // (4)
 		return Error.New("%s has no other ready copy", Describe(o.Item))
 	}
 	if adapter := b.Stranded(PlaceOf(o)); adapter != "" { // (4)
@@ -188,6 +191,11 @@
 	return nil
 }
 
+// AtHand reports whether a server can load a model from its own memory or disk.
+func (b *Book) AtHand(server, model string) bool {
+	return slices.Contains(b.Servers[server].GetAtHand(), model)
+}
+
 // Stranded returns an adapter that no ready copy would serve any more if the
 // model at the place were gone, "" when there is none.
 func (b *Book) Stranded(place Place) string {
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -12,17 +12,12 @@
 )
 
 const (
-	// lasts is how long demand is taken to last.
-	lasts = 5 * time.Minute
 	// DemandSettles is how long a new leader waits for demand to be reported,
 	// unless Input says otherwise.
 	DemandSettles = 10 * time.Second
 	// worthShare is the share of the worth of a copy that room is made for which
 	// another move must have to be made meanwhile.
 	worthShare = 0.3
-	// atHandBonus is how much more room, as a share of its size, a server seems to
-	// have that has the model at hand.
-	atHandBonus = 0.1
 	// askedFor is the rate, in requests a second, from which an on-demand adapter
 	// counts as asked for (10).
 	askedFor = 0.15
@@ -32,12 +27,19 @@
 
 func (l *load) use() float64 { return l.work / l.size }
 
-// late is how many requests a second come too late by the excess.
+// late is how many requests a second come too late: none up to good use; a full
+// server still does what good use is, and the share between the two grows with the
+// square, since queues form only now and then there.
 func (l *load) late() float64 {
-	if l.work <= 0 {
+	use := l.use()
+	switch {
+	case use <= l.good:
 		return 0
+	case use < 1:
+		step := (use - l.good) / (1 - l.good)
+		return (1 - l.good) * step * step * l.requests
 	}
-	return l.excess() / l.work * l.requests
+	return (1 - l.good/use) * l.requests
 }
 
 // excess is the work that is above good use.
@@ -76,30 +78,40 @@
 	p.book(m, 1)
 }
 
-// followDemand is rule 7.
-func (p *planner) followDemand() {
+// followAbove is rule 7 for the moves that spare more than so many requests a second
+// (1).
+func (p *planner) followAbove(rate float64) {
 	if p.in.Since < cmp.Or(p.in.Settles, DemandSettles) {
 		return
 	}
-	least := p.fleet.MoveWeight
-	for i := range movesAtOnce {
-		if !p.mayLoad() {
-			return
-		}
-		best := p.bestMove()
-		if i == 0 {
-			least = max(least, worthShare*p.pendingWorth())
-		}
-		if best == nil || best.worth <= least {
-			return
-		}
-		if p.disturbed(best) {
+	for p.moves < movesAtOnce && p.mayLoad() {
+		best := p.nextMove()
+		if best == nil || best.rate <= rate || p.disturbed(best) {
 			return
 		}
+		p.best = nil
+		p.moves++
 		p.move(best)
 	}
 }
 
+// nextMove returns the best move that is worth its price, nil when there is none. It
+// is looked for once until it is made.
+func (p *planner) nextMove() *candidate {
+	if p.noMove || p.best != nil {
+		return p.best
+	}
+	least := p.fleet.MoveWeight
+	if p.moves == 0 {
+		least = max(least, worthShare*p.pendingWorth())
+	}
+	p.best = p.bestMove()
+	if p.best == nil || p.best.worth <= least {
+		p.best, p.noMove = nil, true
+	}
+	return p.best
+}
+
 // pendingWorth is what the best further copy would be worth of those models that
 // room is being made for: lesser ones do not take the weight store's rate from it.
 func (p *planner) pendingWorth() (worth float64) {
@@ -131,6 +143,8 @@
 	acc   *accelerator
 	out   []copyOf // copies that make room for it
 	worth float64
+	// rate is how many requests a second it spares once it is there.
+	rate float64
 	// touched are the servers whose work it changes.
 	touched []*load
 }
@@ -163,19 +177,43 @@
 	if !slices.ContainsFunc(list, func(c copyOf) bool { return c.acc.load.excess() > 0 }) {
 		return nil
 	}
-	acc, out := p.placeForMore(m)
-	if acc == nil {
-		return nil
+	var best *candidate
+	for _, hand := range []bool{true, false} { // (12)
+		acc, out := p.placeForMore(m, hand)
+		if acc == nil {
+			continue
+		}
+		if c := p.weigh(m, acc, out); best == nil || c.worth > best.worth {
+			best = &c
+		}
+	}
+	return best
+}
+
+// weigh returns what one more copy of a model is worth without those that make room
+// for it (7): what it spares while demand lasts, less what their absence costs until
+// it is there.
+func (p *planner) weigh(m *fleet.Model, acc *accelerator, out []copyOf) candidate {
+	spared, missed, touched := p.spared(m, acc, out)
+	coming := p.loadTime(m, acc).Seconds()
+	requests := spared*max(0, p.fleet.DemandLasts.Seconds()-coming) - missed*coming
+	return candidate{m, acc, out, requests * p.fleet.AttainmentWeight, spared, touched}
+}
+
+// loadTime is how long a load of the model lasts on an accelerator.
+func (p *planner) loadTime(m *fleet.Model, a *accelerator) time.Duration {
+	if p.atHand(m, a) {
+		return m.WarmTime
 	}
-	requests, touched := p.spared(m, acc, out)
-	return &candidate{m, acc, out, requests * lasts.Seconds() * p.fleet.AttainmentWeight, touched}
+	return m.LoadTime
 }
 
 // spared returns how many requests a second fewer come too late with one more
-// copy of the model and without those that make room for it. Each move that is
-// made lowers the sum over all servers, so that moves come to an end (7). It
-// returns the servers whose work changes, too.
-func (p *planner) spared(m *fleet.Model, acc *accelerator, out []copyOf) (float64, []*load) {
+// copy of the model and without those that make room for it, and how many more
+// while they are gone and it has not come. Each move that is made lowers the sum
+// over all servers, so that moves come to an end (7). It returns the servers whose
+// work changes, too.
+func (p *planner) spared(m *fleet.Model, acc *accelerator, out []copyOf) (spared, missed float64, all []*load) {
 	touched := map[*load]load{acc.load: *acc.load}
 	models := []*fleet.Model{m}
 	for _, c := range out {
@@ -192,13 +230,14 @@
 	for _, c := range out {
 		p.dropCopy(p.fleet.Models[c.resident.Item.Model], c)
 	}
+	between := lateOf(touched)
 	p.addCopy(m, copyOf{acc, &wire.Resident{Server: acc.server.Name, Item: &wire.Item{Model: m.Name, Version: m.Version}, Phase: wire.Phase_PHASE_LOADING}})
 	after := lateOf(touched)
 	for l, was := range touched {
 		*l = was
 	}
 	maps.Copy(p.copies, copies)
-	return before - after, slices.Collect(maps.Keys(touched))
+	return before - after, between - before, slices.Collect(maps.Keys(touched))
 }
 
 // lateOf sums in the order of size, since sums of fractions depend on it.
@@ -215,13 +254,14 @@
 }
 
 // placeForMore returns the accelerator of the server with the most room for
-// work, less the work of copies that must go, on which the copy fits or can be made to fit.
-func (p *planner) placeForMore(m *fleet.Model) (*accelerator, []copyOf) {
+// work, less the work of copies that must go, on which the copy fits or can be made to
+// fit; of those that have the model at hand, or of the others.
+func (p *planner) placeForMore(m *fleet.Model, hand bool) (*accelerator, []copyOf) {
 	var best *accelerator
 	var bestOut []copyOf
 	most := 0.0
 	for _, a := range p.accs {
-		if !p.mayHold(m, a) {
+		if !p.mayHold(m, a) || p.atHand(m, a) != hand {
 			continue
 		}
 		var out []copyOf
@@ -234,9 +274,6 @@
 		}
 		// What the copies in the way do must be done elsewhere.
 		room := a.load.room() - p.missed(out)
-		if p.atHand(m, a) { // (12)
-			room += atHandBonus * a.load.size
-		}
 		if best == nil || room > most {
 			best, bestOut, most = a, out, room
 		}
--- a/placement/needs.go
+++ b/placement/needs.go
@@ -32,9 +32,12 @@
 
 func (p *planner) asksFor(m *fleet.Model) bool { return p.in.Demand[m.Name].Requests > 0 }
 
-// loadReserved orders the loads of models that nobody asks for (1).
-func (p *planner) loadReserved() {
+// loadNeeds orders the loads of models that have their room: those that are asked
+// for beside what demand moves, by what each spares, and the others behind all that
+// demand asks for (1).
+func (p *planner) loadNeeds() {
 	for _, r := range p.reserved {
+		p.followAbove(p.in.Demand[r.need.model.Name].Requests)
 		if !p.mayLoad() {
 			return
 		}
@@ -44,33 +47,51 @@
 		r.acc.free += int64(r.need.model.Footprint())
 		p.load(r.need.model, r.acc, r.need.why())
 	}
+	p.followAbove(0)
 }
 
 // reserve keeps room for a model.
 func (p *planner) reserve(n need, a *accelerator) {
+	p.best = nil // it reckoned with this room
 	a.free -= int64(n.model.Footprint())
 	a.models[n.model.Name] = true
 	p.reserved = append(p.reserved, reservation{n, a})
 }
 
-// fillNeeds places what has no copy, and then what has too few (1).
+// fillNeeds keeps or makes room for what has no copy, and then for what has too few
+// (1).
 func (p *planner) fillNeeds() {
 	for _, n := range p.needs() {
 		if !p.mayLoad() {
 			return
 		}
-		if best := p.bestPlace(n.model); best != nil {
-			if p.asksFor(n.model) {
-				p.load(n.model, best, n.why())
-			} else {
-				p.reserve(n, best)
-			}
+		best := p.bestPlace(n.model)
+		if best == nil || p.fasterElsewhere(n, best) {
+			p.makeRoom(n)
 			continue
 		}
-		p.makeRoom(n)
+		p.reserve(n, best)
 	}
 }
 
+// fasterElsewhere reports whether a model that is asked for comes sooner by room made
+// on a server that has it at hand than on one with free room (12).
+func (p *planner) fasterElsewhere(n need, a *accelerator) bool {
+	if !p.asksFor(n.model) || p.atHand(n.model, a) || p.in.Patient[n.model.Name] || p.roomFor[n.model.Name] {
+		return false
+	}
+	best := p.leastHarm(n)
+	return best != nil && p.atHand(n.model, best.acc) && best.worth > p.harm(n, a, nil).worth
+}
+
+// harm weighs a place for a model without enough copies, with the requests that wait
+// until it is there.
+func (p *planner) harm(n need, a *accelerator, out []copyOf) candidate {
+	c := p.weigh(n.model, a, out)
+	c.worth -= p.in.Demand[n.model.Name].Requests * p.loadTime(n.model, a).Seconds()
+	return c
+}
+
 func (p *planner) needs() []need {
 	var list []need
 	for _, m := range p.models {
@@ -156,20 +177,13 @@
 
 // makeRoom is rule 5. The copy itself is placed once the room is there.
 func (p *planner) makeRoom(n need) {
-	if p.roomFor[n.model.Name] { // (11)
+	if p.roomFor[n.model.Name] || p.in.Patient[n.model.Name] { // (11, 13)
 		return
 	}
-	var best *accelerator
-	var bestOut []copyOf
-	for _, a := range p.accs {
-		if !p.mayHold(n.model, a) {
-			continue
-		}
-		out, ok := p.spare(a, int64(n.model.Footprint())-a.free, n.have == 0)
-		if ok && (best == nil || cmp.Or(cmp.Compare(len(out), len(bestOut)), cmp.Compare(p.missed(out), p.missed(bestOut))) < 0) {
-			best, bestOut = a, out
-		}
+	if p.in.Idle[n.model.Name] && p.kept(n.model) { // (14)
+		return
 	}
+	best := p.leastHarm(n)
 	if best == nil && n.have == 0 && p.repack(n.model) { // (8)
 		return
 	}
@@ -177,11 +191,31 @@
 		p.plan.Shortages = append(p.plan.Shortages, Shortage{n.model.Name, fmt.Sprintf("%s; no accelerator has %d bytes free now", n.why(), n.model.Footprint())})
 		return
 	}
-	for _, c := range bestOut {
+	for _, c := range best.out {
 		p.evict(c, n.model.Name)
 	}
 }
 
+// leastHarm returns where room for a model costs the fewest requests, its own that
+// wait for it included (5).
+func (p *planner) leastHarm(n need) *candidate {
+	var best *candidate
+	for _, a := range p.accs {
+		if !p.mayHold(n.model, a) {
+			continue
+		}
+		out, ok := p.spare(a, int64(n.model.Footprint())-a.free, n.have == 0)
+		if !ok {
+			continue
+		}
+		c := p.harm(n, a, out)
+		if best == nil || cmp.Or(cmp.Compare(c.worth, best.worth), cmp.Compare(len(best.out), len(c.out))) > 0 {
+			best = &c
+		}
+	}
+	return best
+}
+
 // missed is the work, in places, that copies do.
 func (p *planner) missed(list []copyOf) (work float64) {
 	for _, c := range list {
@@ -232,8 +266,9 @@
 		}
 	}
 	place := ledger.Place{Server: a.server.Name, Accelerator: a.number, Model: name, Version: m.Version}
-	enough := forFirst || all > p.least(m)
-	return here, found && ready >= 1 && enough && p.settled(m, a) && p.in.State.Stranded(place) == ""
+	enough := ready >= 1 && (forFirst || all > p.least(m))
+	spare := enough || p.in.Idle[name] && p.atHand(m, a) // (14)
+	return here, found && spare && p.settled(m, a) && p.in.State.Stranded(place) == ""
 }
 
 // settled reports whether nothing of the model is being moved on an accelerator.
@@ -256,5 +291,10 @@
 // atHand reports whether a server can load a model from its own memory or disk
 // (12).
 func (p *planner) atHand(m *fleet.Model, a *accelerator) bool {
-	return slices.Contains(p.in.State.Announced[a.server.Name].GetAtHand(), m.Name)
+	return p.in.State.AtHand(a.server.Name, m.Name)
+}
+
+// kept reports whether some server that works has the model at hand (14).
+func (p *planner) kept(m *fleet.Model) bool {
+	return slices.ContainsFunc(p.accs, func(a *accelerator) bool { return !a.unusable && p.atHand(m, a) })
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -4,11 +4,12 @@
 //
 // Rules:
 //
-//  1. A model without a ready or coming copy comes first, then one below its
-//     least number of copies, then one whose demand asks for more; within each
-//     those that are asked for first, then by priority, then by demand. Models that
-//     nobody asks for only get their room reserved at first: they are loaded after
-//     the copies that demand asks for, as long as the weight store is the limit.
+//  1. Room is kept or made first for models without a ready or coming copy, then
+//     for those below their least number of copies; within each for those that are
+//     asked for first, then by priority, then by demand. The loads themselves go by
+//     how many requests a second each serves: a copy that demand asks for (7) may
+//     come before a model that is rarely asked for, and one that nobody asks for
+//     comes last, as long as the weight store is the limit.
 //  2. A copy goes to an accelerator with room for the model and all its
 //     adapters: to a data hall without a copy, then to the server with the least
 //     work, then to the one with the most room.
@@ -19,10 +20,11 @@
 //  5. When nothing has room for a copy that is needed, the fewest copies that
 //     can be spared on one accelerator make room for it: those beyond their
 //     model's least number, and for a model without any copy all but the last.
+//     Of several ways the one that costs the fewest requests is taken.
 //  6. At most as many loads are open at once as the weight store serves well.
 //  7. Demand moves a copy only when what it gains, in requests answered in time
-//     over the time that demand is taken to last, is worth more than the price
-//     of a move. A copy that is not needed any more stays until its room is:
+//     over the time that demand is taken to last, less what the copies that make
+//     room are missed until it is there, is worth more than the price of a move. A copy that is not needed any more stays until its room is:
 //     taking it away would gain nothing.
 //  8. A model without any copy, for which there is room in sum but on no one
 //     accelerator, gets it by shifting copies that stand in the way: they are
@@ -32,6 +34,15 @@
 //     that is asked for least goes.
 //  10. A model has at least so many copies that all its on-demand adapters that
 //     are asked for find a slot.
+//  11. While room is being made for a model, none is made for it elsewhere.
+//  12. A server that has a model at hand (in its memory or on its disk) loads it far
+//     faster than from the weight store, and is taken first.
+//  13. No room is made for a model yet that the leader is patient with: while demand
+//     is not known to it, every copy looks spare; and one that nobody asks for may
+//     wait for its server to come back.
+//  14. The last copy of a model that nobody has asked for lately may go where the server
+//     keeps the model at hand (ledger, rule 4), and no room is made for it until it is
+//     asked for.
 package placement
 
 import (
@@ -64,9 +75,15 @@
 	// Down names servers that do not answer; they get no orders and their
 	// copies do not count.
 	Down map[string]bool
+	// Held names servers that get no orders now, though their copies count.
+	Held map[string]bool
 	// Since is how long the box has led. A new leader first lets demand be
 	// reported to it before it moves anything for demand's sake.
 	Since time.Duration
+	// Patient names models that no room is made for yet (13).
+	Patient map[string]bool
+	// Idle names models that nobody has asked for lately (14).
+	Idle map[string]bool
 	// Wanted are models and on-demand adapters that requests wait for.
 	Wanted map[string]bool
 	// Settles is how long a new leader waits for demand to be reported; 0:
@@ -102,8 +119,7 @@
 	p.adapters()
 	p.adaptersOnDemand()
 	p.fillNeeds()
-	p.followDemand()
-	p.loadReserved()
+	p.loadNeeds()
 	return p.plan
 }
 
@@ -142,7 +158,12 @@
 	asked, slots map[string]int
 	// roomFor names the models that room is being made for (11).
 	roomFor map[string]bool
-	// reserved are places for models that nobody asks for (1).
+	// moves counts what demand moved in this round; best is the next one, unless
+	// there is none (noMove).
+	moves  int
+	best   *candidate
+	noMove bool
+	// reserved are places that are kept for models without enough copies (1).
 	reserved []reservation
 	plan     Plan
 }
@@ -157,7 +178,7 @@
 		unusable := p.unusable(s)
 		for n := range s.Kind.Accelerators {
 			a := &accelerator{server: s, load: l, number: uint32(n), free: int64(s.Kind.Usable()), models: map[string]bool{}, unusable: unusable}
-			a.busy = unusable || in.State.Servers[s.Name].Quarantined
+			a.busy = unusable || in.Held[s.Name] || in.State.Servers[s.Name].Quarantined
 			p.index[s.Name] = append(p.index[s.Name], a)
 			p.accs = append(p.accs, a)
 		}
@@ -243,6 +264,7 @@
 
 // orderFor is an order that makes room for a model.
 func (p *planner) orderFor(acc *accelerator, action wire.OrderAction, item *wire.Item, memory uint64, roomFor, why string) {
+	p.best = nil // it reckoned without this
 	p.plan.Decisions = append(p.plan.Decisions, Decision{&wire.Order{
 		Action: action, Server: acc.server.Name, ServerIncarnation: p.in.State.Servers[acc.server.Name].GetIncarnation(),
 		Accelerator: acc.number, Item: item, Memory: memory, Reason: why, RoomFor: roomFor,
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -269,4 +269,58 @@
 		Expect(plan.Decisions).To(BeEmpty())
 		Expect(plan.Shortages).To(HaveLen(1))
 	})
+
+	It("gives no orders to servers that another leader ordered lately, and counts their copies", func() {
+		st := agreed(two + "[model m]\nversion = 1\nmemory = 4GiB\nclass = c\n")
+		held := map[string]bool{"s1": true, "s2": true, "s3": true}
+		Expect(placement.Decide(placement.Input{State: st, Held: held}).Decisions).To(BeEmpty())
+		standin.Ready(st, "s1", 0, &wire.Item{Model: "m", Version: "1"}, 4<<30)
+		Expect(placement.Decide(placement.Input{State: st, Held: map[string]bool{"s1": true}}).Decisions).To(BeEmpty())
+	})
+
+	// A new leader to which demand was not told yet took hot copies away for models
+	// that nobody asked for (buecherbruecke-ops scale-2 --seed 13).
+	It("makes no room for models that the leader is patient with (13)", func() {
+		st := agreed(two + "[model m]\nversion = 1\nmemory = 7GiB\nclass = c\n[model n]\nversion = 1\nmemory = 7GiB\nclass = c\n")
+		for _, server := range []string{"s1", "s2", "s3"} {
+			standin.Ready(st, server, 0, &wire.Item{Model: "m", Version: "1"}, 7<<30)
+		}
+		Expect(placement.Decide(placement.Input{State: st, Patient: map[string]bool{"n": true}}).Decisions).To(BeEmpty())
+		Expect(placement.Decide(placement.Input{State: st}).Decisions).NotTo(BeEmpty())
+	})
+
+	It("takes the last copy of an idle model where it stays at hand, for one that is asked for (14)", func() {
+		st := agreed(two + "[model m]\nversion = 1\nmemory = 7GiB\nclass = c\n[model n]\nversion = 1\nmemory = 7GiB\nclass = c\n")
+		standin.Ready(st, "s1", 0, &wire.Item{Model: "m", Version: "1"}, 7<<30)
+		in := placement.Input{
+			State: st, Demand: map[string]placement.Demand{"n": {Requests: 5, Places: 1}}, Down: map[string]bool{"s2": true, "s3": true},
+			Idle: map[string]bool{"m": true}, Since: time.Hour,
+		}
+		Expect(placement.Decide(in).Decisions).To(BeEmpty(), "it would have to come from the weight store again")
+		st.Servers["s1"].AtHand = []string{"m"}
+		Expect(placement.Decide(in).Decisions[0].Order.Item.Model).To(Equal("m"))
+		in.Idle = nil
+		Expect(placement.Decide(in).Decisions).To(BeEmpty(), "m is asked for now and then")
+	})
+
+	// With 102 requests a second on one copy, the weight store's rate went to models
+	// that were asked for once in seconds (buecherbruecke-ops scale-1 --seed 12).
+	It("loads what serves the most requests first (1)", func() {
+		st := agreed(two + "[model hot]\nversion = 1\nmemory = 4GiB\nclass = c\n[model rare]\nversion = 1\nmemory = 4GiB\nclass = c\n")
+		standin.Ready(st, "s1", 0, &wire.Item{Model: "hot", Version: "1"}, 4<<30)
+		demand := map[string]placement.Demand{"hot": {Requests: 100, Places: 30}, "rare": {Requests: 0.3, Places: 0.1}}
+		plan := placement.Decide(placement.Input{State: st, Demand: demand, Since: time.Hour})
+		Expect(plan.Decisions[0].Order.Item.Model).To(Equal("hot"))
+		Expect(plan.Decisions).To(ContainElement(HaveField("Reason", "no copy")))
+	})
+
+	It("weighs a move by how long demand lasts", func() {
+		text := two + "[model m]\nversion = 1\nmemory = 4GiB\nclass = c\n"
+		heavy := map[string]placement.Demand{"m": {Requests: 20, Places: 16}}
+		brief := agreed(text)
+		brief.Fleet.DemandLasts = time.Second
+		brief.Fleet.Models["m"].LoadTime = 2 * time.Second
+		settle(brief, heavy)
+		Expect(copies(brief, "m", "1")).To(HaveLen(1), "it would come too late")
+	})
 })
--- a/state/announce.go
+++ b/state/announce.go
@@ -37,7 +37,7 @@
 	if !a.Engine {
 		return
 	}
-	s.Servers[a.Id] = &wire.ServerState{Name: a.Id, Incarnation: a.Id, Leaving: next.Leaving}
+	s.Servers[a.Id] = &wire.ServerState{Name: a.Id, Incarnation: a.Id, Leaving: next.Leaving, Ordered: s.Servers[a.Id].GetOrdered(), AtHand: a.AtHand}
 	if !s.hasOrders(a.Id) { // (4)
 		s.replaceResidents(a)
 	}
@@ -104,7 +104,7 @@
 	next.Leaving = true
 	s.Announced[w.Id] = next
 	if seen := s.Servers[w.Id]; seen != nil {
-		s.Servers[w.Id] = &wire.ServerState{Name: w.Id, Incarnation: w.Id, Leaving: true}
+		s.Servers[w.Id] = &wire.ServerState{Name: w.Id, Incarnation: w.Id, Leaving: true, Ordered: seen.Ordered, AtHand: seen.AtHand}
 	}
 }
 
--- a/state/announce_test.go
+++ b/state/announce_test.go
@@ -163,3 +163,31 @@
 		g.Expect(p).To(Equal(ledger.Place{Server: "i2", Model: "m", Version: "v"}), "adapters go with their model")
 	}
 }
+
+func TestTheLastOrderOfAServerIsRemembered(t *testing.T) {
+	g := NewWithT(t)
+	l := newLog(t)
+	l.announce(server("i1", model()))
+	g.Expect(l.st.Servers["i1"].Ordered).To(BeZero())
+	r := l.order(&wire.Order{Action: wire.OrderAction_ORDER_LOAD, Server: "i1", Item: adapter("a1"), Memory: 1})
+	g.Expect(l.st.Servers["i1"].Ordered).To(Equal(r.Order.Id))
+	l.closeDone(r.Order.Id)
+	closed := l.st.Index
+	l.announce(server("i1", model()))
+	g.Expect(l.st.Servers["i1"].Ordered).To(Equal(closed), "also over its next word")
+	g.Expect(l.st.Clone().Encode().Servers[0].Ordered).To(Equal(closed), "and in snapshots")
+}
+
+func TestTheLastCopyGoesOnlyWhereItStaysAtHand(t *testing.T) {
+	g := NewWithT(t)
+	l := newLog(t)
+	l.announce(server("i1", model()))
+	unload := func() error {
+		return l.order(&wire.Order{Action: wire.OrderAction_ORDER_UNLOAD, Server: "i1", Item: model()}).Err
+	}
+	g.Expect(unload()).To(MatchError(ContainSubstring("no other ready copy")))
+	kept := server("i1", model())
+	kept.AtHand = []string{"m"}
+	l.announce(kept)
+	g.Expect(unload()).NotTo(HaveOccurred())
+}
--- a/state/state.go
+++ b/state/state.go
@@ -260,9 +260,19 @@
 	if o.Action == wire.OrderAction_ORDER_LOAD {
 		s.countMove(o.Item)
 	}
+	s.noteOrdered(o.Server)
 	return Result{Order: o}
 }
 
+// noteOrdered remembers the entry that was about an order to a server last.
+func (s *State) noteOrdered(server string) {
+	if old := s.Servers[server]; old != nil {
+		next := proto.CloneOf(old)
+		next.Ordered = s.Index
+		s.Servers[server] = next
+	}
+}
+
 // countMove counts a load as a move, unless it is part of the first placement:
 // the item never had so many copies, and the fleet file asks for them.
 func (s *State) countMove(item *wire.Item) {
@@ -309,6 +319,7 @@
 		return Result{Err: Error.New("order %d is not open", c.Id)}
 	}
 	delete(s.Orders, c.Id)
+	s.noteOrdered(o.Server)
 	place := ledger.PlaceOf(o)
 	done := c.Outcome == wire.OrderOutcome_OUTCOME_DONE
 	load := o.Action == wire.OrderAction_ORDER_LOAD
@@ -333,8 +344,8 @@
 	if s.Fleet == nil || s.Fleet.Servers[seen.Server] == nil {
 		return
 	}
-	next := &wire.ServerState{Name: seen.Server, Incarnation: seen.Incarnation, Leaving: seen.Leaving}
 	old := s.Servers[seen.Server]
+	next := &wire.ServerState{Name: seen.Server, Incarnation: seen.Incarnation, Leaving: seen.Leaving, Ordered: old.GetOrdered()}
 	if old.GetIncarnation() != seen.Incarnation {
 		s.takeResidents(seen)
 		next.Quarantined = !s.Fleet.Servers[seen.Server].Kind.ChecksFences
