--- a/spread/spread.go
+++ b/spread/spread.go
@@ -15,8 +15,8 @@
 //     the question, so that news that was stuck on the way is old news.
 //  4. Each question carries the index in force on the asker and on those that
 //     ask through it, so that the leader knows where a file is in force. When
-//     one of those advances, the asker reports it without waiting for its own
-//     question to come back; else it repeats the list once a second. The list
+//     one of those comes to hold the newest file, the asker reports it without
+//     waiting for its own question to come back; else it repeats the list once a second. The list
 //     names boxes by their places in an epoch's list of processes.
 //  5. A box is current while its news is younger than the configuration lease.
 //     Without such news it is current only while it hears from a majority of
@@ -32,6 +32,7 @@
 	"time"
 
 	"leverdrum/consensus"
+	"leverdrum/internal/wait"
 	"leverdrum/replica"
 	"leverdrum/state"
 	"leverdrum/wire"
@@ -40,6 +41,9 @@
 const (
 	// hold is how long a parent holds a question without news (1).
 	hold = 400 * time.Millisecond
+	// gather is how long a parent waits for more behind the first news: entries come
+	// in pairs and more, and each answer costs as much as many of them.
+	gather = 8 * time.Millisecond
 	// askTimeout bounds one question.
 	askTimeout = hold + 800*time.Millisecond
 	// retryPause is the wait before the next parent is asked.
@@ -222,6 +226,7 @@
 		}
 		select {
 		case <-changed:
+			wait.For(ctx, gather)
 		case <-fresher:
 			return s.opts.Replica.Since(index)
 		case <-timer.C:
@@ -245,11 +250,10 @@
 func (s *Spreader) noteHoldings(asker string, f *wire.Follow) {
 	now := s.opts.Replica.Now()
 	rows := unpack(report{f.Epoch, f.Sets, f.Subtree}, s.opts.Replica.View())
+	file := s.opts.Replica.View().Version.GetIndex()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.holdings[asker].index < f.Index {
-		s.noteAdvance()
-	}
+	s.noteAdvance(s.holdings[asker].index, f.Index, file)
 	s.holdings[asker] = holding{f.Index, now}
 	for _, h := range rows {
 		if h.Member == s.opts.Replica.ID() {
@@ -257,9 +261,7 @@
 		}
 		at := now - time.Duration(h.AgeMs)*time.Millisecond
 		if at > s.holdings[h.Member].at {
-			if s.holdings[h.Member].index < h.Index {
-				s.noteAdvance()
-			}
+			s.noteAdvance(s.holdings[h.Member].index, h.Index, file)
 			s.holdings[h.Member] = holding{h.Index, at}
 		}
 	}
@@ -270,7 +272,12 @@
 	}
 }
 
-func (s *Spreader) noteAdvance() {
+// noteAdvance has the parent told at once that a box has come to hold the newest file
+// (4). All else that is agreed changes too often for that.
+func (s *Spreader) noteAdvance(from, to, file uint64) {
+	if from >= file || to < file {
+		return
+	}
 	select {
 	case s.advanced <- struct{}{}:
 	default:
