--- /dev/null
+++ b/command/story_test.go
@@ -0,0 +1,35 @@
+package command
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestExplainRequestReadsFiles(t *testing.T) {
+	g := NewWithT(t)
+	file := filepath.Join(t.TempDir(), "log")
+	line := `{"ts":"2026-12-02T10:00:03Z","msg":"m","box":"b1","request":"r1","outcome":"caller-gone","event":"request-failed"}` + "\n"
+	g.Expect(os.WriteFile(file, []byte(line), 0o600)).To(Succeed())
+	run := func(args ...string) (int, string, string) {
+		var out, errOut bytes.Buffer
+		status := Run(args, &out, &errOut)
+		return status, out.String(), errOut.String()
+	}
+	status, out, _ := run("explain-request", "r1", file)
+	g.Expect(status).To(BeEquivalentTo(ExitOK))
+	g.Expect(out).To(ContainSubstring("caller left"))
+	status, out, _ = run("-json", "explain-request", "r1", file)
+	g.Expect(status).To(BeEquivalentTo(ExitOK))
+	g.Expect(out).To(ContainSubstring(`"outcome": "caller-gone"`))
+	status, _, errOut := run("explain-request", "r2", file)
+	g.Expect(status).To(BeEquivalentTo(ExitRefused))
+	g.Expect(errOut).To(ContainSubstring("b1"))
+	status, _, _ = run("explain-request")
+	g.Expect(status).To(BeEquivalentTo(ExitUsage))
+	status, _, _ = run("explain-request", "r1", file+".missing")
+	g.Expect(status).To(BeEquivalentTo(ExitUsage))
+}
