keyed, daemon, gateway: epochs entered once, less collecting, maps sized

Cause, by processor profiles of 40 daemons on loopback before 50 stand-ins with 120 models (15 s, 19.9 s of samples): collecting garbage 21 %, gateway tables 12 %, entering 48 lists of all processes anew at each agreed entry 6 %.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -116,13 +116,20 @@
 	}
 }
 
-// memoryShare is the part, in fifths, of the memory that the garbage collector
-// keeps below.
-const memoryShare = 4
+const (
+	// memoryShare is the part, in fifths, of the memory that the garbage collector
+	// keeps below.
+	memoryShare = 4
+	// garbagePercent is how much garbage may stand beside what is in use, in percent
+	// of it, as long as that limit is far: a fifth of a box's processor time went into
+	// collecting at 40 boxes, with 20 to 50 MB in use of 184.
+	garbagePercent = 300
+)
 
 func limitMemory(s *settings.Settings) {
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(s.Memory / 5 * memoryShare)
+		debug.SetGCPercent(garbagePercent)
 	}
 }
 
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -79,7 +79,7 @@
 		t.routes = fleet.NewRouteTable(view.Fleet.Routes)
 	}
 	for name, p := range view.Fleet.Pools {
-		t.pools[name] = &pool{Pool: p, holding: map[string][]*server{}}
+		t.pools[name] = &pool{Pool: p, holding: make(map[string][]*server, len(view.Residents))}
 	}
 	d.refresh(view)
 	d.fill(t, view)
@@ -130,7 +130,7 @@
 		}
 		p.servers = append(p.servers, d.servers[id])
 	}
-	ready := map[[2]string]bool{} // server and model
+	ready := make(map[[2]string]bool, len(view.Residents)) // server and model
 	for place, r := range view.Residents {
 		if place.Adapter == "" && r.Phase == wire.Phase_PHASE_READY {
 			ready[[2]string{place.Server, place.Model}] = true
--- a/keyed/keyed.go
+++ b/keyed/keyed.go
@@ -51,6 +51,8 @@
 
 	mu    sync.Mutex
 	table *claim.Table
+
+	entered uint64 // the newest epoch that the table is in; of Run only
 }
 
 // New returns the guard of a process; Run makes it work.
@@ -92,9 +94,16 @@
 	return restEvery
 }
 
+// enter takes over new epochs. Most changes of the agreed state bring none, and at a
+// hundred boxes the list is long.
 func (g *Guard) enter() {
+	list := g.replica.View().Epochs
+	if len(list) == 0 || list[len(list)-1].Number <= g.entered {
+		return
+	}
+	g.entered = list[len(list)-1].Number
 	var epochs []claim.Epoch
-	for _, e := range g.replica.View().Epochs {
+	for _, e := range list {
 		next := claim.Epoch{Number: e.Number}
 		for _, p := range e.Processes {
 			next.Processes = append(next.Processes, claim.Process{ID: p.Id, Hall: p.Hall})
