daemon, soak: signals are heeded from the first moment; a stop is not lost behind hang-ups

And, by reading: all signals shared a channel of one place, so a SIGTERM behind a SIGHUP that nobody had taken yet was dropped. Now caught first of all, each kind by itself, and the process says so (starting). The soak waits for that line before it sends SIGHUP or SIGTERM: before it no program can heed any.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -86,17 +86,28 @@
 	return f.Arg(0)
 }
 
+// signals are what the process was sent. Each kind has a channel of its own: what a
+// full channel would drop is then only a repetition.
+type signals struct{ stop, again chan os.Signal }
+
+// catch heeds signals from now on. A SIGHUP that comes before would end the process.
+func catch() signals {
+	s := signals{make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.again, syscall.SIGHUP)
+	return s
+}
+
 // await returns nil at a signal to stop, or why the box cannot go on. At SIGHUP it
 // calls again.
-func await(b *box.Box, signals <-chan os.Signal, again func()) error {
+func (s signals) await(fatal <-chan error, again func()) error {
 	for {
 		select {
-		case err := <-b.Fatal():
+		case err := <-fatal:
 			return err
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				return nil
-			}
+		case <-s.stop:
+			return nil
+		case <-s.again:
 			again()
 		}
 	}
@@ -134,6 +145,7 @@
 }
 
 func (c *runCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	sent := catch()
 	s, ok := load(f, c.path(f))
 	if !ok {
 		return subcommands.ExitUsageError
@@ -141,7 +153,7 @@
 	limitMemory(s)
 	log := newLog(s)
 	defer func() { _ = log.Sync() }()
-	return run(s, c.path(f), log)
+	return run(s, c.path(f), sent, log)
 }
 
 // newLog writes JSON lines to standard output, without ever holding anybody up.
@@ -175,11 +187,10 @@
 	return source, nil
 }
 
-func run(s *settings.Settings, path string, log *zap.Logger) subcommands.ExitStatus {
+func run(s *settings.Settings, path string, sent signals, log *zap.Logger) subcommands.ExitStatus {
 	done := make(chan struct{})
 	defer close(done)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	event.Starting.Log(log)
 	tls, err := openTLS(s, log, done)
 	if err != nil {
 		event.CannotStart.Log(log, event.Cause(err))
@@ -191,7 +202,7 @@
 		return subcommands.ExitFailure
 	}
 	event.Started.Log(log, zap.Strings("roles", s.Roles))
-	if err := await(b, signals, reload(b, path, log)); err != nil {
+	if err := sent.await(b.Fatal(), reload(b, path, log)); err != nil {
 		event.CannotGoOn.Log(log, event.Cause(err))
 		return subcommands.ExitFailure
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -22,6 +22,7 @@
 
 // The events.
 var (
+	Starting           = add(Event{"starting", zapcore.InfoLevel, "The process has begun and heeds signals.", "Nothing; it goes on with started."})
 	Started            = add(Event{"started", zapcore.InfoLevel, "The box has started.", "Nothing."})
 	Stopping           = add(Event{"stopping", zapcore.InfoLevel, "A planned stop begins.", "Nothing; it ends with stopped."})
 	Stopped            = add(Event{"stopped", zapcore.InfoLevel, "The planned stop is done; nothing was cut off.", "Nothing."})
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -106,7 +106,10 @@
 
 func (f *faults) hangUp() {
 	d := f.box()
-	f.hold(d, func() { _ = d.cmd.Process.Signal(syscall.SIGHUP) })
+	f.hold(d, func() {
+		d.heeds()
+		_ = d.cmd.Process.Signal(syscall.SIGHUP)
+	})
 }
 
 func (f *faults) killAll() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,6 +29,9 @@
 	cause string
 }{
 	{20261202, "a torn record whose beginning was spoilt ended the box at each start (wal, rule 2)"},
+	{1069260638684, "SIGHUP before the settings were read ended the process (daemon, catch)"},
+	{643281099898, "the same"},
+	{1016905792061, "SIGTERM as early ended it without a planned stop"},
 }
 
 func TestFixedSeed(t *testing.T) { soak(t, fixedSeed, fixedSpan) }
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -52,6 +52,7 @@
 	mu   sync.Mutex // one fault at a time
 	cmd  *exec.Cmd
 	done chan struct{} // closed when the process has ended
+	born int           // how often it was started
 	ends bool          // its end was asked for
 }
 
@@ -178,6 +179,7 @@
 	}
 	done := make(chan struct{})
 	d.cmd, d.done, d.ends = cmd, done, false
+	d.born++
 	go func() {
 		err := cmd.Wait()
 		close(done)
@@ -205,8 +207,25 @@
 	<-d.done
 }
 
+// heeds waits until the process says that it heeds signals: before, no program can.
+func (d *daemon) heeds() {
+	for range 500 {
+		text, err := os.ReadFile(filepath.Join(d.folder, "log"))
+		if err == nil && strings.Count(string(text), `"event":"starting"`) >= d.born {
+			return
+		}
+		select {
+		case <-d.done:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	d.w.find("box %s does not begin within 5 s", d.ip)
+}
+
 // stop is a planned stop within the grace time.
 func (d *daemon) stop() {
+	d.heeds()
 	d.ends = true
 	_ = d.cmd.Process.Signal(syscall.SIGTERM)
 	select {
