--- a/control/beliefs_test.go
+++ b/control/beliefs_test.go
@@ -28,8 +28,8 @@
 	c := New(Options{OrderPause: 3 * time.Second})
 	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 
-	c.watchOrders(agreedServers(map[string]uint64{"old": 5, "never": 0}), at(0))
-	c.watchOrders(agreedServers(map[string]uint64{"old": 5, "never": 0, "new": 0, "lately": 9}), at(10))
+	c.watchOrders(agreedServers(map[string]uint64{"old": 5, "never": 0, "open": 3}), at(0))
+	c.watchOrders(agreedServers(map[string]uint64{"old": 5, "never": 0, "open": 3, "new": 0, "lately": 9}), at(10))
 	c.ledSince, c.term = at(11), 2
 
 	st := agreedServers(map[string]uint64{"old": 5, "never": 0, "new": 0, "lately": 9, "open": 3})
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -318,7 +318,7 @@
 		text := two + "[model m]\nversion = 1\nmemory = 4GiB\nclass = c\n"
 		heavy := map[string]placement.Demand{"m": {Requests: 20, Places: 16}}
 		brief := agreed(text)
-		brief.Fleet.DemandLasts = time.Second
+		brief.Fleet.DemandLasts, brief.Fleet.MoveWeight = time.Second, 0.1
 		brief.Fleet.Models["m"].LoadTime = 2 * time.Second
 		settle(brief, heavy)
 		Expect(copies(brief, "m", "1")).To(HaveLen(1), "it would come too late")
