state, control: words that come for another reason leave residents as they are

The same way for a change of what it keeps at hand. Ruled out: order 443 closed by a report that lagged (the report had it right).

--- a/control/announce.go
+++ b/control/announce.go
@@ -51,9 +51,11 @@
 	}
 	view := c.opts.Replica.View()
 	known := view.Announced[a.Id]
-	if !c.note(a, known, view) {
+	news, differs := c.note(a, known, view)
+	if !news && !differs {
 		return nil
 	}
+	a.TakeResidents = differs
 	_, err := c.opts.Replica.Propose(ctx, &wire.Command{Kind: &wire.Command_Announce{Announce: a}})
 	if err == nil {
 		event.ServerAnnounced.Log(c.opts.Log, zap.String("server", a.Id), zap.String("service", a.Service), zap.String("address", a.Address), zap.Bool("leaving", a.Leaving))
@@ -61,9 +63,10 @@
 	return err
 }
 
-// note remembers that a server was heard, and reports whether its word must be
-// agreed.
-func (c *Controller) note(a, known *wire.Announcement, view *state.State) bool {
+// note remembers that a server was heard, and reports whether its word is news that
+// must be agreed, or differs for so long from what is agreed to be resident that it is
+// to be believed.
+func (c *Controller) note(a, known *wire.Announcement, view *state.State) (news, differs bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h := c.heard[a.Id]
@@ -78,15 +81,15 @@
 	}
 	switch {
 	case a.Leaving && !known.GetLeaving():
-		return true
+		return true, false
 	case late, known.GetLeaving():
-		return false
+		return false, false
 	case known == nil, known.Silent, known.Address != a.Address, known.Service != a.Service, known.Hall != a.Hall:
-		return true
-	case !slices.Equal(known.AtHand, a.AtHand):
-		return true
+		news = true
+	default:
+		news = !slices.Equal(known.AtHand, a.AtHand)
 	}
-	return a.Engine && c.differs(h, a, view)
+	return news, a.Engine && c.differs(h, a, view)
 }
 
 // differs reports whether a server's word on its residents has long enough been
@@ -207,16 +210,6 @@
 	event.ServerSilent.Log(c.opts.Log, zap.String("server", id), zap.Duration("silence", silence), zap.Bool("forgotten", true))
 }
 
-func residentItems(view *state.State, id string) []*wire.Item {
-	var list []*wire.Item
-	for p, r := range view.Residents {
-		if p.Server == id && r.Phase == wire.Phase_PHASE_READY {
-			list = append(list, r.Item)
-		}
-	}
-	return list
-}
-
 // silence is how long a server was not heard, as far as this leader can know.
 func (c *Controller) silence(id string, led time.Duration) time.Duration {
 	c.mu.Lock()
--- a/control/counted.go
+++ b/control/counted.go
@@ -213,6 +213,7 @@
 		return
 	}
 	next := proto.CloneOf(a)
+	next.TakeResidents = true
 	for held := range r.Holding {
 		item := &wire.Item{Model: held[0], Version: o.Item.Version}
 		if held[1] != "" {
--- a/control/refusing.go
+++ b/control/refusing.go
@@ -83,7 +83,7 @@
 		return
 	}
 	next := proto.CloneOf(a)
-	next.Silent, next.Residents = true, residentItems(view, id)
+	next.Silent = true
 	if _, err := c.propose(ctx, &wire.Command{Kind: &wire.Command_Announce{Announce: next}}); err != nil {
 		c.doubtAgain(id)
 		return
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -90,7 +90,7 @@
 	path     []string
 	holdings map[string]holding
 	probes   map[string]probe
-	parent   string // gives news now, "": none
+	parent   string        // gives news now, "": none
 	advanced chan struct{} // one of the subtree has applied more
 	fresher  chan struct{} // closed when fresher news has come
 	demand   map[string]demandOf
--- a/state/announce.go
+++ b/state/announce.go
@@ -18,14 +18,15 @@
 //  2. Leaving stays: a later word that the id is well changes nothing.
 //  3. Another id at the address of a known one makes that silent until it is heard
 //     again: most likely it was restarted, but words come late.
-//  4. Residents are taken over from the first announcement, and later only while
-//     no order is open, since an open order's memory must stay counted.
+//  4. Residents are taken over from the first announcement. Later words may be older
+//     than the last order: they replace what is agreed only where the leader says so,
+//     and while no order is open, since an open order's memory must stay counted.
 
 // announce takes over what a server said of itself.
 func (s *State) announce(a *wire.Announcement) {
 	old := s.Announced[a.Id]
 	next := proto.CloneOf(a)
-	next.Sequence, next.RemainingMs, next.Residents = 0, 0, nil
+	next.Sequence, next.RemainingMs, next.Residents, next.TakeResidents = 0, 0, nil, false
 	next.Leaving = a.Leaving || old.GetLeaving() // (2)
 	s.Announced[a.Id] = next
 	if old == nil {
@@ -38,7 +39,7 @@
 		return
 	}
 	s.Servers[a.Id] = &wire.ServerState{Name: a.Id, Incarnation: a.Id, Leaving: next.Leaving, Ordered: s.Servers[a.Id].GetOrdered(), AtHand: a.AtHand}
-	if !s.hasOrders(a.Id) { // (4)
+	if (old == nil || a.TakeResidents) && !s.hasOrders(a.Id) { // (4)
 		s.replaceResidents(a)
 	}
 }
