--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -144,4 +144,13 @@
 mutant damage-is-torn wal/frame.go 's/if !frameWithin\(rest\)/if true/' wal 'Test'
 mutant stop-behind-hangup daemon/daemon.go 's/signal.Notify\(s.again, syscall.SIGHUP\)/signal.Notify(s.stop, syscall.SIGHUP)/' daemon 'TestHangUps'
 mutant tables-unasked route/route.go 's/\td.stale.Store\(true\)\n/\td.build()\n/' route 'TestTables'
+mutant stale-holds-up spread/spread.go 's/if !fresh \|\| stale\(age, len\(path\)\) \|\| slices.Contains\(path, from.GetBox\(\)\) \{/if false && fresh && age > 0 {/' spread 'TestAllBoxes'
+mutant leader-out-of-turn spread/chooser.go 's/if c.turn%leaderTurn == leaderTurn-1 &&/if false \&\&/' spread 'TestTheLeaderIsAsked'
+mutant parent-by-place spread/chooser.go 's/if c.parent != "" && slices.Contains\(list, c.parent\) &&/if false \&\&/' spread 'TestABoxThatGaveNews'
+mutant no-patience-below spread/chooser.go 's/staleFirst\+staleStep\*time.Duration\(max\(0, boxes-1\)\)/staleFirst/' spread 'TestNewsMayBe'
+mutant call-waits-for-dial peer/link.go 's/\t\tcase <-ctx.Done\(\):\n\t\t\treturn nil, Error.Wrap\(ctx.Err\(\)\)\n//' peer 'TestACallerDoes'
+mutant given-up-ends-all peer/pool.go 's/\t\tif s.silent\(\) \{\n\t\t\tl.drop\(s\)\n\t\t\}\n/\t\tl.drop(s)\n/' peer 'TestACallThat'
+mutant silent-session-stays peer/link.go 's/return waits != 0 && /return false \&\& /' peer 'TestASilent'
+mutant any-word-replaces state/announce.go 's/\(old == nil \|\| a.TakeResidents\) && //' state 'TestAWordFor'
+mutant updates-too-large replica/follow.go 's/maxUpdateBytes = 64 << 10/maxUpdateBytes = 1 << 20/' replica 'TestUpdatesPass'
 exit $missed
