--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -185,3 +185,31 @@
 		f.close()
 	})
 }
+
+// took is the time that a box takes to answer another that lacks nothing.
+func (f *fleet) took(t *testing.T, ctx context.Context, box, from string) time.Duration {
+	began := time.Now()
+	to := f.boxes[box]
+	if _, err := to.spread.Answer(ctx, f.boxes[from].self, &wire.Follow{Index: to.replica.View().Index}); err != nil {
+		t.Fatal(err)
+	}
+	return time.Since(began)
+}
+
+// Whoever has no news must not hold up those that look for some, nor wait for what can
+// only come from the asker.
+func TestWhereNothingCanComeTheAnswerComesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		f := newFleet(t, ctx, 16)
+		time.Sleep(3 * time.Second)
+		g.Expect(f.took(t, ctx, "b5", "a1")).To(BeZero(), "its news comes from a1")
+		g.Expect(f.took(t, ctx, "b5", "b9")).NotTo(BeZero(), "news is waited for")
+		f.network(func(from, to string) bool { return from != "a1" && to != "a1" })
+		time.Sleep(4 * time.Second)
+		g.Expect(f.took(t, ctx, "b5", "b9")).To(BeZero())
+		cancel()
+		f.close()
+	})
+}
