keyed: holders that cannot hand a slot over are asked less and less often

Cause of most processor time at the grown size: after 83 boxes had joined within seconds, each asked for slots that no holder was ever ready in (the list of epochs keeps 48), every 50 ms and at each agreed change, for five minutes. Questions for a slot now double from 50 ms to 20 s and begin anew with a change or a gain (keyed/pace.go; a test that fails at the old pace: mutant pulls-at-full-pace). Ruled out first: garbage collecting (0.1 of 3.6 s), routes made anew (5 a second a box). Left: such slots refuse keys for five minutes after more than 48 joins at once.

--- a/keyed/keyed.go
+++ b/keyed/keyed.go
@@ -27,9 +27,7 @@
 	acquireTimeout = 1500 * time.Millisecond
 	// recordTimeout bounds waiting until a majority keeps an answer.
 	recordTimeout = 500 * time.Millisecond
-	// pullEvery is the time between two looks at what is still to be taken over,
-	// and restEvery the same when nothing is.
-	pullEvery = 50 * time.Millisecond
+	// restEvery is the time between two looks at what is still to be taken over, at most.
 	restEvery = time.Second
 	// sweepEvery is the time between two looks for claims that have ended.
 	sweepEvery = 10 * time.Second
@@ -53,11 +51,12 @@
 	table *claim.Table
 
 	entered uint64 // the newest epoch that the table is in; of Run only
+	pace    pace   // of Run only
 }
 
 // New returns the guard of a process; Run makes it work.
 func New(self string, r *replica.Replica, c Caller, m *meter.Meters) *Guard {
-	return &Guard{self: self, replica: r, caller: c, meters: m, table: claim.NewTable(self)}
+	return &Guard{self: self, replica: r, caller: c, meters: m, table: claim.NewTable(self), pace: pace{}}
 }
 
 func (g *Guard) now() time.Duration { return g.replica.Now() }
@@ -75,7 +74,7 @@
 			g.table.Sweep(g.now())
 			g.mu.Unlock()
 		}
-		timer := time.NewTimer(g.untilNext())
+		timer := time.NewTimer(g.pace.next(g.now(), restEvery))
 		select {
 		case <-changed:
 		case <-timer.C:
@@ -85,15 +84,6 @@
 	}
 }
 
-func (g *Guard) untilNext() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if len(g.table.Pulls(g.now())) > 0 {
-		return pullEvery
-	}
-	return restEvery
-}
-
 // enter takes over new epochs. Most changes of the agreed state bring none, and at a
 // hundred boxes the list is long.
 func (g *Guard) enter() {
@@ -265,7 +255,7 @@
 // pull asks for what this box still has to take over, one question a holder.
 func (g *Guard) pull(ctx context.Context) {
 	g.mu.Lock()
-	pulls := g.table.Pulls(g.now())
+	pulls := g.pace.due(g.now(), g.table.Pulls(g.now()))
 	g.mu.Unlock()
 	byHolder := map[string][]*wire.SlotPull{}
 	for _, p := range pulls {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -153,4 +153,5 @@
 mutant silent-session-stays peer/link.go 's/return waits != 0 && /return false \&\& /' peer 'TestASilent'
 mutant any-word-replaces state/announce.go 's/\(old == nil \|\| a.TakeResidents\) && //' state 'TestAWordFor'
 mutant updates-too-large replica/follow.go 's/maxUpdateBytes = 64 << 10/maxUpdateBytes = 1 << 20/' replica 'TestUpdatesPass'
+mutant pulls-at-full-pace keyed/pace.go 's/askFirst<<min\(x.asked, 20\)/askFirst/' keyed 'TestHoldersThatCannot'
 exit $missed
