--- a/spread/chooser_test.go
+++ b/spread/chooser_test.go
@@ -82,3 +82,12 @@
 		}
 	}
 }
+
+// At 83 boxes each change of the agreed state was carried to each box by itself.
+func TestNewsIsGatheredTheLongerTheMoreBoxesTakeIt(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(gatherFor(1)).To(BeNumerically("<", 10*time.Millisecond))
+	g.Expect(gatherFor(11)).To(BeNumerically("<", 20*time.Millisecond))
+	g.Expect(gatherFor(83)).To(BeNumerically("~", 50*time.Millisecond, time.Millisecond))
+	g.Expect(gatherFor(400)).To(Equal(gatherMost))
+}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -44,8 +44,11 @@
 	// hold is how long a parent holds a question without news (1).
 	hold = 400 * time.Millisecond
 	// gather is how long a parent waits for more behind the first news: entries come
-	// in pairs and more, and each answer costs as much as many of them.
-	gather = 8 * time.Millisecond
+	// in pairs and more, and each answer costs as much as many of them. Every box takes
+	// every answer over, so gatherBox is added for each of them, up to gatherMost.
+	gather     = 8 * time.Millisecond
+	gatherBox  = 500 * time.Microsecond
+	gatherMost = 60 * time.Millisecond
 	// askTimeout bounds one question.
 	askTimeout = hold + 800*time.Millisecond
 	// fanOut is how many boxes of a hall ask the same box (2).
@@ -234,7 +237,7 @@
 		}
 		select {
 		case <-changed:
-			wait.For(ctx, gather)
+			wait.For(ctx, gatherFor(len(s.opts.Replica.View().Members)))
 		case <-fresher:
 			return s.opts.Replica.Since(index)
 		case <-timer.C:
@@ -245,6 +248,10 @@
 	}
 }
 
+func gatherFor(boxes int) time.Duration {
+	return min(gatherMost, gather+time.Duration(boxes)*gatherBox)
+}
+
 func (s *Spreader) currentPath() []string {
 	if s.opts.Replica.Status().Role == consensus.Leader {
 		return nil
