--- a/fleet/routes.go
+++ b/fleet/routes.go
@@ -35,6 +35,9 @@
 	Aim time.Duration
 	// Pause is the longest time between two events that callers want, 0: any.
 	Pause time.Duration
+	// Patience is how long callers of a stream wait for its first event, 0: to their
+	// deadline.
+	Patience time.Duration
 	// Rank is the urgency, 0 the highest.
 	Rank int
 	// MaxAttempts bounds the servers that one request is sent to.
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"leverdrum/fleet"
+	"leverdrum/ledger"
 	"leverdrum/state"
 	"leverdrum/wire"
 )
@@ -28,6 +30,9 @@
 	// holding lists the servers where a model, or an adapter beside its model, is
 	// ready.
 	holding map[string][]*server
+	// coming tells when a model or adapter that is being loaded is to be ready, by
+	// this box's clock, at the first place of several.
+	coming map[string]time.Time
 }
 
 // directory makes tables from the agreed state and keeps the servers between
@@ -38,14 +43,15 @@
 	parting time.Duration
 
 	mu      sync.Mutex
-	servers map[string]*server // by id
-	count   atomic.Int64       // of boxes
+	servers map[string]*server         // by id
+	loading map[ledger.Place]time.Time // since when, as this box saw it
+	count   atomic.Int64               // of boxes
 	current atomic.Pointer[table]
 	changed atomic.Pointer[chan struct{}]
 }
 
 func newDirectory(hall string, parting time.Duration) *directory {
-	d := &directory{hall: hall, parting: parting, servers: map[string]*server{}}
+	d := &directory{hall: hall, parting: parting, servers: map[string]*server{}, loading: map[ledger.Place]time.Time{}}
 	d.current.Store(&table{})
 	first := make(chan struct{})
 	d.changed.Store(&first)
@@ -79,10 +85,11 @@
 		t.routes = fleet.NewRouteTable(view.Fleet.Routes)
 	}
 	for name, p := range view.Fleet.Pools {
-		t.pools[name] = &pool{Pool: p, holding: make(map[string][]*server, len(view.Residents))}
+		t.pools[name] = &pool{Pool: p, holding: make(map[string][]*server, len(view.Residents)), coming: map[string]time.Time{}}
 	}
 	d.refresh(view)
 	d.fill(t, view)
+	d.noteComing(t, view, time.Now())
 	d.current.Store(t)
 	next := make(chan struct{})
 	close(*d.changed.Swap(&next))
@@ -158,3 +165,44 @@
 		}
 	}
 }
+
+// noteComing fills in what is on its way.
+func (d *directory) noteComing(t *table, view *state.State, now time.Time) {
+	for place := range d.loading {
+		if view.Residents[place].GetPhase() != wire.Phase_PHASE_LOADING {
+			delete(d.loading, place)
+		}
+	}
+	for place, r := range view.Residents {
+		a := view.Announced[place.Server]
+		if r.Phase != wire.Phase_PHASE_LOADING || a == nil || t.pools[a.Service] == nil {
+			continue
+		}
+		if _, seen := d.loading[place]; !seen {
+			d.loading[place] = now
+		}
+		name := cmp.Or(place.Adapter, place.Model)
+		at := d.loading[place].Add(loadTime(view, place))
+		coming := t.pools[a.Service].coming
+		if first, ok := coming[name]; !ok || at.Before(first) {
+			coming[name] = at
+		}
+	}
+}
+
+// adapterTime is how long an adapter takes to come, with time to spare.
+const adapterTime = 300 * time.Millisecond
+
+// loadTime is how long a load is to take.
+func loadTime(view *state.State, place ledger.Place) time.Duration {
+	m := view.Fleet.Models[place.Model]
+	switch {
+	case place.Adapter != "":
+		return adapterTime
+	case m == nil:
+		return 0
+	case view.AtHand(place.Server, place.Model):
+		return m.DiskTime
+	}
+	return m.LoadTime
+}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -187,11 +187,14 @@
 	if j.left() < leastForModel {
 		return reason.NotResident
 	}
-	pause := waitLook
-	if triedAll {
+	pause, hopeless := j.hopeless(time.Now())
+	switch {
+	case triedAll:
 		pause = againPause
 		j.tried = nil
-	} else {
+	case hopeless:
+		return reason.NotResident
+	default:
 		j.g.notices.note(Notice{Wanted: wantedOf(j.prompt)})
 	}
 	timer := time.NewTimer(min(pause, j.left()))
@@ -404,7 +407,7 @@
 	case reason.Overloaded:
 		return max(soon, time.Duration(j.behind*float64(time.Millisecond)))
 	case reason.NotResident, reason.BackendRefused:
-		return max(soon, comeBackLoad)
+		return j.comeBackFor(why, soon)
 	}
 	return soon
 }
--- /dev/null
+++ b/gateway/patience_test.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"leverdrum/dialect"
+	"leverdrum/fleet"
+	"leverdrum/reason"
+)
+
+// waiting is a request that has waited for a time for a model that is nowhere; coming is
+// in how long it is to be ready, from the request's arrival, 0: never.
+func waiting(route *fleet.Route, deadline, waited, coming time.Duration) (*job, time.Time) {
+	g := New(Options{Parting: time.Second})
+	p := &pool{Pool: &fleet.Pool{Name: "p"}, coming: map[string]time.Time{}}
+	g.dir.current.Store(&table{pools: map[string]*pool{"p": p}})
+	now := time.Now()
+	j := &job{g: g, route: route, poolName: "p", arrived: now.Add(-waited), prompt: dialect.Prompt{Model: "m", Adapter: "a1"}}
+	j.deadline = j.arrived.Add(deadline)
+	if coming > 0 {
+		p.coming["m/a1"] = j.arrived.Add(coming)
+	}
+	return j, now
+}
+
+// Requests for models that were nowhere waited until their callers left (257 of one day,
+// buecherbruecke-ops mix --seed 190689376284): with what is left they may come back.
+func TestWhatDoesNotComeIsGivenUpInTime(t *testing.T) {
+	stream := &fleet.Route{Kind: fleet.Streaming, Patience: 3 * time.Second}
+	safe := &fleet.Route{Kind: fleet.Safe}
+	for _, row := range []struct {
+		name             string
+		route            *fleet.Route
+		deadline, waited time.Duration
+		coming           time.Duration
+		want             bool
+	}{
+		{"just come", stream, 10 * time.Second, 0, 0, false},
+		{"before its share", stream, 10 * time.Second, 1300 * time.Millisecond, 0, false},
+		{"behind its share", stream, 10 * time.Second, 1360 * time.Millisecond, 0, true},
+		{"behind its share, coming in time", stream, 10 * time.Second, 2 * time.Second, 2900 * time.Millisecond, false},
+		{"behind its share, coming too late", stream, 10 * time.Second, 2 * time.Second, 3100 * time.Millisecond, true},
+		{"a short deadline", stream, time.Second, 460 * time.Millisecond, 0, true},
+		{"no stream: its deadline counts", safe, 10 * time.Second, 4 * time.Second, 0, false},
+		{"no stream, behind its share", safe, 10 * time.Second, 4600 * time.Millisecond, 0, true},
+	} {
+		j, now := waiting(row.route, row.deadline, row.waited, row.coming)
+		if _, got := j.hopeless(now); got != row.want {
+			t.Errorf("%s: hopeless = %v", row.name, got)
+		}
+	}
+}
+
+func TestTheWaitEndsWithItsShare(t *testing.T) {
+	g := NewWithT(t)
+	j, now := waiting(&fleet.Route{Kind: fleet.Safe}, time.Second, 400*time.Millisecond, 0)
+	wait, hopeless := j.hopeless(now)
+	g.Expect(hopeless).To(BeFalse())
+	g.Expect(wait).To(BeNumerically("~", 50*time.Millisecond, time.Millisecond))
+}
+
+func TestWhenToComeBackForAModel(t *testing.T) {
+	g := NewWithT(t)
+	j, _ := waiting(&fleet.Route{Kind: fleet.Safe}, 10*time.Second, 0, 4*time.Second)
+	g.Expect(j.comeBackFor(reason.NotResident, 100*time.Millisecond)).To(BeNumerically("~", 4*time.Second, 100*time.Millisecond))
+	j, _ = waiting(&fleet.Route{Kind: fleet.Safe}, 10*time.Second, 0, 0)
+	g.Expect(j.comeBackFor(reason.NotResident, 100*time.Millisecond)).To(Equal(comeBackLoad))
+}
