--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -22,6 +22,7 @@
 	"leverdrum/fleet"
 	"leverdrum/gateway"
 	"leverdrum/meter"
+	"leverdrum/reason"
 	"leverdrum/state"
 	"leverdrum/wire"
 )
@@ -346,6 +347,11 @@
 	mu.Lock()
 	defer mu.Unlock()
 	g.Expect(from).To(Equal("2"))
+	retried := s.logged.FilterMessage(event.RequestRetried.Title).All()
+	g.Expect(retried).To(HaveLen(1), "the first sending has a line")
+	g.Expect(retried[0].ContextMap()).To(And(
+		HaveKeyWithValue("request", "r1"), HaveKeyWithValue("why", reason.RetryStream.Code),
+		HaveKeyWithValue("sends", BeEquivalentTo(1)), HaveKey("server"), HaveKey("error"), HaveKey("left")))
 
 	once := newSetup(t, 5*time.Second, newBackend(t, "i3", one("s3")))
 	answer = once.send(request("/once/x", ""))
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -295,7 +295,7 @@
 		return false
 	}
 	j.last = f
-	j.countRetry(f)
+	j.noteRetry(f)
 	return true
 }
 
@@ -319,7 +319,7 @@
 		j.runs++
 	}
 	if ctx.Err() == nil && j.mayRepeat(f) {
-		j.countRetry(f)
+		j.noteRetry(f)
 		return false
 	}
 	if ctx.Err() != nil && f.outcome != reason.NotRun {
@@ -363,7 +363,8 @@
 	return false
 }
 
-func (j *job) countRetry(f *failure) {
+// noteRetry counts that the request is sent again, and writes its line.
+func (j *job) noteRetry(f *failure) {
 	why := reason.RetryBroke
 	switch {
 	case j.headed:
@@ -376,6 +377,9 @@
 		why = reason.RetryFailed
 	}
 	j.g.opts.Meters.Retry(why)
+	event.RequestRetried.Log(j.g.opts.Log,
+		zap.String("request", j.id), zap.String("route", j.route.Name), zap.String("outcome", f.why.Code), zap.String("why", why.Code),
+		zap.Int("sends", j.sends), zap.Int("runs", j.runs), zap.String("server", j.tried[len(j.tried)-1].id), event.Cause(f.cause), zap.Duration("left", j.left()))
 }
 
 // giveUp ends the request without a server's answer (3).
--- a/story/story.go
+++ b/story/story.go
@@ -149,6 +149,8 @@
 	switch {
 	case last.Event == event.RequestDone.Code:
 		return "it was answered"
+	case last.Event == event.RequestRetried.Code:
+		return "it was sent again, and no line tells of its end: then it was answered, or its box ended"
 	case outcome == callerGone:
 		return "its caller left before the answer was whole"
 	case why == nil:
--- a/story/story_test.go
+++ b/story/story_test.go
@@ -19,6 +19,7 @@
 {"level":"info","ts":"2026-12-02T10:00:02.600Z","msg":"m","box":"b2","hall":"h","server":"s1","why":"it refuses connections","event":"server-silent"}
 {"level":"info","ts":"2026-12-02T10:00:03.000Z","msg":"m","box":"b1","hall":"h","request":"r1","outcome":"not-resident","last":"not-reached","server":"s1","model":"m1","sends":1,"event":"request-failed"}
 {"level":"info","ts":"2026-12-02T10:00:03.100Z","msg":"m","box":"b3","hall":"h","request":"r2","outcome":"caller-gone","model":"m1","sends":0,"event":"request-failed"}
+{"level":"info","ts":"2026-12-02T10:00:03.200Z","msg":"m","box":"b3","hall":"h","request":"r4","outcome":"backend-broke","why":"retry-stream","server":"s1","sends":1,"event":"request-retried"}
 `
 
 func read(t *testing.T) *story.Log {
@@ -54,6 +55,13 @@
 	g.Expect(s.Cause).To(ContainSubstring("caller left"))
 }
 
+func TestARequestThatWasSentAgainAndAnswered(t *testing.T) {
+	g := NewWithT(t)
+	s, err := read(t).Of("r4")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Cause).To(ContainSubstring("sent again"))
+}
+
 func TestAnUnknownRequestNamesTheBoxesThatHadLogs(t *testing.T) {
 	_, err := read(t).Of("r3")
 	NewWithT(t).Expect(err).To(MatchError(And(ContainSubstring("b1 (10:00:03 to 10:00:03)"), ContainSubstring("1 that are none of ours"))))
