--- a/placement/demand.go
+++ b/placement/demand.go
@@ -226,14 +226,13 @@
 			touched[c.acc.load] = *c.acc.load
 		}
 	}
-	late := func() float64 { return lateOf(touched) + p.slotlessOf(models) }
-	before := late()
+	before := lateOf(touched)
 	for _, c := range out {
 		p.dropCopy(p.fleet.Models[c.resident.Item.Model], c)
 	}
-	between := late()
+	between := lateOf(touched)
 	p.addCopy(m, copyOf{acc, &wire.Resident{Server: acc.server.Name, Item: &wire.Item{Model: m.Name, Version: m.Version}, Phase: wire.Phase_PHASE_LOADING}})
-	after := late()
+	after := lateOf(touched)
 	for l, was := range touched {
 		*l = was
 	}
@@ -241,14 +240,6 @@
 	return before - after, between - before, slices.Collect(maps.Keys(touched))
 }
 
-// slotlessOf sums over the models as they stand now.
-func (p *planner) slotlessOf(models []*fleet.Model) (sum float64) {
-	for _, m := range models {
-		sum += p.slotless(m, len(p.serving(m)))
-	}
-	return sum
-}
-
 // lateOf sums in the order of size, since sums of fractions depend on it.
 func lateOf(loads map[*load]load) (sum float64) {
 	var list []float64
--- a/placement/needs.go
+++ b/placement/needs.go
@@ -191,26 +191,11 @@
 		p.plan.Shortages = append(p.plan.Shortages, Shortage{n.model.Name, fmt.Sprintf("%s; no accelerator has %d bytes free now", n.why(), n.model.Footprint())})
 		return
 	}
-	if n.have == 0 && p.displaced(best.out) > p.in.Demand[n.model.Name].Requests { // (15)
-		p.plan.Shortages = append(p.plan.Shortages, Shortage{n.model.Name, n.why() + "; the copies that could make room serve more adapters that are asked for"})
-		return
-	}
 	for _, c := range best.out {
 		p.evict(c, n.model.Name)
 	}
 }
 
-// displaced is how many requests a second lose the slots of their adapters with copies
-// (15).
-func (p *planner) displaced(copies []copyOf) (rate float64) {
-	for _, c := range copies {
-		m := p.fleet.Models[c.resident.Item.Model]
-		have := len(p.serving(m))
-		rate += p.slotless(m, have-1) - p.slotless(m, have)
-	}
-	return rate
-}
-
 // leastHarm returns where room for a model costs the fewest requests, its own that
 // wait for it included (5).
 func (p *planner) leastHarm(n need) *candidate {
--- a/placement/ondemand.go
+++ b/placement/ondemand.go
@@ -88,30 +88,13 @@
 	if slots == 0 {
 		return m.Copies
 	}
-	return min(max(m.Copies, (len(p.asked[m.Name])+slots-1)/slots), m.MaxCopies)
+	return min(max(m.Copies, (p.asked[m.Name]+slots-1)/slots), m.MaxCopies)
 }
 
-// slotlessShare is the part of the requests for adapters beyond the slots that comes too
-// late: adapters take turns in a slot.
-const slotlessShare = 0.5
-
-// slotless is how many requests a second come too late since their adapters find no
-// slot beside so many copies (10).
-func (p *planner) slotless(m *fleet.Model, copies int) (late float64) {
-	slots, asked := p.slots[m.Pool], p.asked[m.Name]
-	if slots == 0 || len(asked) <= slots*copies {
-		return 0
-	}
-	for _, rate := range asked[slots*copies:] {
-		late += slotlessShare * rate
-	}
-	return late
-}
-
-// countAsked notes the on-demand adapters of each model that are asked for, and
+// countAsked counts the on-demand adapters of each model that are asked for, and
 // the slots of each pool's servers (10).
 func (p *planner) countAsked() {
-	p.asked, p.slots = map[string][]float64{}, map[string]int{}
+	p.asked, p.slots = map[string]int{}, map[string]int{}
 	for name, pool := range p.fleet.Pools {
 		if pool.Kind != nil {
 			p.slots[name] = pool.Kind.AdapterSlots
@@ -119,11 +102,7 @@
 	}
 	for name, d := range p.in.Demand {
 		if a := p.fleet.Adapters[name]; a != nil && a.OnDemand && d.Requests >= askedFor {
-			p.asked[a.Model] = append(p.asked[a.Model], d.Requests)
+			p.asked[a.Model]++
 		}
 	}
-	for _, rates := range p.asked {
-		slices.Sort(rates)
-		slices.Reverse(rates)
-	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -34,7 +34,6 @@
 //     that is asked for least goes.
 //  10. A model has at least so many copies that all its on-demand adapters that
 //     are asked for find a slot.
-//     Requests for adapters beyond the slots of its copies count as late (7).
 //  11. While room is being made for a model, none is made for it elsewhere.
 //  12. A server that has a model at hand (in its memory or on its disk) loads it far
 //     faster than from the weight store, and is taken first.
@@ -44,8 +43,6 @@
 //  14. The last copy of a model that nobody has asked for lately may go where the server
 //     keeps the model at hand (ledger, rule 4), and no room is made for it until it is
 //     asked for.
-//  15. No room is made for a model by copies whose slots serve more requests for adapters
-//     than the model will serve: those adapters must be reached, too.
 package placement
 
 import (
@@ -156,10 +153,9 @@
 	loads  int
 	// clearing are servers on which copies make room in this round.
 	clearing map[*load]bool
-	// asked are the rates of the on-demand adapters of each model that are asked for,
-	// the highest first; slots are the adapter slots of each pool's servers.
-	asked map[string][]float64
-	slots map[string]int
+	// asked counts the on-demand adapters of each model that are asked for; slots
+	// are the adapter slots of each pool's servers.
+	asked, slots map[string]int
 	// roomFor names the models that room is being made for (11).
 	roomFor map[string]bool
 	// moves counts what demand moved in this round; best is the next one, unless
