gateway: servers that left are no reason to wait

The servers that held the adapter had left; they counted as up, so that each request looked again every 40 ms and the leader was never told that the adapter is wanted. Test failed first: 9.9 s of 10 s waited, nothing told.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -109,11 +109,14 @@
 	return poor
 }
 
-// anyUp reports whether some server of the list takes connections: else its models
-// are as good as nowhere.
+// anyUp reports whether some server of the list takes connections and stays: else its
+// models are as good as nowhere.
 func (d *directory) anyUp(list []*server) bool {
 	now := time.Now()
-	return slices.ContainsFunc(list, func(s *server) bool { return !s.gone() && !s.down(now) })
+	return slices.ContainsFunc(list, func(s *server) bool {
+		_, leaves := s.parted(now)
+		return !leaves && !s.gone() && !s.down(now)
+	})
 }
 
 // lighter is rule 3.
--- a/gateway/patience_test.go
+++ b/gateway/patience_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -9,6 +11,7 @@
 	"leverdrum/dialect"
 	"leverdrum/fleet"
 	"leverdrum/reason"
+	"leverdrum/wire"
 )
 
 // waiting is a request that has waited for a time for a model that is nowhere; coming is
@@ -69,3 +72,26 @@
 	j, _ = waiting(&fleet.Route{Kind: fleet.Safe}, 10*time.Second, 0, 0)
 	g.Expect(j.comeBackFor(reason.NotResident, 100*time.Millisecond)).To(Equal(comeBackLoad))
 }
+
+// Where the only servers with an adapter were leaving, requests waited for them until
+// their callers left, and the leader was not told that the adapter is wanted (257 of
+// one day, buecherbruecke-ops mix --seed 190689376284).
+func TestServersThatLeftAreNoReasonToWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		told := make(chan Notice, 1)
+		gate := New(Options{Parting: time.Second, Notice: func(n Notice) { told <- n }})
+		left := newServer(&wire.Announcement{Id: "i1", Slots: 4, Address: "127.0.0.1:1"})
+		left.part(time.Now().Add(-2 * time.Second))
+		p := &pool{Pool: &fleet.Pool{Name: "p", Kind: &fleet.Kind{}}, coming: map[string]time.Time{}, holding: map[string][]*server{"m/a1": {left}}}
+		f := fleet.New()
+		f.Models["m"] = &fleet.Model{Name: "m"}
+		gate.dir.current.Store(&table{pools: map[string]*pool{"p": p}, fleet: f})
+		j := &job{g: gate, route: &fleet.Route{Kind: fleet.Streaming, Patience: time.Second}, poolName: "p", arrived: time.Now(), prompt: dialect.Prompt{Model: "m", Adapter: "a1"}}
+		j.deadline = j.arrived.Add(10 * time.Second)
+		_, why := j.find(context.Background())
+		g.Expect(why).To(Equal(reason.NotResident))
+		g.Expect(time.Since(j.arrived)).To(BeNumerically("<", 9*time.Second), "given up by its patience, not by its deadline")
+		g.Expect(told).To(Receive(Equal(Notice{Wanted: "m/a1"})))
+	})
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -156,4 +156,5 @@
 mutant pulls-at-full-pace keyed/pace.go 's/askFirst<<min\(x.asked, 20\)/askFirst/' keyed 'TestHoldersThatCannot'
 mutant waits-in-vain gateway/patience.go 's/, left <= 0/, false/' gateway 'TestWhatDoesNotCome'
 mutant gives-up-what-comes gateway/patience.go 's/if at, coming := j.comesAt\(\); coming && at.Before/if at, coming := j.comesAt(); coming \&\& !at.IsZero() \&\& false \&\& at.Before/' gateway 'TestWhatDoesNotCome'
+mutant waits-for-who-left gateway/choose.go 's/return !leaves && !s.gone/return (leaves || !leaves) \&\& !s.gone/' gateway 'TestServersThatLeft'
 exit $missed
