--- /dev/null
+++ b/gateway/find.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"leverdrum/fleet"
+	"leverdrum/reason"
+)
+
+const (
+	// leastForModel is the time that a request for a model needs at least: with
+	// less left it is not waited for any longer.
+	leastForModel = 150 * time.Millisecond
+	// againPause is the wait before a server is asked again that was full.
+	againPause = 40 * time.Millisecond
+	// waitLook is the time between two looks for a server while none came.
+	waitLook = 250 * time.Millisecond
+)
+
+// find returns a server, and waits for one while a model is on its way.
+func (j *job) find(ctx context.Context) (choice, *reason.Reason) {
+	for {
+		news := j.g.dir.news()
+		list, why := j.candidates()
+		if why != nil {
+			return choice{}, why
+		}
+		if c := j.g.dir.choose(list, j.wish()); c.server != nil {
+			if j.tooLate(c) {
+				j.behind = c.waits
+				return choice{}, reason.Overloaded
+			}
+			return c, nil
+		}
+		if why := j.wait(ctx, news, j.g.dir.anyUp(list)); why != nil {
+			return choice{}, why
+		}
+	}
+}
+
+// wish is what the choice of a server depends on.
+func (j *job) wish() wish {
+	w := wish{prompt: j.prompt, keys: j.keys, tried: j.tried}
+	if p := j.g.dir.table().pools[j.poolName]; p != nil && p.Kind != nil && j.g.opts.Dialect.Fetch != "" {
+		w.fetch = milliseconds(p.Kind.FetchPerToken)
+	}
+	return w
+}
+
+const (
+	// lateAims and lateLeft bound the reckoned time to the first event, in aims and as
+	// a share of the time left: what would take longer only takes time from others.
+	lateAims = 2.0
+	lateLeft = 0.5
+)
+
+// tooLate reports whether a stream that has not begun would hardly be answered in
+// time even at the server that is reckoned best.
+func (j *job) tooLate(c choice) bool {
+	if j.prompt.Model == "" || j.headed || j.sends > 0 || j.route.Kind != fleet.Streaming {
+		return false
+	}
+	limit := min(lateAims*milliseconds(j.route.Aim), lateLeft*milliseconds(j.left()))
+	return c.waits+c.work > limit
+}
+
+// candidates lists the servers that could run the request.
+func (j *job) candidates() ([]*server, *reason.Reason) {
+	t := j.g.dir.table()
+	p := t.pools[j.poolName]
+	if p == nil {
+		return nil, reason.NoServer
+	}
+	if j.prompt.Model == "" || p.Kind == nil {
+		if len(p.servers) == 0 {
+			return nil, reason.NoServer
+		}
+		return p.servers, nil
+	}
+	if t.fleet.Models[j.prompt.Model] == nil {
+		return nil, reason.UnknownModel
+	}
+	return p.holding[wantedOf(j.prompt)], nil
+}
+
+// wait waits for news, or a moment where servers are there that were all tried.
+func (j *job) wait(ctx context.Context, news <-chan struct{}, triedAll bool) *reason.Reason {
+	if j.prompt.Model == "" && !triedAll {
+		return reason.NoServer
+	}
+	if j.left() < leastForModel {
+		return reason.NotResident
+	}
+	pause, hopeless := j.hopeless(time.Now())
+	switch {
+	case triedAll:
+		pause = againPause
+		j.tried = nil
+	case hopeless:
+		return reason.NotResident
+	default:
+		j.g.notices.note(Notice{Wanted: wantedOf(j.prompt)})
+	}
+	timer := time.NewTimer(min(pause, j.left()))
+	defer timer.Stop()
+	select {
+	case <-news:
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-j.g.stopping:
+		return reason.Stopping
+	}
+	if ctx.Err() != nil {
+		return reason.NotResident
+	}
+	return nil
+}
