--- a/peer/link.go
+++ b/peer/link.go
@@ -29,9 +29,16 @@
 type session struct {
 	*yamux.Session
 	conn   *watchedConn
+	waits  *waits
 	remote *wire.Member
 }
 
+// Close ends what waits on the session's streams, and then the session.
+func (s *session) Close() error {
+	s.waits.end()
+	return s.Session.Close()
+}
+
 // watchedConn notes since when something that was asked has brought nothing back.
 type watchedConn struct {
 	net.Conn
@@ -69,7 +76,7 @@
 		return nil, err
 	}
 	response := &wire.Response{}
-	return response, readFrame(bufio.NewReader(stream), maxFrame, response)
+	return response, readFrame(bufio.NewReader(s.waits.reader(stream)), maxFrame, response)
 }
 
 // drop ends a session, unless another has taken its place.
@@ -180,7 +187,8 @@
 		p.meters.Refuse(reason.PeerTLS)
 		return nil, err
 	}
-	y, err := yamux.Client(c, sessionConfig())
+	waits := newWaits()
+	y, err := yamux.Client(&endingConn{c, waits}, sessionConfig())
 	if err != nil {
 		raw.Close()
 		return nil, Error.Wrap(err)
@@ -190,7 +198,7 @@
 		y.Close()
 		return nil, err
 	}
-	return &session{y, watched, remote}, nil
+	return &session{y, watched, waits, remote}, nil
 }
 
 func (p *Pool) greet(c net.Conn, y *yamux.Session) (*wire.Member, error) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -75,16 +75,18 @@
 		s.meters.Refuse(reason.PeerTLS)
 		return
 	}
-	y, err := yamux.Server(c, sessionConfig())
+	waits := newWaits()
+	y, err := yamux.Server(&endingConn{c, waits}, sessionConfig())
 	if err != nil {
 		return
 	}
 	defer y.Close()
+	defer waits.end()
 	from, err := s.greet(raw, c, y)
 	if err != nil {
 		return
 	}
-	s.serveStreams(from, y)
+	s.serveStreams(from, y, waits)
 }
 
 func (s *Server) handshakeTLS(c net.Conn) (net.Conn, error) {
@@ -133,7 +135,7 @@
 	}
 }
 
-func (s *Server) serveStreams(from *wire.Member, y *yamux.Session) {
+func (s *Server) serveStreams(from *wire.Member, y *yamux.Session, w *waits) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	for {
@@ -141,13 +143,13 @@
 		if err != nil {
 			return
 		}
-		s.wg.Go(func() { s.stream(ctx, from, stream) })
+		s.wg.Go(func() { s.stream(ctx, from, stream, w) })
 	}
 }
 
-func (s *Server) stream(ctx context.Context, from *wire.Member, stream *yamux.Stream) {
+func (s *Server) stream(ctx context.Context, from *wire.Member, stream *yamux.Stream, w *waits) {
 	defer stream.Close()
-	r := bufio.NewReader(stream)
+	r := bufio.NewReader(w.reader(stream))
 	request := &wire.Request{}
 	if err := readFrame(r, maxFrame, request); err != nil {
 		s.meters.Refuse(reason.PeerMalformed)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -158,4 +158,5 @@
 mutant gives-up-what-comes gateway/patience.go 's/if at, coming := j.comesAt\(\); coming && at.Before/if at, coming := j.comesAt(); coming \&\& !at.IsZero() \&\& false \&\& at.Before/' gateway 'TestWhatDoesNotCome'
 mutant waits-for-who-left gateway/choose.go 's/return !leaves && !s.gone/return (leaves || !leaves) \&\& !s.gone/' gateway 'TestServersThatLeft'
 mutant open-means-up gateway/server.go 's/if s.conns.any\(\) && s.conns.heardSince\(now.Add\(-unheard\)\) \{/if s.conns.any() {/' gateway 'TestADarkServer'
+mutant reads-outlive-sessions peer/waits.go 's/\t\tc.waits.end\(\)\n//g' peer 'TestReadsEnd'
 exit $missed
