replica: who proposed is answered once the view shows it

The controller forgot that it was sending the order, looked at the old view, found it open and sent it again under the next count: an adapter beyond the slots. Test failed at its 52nd proposal before.

--- a/replica/loop.go
+++ b/replica/loop.go
@@ -164,10 +164,10 @@
 	}
 	delete(r.waiting, e.Index)
 	if p.term != e.Term {
-		p.answer <- outcome{err: ErrUnknown}
+		r.applied = append(r.applied, answered{p, outcome{err: ErrUnknown}})
 		return
 	}
-	p.answer <- outcome{result: result}
+	r.applied = append(r.applied, answered{p, outcome{result: result}})
 }
 
 // dropStale tells those whose proposal cannot be watched any more: the box
@@ -204,11 +204,16 @@
 	}
 }
 
-// publish shows the new state to readers and wakes those who wait for it.
+// publish shows the new state to readers and wakes those who wait for it. Who proposed
+// something is answered only then: it must not act on a state without it.
 func (r *Replica) publish() {
 	r.view.Store(r.master.Clone())
 	next := make(chan struct{})
 	close(*r.changed.Swap(&next))
+	for _, a := range r.applied {
+		a.proposal.answer <- a.outcome
+	}
+	r.applied = nil
 }
 
 func (r *Replica) publishStatus() {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -81,6 +81,7 @@
 	nextToken uint64
 	pausedTil time.Time
 	recent    []*wire.Entry
+	applied   []answered // proposals to be answered when the view shows them
 
 	view    atomic.Pointer[state.State]
 	status  atomic.Pointer[Status]
@@ -92,6 +93,12 @@
 	answer chan outcome
 }
 
+// answered is a proposal with its answer.
+type answered struct {
+	proposal *proposal
+	outcome  outcome
+}
+
 type outcome struct {
 	result state.Result
 	err    error
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -159,4 +159,5 @@
 mutant waits-for-who-left gateway/choose.go 's/return !leaves && !s.gone/return (leaves || !leaves) \&\& !s.gone/' gateway 'TestServersThatLeft'
 mutant open-means-up gateway/server.go 's/if s.conns.any\(\) && s.conns.heardSince\(now.Add\(-unheard\)\) \{/if s.conns.any() {/' gateway 'TestADarkServer'
 mutant reads-outlive-sessions peer/waits.go 's/\t\tc.waits.end\(\)\n//g' peer 'TestReadsEnd'
+mutant answered-before-shown replica/loop.go 's/\tr.applied = append\(r.applied, answered\{p, outcome\{result: result\}\}\)/\tp.answer <- outcome{result: result}/' replica 'TestWhoProposed'
 exit $missed
