--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -49,11 +49,11 @@
 	folder string
 	disk   bool
 
-	mu   sync.Mutex // one fault at a time
-	cmd  *exec.Cmd
-	done chan struct{} // closed when the process has ended
-	born int           // how often it was started
-	ends bool          // its end was asked for
+	mu     sync.Mutex // one fault at a time
+	cmd    *exec.Cmd
+	done   chan struct{} // closed when the process has ended
+	logged int64         // how long its log was when the process started
+	ends   bool          // its end was asked for
 }
 
 func (d *daemon) entry() string   { return d.ip + ":8149" }
@@ -171,6 +171,11 @@
 		return
 	}
 	defer log.Close()
+	info, err := log.Stat()
+	if err != nil {
+		d.w.find("box %s: its log cannot be read: %v", d.ip, err)
+		return
+	}
 	cmd := exec.Command(daemonPath, "run", filepath.Join(d.folder, "box.ini"))
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
@@ -179,7 +184,7 @@
 	}
 	done := make(chan struct{})
 	d.cmd, d.done, d.ends = cmd, done, false
-	d.born++
+	d.logged = info.Size()
 	go func() {
 		err := cmd.Wait()
 		close(done)
@@ -207,11 +212,12 @@
 	<-d.done
 }
 
-// heeds waits until the process says that it heeds signals: before, no program can.
+// heeds waits until the process says that it heeds signals: before, no program can. Only
+// its own lines count: one before it may have been killed before it wrote any.
 func (d *daemon) heeds() {
 	for range 500 {
 		text, err := os.ReadFile(filepath.Join(d.folder, "log"))
-		if err == nil && strings.Count(string(text), `"event":"starting"`) >= d.born {
+		if err == nil && strings.Contains(string(text[d.logged:]), `"event":"starting"`) {
 			return
 		}
 		select {
