gateway: silence ends no answer that cannot go on elsewhere

The watch stays where another sending is left or nothing was passed on. Test fails without it (mutant silence-ends-all).

--- a/gateway/failed.go
+++ b/gateway/failed.go
@@ -101,6 +101,14 @@
 	}
 }
 
+// endsSilence reports whether a server's silence ends an exchange: where the request may
+// be repeated, but not where part of the answer was passed on and no further sending is
+// left. The caller's connection would be broken for a server that may yet go on.
+func (j *job) endsSilence() bool {
+	last := j.runs+1 >= j.route.MaxAttempts
+	return j.route.Repeatable() && !(j.headed && last)
+}
+
 // mayRepeat is rules 2 and 7.
 func (j *job) mayRepeat(f *failure) bool {
 	switch {
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -110,7 +110,7 @@
 	s.begin(began, c.work)
 	unread := true
 	defer func() { s.end(began, c.work, unread) }()
-	a, f := exchange(ctx, s.conns, j.outgoing(c), j.g.opts.Dialect.RequestID, j.route.Repeatable())
+	a, f := exchange(ctx, s.conns, j.outgoing(c), j.g.opts.Dialect.RequestID, j.endsSilence())
 	if f != nil {
 		return j.failed(ctx, s, f)
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -160,4 +160,5 @@
 mutant open-means-up gateway/server.go 's/if s.conns.any\(\) && s.conns.heardSince\(now.Add\(-unheard\)\) \{/if s.conns.any() {/' gateway 'TestADarkServer'
 mutant reads-outlive-sessions peer/waits.go 's/\t\tc.waits.end\(\)\n//g' peer 'TestReadsEnd'
 mutant answered-before-shown replica/loop.go 's/\tr.applied = append\(r.applied, answered\{p, outcome\{result: result\}\}\)/\tp.answer <- outcome{result: result}/' replica 'TestWhoProposed'
+mutant silence-ends-all gateway/failed.go 's/ && !\(j.headed && last\)/ \&\& (last || !last)/' gateway 'TestSilenceEnds'
 exit $missed
