spread: boxes that never had news wait for it; a new leader begins the round anew

Only old news answers at once now; word of another leader begins the round of questions anew, and the long pause is 200 ms instead of 400 ms. TestABoxThatNeverHadNewsWaitsForIt and TestANewLeaderBeginsTheRoundAnew failed first.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -144,7 +144,7 @@
 mutant damage-is-torn wal/frame.go 's/if !frameWithin\(rest\)/if true/' wal 'Test'
 mutant stop-behind-hangup daemon/daemon.go 's/signal.Notify\(s.again, syscall.SIGHUP\)/signal.Notify(s.stop, syscall.SIGHUP)/' daemon 'TestHangUps'
 mutant tables-unasked route/route.go 's/\td.stale.Store\(true\)\n/\td.build()\n/' route 'TestTables'
-mutant stale-holds-up spread/spread.go 's/if !fresh \|\| stale\(age, len\(path\)\) \|\| slices.Contains\(path, from.GetBox\(\)\) \{/if false && fresh && age > 0 {/' spread 'TestWhereNothing'
+mutant stale-holds-up spread/spread.go 's/if fresh && stale\(age, len\(path\)\) \|\| slices.Contains\(path, from.GetBox\(\)\) \{/if false && fresh && age > 0 {/' spread 'TestWhereNothing'
 mutant leader-out-of-turn spread/chooser.go 's/if c.turn%leaderTurn == leaderTurn-1 &&/if false \&\&/' spread 'TestTheLeaderIsAsked'
 mutant parent-by-place spread/chooser.go 's/if c.parent != "" && slices.Contains\(list, c.parent\) &&/if false \&\&/' spread 'TestABoxThatGaveNews'
 mutant no-patience-below spread/chooser.go 's/staleFirst\+staleStep\*time.Duration\(max\(0, boxes-1\)\)/staleFirst/' spread 'TestNewsMayBe'
--- a/spread/chooser.go
+++ b/spread/chooser.go
@@ -14,7 +14,8 @@
 //  3. After a failure all of the list are asked in turn, and the leader between them at
 //     each leaderTurn: whoever else has news has it from the leader.
 //  4. Once all have failed the pause between two questions grows, so that boxes that no
-//     leader can be found for do not keep each other busy.
+//     leader can be found for do not keep each other busy. Word of another leader begins
+//     the round anew: it is asked soon.
 //  5. News may be the older the further a box is from the leader: when a link breaks,
 //     the box below it looks for another parent, and those that ask through it wait for
 //     it instead of all asking the leader.
@@ -27,7 +28,7 @@
 	// retryPause is the wait before the next parent is asked, retryLong that after all
 	// have failed (4).
 	retryPause = 50 * time.Millisecond
-	retryLong  = 400 * time.Millisecond
+	retryLong  = 200 * time.Millisecond
 	// staleFirst is the age of news at which a box that asks the leader looks for
 	// another parent, staleStep what each box between them adds, staleMost the most (5).
 	staleFirst = 1500 * time.Millisecond
@@ -40,10 +41,14 @@
 	parent string // gave news last; "": none since the last failure
 	since  time.Time
 	turn   int // questions since one gave news last
+	leader string
 }
 
 // next returns whom to ask; the list must not be empty.
 func (c *chooser) next(list []string, leader string, now time.Time) string {
+	if leader != c.leader { // (4)
+		c.leader, c.turn = leader, 0
+	}
 	if c.parent != "" && slices.Contains(list, c.parent) && (c.parent == list[0] || now.Sub(c.since) < preferAgain) {
 		return c.parent // (1), (2)
 	}
--- a/spread/chooser_test.go
+++ b/spread/chooser_test.go
@@ -91,3 +91,17 @@
 	g.Expect(gatherFor(83)).To(BeNumerically("~", 50*time.Millisecond, time.Millisecond))
 	g.Expect(gatherFor(400)).To(Equal(gatherMost))
 }
+
+// Boxes that start before there is a leader asked one box each 400 ms by the time there
+// was one, and the leader each fourth time: the control boxes could die before any
+// had fresh news (e2e TestServingGoesOnWithoutControlBoxes, 2 of 5 CI runs).
+func TestANewLeaderBeginsTheRoundAnew(t *testing.T) {
+	g := NewWithT(t)
+	c := &chooser{}
+	for range 20 {
+		c.failed(c.next(fiveBoxes, "", time.Time{}), fiveBoxes)
+	}
+	g.Expect(c.pause(fiveBoxes)).To(Equal(retryLong))
+	g.Expect(asked(c, fiveBoxes, 2)).To(Equal([]string{"tree", "leader"}))
+	g.Expect(c.pause(fiveBoxes)).To(Equal(retryPause))
+}
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -213,3 +213,19 @@
 		f.close()
 	})
 }
+
+// Boxes that had never heard of a leader answered at once, too, and heard of the first one
+// by questions with pauses between: control boxes that died within half a second of it
+// left the others without any news (e2e TestServingGoesOnWithoutControlBoxes).
+func TestABoxThatNeverHadNewsWaitsForIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		f := &fleet{boxes: map[string]*node{}, reaches: func(string, string) bool { return false }}
+		f.add(t, &wire.Member{Box: "b1", Incarnation: "1", Hall: "b"})
+		f.add(t, &wire.Member{Box: "b2", Incarnation: "1", Hall: "b"})
+		g.Expect(f.took(t, ctx, "b1", "b2")).NotTo(BeZero())
+		cancel()
+		f.close()
+	})
+}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -214,11 +214,12 @@
 	return u, nil
 }
 
-// newsFor answers at once where waiting brings nothing: this box has no fresh news, or
-// has it by way of the asker.
+// newsFor answers at once where waiting brings nothing: the news of this box has become
+// old, or came by way of the asker. A box that never had any waits, too: it has just
+// started, and whoever asks it then hears of the first leader with it.
 func (s *Spreader) newsFor(ctx context.Context, from *wire.Member, index uint64, path []string) ([]*wire.Entry, *wire.State, error) {
 	age, fresh := s.Age()
-	if !fresh || stale(age, len(path)) || slices.Contains(path, from.GetBox()) {
+	if fresh && stale(age, len(path)) || slices.Contains(path, from.GetBox()) {
 		return s.opts.Replica.Since(index)
 	}
 	return s.awaitNews(ctx, index)
