--- a/bench/decide_test.go
+++ b/bench/decide_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"syscall"
 	"testing"
 	"time"
 
@@ -11,7 +12,8 @@
 	"leverdrum/state"
 )
 
-// Bounds of one decision at the long-run size.
+// Bounds of one decision at the long-run size. Time is the processor's, the collector's
+// included: by the wall clock it took 1.25 s once, beside two CI runs and a hunt.
 const (
 	mostDecide      = time.Second
 	mostDecideBytes = 64 << 20
@@ -61,10 +63,20 @@
 		b.Errorf("a decision allocates %d bytes, at most %d are wanted", used, mostDecideBytes)
 	}
 	b.ReportAllocs()
+	began := processorTime(b)
 	for b.Loop() {
 		placement.Decide(in)
 	}
-	if each := b.Elapsed() / time.Duration(b.N); each > mostDecide {
+	if each := (processorTime(b) - began) / time.Duration(b.N); each > mostDecide {
 		b.Errorf("a decision takes %v, at most %v is wanted", each, mostDecide)
 	}
 }
+
+// processorTime is what this process has used.
+func processorTime(t testing.TB) time.Duration {
+	var used syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -161,4 +161,6 @@
 mutant reads-outlive-sessions peer/waits.go 's/\t\tc.waits.end\(\)\n//g' peer 'TestReadsEnd'
 mutant answered-before-shown replica/loop.go 's/\tr.applied = append\(r.applied, answered\{p, outcome\{result: result\}\}\)/\tp.answer <- outcome{result: result}/' replica 'TestWhoProposed'
 mutant silence-ends-all gateway/failed.go 's/ && !\(j.headed && last\)/ \&\& (last || !last)/' gateway 'TestSilenceEnds'
+mutant never-news-holds-not spread/spread.go 's/if fresh && stale\(age, len\(path\)\)/if !fresh || stale(age, len(path))/' spread 'TestABoxThatNever'
+mutant new-leader-unheard spread/chooser.go 's/c.leader, c.turn = leader, 0/c.leader = leader/' spread 'TestANewLeader'
 exit $missed
--- a/spread/chooser.go
+++ b/spread/chooser.go
@@ -40,8 +40,8 @@
 type chooser struct {
 	parent string // gave news last; "": none since the last failure
 	since  time.Time
-	turn   int // questions since one gave news last
-	leader string
+	turn   int    // questions since one gave news last
+	leader string // of the questions since, as far as it was known
 }
 
 // next returns whom to ask; the list must not be empty.
