event, meter, peer: what tells the hypotheses of an incident apart

file-in-force says at each box when another fleet file is served by, how large it is and how long the box held it before. news-lost and a counter say how much came from a box while its answer was waited for in vain: counted on the connection, since a stream of yamux shows a frame of up to 256 KiB only when it is whole.

--- a/box/box.go
+++ b/box/box.go
@@ -319,6 +319,7 @@
 
 // keepDirectory makes the routes follow the agreed state.
 func (b *Box) keepDirectory(ctx context.Context, p *parts) {
+	var file uint64 // index of the one in force
 	for {
 		changed := p.replica.Changed()
 		view := p.replica.View()
@@ -329,6 +330,10 @@
 		if p.spread.Current() && p.replica.View() == view {
 			b.warm.Store(true)
 		}
+		if index := view.Version.GetIndex(); index > file {
+			file = index
+			b.logFile(view, began)
+		}
 		b.meters.Gauge(meter.StateIndex).Set(float64(view.Index))
 		b.meters.Gauge(meter.FleetNumber).Set(float64(view.Version.GetNumber()))
 		wait.For(ctx, min(routesMost, routesShare*time.Since(began)))
@@ -341,6 +346,12 @@
 	}
 }
 
+// logFile says that the routes follow a view with another fleet file, seen at a time.
+func (b *Box) logFile(view *state.State, seen time.Time) {
+	event.FileInForce.Log(b.log, zap.Uint64("number", view.Version.GetNumber()), zap.Uint64("index", view.Version.GetIndex()),
+		zap.Time("agreed", time.UnixMilli(view.Version.GetUnixMs()).UTC()), zap.Duration("held", time.Since(seen)), zap.Int("bytes", len(view.Text)))
+}
+
 // untilWarm ticks soon while the routes may not hold what is in force, and never
 // after that.
 func (b *Box) untilWarm() <-chan time.Time {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -48,6 +48,7 @@
 	Ejections    = Metric{"leverdrum_ejections_total", Counter, "Times that a backend server was taken out for failing.", nil}
 	PeerBytes    = Metric{"leverdrum_peer_bytes_total", Counter, "Bytes between boxes, by direction.", []string{"direction"}}
 	PeerCalls    = Metric{"leverdrum_peer_messages_total", Counter, "Messages between boxes, by direction.", []string{"direction"}}
+	PeerGivenUp  = Metric{"leverdrum_peer_given_up_bytes_total", Counter, "Bytes that came from other boxes while their answers were waited for in vain.", nil}
 	Claims       = Metric{"leverdrum_claims_total", Counter, "Claims on keyed calls by verdict.", []string{"verdict"}}
 )
 
@@ -55,7 +56,7 @@
 func All() []Metric {
 	return []Metric{
 		Refusals, RetriesMade, RetriesSpent, Requests, InTime, Duration, InFlight, StateIndex, FleetNumber,
-		Leads, Current, Elections, Orders, Ejections, PeerBytes, PeerCalls, Claims,
+		Leads, Current, Elections, Orders, Ejections, PeerBytes, PeerCalls, PeerGivenUp, Claims,
 	}
 }
 
--- a/peer/link.go
+++ b/peer/link.go
@@ -39,16 +39,20 @@
 	return s.Session.Close()
 }
 
-// watchedConn notes since when something that was asked has brought nothing back.
+// watchedConn notes since when something that was asked has brought nothing back, and how
+// much has come. A stream would tell less: yamux hands a frame of up to 256 KiB on when it
+// is whole.
 type watchedConn struct {
 	net.Conn
 	waits atomic.Int64 // unix nanoseconds; 0: nothing was asked since bytes came
+	got   atomic.Int64 // bytes
 }
 
 func (c *watchedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.waits.Store(0)
+		c.got.Add(int64(n))
 	}
 	return n, err
 }
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -86,19 +86,30 @@
 	s.asked()
 	p.meters.Count(meter.PeerCalls, "out").Inc()
 	done := make(chan answered, 1)
+	before := s.conn.got.Load()
 	go func() {
 		response, err := s.exchange(ctx, r)
 		done <- answered{response, err}
 	}()
 	select {
 	case a := <-done:
-		return a.unpack(ctx, l, s)
-	case <-ctx.Done():
-		if s.silent() {
-			l.drop(s)
+		if a.err == nil || ctx.Err() == nil {
+			return a.unpack(l, s)
 		}
-		return nil, Error.Wrap(ctx.Err())
+	case <-ctx.Done():
 	}
+	// The end of a call's time is no fault of the session.
+	if s.silent() {
+		l.drop(s)
+	}
+	return nil, p.givenUp(ctx, s.conn.got.Load()-before)
+}
+
+// givenUp counts what had come from the box meanwhile, and says so: one that is slow to
+// send is told from one that is silent by that alone.
+func (p *Pool) givenUp(ctx context.Context, bytes int64) error {
+	p.meters.Count(meter.PeerGivenUp).Add(float64(bytes))
+	return Error.New("%w after %d bytes from the box", ctx.Err(), bytes)
 }
 
 // answered is what became of a call.
@@ -107,14 +118,11 @@
 	err      error
 }
 
-// unpack ends a session that failed by itself; the end of a call's time is no fault of
-// the session.
-func (a answered) unpack(ctx context.Context, l *link, s *session) (*wire.Response, error) {
+// unpack ends a session that failed by itself.
+func (a answered) unpack(l *link, s *session) (*wire.Response, error) {
 	switch {
-	case a.err != nil && (ctx.Err() == nil || s.silent()):
-		l.drop(s)
-		return nil, a.err
 	case a.err != nil:
+		l.drop(s)
 		return nil, a.err
 	case a.response.Refusal != nil:
 		return nil, &RefusedError{a.response.Refusal.Code, a.response.Refusal.Text}
