state, replica, peer, spread: files go packed against the one before; answers on their way are not given up

Cause: each box took each fleet file whole, in one answer, and a question that took longer than 1.2 s was given up and begun again at the next box, at last at the leader. Eight boxes that share a link of 10 Mbit/s need 2.6 s for 394 KB, so none ever got to its end, and the links were full of answers that nobody waited for. Class: a transfer of unbounded size under a bound of time that throws away what has come, so that load makes more load.

Mend: the log holds a file packed against the one in force before it (33 KB whole, 3 KB for new time-outs in all of 2,000 routes of 470 KB); whole states go packed, too; a box forwards an apply packed; an answer is given up only when next to nothing comes for the time of a question.

Ruled out: the processor (a file is served by within 10 ms of being held); the choice of parents alone (its first failure was a deadline in the midst of an answer).

Before: in force on 1 to 3 of 92 boxes 2 s after each of four files; after: on all (go test -run TestALargeFileIsInForce ./spread).

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -231,8 +231,13 @@
 		a.refuse(w, reason.NoFleet, nil)
 		return
 	}
+	text, err := state.FileText(result.State)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	_, _ = io.WriteString(w, result.State.FleetText)
+	_, _ = io.WriteString(w, text)
 }
 
 func (a *Admin) status(w http.ResponseWriter, r *http.Request) {
--- a/box/answer.go
+++ b/box/answer.go
@@ -119,6 +119,10 @@
 // majority of the boxes: from then on a box that hears from a majority knows of
 // it, whatever becomes of the control boxes.
 func leadApply(ctx context.Context, p *parts, a *wire.ApplyFleet) (*wire.ForwardAnswer, error) {
+	a, err := state.UnpackFile(a)
+	if err != nil {
+		return nil, err
+	}
 	result, err := p.replica.Propose(ctx, &wire.Command{Kind: &wire.Command_Apply{Apply: a}})
 	if err != nil {
 		return nil, err
@@ -192,7 +196,7 @@
 		return lead(ctx, f.parts, call)
 	}
 	name, _, _ := strings.Cut(leader, "/")
-	response, err := f.box.pool.Call(ctx, name, &wire.Request{Kind: &wire.Request_Forward{Forward: call}})
+	response, err := f.box.pool.Call(ctx, name, &wire.Request{Kind: &wire.Request_Forward{Forward: packed(call)}})
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -202,6 +206,15 @@
 	return response.GetForward(), nil
 }
 
+// packed returns a call as it goes to another box: a file that the operator sends again and
+// again must not take up a slow link each time.
+func packed(call *wire.Forward) *wire.Forward {
+	if call.Apply.GetText() == "" {
+		return call
+	}
+	return &wire.Forward{Kind: call.Kind, DeadlineMs: call.DeadlineMs, Apply: state.PackFile(call.Apply, nil)}
+}
+
 // keepMembership sees to it that the agreed list shows this box as it is.
 func (b *Box) keepMembership(ctx context.Context, p *parts) {
 	f := &forwarder{b, p}
--- a/box/platform.go
+++ b/box/platform.go
@@ -156,7 +156,8 @@
 	if answer.Read.State.FleetFormat != platform.Format {
 		return nil, nil
 	}
-	return []byte(answer.Read.State.FleetText), nil
+	text, err := state.FileText(answer.Read.State)
+	return []byte(text), err
 }
 
 // Announce passes a server's word on to the leader. One that says nothing new is
--- a/replica/follow.go
+++ b/replica/follow.go
@@ -1,6 +1,9 @@
 package replica
 
 import (
+	"google.golang.org/protobuf/proto"
+
+	"leverdrum/internal/pack"
 	"leverdrum/state"
 	"leverdrum/wire"
 )
@@ -10,23 +13,34 @@
 // with the next.
 const maxUpdateBytes = 64 << 10
 
+// maxState bounds a whole state, in bytes.
+const maxState = 64 << 20
+
 // Since returns what a box that has applied index lacks: entries, or the whole
-// state when the entries are not kept any more. Both are empty when it lacks
+// state, packed, when the entries are not kept any more. Both are empty when it lacks
 // nothing.
-func (r *Replica) Since(index uint64) (entries []*wire.Entry, snapshot *wire.State, err error) {
+func (r *Replica) Since(index uint64) (entries []*wire.Entry, snapshot []byte, err error) {
+	kept := true
 	err = r.ask(func() error {
 		if index >= r.master.Index {
 			return nil
 		}
 		first := r.master.Index + 1 - uint64(len(r.recent))
 		if index+1 < first {
-			snapshot = r.master.Encode()
+			kept = false
 			return nil
 		}
 		entries = limitBytes(r.recent[index+1-first:])
 		return nil
 	})
-	return entries, snapshot, err
+	if err != nil || kept {
+		return entries, nil, err
+	}
+	data, err := proto.Marshal(r.View().Encode())
+	if err != nil {
+		return nil, nil, Error.Wrap(err)
+	}
+	return nil, pack.Pack(data, nil), nil
 }
 
 func limitBytes(entries []*wire.Entry) []*wire.Entry {
@@ -42,12 +56,12 @@
 
 // Advance takes over agreed entries or a whole agreed state from a parent. What
 // the box has already is passed over.
-func (r *Replica) Advance(entries []*wire.Entry, snapshot *wire.State) error {
+func (r *Replica) Advance(entries []*wire.Entry, snapshot []byte) error {
 	var next *state.State
-	if snapshot != nil {
-		st, err := state.Decode(snapshot)
+	if len(snapshot) > 0 {
+		st, err := unpackState(snapshot)
 		if err != nil {
-			return Error.Wrap(err)
+			return err
 		}
 		next = st
 	}
@@ -67,3 +81,11 @@
 		return nil
 	})
 }
+
+func unpackState(packed []byte) (*state.State, error) {
+	data, err := pack.Unpack(packed, nil, maxState)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return decodeState(data)
+}
--- /dev/null
+++ b/replica/packed_test.go
@@ -0,0 +1,111 @@
+package replica
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"leverdrum/consensus"
+	"leverdrum/fleet"
+	"leverdrum/state"
+	"leverdrum/wal"
+	"leverdrum/wire"
+)
+
+// numbered is a file that begins with its number.
+const numbered = "numbered"
+
+func init() {
+	fleet.Register(numbered, func(text []byte) (*fleet.Fleet, error) {
+		f := &fleet.Fleet{}
+		_, err := fmt.Sscan(string(text), &f.Number)
+		return f, err
+	})
+}
+
+// file is a command with a file of 5,000 lines.
+func file(number uint64) *wire.Command {
+	var b strings.Builder
+	fmt.Fprintln(&b, number)
+	for i := range 5000 {
+		fmt.Fprintln(&b, uint64(i)*0x9e3779b97f4a7c15)
+	}
+	text := b.String()
+	a := &wire.ApplyFleet{Number: number, Digest: fleet.Digest([]byte(text)), Text: text, Format: numbered}
+	return &wire.Command{Kind: &wire.Command_Apply{Apply: a}}
+}
+
+// single is the storage of the only voter.
+type single struct{ Memory }
+
+func (single) Loaded() wal.Loaded {
+	return wal.Loaded{Hard: &wire.HardState{Term: 1}, Snapshot: &wire.Snapshot{Index: 1, Term: 1, Config: &wire.Config{Voters: []string{"a/1"}}}}
+}
+
+func leader(t *testing.T) *Replica {
+	g := NewWithT(t)
+	r, err := New(Options{
+		Core:    consensus.Options{ID: "a/1", ElectionMin: 200 * time.Millisecond, Heartbeat: 20 * time.Millisecond, Lease: 160 * time.Millisecond, Seed: 1},
+		Storage: single{}, Send: func(*wire.Message) {}, CompactAfter: 1000, Fatal: func(error) {}, Log: zap.NewNop(),
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(r.Close)
+	g.Eventually(func() bool { _, held := r.Lease(); return held && r.Status().Established }, 10*time.Second).Should(BeTrue())
+	return r
+}
+
+// proposeAll puts commands into the log one behind the other, before any is applied.
+func proposeAll(t *testing.T, r *Replica, commands ...*wire.Command) []outcome {
+	var proposals []*proposal
+	err := r.ask(func() error {
+		for _, c := range commands {
+			p := &proposal{answer: make(chan outcome, 1)}
+			proposals = append(proposals, p)
+			r.propose(c, p)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []outcome
+	for _, p := range proposals {
+		list = append(list, <-p.answer)
+	}
+	return list
+}
+
+// The second file came to be packed against one that was not in force when its turn came.
+func TestFilesThatFollowEachOtherInTheLogAreAllTaken(t *testing.T) {
+	g := NewWithT(t)
+	r := leader(t)
+	for _, round := range [][]uint64{{1}, {2, 3, 4}, {5, 6}} {
+		var commands []*wire.Command
+		for _, number := range round {
+			commands = append(commands, file(number))
+		}
+		for i, o := range proposeAll(t, r, commands...) {
+			g.Expect(o.err).NotTo(HaveOccurred())
+			g.Expect(o.result.Apply).To(Equal(state.Accepted), "file %d: %v", round[i], o.result.Err)
+		}
+	}
+	g.Expect(r.View().Text).To(Equal(file(6).GetApply().Text))
+}
+
+// Each change of a file went to all boxes, to the voters and to the disk as the whole file.
+func TestTheLogHoldsWhatAFileChanges(t *testing.T) {
+	g := NewWithT(t)
+	r := leader(t)
+	proposeAll(t, r, file(1))
+	first := r.View().Index
+	proposeAll(t, r, file(2))
+	entries, _, err := r.Since(first)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(entries).To(HaveLen(1))
+	g.Expect(proto.Size(entries[0])).To(BeNumerically("<", len(r.View().Text)/100))
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -174,8 +174,12 @@
 		st.Index = s.GetIndex()
 		return st, nil
 	}
+	return decodeState(s.State)
+}
+
+func decodeState(data []byte) (*state.State, error) {
 	w := &wire.State{}
-	if err := proto.Unmarshal(s.State, w); err != nil {
+	if err := proto.Unmarshal(data, w); err != nil {
 		return nil, Error.Wrap(err)
 	}
 	st, err := state.Decode(w)
@@ -229,12 +233,8 @@
 // tells that it may or may not become agreed.
 func (r *Replica) Propose(ctx context.Context, c *wire.Command) (state.Result, error) {
 	c.UnixMs = time.Now().UnixMilli()
-	data, err := proto.Marshal(c)
-	if err != nil {
-		return state.Result{}, Error.Wrap(err)
-	}
 	p := &proposal{answer: make(chan outcome, 1)}
-	if !r.post(func() { r.propose(data, p) }) {
+	if !r.post(func() { r.propose(c, p) }) {
 		return state.Result{}, ErrBusy
 	}
 	select {
@@ -247,7 +247,12 @@
 	}
 }
 
-func (r *Replica) propose(data []byte, p *proposal) {
+func (r *Replica) propose(c *wire.Command, p *proposal) {
+	data, err := proto.Marshal(r.packed(c))
+	if err != nil {
+		p.answer <- outcome{err: Error.Wrap(err)}
+		return
+	}
 	if !r.opts.Storage.Room(reserve + int64(len(data))) {
 		p.answer <- outcome{err: ErrFull}
 		return
@@ -259,6 +264,23 @@
 	}
 	p.term = term
 	r.waiting[index] = p
+	if c.GetApply() != nil {
+		r.newFile = index
+	}
+}
+
+// packed returns a command as the log holds it: a fleet file packed against the one that
+// will be in force before it, if that is known now (state, rules for the text of a file).
+func (r *Replica) packed(c *wire.Command) *wire.Command {
+	a := c.GetApply()
+	if a.GetText() == "" {
+		return c
+	}
+	onto := r.master
+	if r.newFile > r.master.Index {
+		onto = nil
+	}
+	return &wire.Command{Kind: &wire.Command_Apply{Apply: state.PackFile(a, onto)}, UnixMs: c.UnixMs}
 }
 
 // Barrier returns once View is at least as new as everything that was agreed
--- a/replica/update_test.go
+++ b/replica/update_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -38,9 +39,15 @@
 	return r, r.View().Index
 }
 
-// propose has a configuration of so many bytes agreed.
+// propose has a configuration agreed that takes about so many bytes however it is packed.
 func propose(t *testing.T, r *replica.Replica, number, size int) {
-	apply := &wire.ApplyFleet{Number: uint64(number), Text: strings.Repeat("x", size)}
+	const bits, alphabet = 6, "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ+/"
+	letters := rand.New(rand.NewPCG(1, uint64(number)))
+	var text strings.Builder
+	for range size * 8 / bits {
+		text.WriteByte(alphabet[letters.IntN(len(alphabet))])
+	}
+	apply := &wire.ApplyFleet{Number: uint64(number), Text: text.String()}
 	if _, err := r.Propose(context.Background(), &wire.Command{Kind: &wire.Command_Apply{Apply: apply}}); err != nil {
 		t.Fatal(err)
 	}
@@ -61,6 +68,7 @@
 		entries, snapshot, err := r.Since(at)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(snapshot).To(BeNil())
+		g.Expect(asked > 0 || len(entries) < 12).To(BeTrue(), "they do not fit into one update")
 		size := 0
 		for _, e := range entries {
 			size += proto.Size(e)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -196,4 +196,10 @@
 mutant room-is-not-coming gateway/directory.go 's/\td.noteMaking\(t, view, now\)\n//' gateway 'TestWhatRoomIs'
 mutant learns-what-callers-invent gateway/job.go 's/return f != nil && f.Models\[j.prompt.Model\] != nil/return f != nil \&\& j.prompt.Model != ""/' gateway 'TestNothingIsLearned'
 mutant steady-never-forgets control/steady.go 's/if rate < steadyLeast/if rate < 0/' control 'TestSteadyRates'
+mutant files-go-whole replica/replica.go 's/if a.GetText\(\) == ""/if true/' spread 'TestALargeFileIsInForce'
+mutant files-by-themselves replica/replica.go 's/onto := r.master\n/var onto *state.State\n/' replica 'TestTheLogHoldsWhatAFileChanges'
+mutant base-that-is-not-in-force replica/replica.go 's/if r.newFile > r.master.Index/if false/' replica 'TestFilesThatFollow'
+mutant base-not-compared state/file.go 's/if a.Base != 0 && a.Base != s.Version.GetIndex\(\)/if false/' state 'TestAFilePacked'
+mutant answers-given-up spread/follow.go 's/WithTimeout\(ctx, askMost\)/WithTimeout(ctx, askTimeout)/' spread 'TestAFileTooLarge'
+mutant quiet-boxes-waited-for peer/pool.go 's/if got-before < progress/if got-before < 0/' peer 'TestABoxThatSendsNothing'
 exit $missed
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -51,10 +51,29 @@
 
 var errCut = errors.New("no way there")
 
+func (c caller) Call(ctx context.Context, box string, r *wire.Request) (*wire.Response, error) {
+	response, err := c.answer(ctx, box, r)
+	if err != nil {
+		return nil, err
+	}
+	return response, c.fleet.links.carry(ctx, box, c.from.Box, proto.Size(response))
+}
+
+// Fetch bounds the time until an answer begins to come; once it does something always comes.
+func (c caller) Fetch(ctx context.Context, box string, r *wire.Request, quiet time.Duration) (*wire.Response, error) {
+	first, cancel := context.WithTimeout(ctx, quiet)
+	defer cancel()
+	response, err := c.answer(first, box, r)
+	if err != nil {
+		return nil, err
+	}
+	return response, c.fleet.links.carry(ctx, box, c.from.Box, proto.Size(response))
+}
+
 // oneWay is what a question or an answer takes.
 const oneWay = time.Millisecond
 
-func (c caller) Call(ctx context.Context, box string, r *wire.Request) (*wire.Response, error) {
+func (c caller) answer(ctx context.Context, box string, r *wire.Request) (*wire.Response, error) {
 	c.fleet.mu.Lock()
 	to, reaches := c.fleet.boxes[box], c.fleet.reaches(c.from.Box, box)
 	c.fleet.mu.Unlock()
@@ -63,16 +82,15 @@
 		return nil, errCut
 	}
 	time.Sleep(oneWay)
+	defer time.Sleep(oneWay)
 	if r.GetProbe() != nil {
-		time.Sleep(oneWay)
 		return &wire.Response{Kind: &wire.Response_Probe{Probe: to.spread.AnswerProbe()}}, nil
 	}
 	u, err := to.spread.Answer(ctx, c.from, r.GetFollow())
-	time.Sleep(oneWay)
 	if err != nil {
 		return nil, err
 	}
-	return &wire.Response{Kind: &wire.Response_Follow{Follow: u}}, c.fleet.links.carry(ctx, box, c.from.Box, proto.Size(u))
+	return &wire.Response{Kind: &wire.Response_Follow{Follow: u}}, nil
 }
 
 func newNetwork() *fleet {
--- a/spread/follow.go
+++ b/spread/follow.go
@@ -153,7 +153,7 @@
 
 // ask puts one question to a parent and takes over its news.
 func (s *Spreader) ask(ctx context.Context, parent string) error {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(ctx, askMost)
 	defer cancel()
 	sent := s.opts.Replica.Now()
 	subtree := s.dueSubtree()
@@ -161,7 +161,7 @@
 		Member: s.opts.Replica.ID(), Index: s.opts.Replica.View().Index, Demand: s.dueDemand(),
 		Epoch: subtree.epoch, Sets: subtree.sets, Subtree: subtree.rows,
 	}
-	response, err := s.opts.Caller.Call(ctx, parent, &wire.Request{Kind: &wire.Request_Follow{Follow: question}})
+	response, err := s.opts.Caller.Fetch(ctx, parent, &wire.Request{Kind: &wire.Request_Follow{Follow: question}}, askTimeout)
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/spread/largefile_test.go
+++ b/spread/largefile_test.go
@@ -47,6 +47,20 @@
 	return result.Winner.Index
 }
 
+// newGrown starts four halls of 23 boxes, all on links of 10 Mbit/s but for those with disks.
+func newGrown(t *testing.T, ctx context.Context) *fleet {
+	f := newNetwork()
+	f.links = newLinks(func(box string) float64 {
+		if f.boxes[box].self.Disk {
+			return 100 * megabit
+		}
+		return 10 * megabit
+	})
+	f.populate(t, ctx, []string{"a", "b", "c", "d"}, 23)
+	time.Sleep(3 * time.Second)
+	return f
+}
+
 // inForce is how long an agreed file may take to be in force on all boxes.
 const inForce = 2 * time.Second
 
@@ -60,15 +74,7 @@
 func TestALargeFileIsInForceEverywhereInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		f := newNetwork()
-		f.links = newLinks(func(box string) float64 {
-			if strings.HasSuffix(box, "1") && len(box) == 2 || strings.HasSuffix(box, "2") && len(box) == 2 {
-				return 100 * megabit // they have disks
-			}
-			return 10 * megabit
-		})
-		f.populate(t, ctx, []string{"a", "b", "c", "d"}, 23)
-		time.Sleep(3 * time.Second)
+		f := newGrown(t, ctx)
 		for _, next := range []struct {
 			number          uint64
 			routes, timeout int
@@ -90,3 +96,31 @@
 		f.close()
 	})
 }
+
+// letters is a file of so many bytes that packs to three quarters of them.
+func letters(number uint64, bytes int) string {
+	const alphabet = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ+/"
+	draw := rand.New(rand.NewPCG(1, number))
+	var b strings.Builder
+	fmt.Fprintln(&b, number)
+	for range bytes {
+		b.WriteByte(alphabet[draw.IntN(len(alphabet))])
+	}
+	return b.String()
+}
+
+// What is on its way is not asked for again, however long it takes: 750 KB go to eight boxes
+// in five seconds over a link of 10 Mbit/s, and from there to eight times as many.
+func TestAFileTooLargeForTheTimeOfAQuestionArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f := newGrown(t, ctx)
+		index := f.apply(t, ctx, 18, letters(18, 1_000_000))
+		time.Sleep(14 * time.Second)
+		if late := f.behind(index); len(late) > 0 {
+			t.Errorf("it is not in force on %d of %d boxes", len(late), len(f.boxes))
+		}
+		cancel()
+		f.close()
+	})
+}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -50,8 +50,11 @@
 	gather     = 8 * time.Millisecond
 	gatherBox  = 500 * time.Microsecond
 	gatherMost = 60 * time.Millisecond
-	// askTimeout bounds one question.
+	// askTimeout bounds the time of a question in which nothing comes, askMost that of
+	// one whose answer is on its way: a whole state of some MB over a share of a link
+	// of 10 Mbit/s.
 	askTimeout = hold + 800*time.Millisecond
+	askMost    = 10 * time.Second
 	// fanOut is how many boxes of a hall ask the same box (2).
 	fanOut = 8
 	// reportEvery is the time between two reports of the whole subtree when
@@ -66,6 +69,9 @@
 // Caller asks other boxes.
 type Caller interface {
 	Call(ctx context.Context, box string, r *wire.Request) (*wire.Response, error)
+	// Fetch is Call for an answer that may be long: it is given up when nothing has come
+	// for the time quiet.
+	Fetch(ctx context.Context, box string, r *wire.Request, quiet time.Duration) (*wire.Response, error)
 }
 
 // Options make a Spreader.
@@ -226,7 +232,7 @@
 // newsFor answers at once where waiting brings nothing: the news of this box has become
 // old, or came by way of the asker. A box that never had any waits, too: it has just
 // started, and whoever asks it then hears of the first leader with it.
-func (s *Spreader) newsFor(ctx context.Context, from *wire.Member, index uint64, path []string) ([]*wire.Entry, *wire.State, error) {
+func (s *Spreader) newsFor(ctx context.Context, from *wire.Member, index uint64, path []string) ([]*wire.Entry, []byte, error) {
 	age, fresh := s.Age()
 	if fresh && stale(age, len(path)) || slices.Contains(path, from.GetBox()) {
 		return s.opts.Replica.Since(index)
@@ -234,7 +240,7 @@
 	return s.awaitNews(ctx, index)
 }
 
-func (s *Spreader) awaitNews(ctx context.Context, index uint64) ([]*wire.Entry, *wire.State, error) {
+func (s *Spreader) awaitNews(ctx context.Context, index uint64) ([]*wire.Entry, []byte, error) {
 	timer := time.NewTimer(hold)
 	defer timer.Stop()
 	s.mu.Lock()
--- /dev/null
+++ b/state/file_test.go
@@ -0,0 +1,98 @@
+package state_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"leverdrum/fleet"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+// numbered is a file that begins with its number.
+const numbered = "numbered"
+
+func init() {
+	fleet.Register(numbered, func(text []byte) (*fleet.Fleet, error) {
+		f := &fleet.Fleet{}
+		_, err := fmt.Sscan(string(text), &f.Number)
+		return f, err
+	})
+}
+
+func numberedFile(number uint64, text string) *wire.ApplyFleet {
+	text = fmt.Sprintln(number) + text
+	return &wire.ApplyFleet{Number: number, Digest: fleet.Digest([]byte(text)), Text: text, Format: numbered}
+}
+
+func applyEntry(t interface{ Fatal(...any) }, s *state.State, a *wire.ApplyFleet) state.Result {
+	data, err := proto.Marshal(&wire.Command{Kind: &wire.Command_Apply{Apply: a}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.Apply(&wire.Entry{Index: s.Index + 1, Term: 1, Kind: wire.EntryKind_ENTRY_COMMAND, Data: data})
+}
+
+// Packed or not, in the log or in a snapshot: all boxes come to the same text.
+func TestPackedFilesGiveTheSameText(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		whole, follower := state.New(), state.New()
+		for number := range uint64(6) {
+			text := strings.Repeat(rapid.StringN(0, 30, -1).Draw(t, "part"), rapid.IntRange(0, 200).Draw(t, "times"))
+			a := numberedFile(number+1, text)
+			onto := whole
+			if rapid.Bool().Draw(t, "alone") {
+				onto = nil
+			}
+			packed := state.PackFile(a, onto)
+			g.Expect(applyEntry(t, whole, a).Apply).To(Equal(state.Accepted))
+			g.Expect(applyEntry(t, follower, packed).Apply).To(Equal(state.Accepted))
+			g.Expect(follower.Text).To(Equal(a.Text))
+			if rapid.Bool().Draw(t, "restart") {
+				next, err := state.Decode(follower.Encode())
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(next.Text).To(Equal(a.Text))
+				follower = next
+			}
+			text, err := state.FileText(follower.Encode())
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(text).To(Equal(a.Text))
+		}
+	})
+}
+
+func TestAFilePackedAgainstAnotherIsInvalid(t *testing.T) {
+	g := NewWithT(t)
+	s := state.New()
+	first := numberedFile(1, "one")
+	g.Expect(applyEntry(t, s, first).Apply).To(Equal(state.Accepted))
+	stale := state.PackFile(numberedFile(3, "three"), s)
+	g.Expect(applyEntry(t, s, numberedFile(2, "two")).Apply).To(Equal(state.Accepted))
+	g.Expect(applyEntry(t, s, stale).Apply).To(Equal(state.Invalid))
+	g.Expect(s.Version.Number).To(BeEquivalentTo(2))
+	spoilt := state.PackFile(numberedFile(4, "four"), s)
+	spoilt.Packed = spoilt.Packed[:len(spoilt.Packed)-1]
+	g.Expect(applyEntry(t, s, spoilt).Apply).To(Equal(state.Invalid))
+}
+
+// A log from before files were packed holds their texts.
+func TestAWholeTextIsRead(t *testing.T) {
+	g := NewWithT(t)
+	s := state.New()
+	a := numberedFile(1, "one")
+	g.Expect(applyEntry(t, s, a).Apply).To(Equal(state.Accepted))
+	w := s.Encode()
+	w.FleetPacked, w.FleetText = nil, a.Text
+	old, err := state.Decode(w)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(old.Text).To(Equal(a.Text))
+	again, err := state.UnpackFile(a)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(proto.Equal(again, a)).To(BeTrue())
+}
--- a/state/state.go
+++ b/state/state.go
@@ -67,6 +67,7 @@
 	Text    string
 	// Format is the codec of Text.
 	Format  string
+	packed  func() []byte // Text packed by itself; nil without one
 	History []*wire.FleetVersion
 	// Announced are the backend servers that announced themselves, by id, those
 	// that left included until nothing of them can arrive any more.
@@ -166,12 +167,17 @@
 	if a.Number < s.Version.GetNumber() {
 		return Result{Apply: Older, Winner: s.Version}
 	}
-	f, err := fleet.Decode(a.Format, []byte(a.Text))
-	if err != nil || f.Number != a.Number || fleet.Digest([]byte(a.Text)) != a.Digest {
+	text, err := s.textOf(a)
+	if err != nil {
+		return Result{Apply: Invalid, Winner: s.Version, Err: err}
+	}
+	f, err := fleet.Decode(a.Format, []byte(text))
+	if err != nil || f.Number != a.Number || fleet.Digest([]byte(text)) != a.Digest {
 		return Result{Apply: Invalid, Winner: s.Version, Err: err}
 	}
 	s.Version = &wire.FleetVersion{Number: a.Number, Digest: a.Digest, Operator: a.Operator, Index: s.Index, UnixMs: unixMs}
-	s.described, s.Text, s.Format = f, a.Text, a.Format
+	s.described = f
+	s.setText(text, a.Format)
 	s.mergeAnnounced()
 	s.History = append(s.History, s.Version)
 	if len(s.History) > historyLength {
@@ -378,9 +384,12 @@
 // Encode returns the state as a snapshot holds it.
 func (s *State) Encode() *wire.State {
 	w := &wire.State{
-		Index: s.Index, Fleet: s.Version, FleetText: s.Text, History: s.History,
+		Index: s.Index, Fleet: s.Version, History: s.History,
 		Moves: s.Moves, Most: s.Most, Epochs: s.Epochs, FleetFormat: s.Format,
 	}
+	if s.packed != nil {
+		w.FleetPacked = s.packed()
+	}
 	for _, k := range slices.Sorted(maps.Keys(s.Announced)) {
 		w.Announced = append(w.Announced, s.Announced[k])
 	}
@@ -407,12 +416,17 @@
 // Decode returns the state that a snapshot holds.
 func Decode(w *wire.State) (*State, error) {
 	s := New()
-	s.Index, s.Version, s.Text, s.History = w.GetIndex(), w.GetFleet(), w.GetFleetText(), w.GetHistory()
-	s.Moves, s.Epochs, s.Format = w.GetMoves(), w.GetEpochs(), w.GetFleetFormat()
+	s.Index, s.Version, s.History = w.GetIndex(), w.GetFleet(), w.GetHistory()
+	s.Moves, s.Epochs = w.GetMoves(), w.GetEpochs()
 	for _, a := range w.GetAnnounced() {
 		s.Announced[a.Id] = a
 	}
 	if s.Version != nil {
+		text, err := FileText(w)
+		if err != nil {
+			return nil, err
+		}
+		s.setText(text, w.GetFleetFormat())
 		f, err := fleet.Decode(s.Format, []byte(s.Text))
 		if err != nil {
 			return nil, Error.New("the fleet file of the snapshot at %d cannot be read: %v", s.Index, err)
