--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -202,4 +202,5 @@
 mutant base-not-compared state/file.go 's/if a.Base != 0 && a.Base != s.Version.GetIndex\(\)/if false/' state 'TestAFilePacked'
 mutant answers-given-up spread/follow.go 's/WithTimeout\(ctx, askMost\)/WithTimeout(ctx, askTimeout)/' spread 'TestAFileTooLarge'
 mutant quiet-boxes-waited-for peer/pool.go 's/if got-before < progress/if got-before < 0/' peer 'TestABoxThatSendsNothing'
+mutant whole-states-from-all spread/follow.go 's/select \{\n\t\tcase s.ahead <- newer\{box, a.Index\}:\n\t\tdefault: .*\n\t\t\}/_ = s.ask(ctx, box)/' spread 'TestManyBoxes'
 exit $missed
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -151,6 +151,8 @@
 		Replica: r, Caller: caller{f, self}, Self: self, Seeds: seeds, ConfigLease: time.Hour,
 		Demand: func() []*wire.Demand { return nil }, Log: zap.NewNop(),
 	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.boxes[self.Box] = &node{self, r, s}
 }
 
--- a/spread/follow.go
+++ b/spread/follow.go
@@ -302,7 +302,33 @@
 	}
 	s.mu.Unlock()
 	if a.Index > s.opts.Replica.View().Index {
-		// Its news need not be fresh to be newer; an error changes nothing here.
-		_ = s.ask(ctx, box)
+		select {
+		case s.ahead <- newer{box, a.Index}:
+		default: // another is asked already
+		}
+	}
+}
+
+// newer is a box that has applied more than this one had.
+type newer struct {
+	box   string
+	index uint64
+}
+
+// learnLoop asks boxes that probes found ahead, one at a time and for as long as the answer
+// is coming: 40 boxes that started asked for a state of 750 KB six times each, from all that
+// had it at once (TestManyBoxesThatStartHaveALargeStateSoon).
+func (s *Spreader) learnLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case n := <-s.ahead:
+			if n.index > s.opts.Replica.View().Index {
+				// Its news need not be fresh to be newer; after an error the next probe
+				// finds it or another.
+				_ = s.ask(ctx, n.box)
+			}
+		}
 	}
 }
--- a/spread/links_test.go
+++ b/spread/links_test.go
@@ -11,7 +11,8 @@
 type links struct {
 	mu    sync.Mutex
 	rate  func(box string) float64 // bytes a second, each way
-	freed map[string]time.Time     // when a direction of a link has sent what was given to it
+	sent  int
+	freed map[string]time.Time // when a direction of a link has sent what was given to it
 }
 
 const (
@@ -44,6 +45,7 @@
 // send takes the time that some bytes and those before them take on a link.
 func (l *links) send(link string, rate float64, bytes int) {
 	l.mu.Lock()
+	l.sent += bytes
 	now := time.Now()
 	at := l.freed[link]
 	if at.Before(now) {
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -103,6 +103,7 @@
 	started  time.Time
 	parent   string        // gives news now, "": none
 	advanced chan struct{} // one of the subtree has applied more
+	ahead    chan newer    // found by probes
 	fresher  chan struct{} // closed when fresher news has come
 	demand   map[string]demandOf
 	demandAt time.Duration // when the own subtree's demand was sent last
@@ -135,7 +136,7 @@
 
 // New returns a Spreader; Run makes it work.
 func New(opts Options) *Spreader {
-	return &Spreader{opts: opts, holdings: map[string]holding{}, probes: map[string]probe{}, advanced: make(chan struct{}, 1), fresher: make(chan struct{}), demand: map[string]demandOf{}, started: time.Now()}
+	return &Spreader{opts: opts, holdings: map[string]holding{}, probes: map[string]probe{}, advanced: make(chan struct{}, 1), ahead: make(chan newer), fresher: make(chan struct{}), demand: map[string]demandOf{}, started: time.Now()}
 }
 
 // Run asks parents and, without news, all boxes, until the context ends.
@@ -144,6 +145,7 @@
 	wg.Go(func() { s.followLoop(ctx) })
 	wg.Go(func() { s.probeLoop(ctx) })
 	wg.Go(func() { s.reportLoop(ctx) })
+	wg.Go(func() { s.learnLoop(ctx) })
 	wg.Wait()
 }
 
