e2e: disks are filled by what does not pack away

TestFullDiskRefusesAndLosesNothing and TestFollowersFullDisk failed on: their files were 4,000 times the same letter, which the log now holds as next to nothing, so that no disk filled up. Each file now brings 4,000 bytes that no other has, however it is packed: as much is written as before.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -139,6 +140,7 @@
 	address  map[string]string // of stand-ins
 	servers  map[string]*httptest.Server
 	fleet    string // text behind [fleet] number
+	filler   int    // bytes in each file that no other has, however it is packed
 	platform *standin.Platform
 	first    string // members, as settings list them
 	seeds    string
@@ -344,7 +346,18 @@
 // file returns the fleet file of a number; the mark makes files of equal number
 // differ.
 func (c *cluster) file(number int, mark string) string {
-	return fmt.Sprintf("# %s\n[fleet]\nnumber = %d\nloads-per-second = 100\n%s", mark, number, c.fleet)
+	return fmt.Sprintf("# %s\n[fleet]\nnumber = %d\nloads-per-second = 100\n%s# %s\n", mark, number, c.fleet, c.unlike(number))
+}
+
+// unlike returns letters of six bits each for the filler of a file.
+func (c *cluster) unlike(number int) string {
+	const bits, alphabet = 6, "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ+/"
+	draw := rand.New(rand.NewPCG(1, uint64(number)))
+	letters := make([]byte, c.filler*8/bits)
+	for i := range letters {
+		letters[i] = alphabet[draw.IntN(len(alphabet))]
+	}
+	return string(letters)
 }
 
 // apply applies a file through a box. The status is 0 when no answer came.
--- a/e2e/outage_test.go
+++ b/e2e/outage_test.go
@@ -154,7 +154,7 @@
 	g := NewWithT(t)
 	c := newCluster(t, 3, 0)
 	defer c.dumpLogs()
-	c.fleet = smallFleet + "# " + strings.Repeat("x", 4000) + "\n"
+	c.fleet, c.filler = smallFleet, 4000
 	c.extra = "limit = 150KB\n"
 	c.start()
 	c.applyNow(1)
@@ -183,7 +183,7 @@
 	g := NewWithT(t)
 	c := newCluster(t, 3, 0)
 	defer c.dumpLogs()
-	c.fleet = smallFleet + "# " + strings.Repeat("x", 4000) + "\n"
+	c.fleet, c.filler = smallFleet, 4000
 	full := c.boxes[2]
 	c.own[full.name] = "limit = 100KB\n"
 	c.start()
