spread, box: a file is confirmed once all boxes that are heard have it

Cause, read beside the incident: an acknowledgement waited for a majority for 600 ms and then came in any case, at 1 to 11 of 91 boxes with a file of 394 KB; and one of a file that had been overtaken came at once, also where the newer file was in force nowhere else yet.

Now it waits for all boxes that were heard lately; after accept-wait a majority is enough; and it comes in any case accept-most after the file was agreed, counted over all sendings, since an operator that waits for a second sends again. On the platform that is the time in which a file must be in force. The cost: up to 600 ms more for an acknowledgement in the 3 s after a box was lost.

--- a/box/answer.go
+++ b/box/answer.go
@@ -115,9 +115,9 @@
 	return len(members) == 0 || members[m.GetBox()] != nil || p.spread.HearsMajority()
 }
 
-// leadApply has the file agreed, and then waits until it is in force on a
-// majority of the boxes: from then on a box that hears from a majority knows of
-// it, whatever becomes of the control boxes.
+// leadApply has the file agreed, and then waits until it, or the newer one that is in force
+// in its place, has reached the boxes: who is told that a file is taken goes by it, also where
+// another has overtaken it.
 func leadApply(ctx context.Context, p *parts, a *wire.ApplyFleet) (*wire.ForwardAnswer, error) {
 	a, err := state.UnpackFile(a)
 	if err != nil {
@@ -128,10 +128,8 @@
 		return nil, err
 	}
 	answer := &wire.ApplyResult{Outcome: string(result.Apply), Winner: result.Winner, Index: result.Winner.GetIndex()}
-	if result.Apply == state.Accepted || result.Apply == state.Resent {
-		ctx, cancel := context.WithTimeout(ctx, p.acceptWait)
-		defer cancel()
-		have, boxes := p.spread.AwaitMajority(ctx, answer.Index)
+	if result.Apply != state.Invalid {
+		have, boxes := p.spread.AwaitInForce(ctx, answer.Index, p.accept)
 		answer.InForce, answer.Boxes = uint32(have), uint32(boxes)
 	}
 	return &wire.ForwardAnswer{Apply: answer}, nil
--- /dev/null
+++ b/box/apply_test.go
@@ -0,0 +1,84 @@
+package box
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"leverdrum/consensus"
+	"leverdrum/fleet"
+	"leverdrum/replica"
+	"leverdrum/spread"
+	"leverdrum/state"
+	"leverdrum/wal"
+	"leverdrum/wire"
+)
+
+// onlyVoter is the storage of a leader without peers.
+type onlyVoter struct{ replica.Memory }
+
+func (onlyVoter) Loaded() wal.Loaded {
+	return wal.Loaded{Hard: &wire.HardState{Term: 1}, Snapshot: &wire.Snapshot{Index: 1, Term: 1, Config: &wire.Config{Voters: []string{"a/1"}}}}
+}
+
+// loneLeader leads a cluster whose list names two more boxes, which never ask for news.
+func loneLeader(t *testing.T, accept spread.Patience) *parts {
+	r, err := replica.New(replica.Options{
+		Core:    consensus.Options{ID: "a/1", ElectionMin: 200 * time.Millisecond, Heartbeat: 20 * time.Millisecond, Lease: 160 * time.Millisecond, Seed: 1},
+		Storage: onlyVoter{}, Send: func(*wire.Message) {}, CompactAfter: 1000, Fatal: func(err error) { t.Error(err) }, Log: zap.NewNop(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for !r.Status().Established {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, box := range []string{"a", "b", "c"} {
+		join := &wire.Command{Kind: &wire.Command_Join{Join: &wire.Member{Box: box, Incarnation: "1"}}}
+		if _, err := r.Propose(t.Context(), join); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s := spread.New(spread.Options{Replica: r, Self: &wire.Member{Box: "a", Incarnation: "1"}, Log: zap.NewNop()})
+	return &parts{replica: r, spread: s, accept: accept}
+}
+
+func numberedFile(number uint64, mark string) *wire.ApplyFleet {
+	text := fmt.Sprintf("# %s\n[fleet]\nnumber = %d\n[hall a]\n", mark, number)
+	return &wire.ApplyFleet{Number: number, Digest: fleet.Digest([]byte(text)), Text: text}
+}
+
+// A file that had been overtaken was acknowledged at once, though the newer one was in force
+// on no other box yet: requests went by what was older than either.
+func TestAnOvertakenFileIsAcknowledgedWithTheOneInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		wait := spread.Patience{All: 600 * time.Millisecond, Most: 2 * time.Second}
+		p := loneLeader(t, wait)
+		defer p.replica.Close()
+		for i, row := range []struct {
+			file    *wire.ApplyFleet
+			outcome state.ApplyOutcome
+			waits   bool
+		}{
+			{numberedFile(3, "first"), state.Accepted, true},
+			{numberedFile(5, "second"), state.Accepted, true},
+			{numberedFile(4, "late"), state.Older, true},
+			{numberedFile(3, "first"), state.Superseded, true},
+			{numberedFile(5, "other"), state.Conflict, true},
+			{&wire.ApplyFleet{Number: 6, Text: "[fleet"}, state.Invalid, false},
+		} {
+			p.spread = spread.New(spread.Options{Replica: p.replica, Self: &wire.Member{Box: "a", Incarnation: "1"}, Log: zap.NewNop()})
+			began := time.Now()
+			answer, err := leadApply(context.Background(), p, row.file)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(answer.Apply.Outcome).To(BeEquivalentTo(row.outcome), "row %d", i)
+			g.Expect(time.Since(began) >= wait.Most).To(Equal(row.waits), "row %d", i)
+		}
+	})
+}
--- a/box/box.go
+++ b/box/box.go
@@ -89,8 +89,8 @@
 	gateway   *gateway.Gateway
 	platform  http.Handler
 	notices   chan gateway.Notice
-	// acceptWait is how long an apply waits for a majority of the boxes.
-	acceptWait time.Duration
+	// accept is how long an apply waits for the boxes.
+	accept spread.Patience
 }
 
 // Start opens everything and returns once the box listens. It goes on in the
@@ -280,7 +280,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	p := &parts{replica: r, directory: route.NewDirectory(s.Hall), acceptWait: s.AcceptWait, notices: make(chan gateway.Notice, noticesLength)}
+	p := &parts{replica: r, directory: route.NewDirectory(s.Hall), accept: spread.Patience{All: s.AcceptWait, Most: s.AcceptMost}, notices: make(chan gateway.Notice, noticesLength)}
 	p.spread = spread.New(spread.Options{
 		Replica: r, Caller: b.pool, Self: self, Seeds: slices.Sorted(maps.Keys(s.Boxes)), ConfigLease: s.ConfigLease,
 		Met:    b.met.list,
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -203,4 +203,8 @@
 mutant answers-given-up spread/follow.go 's/WithTimeout\(ctx, askMost\)/WithTimeout(ctx, askTimeout)/' spread 'TestAFileTooLarge'
 mutant quiet-boxes-waited-for peer/pool.go 's/if got-before < progress/if got-before < 0/' peer 'TestABoxThatSendsNothing'
 mutant whole-states-from-all spread/follow.go 's/select \{\n\t\tcase s.ahead <- newer\{box, a.Index\}:\n\t\tdefault: .*\n\t\t\}/_ = s.ask(ctx, box)/' spread 'TestManyBoxes'
+
+mutant confirmed-by-a-majority spread/inforce.go 's/majority && c.lacking == 0/majority/' spread 'TestAFileIsConfirmed'
+mutant each-sending-waits-anew spread/inforce.go 's/return s.agreed.at/return time.Now()/' spread 'TestTheWaitForAMajority'
+mutant overtaken-files-at-once box/answer.go 's/if result.Apply != state.Invalid/if result.Apply == state.Accepted/' box 'TestAnOvertakenFile'
 exit $missed
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -57,7 +57,8 @@
 	{Kind: "operator", Required: true, Text: "Operators' traffic, metrics and health.", Keys: []conf.Key{
 		{Name: "listen", Type: conf.Address, Required: true, Text: "Where operators reach this box."},
 		{Name: "platform-listen", Type: conf.Address, Default: "", Text: "Where the platform's operators and the backend servers that announce themselves reach this box; none: nowhere."},
-		{Name: "accept-wait", Type: conf.Duration, Default: "4s", Text: "How long an apply waits for a majority of the boxes to have the file in force."},
+		{Name: "accept-wait", Type: conf.Duration, Default: "4s", Text: "How long an apply waits for all boxes that were heard lately to have the file in force, before a majority of them is enough."},
+		{Name: "accept-most", Type: conf.Duration, Default: "8s", Text: "How long after a file was agreed an apply of it waits for a majority of the boxes, over all its sendings."},
 	}},
 	{Kind: "orders", Text: "Orders to model servers.", Keys: []conf.Key{
 		{Name: "pause", Type: conf.Duration, Default: "0s", Text: "How long a new leader gives no orders, so that the one before it surely gives none."},
@@ -136,6 +137,7 @@
 	OperatorListen string
 	PlatformListen string
 	AcceptWait     time.Duration
+	AcceptMost     time.Duration
 
 	OrderPause    time.Duration
 	DemandSettles time.Duration
@@ -207,7 +209,7 @@
 		HeaderTimeout: entry.Duration("header-timeout"), BodyTimeout: entry.Duration("body-timeout"), BalancerLag: entry.Duration("balancer-lag"), StopTimeout: entry.Duration("stop-timeout"),
 		Form: cluster.Bool("form"), Voters: votersOf(cluster.Int("voters"), cluster.Int("tolerate")), VotersNeedDisks: cluster.Bool("voters-need-disks"),
 		Dialect: entry.String("dialect"), ReadyListen: entry.String("ready-listen"), Parting: entry.Duration("parting"),
-		OperatorListen: operator.String("listen"), PlatformListen: operator.String("platform-listen"), AcceptWait: operator.Duration("accept-wait"),
+		OperatorListen: operator.String("listen"), PlatformListen: operator.String("platform-listen"), AcceptWait: operator.Duration("accept-wait"), AcceptMost: operator.Duration("accept-most"),
 		OrderPause: d.Part("orders").Duration("pause"), DemandSettles: d.Part("orders").Duration("demand-settles"),
 		BudgetRatio: budget.Float("ratio"), BudgetSlack: budget.Float("slack"), BudgetWindow: budget.Duration("window"),
 		Memory:     int64(d.Part("limits").Bytes("memory")),
--- /dev/null
+++ b/spread/inforce.go
@@ -0,0 +1,105 @@
+package spread
+
+import (
+	"context"
+	"time"
+
+	"leverdrum/state"
+)
+
+// Rules for when a file counts as in force, so that its operator may be told:
+//
+//  1. All listed boxes that were heard lately have it: who is told that a file is in force
+//     goes by it anywhere.
+//  2. After a time it is enough that a majority has it: a box that has just failed still
+//     counts as heard.
+//  3. After a longer time since it was agreed the operator is told in any case: a box that
+//     is heard but stands still must not hold up all that operators do. The time counts over
+//     all sendings of the file, since each of them may be cut off before it ends.
+//
+// A file of 394 KB was acknowledged when it was in force on 1 to 11 of 91 boxes, whose last
+// had it 5 to 10 s later.
+
+// heardLately is how old word of a box may be for (1): its own question takes up to
+// hold, and two boxes above it repeat theirs every reportEvery, rounded up by ageStep.
+const heardLately = hold + 2*(reportEvery+ageStep)
+
+// Patience is how long an acknowledgement waits.
+type Patience struct {
+	// All is the time for all boxes that were heard (1), from the call on.
+	All time.Duration
+	// Most is the time for a majority (3), since the file was agreed as far as this leader
+	// knows.
+	Most time.Duration
+}
+
+// agreedFile is the newest file that was waited for.
+type agreedFile struct {
+	index uint64
+	at    time.Time
+}
+
+// coverage is on how many boxes something is in force.
+type coverage struct {
+	boxes, have int // listed, and of them those that have it
+	lacking     int // heard lately and without it
+}
+
+// AwaitInForce waits until an agreed file may be acknowledged or the context ends, and returns
+// how many boxes have it, of how many.
+func (s *Spreader) AwaitInForce(ctx context.Context, index uint64, p Patience) (have, boxes int) {
+	const look = 5 * time.Millisecond
+	ticker := time.NewTicker(look)
+	defer ticker.Stop()
+	began, agreed := time.Now(), s.agreedAt(index)
+	for {
+		c := s.coverage(index)
+		if c.suffices(time.Since(began), time.Since(agreed), p) {
+			return c.have, c.boxes
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return c.have, c.boxes
+		}
+	}
+}
+
+// suffices is rules 1 to 3.
+func (c coverage) suffices(waited, agreed time.Duration, p Patience) bool {
+	majority := c.have > c.boxes/2
+	return majority && c.lacking == 0 || majority && waited >= p.All || agreed >= p.Most
+}
+
+// agreedAt returns since when this leader knows that a file is agreed.
+func (s *Spreader) agreedAt(index uint64) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if index > s.agreed.index {
+		s.agreed = agreedFile{index, time.Now()}
+	}
+	return s.agreed.at
+}
+
+// coverage counts the boxes that have an index in force.
+func (s *Spreader) coverage(index uint64) coverage {
+	members := s.opts.Replica.View().Members
+	listed := make(map[string]bool, len(members))
+	for _, m := range members {
+		listed[state.MemberID(m)] = true
+	}
+	c := coverage{boxes: len(members)}
+	for _, h := range s.Holdings() {
+		if !listed[h.Member] {
+			continue
+		}
+		has, heard := h.Index >= index, time.Duration(h.AgeMs)*time.Millisecond <= heardLately
+		switch {
+		case has:
+			c.have++
+		case heard:
+			c.lacking++
+		}
+	}
+	return c
+}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -23,6 +23,8 @@
 //     all boxes and none of them is ahead of it. A file counts as accepted once
 //     a majority has it, so one of that majority would know of a newer one.
 //     After a start of all boxes it is current by the voters' word (start.go).
+//  6. A file is acknowledged once all boxes that were heard lately have it in force
+//     (inforce.go).
 package spread
 
 import (
@@ -99,6 +101,7 @@
 	leader   string
 	path     []string
 	holdings map[string]holding
+	agreed   agreedFile
 	probes   map[string]probe
 	started  time.Time
 	parent   string        // gives news now, "": none
@@ -331,21 +334,6 @@
 	return list
 }
 
-// InForce returns how many listed boxes have applied an index, of how many.
-func (s *Spreader) InForce(index uint64) (have, boxes int) {
-	byMember := map[string]uint64{}
-	for _, h := range s.Holdings() {
-		byMember[h.Member] = h.Index
-	}
-	members := s.opts.Replica.View().Members
-	for _, m := range members {
-		if byMember[state.MemberID(m)] >= index {
-			have++
-		}
-	}
-	return have, len(members)
-}
-
 // HearsMajority reports whether a majority of the listed boxes was heard lately,
 // this box included.
 func (s *Spreader) HearsMajority() bool {
@@ -363,25 +351,6 @@
 	return count > len(members)/2
 }
 
-// AwaitMajority waits until a majority of the listed boxes has applied an
-// index, or the context ends.
-func (s *Spreader) AwaitMajority(ctx context.Context, index uint64) (have, boxes int) {
-	const look = 5 * time.Millisecond
-	ticker := time.NewTicker(look)
-	defer ticker.Stop()
-	for {
-		have, boxes = s.InForce(index)
-		if have > boxes/2 {
-			return have, boxes
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return have, boxes
-		}
-	}
-}
-
 // AnswerProbe tells another box where this one stands (5).
 func (s *Spreader) AnswerProbe() *wire.ProbeAnswer {
 	a := &wire.ProbeAnswer{
