--- a/box/answer.go
+++ b/box/answer.go
@@ -92,7 +92,7 @@
 	case wire.ForwardKind_FORWARD_NOTICE:
 		return &wire.ForwardAnswer{}, p.control.Notice(ctx, f)
 	case wire.ForwardKind_FORWARD_READ:
-		return leadRead(ctx, p)
+		return leadRead(ctx, p, f.FileOnly)
 	case wire.ForwardKind_FORWARD_JOIN:
 		if !mayJoin(p, f.Member) {
 			return nil, replica.ErrBusy
@@ -135,11 +135,16 @@
 	return &wire.ForwardAnswer{Apply: answer}, nil
 }
 
-func leadRead(ctx context.Context, p *parts) (*wire.ForwardAnswer, error) {
+// leadRead reads what is agreed, or the fleet file alone: the rest of the state is several times
+// as large as the packed file, and goes over the slow link of the box that asks.
+func leadRead(ctx context.Context, p *parts, fileOnly bool) (*wire.ForwardAnswer, error) {
 	if err := p.replica.Barrier(ctx); err != nil {
 		return nil, err
 	}
 	view, status := p.replica.View(), p.replica.Status()
+	if fileOnly {
+		return &wire.ForwardAnswer{Read: &wire.ReadResult{Index: view.Index, State: view.EncodeFile()}}, nil
+	}
 	return &wire.ForwardAnswer{Read: &wire.ReadResult{
 		Index: view.Index, State: view.Encode(), Holdings: p.spread.Holdings(),
 		Leader: p.replica.ID(), Term: status.Term, Voters: status.Voters,
--- a/box/apply_test.go
+++ b/box/apply_test.go
@@ -82,3 +82,23 @@
 		}
 	})
 }
+
+// A configuration was read back with the whole state around it.
+func TestAFileIsReadWithoutTheRestOfTheState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := loneLeader(t, spread.Patience{})
+		defer p.replica.Close()
+		file := numberedFile(3, "first")
+		_, err := leadApply(context.Background(), p, file)
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, fileOnly := range []bool{true, false} {
+			answer, err := leadRead(context.Background(), p, fileOnly)
+			g.Expect(err).NotTo(HaveOccurred())
+			text, err := state.FileText(answer.Read.State)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(text).To(Equal(file.Text))
+			g.Expect(answer.Read.State.Members).To(HaveLen(map[bool]int{true: 0, false: 3}[fileOnly]))
+		}
+	})
+}
--- a/box/platform.go
+++ b/box/platform.go
@@ -149,7 +149,7 @@
 
 // Configuration reads back what is agreed.
 func (c *platformCluster) Configuration(ctx context.Context) ([]byte, error) {
-	answer, err := c.forward(ctx, &wire.Forward{Kind: wire.ForwardKind_FORWARD_READ})
+	answer, err := c.forward(ctx, &wire.Forward{Kind: wire.ForwardKind_FORWARD_READ, FileOnly: true})
 	if err != nil {
 		return nil, err
 	}
--- a/state/file.go
+++ b/state/file.go
@@ -58,6 +58,15 @@
 	return string(text), Error.Wrap(err)
 }
 
+// EncodeFile returns the fleet file in force as a snapshot holds it, and nothing else.
+func (s *State) EncodeFile() *wire.State {
+	w := &wire.State{Index: s.Index, Fleet: s.Version, FleetFormat: s.Format}
+	if s.packed != nil {
+		w.FleetPacked = s.packed()
+	}
+	return w
+}
+
 // FileText returns the text of the fleet file that an encoded state holds.
 func FileText(w *wire.State) (string, error) {
 	if len(w.GetFleetPacked()) == 0 {
--- a/state/state.go
+++ b/state/state.go
@@ -383,13 +383,8 @@
 
 // Encode returns the state as a snapshot holds it.
 func (s *State) Encode() *wire.State {
-	w := &wire.State{
-		Index: s.Index, Fleet: s.Version, History: s.History,
-		Moves: s.Moves, Most: s.Most, Epochs: s.Epochs, FleetFormat: s.Format,
-	}
-	if s.packed != nil {
-		w.FleetPacked = s.packed()
-	}
+	w := s.EncodeFile()
+	w.History, w.Moves, w.Most, w.Epochs = s.History, s.Moves, s.Most, s.Epochs
 	for _, k := range slices.Sorted(maps.Keys(s.Announced)) {
 		w.Announced = append(w.Announced, s.Announced[k])
 	}
