--- a/peer/fetch_test.go
+++ b/peer/fetch_test.go
@@ -9,8 +9,6 @@
 
 	. "github.com/onsi/gomega"
 
-	"leverdrum/meter"
-	"leverdrum/peer"
 	"leverdrum/wire"
 )
 
@@ -59,10 +57,7 @@
 // An answer was given up while it came, and began again at the next box.
 func TestAnAnswerOnItsWayIsNotGivenUp(t *testing.T) {
 	g := NewWithT(t)
-	l := loopback(t)
-	s := peer.Serve(l, &who{box: "one", cluster: "c", id: "x"}, peer.Plain{}, long{400 << 10}, meter.New())
-	t.Cleanup(s.Close)
-	p := pool(t, slowBy(t, l.Addr().String(), 20*time.Millisecond)) // over a second in all
+	p := pool(t, slowBy(t, serving(t, long{400 << 10}), 20*time.Millisecond)) // over a second in all
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	began := time.Now()
@@ -74,11 +69,7 @@
 
 func TestABoxThatSendsNothingIsGivenUp(t *testing.T) {
 	g := NewWithT(t)
-	l := loopback(t)
-	h := newSlow()
-	s := peer.Serve(l, &who{box: "one", cluster: "c", id: "x"}, peer.Plain{}, h, meter.New())
-	t.Cleanup(s.Close)
-	p := pool(t, l.Addr().String())
+	p := pool(t, serving(t, newSlow()))
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	_, err := p.Fetch(ctx, "one", probe, quiet)
--- a/peer/pool_test.go
+++ b/peer/pool_test.go
@@ -39,6 +39,14 @@
 	return p
 }
 
+// serving lets a handler answer as box one and returns the address.
+func serving(t *testing.T, h peer.Handler) string {
+	l := loopback(t)
+	s := peer.Serve(l, &who{box: "one", cluster: "c", id: "x"}, peer.Plain{}, h, meter.New())
+	t.Cleanup(s.Close)
+	return l.Addr().String()
+}
+
 // loopback listens on a port of its own.
 func loopback(t *testing.T) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -82,11 +90,8 @@
 // A call that was given up ended the session, and with it all other calls on it.
 func TestACallThatIsGivenUpEndsNoOther(t *testing.T) {
 	g := NewWithT(t)
-	l := loopback(t)
 	h := newSlow()
-	s := peer.Serve(l, &who{box: "one", cluster: "c", id: "x"}, peer.Plain{}, h, meter.New())
-	t.Cleanup(s.Close)
-	p := pool(t, l.Addr().String())
+	p := pool(t, serving(t, h))
 	long, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	first := call(long, p)
@@ -105,11 +110,8 @@
 // the next one finds another way sooner than the session itself would notice.
 func TestASilentSessionIsEnded(t *testing.T) {
 	g := NewWithT(t)
-	l := loopback(t)
 	h := newSlow()
-	s := peer.Serve(l, &who{box: "one", cluster: "c", id: "x"}, peer.Plain{}, h, meter.New())
-	t.Cleanup(s.Close)
-	between, accepted := newValve(t, l.Addr().String())
+	between, accepted := newValve(t, serving(t, h))
 	p := pool(t, between)
 	h.let <- struct{}{}
 	g.Eventually(call(context.Background(), p), "5s").Should(Receive(BeNil()))
--- a/replica/packed_test.go
+++ b/replica/packed_test.go
@@ -11,33 +11,19 @@
 	"google.golang.org/protobuf/proto"
 
 	"leverdrum/consensus"
-	"leverdrum/fleet"
+	"leverdrum/standin"
 	"leverdrum/state"
 	"leverdrum/wal"
 	"leverdrum/wire"
 )
 
-// numbered is a file that begins with its number.
-const numbered = "numbered"
-
-func init() {
-	fleet.Register(numbered, func(text []byte) (*fleet.Fleet, error) {
-		f := &fleet.Fleet{}
-		_, err := fmt.Sscan(string(text), &f.Number)
-		return f, err
-	})
-}
-
 // file is a command with a file of 5,000 lines.
 func file(number uint64) *wire.Command {
 	var b strings.Builder
-	fmt.Fprintln(&b, number)
 	for i := range 5000 {
 		fmt.Fprintln(&b, uint64(i)*0x9e3779b97f4a7c15)
 	}
-	text := b.String()
-	a := &wire.ApplyFleet{Number: number, Digest: fleet.Digest([]byte(text)), Text: text, Format: numbered}
-	return &wire.Command{Kind: &wire.Command_Apply{Apply: a}}
+	return &wire.Command{Kind: &wire.Command_Apply{Apply: standin.NumberedFile(number, b.String())}}
 }
 
 // single is the storage of the only voter.
--- a/spread/inforce_test.go
+++ b/spread/inforce_test.go
@@ -13,11 +13,20 @@
 
 var patience = spread.Patience{All: 600 * time.Millisecond, Most: 2 * time.Second}
 
+// settled returns a fleet of 32 boxes that all have news. It ends with the test.
+func settled(t *testing.T) (*fleet, context.Context) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := newFleet(t, ctx, 16)
+	t.Cleanup(func() { cancel(); f.close() })
+	time.Sleep(3 * time.Second)
+	return f, ctx
+}
+
 // confirmed has a small file agreed and tells on how many boxes it was in force, and after
 // what time, when its operator was told.
 func (f *fleet) confirmed(t *testing.T, ctx context.Context, number uint64) (have, boxes int, took time.Duration) {
 	began := time.Now()
-	index := f.apply(t, ctx, number, routesFile(number, 1, 1))
+	index := f.apply(t, ctx, routesFile(number, 1, 1))
 	have, boxes = f.boxes["a1"].spread.AwaitInForce(ctx, index, patience)
 	return have, boxes, time.Since(began)
 }
@@ -26,11 +35,7 @@
 func TestAFileIsConfirmedOnceAllThatAreHeardHaveIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		ctx, cancel := context.WithCancel(context.Background())
-		f := newFleet(t, ctx, 16)
-		defer f.close()
-		defer cancel()
-		time.Sleep(3 * time.Second)
+		f, ctx := settled(t)
 
 		have, boxes, took := f.confirmed(t, ctx, 1)
 		g.Expect(have).To(Equal(boxes))
@@ -52,13 +57,9 @@
 func TestTheWaitForAMajorityEndsOverAllSendings(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		ctx, cancel := context.WithCancel(context.Background())
-		f := newFleet(t, ctx, 16)
-		defer f.close()
-		defer cancel()
-		time.Sleep(3 * time.Second)
+		f, ctx := settled(t)
 		f.network(func(from, to string) bool { return from != "a1" && to != "a1" })
-		index := f.apply(t, ctx, 1, routesFile(1, 1, 1))
+		index := f.apply(t, ctx, routesFile(1, 1, 1))
 		began := time.Now()
 		for range 4 {
 			sending, end := context.WithTimeout(ctx, 900*time.Millisecond)
--- a/spread/largefile_test.go
+++ b/spread/largefile_test.go
@@ -9,40 +9,27 @@
 	"testing/synctest"
 	"time"
 
-	files "leverdrum/fleet"
+	"leverdrum/standin"
 	"leverdrum/state"
 	"leverdrum/wire"
 )
 
-// linesFormat is a file of lines, of which the first is the number.
-const linesFormat = "lines"
-
-func init() {
-	files.Register(linesFormat, func(text []byte) (*files.Fleet, error) {
-		f := &files.Fleet{}
-		_, err := fmt.Sscan(string(text), &f.Number)
-		return f, err
-	})
-}
-
 // routesFile is a file of so many routes, all with one time-out in milliseconds.
-func routesFile(number uint64, routes, timeout int) string {
+func routesFile(number uint64, routes, timeout int) *wire.ApplyFleet {
 	names := rand.New(rand.NewPCG(1, 1))
 	var b strings.Builder
-	fmt.Fprintln(&b, number)
 	for range routes {
 		fmt.Fprintf(&b, `{"name":"r-%08x","hostname":"%06x.example","path_prefix":"/%08x/","route_type":"streaming","timeout_ms":%d,"target_latency_ms":800,"priority":1,"backend":"huvo11a","max_attempts":2,"session_affinity":true,"resumable":true}`+"\n",
 			names.Uint32(), names.Uint32N(1<<24), names.Uint32(), timeout)
 	}
-	return b.String()
+	return standin.NumberedFile(number, b.String())
 }
 
 // apply has a file agreed and returns its index.
-func (f *fleet) apply(t *testing.T, ctx context.Context, number uint64, text string) uint64 {
-	a := &wire.ApplyFleet{Number: number, Digest: files.Digest([]byte(text)), Text: text, Format: linesFormat}
+func (f *fleet) apply(t *testing.T, ctx context.Context, a *wire.ApplyFleet) uint64 {
 	result, err := f.boxes["a1"].replica.Propose(ctx, &wire.Command{Kind: &wire.Command_Apply{Apply: a}})
 	if err != nil || result.Apply != state.Accepted {
-		t.Fatalf("file %d: %v, %v", number, result.Apply, err)
+		t.Fatalf("file %d: %v, %v", a.Number, result.Apply, err)
 	}
 	return result.Winner.Index
 }
@@ -86,7 +73,7 @@
 			{27, 1900, 6000, 2100 * time.Millisecond},
 		} {
 			time.Sleep(max(0, next.after-inForce))
-			index := f.apply(t, ctx, next.number, routesFile(next.number, next.routes, next.timeout))
+			index := f.apply(t, ctx, routesFile(next.number, next.routes, next.timeout))
 			time.Sleep(inForce)
 			if late := f.behind(index); len(late) > 0 {
 				t.Errorf("file %d is not in force on %d of %d boxes %v after it was agreed", next.number, len(late), len(f.boxes), inForce)
@@ -98,15 +85,14 @@
 }
 
 // letters is a file of so many bytes that packs to three quarters of them.
-func letters(number uint64, bytes int) string {
+func letters(number uint64, bytes int) *wire.ApplyFleet {
 	const alphabet = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ+/"
 	draw := rand.New(rand.NewPCG(1, number))
 	var b strings.Builder
-	fmt.Fprintln(&b, number)
 	for range bytes {
 		b.WriteByte(alphabet[draw.IntN(len(alphabet))])
 	}
-	return b.String()
+	return standin.NumberedFile(number, b.String())
 }
 
 // What is on its way is not asked for again, however long it takes: 750 KB go to eight boxes
@@ -115,7 +101,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		f := newGrown(t, ctx)
-		index := f.apply(t, ctx, 18, letters(18, 1_000_000))
+		index := f.apply(t, ctx, letters(18, 1_000_000))
 		time.Sleep(14 * time.Second)
 		if late := f.behind(index); len(late) > 0 {
 			t.Errorf("it is not in force on %d of %d boxes", len(late), len(f.boxes))
--- a/spread/manystart_test.go
+++ b/spread/manystart_test.go
@@ -36,7 +36,7 @@
 			return 100 * megabit
 		})
 		f.populate(t, ctx, []string{"a", "b", "c", "d"}, 2)
-		f.apply(t, ctx, 18, letters(18, packedSize*4/3))
+		f.apply(t, ctx, letters(18, packedSize*4/3))
 		f.forgetEntries(t, ctx)
 		time.Sleep(3 * time.Second)
 		core := consensus.Options{ElectionMin: 200 * time.Millisecond, Heartbeat: 20 * time.Millisecond, Lease: 160 * time.Millisecond, Seed: 1}
--- a/state/file_test.go
+++ b/state/file_test.go
@@ -1,7 +1,6 @@
 package state_test
 
 import (
-	"fmt"
 	"strings"
 	"testing"
 
@@ -9,27 +8,11 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
-	"leverdrum/fleet"
+	"leverdrum/standin"
 	"leverdrum/state"
 	"leverdrum/wire"
 )
 
-// numbered is a file that begins with its number.
-const numbered = "numbered"
-
-func init() {
-	fleet.Register(numbered, func(text []byte) (*fleet.Fleet, error) {
-		f := &fleet.Fleet{}
-		_, err := fmt.Sscan(string(text), &f.Number)
-		return f, err
-	})
-}
-
-func numberedFile(number uint64, text string) *wire.ApplyFleet {
-	text = fmt.Sprintln(number) + text
-	return &wire.ApplyFleet{Number: number, Digest: fleet.Digest([]byte(text)), Text: text, Format: numbered}
-}
-
 func applyEntry(t interface{ Fatal(...any) }, s *state.State, a *wire.ApplyFleet) state.Result {
 	data, err := proto.Marshal(&wire.Command{Kind: &wire.Command_Apply{Apply: a}})
 	if err != nil {
@@ -45,7 +28,7 @@
 		whole, follower := state.New(), state.New()
 		for number := range uint64(6) {
 			text := strings.Repeat(rapid.StringN(0, 30, -1).Draw(t, "part"), rapid.IntRange(0, 200).Draw(t, "times"))
-			a := numberedFile(number+1, text)
+			a := standin.NumberedFile(number+1, text)
 			onto := whole
 			if rapid.Bool().Draw(t, "alone") {
 				onto = nil
@@ -70,13 +53,13 @@
 func TestAFilePackedAgainstAnotherIsInvalid(t *testing.T) {
 	g := NewWithT(t)
 	s := state.New()
-	first := numberedFile(1, "one")
+	first := standin.NumberedFile(1, "one")
 	g.Expect(applyEntry(t, s, first).Apply).To(Equal(state.Accepted))
-	stale := state.PackFile(numberedFile(3, "three"), s)
-	g.Expect(applyEntry(t, s, numberedFile(2, "two")).Apply).To(Equal(state.Accepted))
+	stale := state.PackFile(standin.NumberedFile(3, "three"), s)
+	g.Expect(applyEntry(t, s, standin.NumberedFile(2, "two")).Apply).To(Equal(state.Accepted))
 	g.Expect(applyEntry(t, s, stale).Apply).To(Equal(state.Invalid))
 	g.Expect(s.Version.Number).To(BeEquivalentTo(2))
-	spoilt := state.PackFile(numberedFile(4, "four"), s)
+	spoilt := state.PackFile(standin.NumberedFile(4, "four"), s)
 	spoilt.Packed = spoilt.Packed[:len(spoilt.Packed)-1]
 	g.Expect(applyEntry(t, s, spoilt).Apply).To(Equal(state.Invalid))
 }
@@ -85,7 +68,7 @@
 func TestAWholeTextIsRead(t *testing.T) {
 	g := NewWithT(t)
 	s := state.New()
-	a := numberedFile(1, "one")
+	a := standin.NumberedFile(1, "one")
 	g.Expect(applyEntry(t, s, a).Apply).To(Equal(state.Accepted))
 	w := s.Encode()
 	w.FleetPacked, w.FleetText = nil, a.Text
