--- a/state/file.go
+++ b/state/file.go
@@ -1,8 +1,12 @@
 package state
 
 import (
+	"slices"
 	"sync"
 
+	"google.golang.org/protobuf/proto"
+
+	"leverdrum/fleet"
 	"leverdrum/internal/pack"
 	"leverdrum/wire"
 )
@@ -82,3 +86,59 @@
 	s.Text, s.Format = text, format
 	s.packed = sync.OnceValue(func() []byte { return pack.Pack([]byte(text), nil) })
 }
+
+// IsFile reports whether an entry brings a fleet file.
+func IsFile(e *wire.Entry) bool {
+	if e.Kind != wire.EntryKind_ENTRY_COMMAND {
+		return false
+	}
+	c := &wire.Command{}
+	return proto.Unmarshal(e.Data, c) == nil && c.GetApply() != nil
+}
+
+func (s *State) applyFleet(a *wire.ApplyFleet, unixMs int64) Result {
+	if first := s.accepted(a.Number); first != nil {
+		return s.secondFile(a, first)
+	}
+	if a.Number < s.Version.GetNumber() {
+		return Result{Apply: Older, Winner: s.Version}
+	}
+	text, err := s.textOf(a)
+	if err != nil {
+		return Result{Apply: Invalid, Winner: s.Version, Err: err}
+	}
+	f, err := fleet.Decode(a.Format, []byte(text))
+	if err != nil || f.Number != a.Number || fleet.Digest([]byte(text)) != a.Digest {
+		return Result{Apply: Invalid, Winner: s.Version, Err: err}
+	}
+	s.Version = &wire.FleetVersion{Number: a.Number, Digest: a.Digest, Operator: a.Operator, Index: s.Index, UnixMs: unixMs}
+	s.described = f
+	s.setText(text, a.Format)
+	s.mergeAnnounced()
+	s.History = append(s.History, s.Version)
+	if len(s.History) > historyLength {
+		s.History = slices.Clone(s.History[len(s.History)-historyLength:])
+	}
+	s.dropStrangers()
+	return Result{Apply: Accepted, Winner: s.Version}
+}
+
+// accepted returns the file of a number that was accepted, as far as remembered.
+func (s *State) accepted(number uint64) *wire.FleetVersion {
+	for _, v := range slices.Backward(s.History) {
+		if v.Number == number {
+			return v
+		}
+	}
+	return nil
+}
+
+func (s *State) secondFile(a *wire.ApplyFleet, first *wire.FleetVersion) Result {
+	switch {
+	case first.Digest != a.Digest:
+		return Result{Apply: Conflict, Winner: first}
+	case first.Number != s.Version.Number:
+		return Result{Apply: Superseded, Winner: first}
+	}
+	return Result{Apply: Resent, Winner: first}
+}
--- /dev/null
+++ b/state/snapshot.go
@@ -0,0 +1,75 @@
+package state
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"leverdrum/fleet"
+	"leverdrum/ledger"
+	"leverdrum/wire"
+)
+
+// Encode returns the state as a snapshot holds it.
+func (s *State) Encode() *wire.State {
+	w := s.EncodeFile()
+	w.History, w.Moves, w.Most, w.Epochs = s.History, s.Moves, s.Most, s.Epochs
+	for _, k := range slices.Sorted(maps.Keys(s.Announced)) {
+		w.Announced = append(w.Announced, s.Announced[k])
+	}
+	for _, k := range slices.Sorted(maps.Keys(s.Members)) {
+		w.Members = append(w.Members, s.Members[k])
+	}
+	for _, k := range slices.Sorted(maps.Keys(s.Servers)) {
+		w.Servers = append(w.Servers, s.Servers[k])
+	}
+	for _, k := range slices.SortedFunc(maps.Keys(s.Residents), comparePlaces) {
+		w.Residents = append(w.Residents, s.Residents[k])
+	}
+	for _, k := range slices.Sorted(maps.Keys(s.Orders)) {
+		w.Orders = append(w.Orders, s.Orders[k])
+	}
+	return w
+}
+
+func comparePlaces(a, b ledger.Place) int {
+	return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Accelerator, b.Accelerator),
+		cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Version, b.Version))
+}
+
+// Decode returns the state that a snapshot holds.
+func Decode(w *wire.State) (*State, error) {
+	s := New()
+	s.Index, s.Version, s.History = w.GetIndex(), w.GetFleet(), w.GetHistory()
+	s.Moves, s.Epochs = w.GetMoves(), w.GetEpochs()
+	for _, a := range w.GetAnnounced() {
+		s.Announced[a.Id] = a
+	}
+	if s.Version != nil {
+		text, err := FileText(w)
+		if err != nil {
+			return nil, err
+		}
+		s.setText(text, w.GetFleetFormat())
+		f, err := fleet.Decode(s.Format, []byte(s.Text))
+		if err != nil {
+			return nil, Error.New("the fleet file of the snapshot at %d cannot be read: %v", s.Index, err)
+		}
+		s.described = f
+		s.mergeAnnounced()
+	}
+	maps.Copy(s.Most, w.GetMost())
+	for _, m := range w.GetMembers() {
+		s.Members[m.Box] = m
+	}
+	for _, v := range w.GetServers() {
+		s.Servers[v.Name] = v
+	}
+	for _, r := range w.GetResidents() {
+		s.Residents[ledger.PlaceOfResident(r)] = r
+	}
+	for _, o := range w.GetOrders() {
+		s.Orders[o.Id] = o
+	}
+	return s, nil
+}
--- a/state/state.go
+++ b/state/state.go
@@ -117,15 +117,6 @@
 // MemberID names one incarnation of a box.
 func MemberID(m *wire.Member) string { return m.GetBox() + "/" + m.GetIncarnation() }
 
-// IsFile reports whether an entry brings a fleet file.
-func IsFile(e *wire.Entry) bool {
-	if e.Kind != wire.EntryKind_ENTRY_COMMAND {
-		return false
-	}
-	c := &wire.Command{}
-	return proto.Unmarshal(e.Data, c) == nil && c.GetApply() != nil
-}
-
 // Apply applies the entry behind Index.
 func (s *State) Apply(e *wire.Entry) Result {
 	if e.Index != s.Index+1 {
@@ -160,53 +151,6 @@
 	return Result{}
 }
 
-func (s *State) applyFleet(a *wire.ApplyFleet, unixMs int64) Result {
-	if first := s.accepted(a.Number); first != nil {
-		return s.secondFile(a, first)
-	}
-	if a.Number < s.Version.GetNumber() {
-		return Result{Apply: Older, Winner: s.Version}
-	}
-	text, err := s.textOf(a)
-	if err != nil {
-		return Result{Apply: Invalid, Winner: s.Version, Err: err}
-	}
-	f, err := fleet.Decode(a.Format, []byte(text))
-	if err != nil || f.Number != a.Number || fleet.Digest([]byte(text)) != a.Digest {
-		return Result{Apply: Invalid, Winner: s.Version, Err: err}
-	}
-	s.Version = &wire.FleetVersion{Number: a.Number, Digest: a.Digest, Operator: a.Operator, Index: s.Index, UnixMs: unixMs}
-	s.described = f
-	s.setText(text, a.Format)
-	s.mergeAnnounced()
-	s.History = append(s.History, s.Version)
-	if len(s.History) > historyLength {
-		s.History = slices.Clone(s.History[len(s.History)-historyLength:])
-	}
-	s.dropStrangers()
-	return Result{Apply: Accepted, Winner: s.Version}
-}
-
-// accepted returns the file of a number that was accepted, as far as remembered.
-func (s *State) accepted(number uint64) *wire.FleetVersion {
-	for _, v := range slices.Backward(s.History) {
-		if v.Number == number {
-			return v
-		}
-	}
-	return nil
-}
-
-func (s *State) secondFile(a *wire.ApplyFleet, first *wire.FleetVersion) Result {
-	switch {
-	case first.Digest != a.Digest:
-		return Result{Apply: Conflict, Winner: first}
-	case first.Number != s.Version.Number:
-		return Result{Apply: Superseded, Winner: first}
-	}
-	return Result{Apply: Resent, Winner: first}
-}
-
 // dropStrangers forgets servers that the fleet file does not name any more.
 func (s *State) dropStrangers() {
 	for name := range s.Servers {
@@ -380,67 +324,3 @@
 		s.Residents[ledger.PlaceOfResident(r)] = r
 	}
 }
-
-// Encode returns the state as a snapshot holds it.
-func (s *State) Encode() *wire.State {
-	w := s.EncodeFile()
-	w.History, w.Moves, w.Most, w.Epochs = s.History, s.Moves, s.Most, s.Epochs
-	for _, k := range slices.Sorted(maps.Keys(s.Announced)) {
-		w.Announced = append(w.Announced, s.Announced[k])
-	}
-	for _, k := range slices.Sorted(maps.Keys(s.Members)) {
-		w.Members = append(w.Members, s.Members[k])
-	}
-	for _, k := range slices.Sorted(maps.Keys(s.Servers)) {
-		w.Servers = append(w.Servers, s.Servers[k])
-	}
-	for _, k := range slices.SortedFunc(maps.Keys(s.Residents), comparePlaces) {
-		w.Residents = append(w.Residents, s.Residents[k])
-	}
-	for _, k := range slices.Sorted(maps.Keys(s.Orders)) {
-		w.Orders = append(w.Orders, s.Orders[k])
-	}
-	return w
-}
-
-func comparePlaces(a, b ledger.Place) int {
-	return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Accelerator, b.Accelerator),
-		cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Version, b.Version))
-}
-
-// Decode returns the state that a snapshot holds.
-func Decode(w *wire.State) (*State, error) {
-	s := New()
-	s.Index, s.Version, s.History = w.GetIndex(), w.GetFleet(), w.GetHistory()
-	s.Moves, s.Epochs = w.GetMoves(), w.GetEpochs()
-	for _, a := range w.GetAnnounced() {
-		s.Announced[a.Id] = a
-	}
-	if s.Version != nil {
-		text, err := FileText(w)
-		if err != nil {
-			return nil, err
-		}
-		s.setText(text, w.GetFleetFormat())
-		f, err := fleet.Decode(s.Format, []byte(s.Text))
-		if err != nil {
-			return nil, Error.New("the fleet file of the snapshot at %d cannot be read: %v", s.Index, err)
-		}
-		s.described = f
-		s.mergeAnnounced()
-	}
-	maps.Copy(s.Most, w.GetMost())
-	for _, m := range w.GetMembers() {
-		s.Members[m.Box] = m
-	}
-	for _, v := range w.GetServers() {
-		s.Servers[v.Name] = v
-	}
-	for _, r := range w.GetResidents() {
-		s.Residents[ledger.PlaceOfResident(r)] = r
-	}
-	for _, o := range w.GetOrders() {
-		s.Orders[o.Id] = o
-	}
-	return s, nil
-}
