gateway: the test of a stop tells why a waiting request was refused

Its mutant (waits-past-a-stop) was not noticed any more: since requests wait for a model no longer than the leader takes to decide, the request was refused for want of the model within a second, stop or not. The test now asks for the reason as well; the mutant is noticed.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -434,4 +434,5 @@
 	var answer string
 	g.Eventually(answered, within).Should(Receive(&answer))
 	g.Expect(answer).To(HavePrefix("HTTP/1.1 503 "))
+	g.Expect(answer).To(ContainSubstring(reason.Stopping.Code), "not for want of the model")
 }
