control: a doubt that was acted on is not acted on again, shown without luck

The mutant crash-agreed-often was not noticed, on neither: 20 words at once seldom meet before the first is agreed. TestADoubtIsActedOnOnce asks the rule itself; the mutant is noticed.

--- a/control/notice_test.go
+++ b/control/notice_test.go
@@ -88,6 +88,16 @@
 	g.Expect(logged.FilterMessage(event.ServerSilent.Title).Len()).To(Equal(1))
 }
 
+// The same without the luck of 20 words at once.
+func TestADoubtIsActedOnOnce(t *testing.T) {
+	g := NewWithT(t)
+	c := newLeader(t)
+	now := time.Now()
+	g.Expect(c.doubted("s", "b", 1, true, now)).To(BeTrue())
+	g.Expect(c.doubted("s", "b", 1, true, now)).To(BeFalse())
+	g.Expect(c.doubted("s", "other", 1, true, now)).To(BeFalse())
+}
+
 // A lease that had lapsed for a moment, 1 of 15 runs under load: the word was used up.
 func TestADoubtThatWasNotAgreedStands(t *testing.T) {
 	g := NewWithT(t)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -128,7 +128,7 @@
 mutant lines-hold-up logline/logline.go 's/\tdefault:\n\t\tw.dropped.Add\(1\)\n\t\tw.total.Add\(1\)\n//' logline 'TestAFullPipe'
 mutant down-never-probed gateway/choose.go 's/ && !s.probe\(now\)//' gateway 'TestADownServer'
 mutant one-box-suffices control/refusing.go 's/ \|\| len\(d.words\) < enough//' control 'TestOneBoxAlone'
-mutant crash-agreed-often control/refusing.go 's/\td.acted = true\n//' control 'TestACrash'
+mutant crash-agreed-often control/refusing.go 's/\td.acted = true\n//' control 'TestADoubtIs'
 mutant orders-at-once control/pause.go 's/now.Sub\(o.seen\) < c.opts.OrderPause/now.Sub(o.seen) < 0/' control 'TestOnlyServers|TestABoxThat'
 mutant open-order-not-held control/pause.go 's/if c.inherited\(o\) \{/if false {/' control 'TestOnlyServers'
 mutant impatient-leader control/patience.go 's/known := in.Since >= in.Settles/known := true/' control 'TestPatience'
