crasher, gateway: a request under which servers end goes to no further ones

Now each box tells the leader what was at a server when it ended; what stands behind three ends one after another is held, in the agreed state, at all boxes, and refused at once.

--- a/box/box.go
+++ b/box/box.go
@@ -89,6 +89,7 @@
 	gateway   *gateway.Gateway
 	platform  http.Handler
 	notices   chan gateway.Notice
+	crashes   *crashes
 	// accept is how long an apply waits for the boxes.
 	accept spread.Patience
 }
@@ -260,6 +261,7 @@
 	wg.Go(func() { b.readPlatform(ctx, p) })
 	wg.Go(func() { b.readReports(ctx, p) })
 	wg.Go(func() { b.tellLeader(ctx, p) })
+	wg.Go(func() { p.crashes.run(ctx, &forwarder{b, p}) })
 	wg.Wait()
 	p.replica.Close()
 }
@@ -281,6 +283,7 @@
 		return nil, Error.Wrap(err)
 	}
 	p := &parts{replica: r, directory: route.NewDirectory(s.Hall), accept: spread.Patience{All: s.AcceptWait, Most: s.AcceptMost}, notices: make(chan gateway.Notice, noticesLength)}
+	p.crashes = newCrashes(b.log, b.meters)
 	p.spread = spread.New(spread.Options{
 		Replica: r, Caller: b.pool, Self: self, Seeds: slices.Sorted(maps.Keys(s.Boxes)), ConfigLease: s.ConfigLease,
 		Met:    b.met.list,
@@ -336,6 +339,7 @@
 		}
 		b.meters.Gauge(meter.StateIndex).Set(float64(view.Index))
 		b.meters.Gauge(meter.FleetNumber).Set(float64(view.Version.GetNumber()))
+		b.meters.Gauge(meter.CrashersHeld).Set(float64(view.Crashers.Held()))
 		wait.For(ctx, min(routesMost, routesShare*time.Since(began)))
 		select {
 		case <-changed:
--- a/box/lead.go
+++ b/box/lead.go
@@ -44,6 +44,8 @@
 		return &wire.ForwardAnswer{}, p.control.Withdraw(ctx, f.Withdraw)
 	case wire.ForwardKind_FORWARD_NOTICE:
 		return &wire.ForwardAnswer{}, p.control.Notice(ctx, f)
+	case wire.ForwardKind_FORWARD_CRASHES:
+		return &wire.ForwardAnswer{}, p.control.TakeCrashes(ctx, f.Crashes)
 	case wire.ForwardKind_FORWARD_READ:
 		return leadRead(ctx, p, f.FileOnly)
 	case wire.ForwardKind_FORWARD_JOIN:
--- a/control/control.go
+++ b/control/control.go
@@ -30,6 +30,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"leverdrum/crasher"
 	"leverdrum/engine"
 	"leverdrum/event"
 	"leverdrum/internal/wait"
@@ -129,6 +130,9 @@
 	metAt   time.Time     // when silent boxes were called on last
 	boxesAt time.Time     // when the boxes were looked at last
 	waited  time.Duration // for agreement, in the step under way
+
+	suspects   map[crasher.Key]watched
+	suspectsAt time.Time // when they were looked at last
 }
 
 type report struct {
@@ -187,6 +191,7 @@
 	}
 	c.lookAtBoxes(ctx)
 	c.expire(ctx, c.opts.Replica.View())
+	c.releaseSuspects(ctx, c.opts.Replica.View(), time.Now())
 	view := c.opts.Replica.View()
 	if view.Fleet == nil {
 		return
@@ -227,6 +232,7 @@
 		c.counts = map[string]uint64{}
 		c.wanted = map[string]time.Time{}
 		c.mu.Unlock()
+		c.suspects = nil
 		c.steady.forget()
 		c.opts.Meters.Count(meter.Elections).Inc()
 	}
--- /dev/null
+++ b/crasher/book.go
@@ -0,0 +1,250 @@
+package crasher
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"leverdrum/wire"
+)
+
+const (
+	// strongWeight and weakWeight are what signs weigh (2), and holdWeight what holds a suspect (4): three
+	// servers that ended at the request's first step, or five at which it had run for long. Two would do
+	// for the guilty, but 1 in 9 innocent requests beside them, all of them sent again to the few
+	// servers with their model, would be held then (TestShares).
+	strongWeight = 2
+	weakWeight   = 1
+	holdWeight   = 5
+	// serversKept is how many of the servers that ended are named for operators.
+	serversKept = 5
+	// suspectsMost bounds the table: some 100 bytes each in every box, 0.4 MB. It holds what was at 60
+	// servers of 64 places that ended one after another within suspectFor.
+	suspectsMost = 4096
+	// heldMost bounds those of the table that are held.
+	heldMost = 1024
+)
+
+// reportSlack, in milliseconds, is by how much the times of two reports may be apart for the way that they
+// took: a request goes to the next server within a millisecond of the end of the one before.
+const reportSlack = 30
+
+const (
+	// suspectFor is how long a suspect is remembered after its last sign (7).
+	suspectFor = 10 * time.Minute
+	// probationFor is the same for one that was held before.
+	probationFor = 24 * time.Hour
+	// holdFirst is how long a suspect is held the first time (7), holdMost the longest time.
+	holdFirst = 10 * time.Minute
+	holdMost  = 8 * time.Hour
+)
+
+// Key names a suspect: the request and the version of the servers' software (6).
+type Key struct {
+	Print   Print
+	Version string
+}
+
+func keyOf(s *wire.Suspect) Key { return Key{Print(s.Print), s.Version} }
+
+// Book is the agreed table of suspects. It changes only by Take and Release, which are the same on all
+// boxes. These replace the map, so that a copy of a Book stays as it is: the agreed state is copied far more
+// often than it changes here.
+type Book struct {
+	Suspects map[Key]*wire.Suspect
+	held     int
+}
+
+// NewBook returns an empty table.
+func NewBook() Book { return Book{Suspects: map[Key]*wire.Suspect{}} }
+
+// At says when a report is agreed.
+type At struct {
+	Index, Term uint64
+	UnixMs      int64
+}
+
+// Take takes a report over and returns who is held by it.
+func (b *Book) Take(r *wire.CrashReport, at At) (held []*wire.Suspect) {
+	b.Suspects = maps.Clone(b.Suspects)
+	for _, s := range r.Served {
+		if p, ok := ParsePrint(s.Print); ok {
+			b.put(Key{p, s.Version}, nil) // (5)
+		}
+	}
+	for _, sign := range r.Signs {
+		if s := b.count(sign, at); s != nil && s.Held {
+			held = append(held, s)
+		}
+	}
+	return held
+}
+
+// count counts a sign, and returns the suspect if it changed.
+func (b *Book) count(sign *wire.CrashSign, at At) *wire.Suspect {
+	p, ok := ParsePrint(sign.Print)
+	if !ok {
+		return nil
+	}
+	key := Key{p, sign.Version}
+	old := b.Suspects[key]
+	if old.GetHeld() || old != nil && !follows(sign, old, at.Term) {
+		return nil
+	}
+	next := &wire.Suspect{Print: sign.Print, Version: sign.Version, Weight: b.startOf(key)}
+	if old != nil {
+		next = proto.CloneOf(old)
+	}
+	next.Weight += weightOf(sign)
+	next.Servers = append(next.Servers, sign.Server)
+	if more := len(next.Servers) - serversKept; more > 0 {
+		next.Servers = next.Servers[more:]
+	}
+	next.Term, next.EndedMs, next.Index, next.UnixMs = at.Term, sign.EndedMs, at.Index, at.UnixMs
+	if next.Weight >= holdWeight { // (4)
+		next.Held = true
+		next.Holds++
+	}
+	b.put(key, next)
+	b.makeRoom()
+	return next
+}
+
+// follows is rule 3. Clocks of two leaders are not compared: a leader is lost for longer than the server's end
+// takes to be told, and a sign told to both counts once by the server's name.
+func follows(sign *wire.CrashSign, old *wire.Suspect, term uint64) bool {
+	if old.Term == term {
+		return sign.SentMs+reportSlack >= old.EndedMs
+	}
+	return !slices.Contains(old.Servers, sign.Server)
+}
+
+func weightOf(sign *wire.CrashSign) uint32 {
+	if sign.Weak {
+		return weakWeight
+	}
+	return strongWeight
+}
+
+// startOf is rule 6.
+func (b *Book) startOf(key Key) uint32 {
+	for other, s := range b.Suspects {
+		if other.Print == key.Print && s.Holds > 0 {
+			return holdWeight - weakWeight
+		}
+	}
+	return 0
+}
+
+// put replaces or, with nil, drops a suspect.
+func (b *Book) put(key Key, s *wire.Suspect) {
+	if b.Suspects[key].GetHeld() {
+		b.held--
+	}
+	if s == nil {
+		delete(b.Suspects, key)
+		return
+	}
+	if s.Held {
+		b.held++
+	}
+	b.Suspects[key] = s
+}
+
+// makeRoom is rule 8.
+func (b *Book) makeRoom() {
+	if b.held > heldMost {
+		b.put(b.least(func(s *wire.Suspect) bool { return s.Held }), nil)
+	}
+	if len(b.Suspects) > suspectsMost {
+		b.put(b.least(func(s *wire.Suspect) bool { return !s.Held }), nil)
+	}
+}
+
+func (b *Book) least(of func(*wire.Suspect) bool) (key Key) {
+	var least *wire.Suspect
+	for k, s := range b.Suspects {
+		if of(s) && (least == nil || compare(s, least) < 0) {
+			key, least = k, s
+		}
+	}
+	return key
+}
+
+// compare orders suspects by weight, then by age, the oldest first.
+func compare(a, b *wire.Suspect) int {
+	return cmp.Or(cmp.Compare(a.Weight, b.Weight), cmp.Compare(a.Index, b.Index), slices.Compare(a.Print, b.Print), cmp.Compare(a.Version, b.Version))
+}
+
+// Release lets suspects go that are as they were when this was asked for (7), and returns those that were held.
+func (b *Book) Release(r *wire.ReleaseSuspects, at At) (released []*wire.Suspect) {
+	b.Suspects = maps.Clone(b.Suspects)
+	for _, s := range r.Suspects {
+		p, ok := ParsePrint(s.Print)
+		key := Key{p, s.Version}
+		old := b.Suspects[key]
+		if !ok || old == nil || old.Index != s.Index {
+			continue
+		}
+		if !old.Held {
+			b.put(key, nil)
+			continue
+		}
+		next := proto.CloneOf(old)
+		next.Held, next.Weight, next.Index, next.UnixMs = false, holdWeight-weakWeight, at.Index, at.UnixMs
+		b.put(key, next)
+		released = append(released, next)
+	}
+	return released
+}
+
+// Lasts is how long a suspect stays as it is without a further sign (7).
+func Lasts(s *wire.Suspect) time.Duration {
+	switch {
+	case s.Held:
+		return min(holdMost, holdFirst<<min(s.Holds-1, 16))
+	case s.Holds > 0:
+		return probationFor
+	}
+	return suspectFor
+}
+
+// AnyHeld reports whether some request is held: if not, no print need be made.
+func (b *Book) AnyHeld() bool { return b.held > 0 }
+
+// Held returns how many requests are held.
+func (b *Book) Held() int { return b.held }
+
+// Holds reports whether a request is kept from servers of a software version.
+func (b *Book) Holds(p Print, version string) bool { return b.Suspects[Key{p, version}].GetHeld() }
+
+// OneSignShort reports whether one more strong sign holds a request, given its signs or, where they are more, as
+// many of which nothing is agreed yet.
+func (b *Book) OneSignShort(p Print, version string, untold int) bool {
+	weight := max(b.Suspects[Key{p, version}].GetWeight(), uint32(max(0, untold))*strongWeight)
+	return weight+strongWeight >= holdWeight
+}
+
+// Knows reports whether a request is suspected at servers of a software version, held or not.
+func (b *Book) Knows(p Print, version string) bool { return b.Suspects[Key{p, version}] != nil }
+
+// Encode returns the suspects in a fixed order.
+func (b *Book) Encode() []*wire.Suspect {
+	return slices.SortedFunc(maps.Values(b.Suspects), func(x, y *wire.Suspect) int {
+		return cmp.Or(slices.Compare(x.Print, y.Print), cmp.Compare(x.Version, y.Version))
+	})
+}
+
+// Decode returns the table that a snapshot holds.
+func Decode(list []*wire.Suspect) Book {
+	b := NewBook()
+	for _, s := range list {
+		if _, ok := ParsePrint(s.Print); ok {
+			b.put(keyOf(s), s)
+		}
+	}
+	return b
+}
--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -113,17 +113,17 @@
 	return x, nil
 }
 
-// reach reports whether the server takes a connection now. It is kept for a request.
-func (c *conns) reach() bool {
+// reach returns nil if the server takes a connection now. It is kept for a request.
+func (c *conns) reach() error {
 	if !c.reserve() {
-		return false
+		return ErrConnections
 	}
 	x, err := c.dial(context.Background())
 	if err != nil {
-		return false
+		return err
 	}
 	c.put(x)
-	return true
+	return nil
 }
 
 func (c *conns) takeIdle() *conn {
--- /dev/null
+++ b/gateway/crashers.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"slices"
+	"syscall"
+	"time"
+
+	"leverdrum/crasher"
+	"leverdrum/reason"
+	"leverdrum/state"
+)
+
+// heldEverywhere reports whether the request must go to no server that there is (9). One that would go
+// to a version of the servers at which it is not held, may.
+func (j *job) heldEverywhere() bool {
+	crashers := &j.g.opts.View().Crashers
+	if !crashers.AnyHeld() {
+		return false
+	}
+	p := j.g.dir.table().pools[j.poolName]
+	if p == nil || len(p.servers) == 0 {
+		return false
+	}
+	return len(j.spared(p.servers)) == 0
+}
+
+// spared returns those servers of a list that the request may go to.
+func (j *job) spared(list []*server) []*server {
+	crashers := &j.g.opts.View().Crashers
+	if !crashers.AnyHeld() {
+		return list
+	}
+	held := func(s *server) bool { return crashers.Holds(j.print(), s.version) }
+	if !slices.ContainsFunc(list, held) {
+		return list
+	}
+	return slices.DeleteFunc(slices.Clone(list), held)
+}
+
+func (s *server) named() crasher.Server { return crasher.Server{ID: s.id, Version: s.version} }
+
+// suspected reports whether the request, with the sending that has just broken, is as good as held: it is not sent
+// on while the word of that end is on its way. That saves one server in four.
+func (j *job) suspected(s *server) bool {
+	return j.g.opts.View().Crashers.OneSignShort(j.print(), s.version, j.breaks-1)
+}
+
+// noteBroken has a broken sending watched: its server may have ended under it. One that leaves may
+// end at any time.
+func (j *job) noteBroken(s *server, f *failure) {
+	if _, leaves := s.parted(time.Now()); leaves || f.outcome != reason.Unknown || f.why == reason.BackendLate {
+		return
+	}
+	j.breaks++
+	now := time.Now()
+	j.g.broken.Break(s.named(), crasher.Broken{
+		Print: j.print(), Sent: j.arrived.Add(j.sent), Begun: j.firstAt, At: now, Silent: f.dark,
+	}, func() crasher.Fate { return j.g.fateOf(s, now) })
+}
+
+// fateOf says what became of a server that broke off at a time. What it answered since speaks for
+// it; else it is asked for a connection, which a request will use.
+func (g *Gateway) fateOf(s *server, broke time.Time) crasher.Fate {
+	if s.conns.heardSince(broke.Add(time.Millisecond)) {
+		return crasher.Lives
+	}
+	switch err := s.conns.reach(); {
+	case err == nil:
+		return crasher.Lives
+	case !errors.Is(err, syscall.ECONNREFUSED):
+		return crasher.Unclear
+	}
+	if s.setDown(time.Now()) {
+		g.notices.note(Notice{Refusing: s.id})
+	}
+	return crasher.Ended
+}
+
+// noteEnded has told what broke off at servers that have ended or fell silent, as far as is agreed.
+func (g *Gateway) noteEnded(view *state.State) {
+	for _, s := range g.broken.Waiting() {
+		switch a := view.Announced[s.ID]; {
+		case a == nil, a.Leaving:
+			g.broken.Left(s)
+		case a.Silent:
+			g.broken.Ended(s)
+		}
+	}
+}
+
+// noteServed has a suspected request that was answered in full forgotten.
+func (j *job) noteServed() {
+	if !j.whole || j.status >= http.StatusMultipleChoices || len(j.g.opts.View().Crashers.Suspects) == 0 {
+		return
+	}
+	s := j.tried[len(j.tried)-1]
+	if j.g.opts.View().Crashers.Knows(j.print(), s.version) {
+		j.g.broken.Served(j.print(), s.named())
+	}
+}
--- a/gateway/failed.go
+++ b/gateway/failed.go
@@ -66,6 +66,7 @@
 		j.note("caller-gone", f)
 		return true
 	}
+	j.noteBroken(s, f)
 	switch {
 	case f.dark, f.dial:
 		s.silenced(time.Now())
@@ -145,6 +146,8 @@
 		}
 	case !j.route.Repeatable(), j.runs >= j.route.MaxAttempts:
 		return false
+	case j.breaks > 0 && j.suspected(j.tried[len(j.tried)-1]):
+		return false
 	}
 	if f.unsent() {
 		return true
--- a/gateway/find.go
+++ b/gateway/find.go
@@ -23,9 +23,13 @@
 	for {
 		news := j.g.dir.news()
 		list, why := j.candidates()
+		if why == nil && j.heldEverywhere() {
+			why = reason.CrashesServers
+		}
 		if why != nil {
 			return choice{}, why
 		}
+		list = j.spared(list)
 		if c := j.g.dir.choose(list, j.wish()); c.server != nil {
 			if j.tooLate(c) {
 				j.behind = c.waits
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,8 @@
 //     of a caller's request, on whatever route, resumed streams included.
 //  8. Repeats are kept to a share of first sendings, summed over all boxes, since
 //     each keeps its own part of the budget.
+//  9. A request under which servers ended, one after another, goes to none of their
+//     version any more (package crasher), and is refused at once.
 package gateway
 
 import (
@@ -33,12 +35,14 @@
 
 	"go.uber.org/zap"
 
+	"leverdrum/crasher"
 	"leverdrum/dialect"
 	"leverdrum/event"
 	"leverdrum/fleet"
 	"leverdrum/meter"
 	"leverdrum/reason"
 	"leverdrum/state"
+	"leverdrum/wire"
 )
 
 // Options make a Gateway.
@@ -50,7 +54,9 @@
 	// Notice tells the leader of what this box met while it served. It must
 	// not block.
 	Notice func(Notice)
-	Hall   string
+	// Crashes tells of requests under which servers ended; nil where nobody is to hear. It must not block.
+	Crashes func(*wire.CrashReport)
+	Hall    string
 	// Parting is how long a server that leaves is a last resort.
 	Parting time.Duration
 	Budget  Budget
@@ -67,6 +73,7 @@
 	reading  *reading
 	lasting  *lasting
 	notices  *notices
+	broken   *crasher.Watch
 	draining atomic.Bool
 	// stopping is closed when no further request is taken and none waits any more.
 	stopping chan struct{}
@@ -80,13 +87,21 @@
 
 // New returns a Gateway.
 func New(opts Options) *Gateway {
+	if opts.Crashes == nil {
+		opts.Crashes = func(*wire.CrashReport) {}
+	}
 	g := &Gateway{opts: opts, dir: newDirectory(opts.Hall, opts.Parting*partingShare/100), demand: newDemand(), reading: newReading(), lasting: newLasting(), notices: newNotices(opts.Notice), stopping: make(chan struct{})}
 	g.budgets = newBudgets(opts.Budget, g.dir.boxes)
+	g.broken = crasher.NewWatch(opts.Crashes)
 	return g
 }
 
 // Changed takes over the newest agreed state.
-func (g *Gateway) Changed() { g.dir.update(g.opts.View()) }
+func (g *Gateway) Changed() {
+	view := g.opts.View()
+	g.dir.update(view)
+	g.noteEnded(view)
+}
 
 // Drain closes each connection after its next answer.
 func (g *Gateway) Drain() { g.draining.Store(true) }
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -37,12 +37,16 @@
 	runs   int // sendings that may have run
 	stream events
 	headed bool        // the head of the answer was passed on
+	whole  bool        // and all of it to its end
 	begun  atomic.Bool // the same, for other goroutines
 	// granted tells that the next sending was taken off the budget already.
 	granted atomic.Bool
+	breaks  int // sendings at whose end their servers may have ended
 	// waited is the time to the first sending, sent that to the last one, first that to
 	// the first event, and longest the longest pause between two events.
 	waited, sent, first, longest time.Duration
+	// firstAt is when the first event of the last sending came; zero: none has.
+	firstAt time.Time
 
 	behind   float64 // milliseconds that the best server was behind
 	reckoned float64 // milliseconds of reading at the chosen server
@@ -72,6 +76,10 @@
 func (j *job) serve() {
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
 	defer cancel()
+	if j.heldEverywhere() {
+		j.giveUp(reason.CrashesServers)
+		return
+	}
 	j.g.budgets.first(j.poolName)
 	j.noteDemand()
 	for {
@@ -85,6 +93,7 @@
 				j.g.lasting.note(j.prompt.Model, time.Since(j.arrived)-j.sent)
 			}
 			j.g.opts.Meters.Observe(meter.Duration, j.route.Name).Observe(time.Since(j.arrived).Seconds())
+			j.noteServed()
 			j.noteDone()
 			return
 		}
@@ -133,7 +142,7 @@
 		j.waited = time.Since(j.arrived)
 	}
 	j.sends++
-	j.sent = time.Since(j.arrived)
+	j.sent, j.firstAt = time.Since(j.arrived), time.Time{}
 	j.reckoned, j.behind = c.work, c.waits
 	j.tried = append(j.tried, c.server)
 	s := c.server
@@ -159,7 +168,8 @@
 	first := func() {
 		s.first(time.Now(), began, c.work)
 		unread = false
-		j.first = time.Since(j.arrived)
+		j.firstAt = time.Now()
+		j.first = j.firstAt.Sub(j.arrived)
 		if c.from == nil && j.ofModel() {
 			j.g.reading.note(j.prompt.Model, c.unread, milliseconds(j.first-j.sent))
 		}
--- a/gateway/pass.go
+++ b/gateway/pass.go
@@ -74,6 +74,7 @@
 		return j.passLarge(ctx, s, a, body)
 	}
 	a.done(true)
+	j.whole = true
 	length := int64(len(body))
 	if j.r.Method == http.MethodHead {
 		length = a.ContentLength
@@ -91,9 +92,11 @@
 		_, err = io.Copy(j.w, a.Body)
 	}
 	a.done(err == nil)
+	j.whole = err == nil
 	if err != nil {
 		s.failed(time.Now())
 		j.last = j.broke(ctx, err)
+		j.noteBroken(s, j.last)
 		j.giveUp(reason.BackendBroke)
 	}
 	return true
@@ -143,6 +146,7 @@
 		}
 		if err == io.EOF {
 			a.done(true)
+			j.whole = true
 			if j.route.Pause > 0 {
 				s.streamed(time.Now(), j.longest > j.route.Pause)
 			}
@@ -163,6 +167,7 @@
 	if j.headed && (!j.route.Resumable || j.stream.noIDs) {
 		s.failed(time.Now())
 		j.last = f
+		j.noteBroken(s, f)
 		j.giveUp(reason.StreamBroke)
 		return true
 	}
--- a/gateway/patience_test.go
+++ b/gateway/patience_test.go
@@ -112,7 +112,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		told := make(chan Notice, 1)
-		gate := New(Options{Parting: time.Second, Notice: func(n Notice) { told <- n }})
+		gate := New(Options{Parting: time.Second, View: state.New, Notice: func(n Notice) { told <- n }})
 		left := newServer(&wire.Announcement{Id: "i1", Slots: 4, Address: "127.0.0.1:1"})
 		left.part(time.Now().Add(-2 * time.Second))
 		p := &pool{Pool: &fleet.Pool{Name: "p", Kind: &fleet.Kind{}}, coming: map[string]time.Time{}, holding: map[string][]*server{"m/a1": {left}}}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -16,6 +16,7 @@
 // server is one backend server as this box sees it.
 type server struct {
 	id      string
+	version string // of its software
 	address string
 	hall    string
 	slots   int
@@ -40,7 +41,7 @@
 
 func newServer(a *wire.Announcement) *server {
 	return &server{
-		id: a.Id, address: a.Address, hall: a.Hall, slots: int(max(1, a.Slots)), hash: xxhash.Sum64String(a.Id),
+		id: a.Id, version: a.Version, address: a.Address, hall: a.Hall, slots: int(max(1, a.Slots)), hash: xxhash.Sum64String(a.Id),
 		conns: newConns(a.Address), kept: newKept(),
 	}
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -97,7 +97,7 @@
 
 // ask is rule 3.
 func (w *watch) ask() {
-	if !w.x.from.reach() {
+	if w.x.from.reach() != nil {
 		return
 	}
 	w.mu.Lock()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -49,6 +49,8 @@
 	PeerBytes    = Metric{"leverdrum_peer_bytes_total", Counter, "Bytes between boxes, by direction.", []string{"direction"}}
 	PeerCalls    = Metric{"leverdrum_peer_messages_total", Counter, "Messages between boxes, by direction.", []string{"direction"}}
 	PeerGivenUp  = Metric{"leverdrum_peer_given_up_bytes_total", Counter, "Bytes that came from other boxes while their answers were waited for in vain.", nil}
+	CrashSigns   = Metric{"leverdrum_crash_signs_total", Counter, "Requests of this box that were at a backend server when it ended, by the weight of that sign.", []string{"weight"}}
+	CrashersHeld = Metric{"leverdrum_crashers_held", Gauge, "Requests that are kept from backend servers, because these ended while they ran them.", nil}
 	Claims       = Metric{"leverdrum_claims_total", Counter, "Claims on keyed calls by verdict.", []string{"verdict"}}
 )
 
@@ -56,7 +58,7 @@
 func All() []Metric {
 	return []Metric{
 		Refusals, RetriesMade, RetriesSpent, Requests, InTime, Duration, InFlight, StateIndex, FleetNumber,
-		Leads, Current, Elections, Orders, Ejections, PeerBytes, PeerCalls, PeerGivenUp, Claims,
+		Leads, Current, Elections, Orders, Ejections, PeerBytes, PeerCalls, PeerGivenUp, CrashSigns, CrashersHeld, Claims,
 	}
 }
 
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -75,6 +75,7 @@
 	BackendLate    = add(Reason{"backend-late", Callers, "No answer came within the deadline; the request may have run.", "Do not assume either; ask with the same key where the call has one.", http.StatusGatewayTimeout, Unknown, 0})
 	BackendSilent  = add(Reason{"backend-silent", Callers, "The backend server fell silent before an answer; the request may have run.", "Do not assume either; ask with the same key where the call has one.", http.StatusBadGateway, Unknown, 0})
 	StreamBroke    = add(Reason{"stream-broke", Callers, "The stream broke off; what came is not the whole answer.", "Ask again if the call may be repeated.", 0, Unknown, 0})
+	CrashesServers = add(Reason{"crashes-servers", Callers, "Backend servers ended, one after another, while they ran this very request; it is not sent to further ones.", "Do not send it again: change the request, or have its fault mended. See docs/OPERATIONS.md.", http.StatusUnprocessableEntity, Failed, 0})
 	KeyInProgress  = add(Reason{"key-in-progress", Callers, "A call with this key is running.", "Come back with the same key for its answer.", http.StatusConflict, Unknown, 1 * second})
 	KeyUnknown     = add(Reason{"key-unknown", Callers, "A call with this key was sent; how it ended is not known.", "It is never sent again; look at the service.", http.StatusBadGateway, Unknown, 0})
 	KeyDone        = add(Reason{"key-done", Callers, "The call with this key was done; its answer was too large to keep.", "Read the result from the service.", http.StatusConflict, Done, 0})
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"leverdrum/crasher"
 	"leverdrum/fleet"
 	"leverdrum/ledger"
 	"leverdrum/wire"
@@ -14,6 +15,7 @@
 func (s *State) Encode() *wire.State {
 	w := s.EncodeFile()
 	w.History, w.Moves, w.Most, w.Epochs, w.Roster = s.History, s.Moves, s.Most, s.Epochs, s.Roster
+	w.Suspects = s.Crashers.Encode()
 	for _, k := range slices.Sorted(maps.Keys(s.Announced)) {
 		w.Announced = append(w.Announced, s.Announced[k])
 	}
@@ -42,6 +44,7 @@
 	s := New()
 	s.Index, s.Version, s.History = w.GetIndex(), w.GetFleet(), w.GetHistory()
 	s.Moves, s.Epochs, s.Roster = w.GetMoves(), w.GetEpochs(), w.GetRoster()
+	s.Crashers = crasher.Decode(w.GetSuspects())
 	for _, a := range w.GetAnnounced() {
 		s.Announced[a.Id] = a
 	}
--- a/state/state.go
+++ b/state/state.go
@@ -13,6 +13,7 @@
 	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
 
+	"leverdrum/crasher"
 	"leverdrum/fleet"
 	"leverdrum/ledger"
 	"leverdrum/wire"
@@ -53,6 +54,8 @@
 	Err error
 	// Order is the order that was issued.
 	Order *wire.Order
+	// Held and Released are requests that are kept from servers now, and those that no longer are.
+	Held, Released []*wire.Suspect
 }
 
 // State is the agreed state at one index. What its maps hold is never changed
@@ -78,6 +81,9 @@
 	// Epochs are the newest lists of processes that guard keys, newest last.
 	Epochs []*wire.Epoch
 
+	// Crashers are the requests under which servers ended.
+	Crashers crasher.Book
+
 	// Moves counts the loads behind the first placement of each item.
 	Moves uint64
 	// Most is the most copies that each model or adapter ever had, loads under
@@ -90,7 +96,7 @@
 // New returns the state before the first entry.
 func New() *State {
 	return &State{
-		Members: map[string]*wire.Member{}, Most: map[string]uint32{}, Announced: map[string]*wire.Announcement{},
+		Members: map[string]*wire.Member{}, Most: map[string]uint32{}, Announced: map[string]*wire.Announcement{}, Crashers: crasher.NewBook(),
 		Book: ledger.Book{
 			Servers:   map[string]*wire.ServerState{},
 			Residents: map[ledger.Place]*wire.Resident{},
@@ -142,6 +148,10 @@
 		s.announce(k.Announce)
 	case *wire.Command_Withdraw:
 		s.withdraw(k.Withdraw)
+	case *wire.Command_Crashes:
+		return Result{Held: s.Crashers.Take(k.Crashes, crasher.At{Index: e.Index, Term: e.Term, UnixMs: c.UnixMs})}
+	case *wire.Command_Release:
+		return Result{Released: s.Crashers.Release(k.Release, crasher.At{Index: e.Index, Term: e.Term, UnixMs: c.UnixMs})}
 	}
 	return Result{}
 }
