entry: calls under which instances end go to no further ones, by the same mechanism

Cause: the same as in the gateway: what an entry box knows of a call ended with the attempt. A call that is kept from servers releases its key, since under it nothing ran.

--- a/box/box.go
+++ b/box/box.go
@@ -302,6 +302,7 @@
 	p.entry = entry.New(entry.Options{
 		Directory: p.directory, View: r.View, Current: func() bool { return b.warm.Load() && p.spread.Current() }, Sender: proxy.NewSender(),
 		Meters: b.meters, Records: b.records, MaxBody: s.MaxBody, BodyTimeout: s.BodyTimeout, Guard: p.guard,
+		Crashes: p.crashes.add,
 	})
 	p.gateway = b.newGateway(p)
 	p.platform = platform.Control(&platformCluster{b, p})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,12 +13,14 @@
 	"github.com/go-chi/chi/v5"
 
 	"leverdrum/admit"
+	"leverdrum/crasher"
 	"leverdrum/meter"
 	"leverdrum/proxy"
 	"leverdrum/reason"
 	"leverdrum/record"
 	"leverdrum/route"
 	"leverdrum/state"
+	"leverdrum/wire"
 )
 
 // Headers of answers.
@@ -49,6 +51,8 @@
 	MaxBody int64
 	// BodyTimeout bounds the reading of a body; 0: no bound.
 	BodyTimeout time.Duration
+	// Crashes tells of requests under which servers ended; nil where nobody is to hear. It must not block.
+	Crashes func(*wire.CrashReport)
 	// Guard guards the keys of calls that may run at most once.
 	Guard Guard
 }
@@ -60,6 +64,7 @@
 	budget   *budget
 	patience *patience
 	demand   *demand
+	broken   *crasher.Watch
 	inFlight atomic.Int64
 	draining atomic.Bool
 	stopping atomic.Bool
@@ -68,7 +73,10 @@
 
 // New returns an Entry.
 func New(opts Options) *Entry {
-	e := &Entry{opts: opts, gate: admit.NewGate(opts.Directory), budget: newBudget(), patience: newPatience(), demand: newDemand()}
+	if opts.Crashes == nil {
+		opts.Crashes = func(*wire.CrashReport) {}
+	}
+	e := &Entry{broken: crasher.NewWatch(opts.Crashes), opts: opts, gate: admit.NewGate(opts.Directory), budget: newBudget(), patience: newPatience(), demand: newDemand()}
 	r := chi.NewRouter()
 	r.Post("/v1/chat/completions", e.chat)
 	r.Get("/v1/models", e.models)
@@ -97,7 +105,10 @@
 func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
 
 // Changed starts requests that can start after the routes changed.
-func (e *Entry) Changed() { e.gate.Kick() }
+func (e *Entry) Changed() {
+	e.gate.Kick()
+	e.noteEnded(e.opts.View())
+}
 
 // Drain closes each connection after its next answer.
 func (e *Entry) Drain() { e.draining.Store(true) }
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -72,10 +72,10 @@
 	e.pass(ctx, w, j, res)
 }
 
-// keepFailure releases the key if the call did not run, else records that its
-// end is unknown.
+// keepFailure releases the key if the call did not run, else records that its end is unknown. One that is kept from
+// servers did not run under this key: under one by which it had, it would not have come so far.
 func (e *Entry) keepFailure(j *job, attempt string, digest []byte, why *reason.Reason) {
-	if why.Outcome == reason.NotRun {
+	if why.Outcome == reason.NotRun || why == reason.CrashesServers {
 		e.opts.Guard.Release(j.key, attempt)
 		return
 	}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"leverdrum/admit"
+	"leverdrum/crasher"
 	"leverdrum/internal/wait"
 	"leverdrum/meter"
 	"leverdrum/proxy"
@@ -35,10 +36,14 @@
 	attempt    proxy.Attempt
 	ticket     *admit.Ticket
 	kind       kindOfCall
-	stream     bool   // the caller asked for one
-	session    uint64 // hash of the session, 0 for none
-	tries      int    // attempts so far
-	firstLate  bool   // the stream's first event came too late
+	stream     bool          // the caller asked for one
+	session    uint64        // hash of the session, 0 for none
+	tries      int           // attempts so far
+	firstLate  bool          // the stream's first event came too late
+	printed    crasher.Print // once asked for
+	breaks     int           // attempts at whose end their servers may have ended
+	sentAt     time.Time     // of the newest attempt
+	firstAt    time.Time     // of its first event; zero: none has come
 	// suspects are backends whose failed answers are not yet held against them.
 	suspects []*route.Backend
 }
@@ -101,6 +106,9 @@
 	e.budget.first()
 	last := result{}
 	for j.tries < maxTries {
+		if e.held(j) {
+			return result{why: reason.CrashesServers}
+		}
 		b, why := e.gate.Enter(ctx, j.ticket)
 		if why != nil && j.tries > 0 {
 			return last // the failure of the attempt before tells more
@@ -171,7 +179,7 @@
 // mayRetry reports whether a failed attempt is followed by another.
 func (e *Entry) mayRetry(ctx context.Context, j *job, f *proxy.Failure) bool {
 	retry := retryReason(j, f)
-	if retry == nil || ctx.Err() != nil || j.tries == maxTries || len(j.ticket.Tried) >= len(j.target.Backends) {
+	if retry == nil || ctx.Err() != nil || j.tries == maxTries || e.suspected(j) || len(j.ticket.Tried) >= len(j.target.Backends) {
 		return false
 	}
 	if !e.budget.retry() {
@@ -209,9 +217,11 @@
 	a.Address = b.Address
 	a.Once = !j.repeatable
 	a.Header = attemptHeaders(j.attempt.Header, time.Until(j.deadline()))
+	j.sentAt, j.firstAt = time.Now(), time.Time{}
 	answer, failure := e.sendPatiently(ctx, j, &a)
 	if failure != nil && !errors.Is(failure.Cause, context.Canceled) {
 		e.blame(b, failure)
+		e.noteBroken(j, b, failure.Reason)
 	}
 	return answer, failure
 }
@@ -242,6 +252,7 @@
 		// A caller that has gone does not read its answer.
 		_, _ = w.Write(res.answer.Body)
 		e.left(j, &res, time.Since(j.ticket.Began()))
+		e.noteServed(j, res.answer)
 		e.passed(j, res.backend, outcome)
 		return
 	}
@@ -251,6 +262,7 @@
 	switch {
 	case err == nil:
 		answered = time.Since(j.ticket.Began())
+		e.noteServed(j, res.answer)
 		e.passed(j, res.backend, outcome)
 	case errors.Is(err, proxy.ErrCallerGone):
 		e.finished(j, "caller-gone", "the caller hung up")
@@ -302,6 +314,7 @@
 func (e *Entry) breakOff(w http.ResponseWriter, j *job, b *route.Backend, isStream bool, cause error) {
 	e.opts.Meters.Refuse(reason.StreamBroke)
 	if b != nil { // else it was blamed before the stream was to go on elsewhere
+		e.noteBroken(j, b, reason.StreamBroke)
 		e.blame(b, &proxy.Failure{Outcome: reason.Unknown, Reason: reason.StreamBroke, Cause: cause})
 	}
 	e.finished(j, string(reason.Unknown), cause.Error())
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -37,6 +37,10 @@
 			return err
 		}
 		broke := res.backend
+		e.noteBroken(j, broke, reason.StreamBroke)
+		if e.suspected(j) {
+			return err
+		}
 		e.blame(broke, &proxy.Failure{Outcome: reason.Unknown, Reason: reason.StreamBroke, Cause: err})
 		e.gate.Leave(broke, j.ticket, 0)
 		*res = result{}
@@ -54,6 +58,7 @@
 // can go on elsewhere it is broken off when it stalls.
 func (e *Entry) copying(j *job, relay *stream.Relay, b *route.Backend) proxy.Copying {
 	how := proxy.Copying{Relay: relay, First: func() {
+		j.firstAt = time.Now()
 		e.gate.First(j.ticket, time.Since(j.ticket.Began()))
 		if due := j.ticket.FirstBy; !due.IsZero() && time.Now().After(due) {
 			j.firstLate = true
@@ -89,7 +94,7 @@
 	again.attempt.Header = j.attempt.Header.Clone()
 	again.attempt.Header.Set(engine.HeaderLastEvent, strconv.FormatUint(at, 10))
 	answer, failure := e.attempt(ctx, &again, b)
-	j.tries = again.tries
+	j.tries, j.breaks, j.sentAt, j.firstAt = again.tries, again.breaks, again.sentAt, again.firstAt
 	if failure == nil && answer.Stream && answer.Version == version && answer.Status == http.StatusOK {
 		return result{answer: answer, backend: b}
 	}
--- a/route/backend.go
+++ b/route/backend.go
@@ -85,6 +85,9 @@
 // SetLeaving takes over the backend's own or the platform's word.
 func (b *Backend) SetLeaving(v bool) { b.leaving.Store(v) }
 
+// Leaving reports whether the backend leaves.
+func (b *Backend) Leaving() bool { return b.leaving.Load() }
+
 // load is the work for the backend's size (4).
 func (b *Backend) load() float64 {
 	return float64(b.inFlight.Load()+b.reported.Load()) / float64(b.Concurrency)
