platform, state: a server born again under its id is another life; words of other writers name no server

Cause: all that is kept of an announced server is kept by its id, which was taken to be new at each start. A life's id is made of the server's and its birth at the edge, so that fences, counts, residents, connections, load and kept prompts end with it. Heartbeats with fields missing, of another type or with a state that is not named are refused and counted, one line a minute for each kind.

--- a/box/box.go
+++ b/box/box.go
@@ -70,6 +70,8 @@
 	// others serve what only some boxes have.
 	others []*http.Server
 	met    met
+	// strange paces lines on words that name no server.
+	strange pace
 	// boxes are the newest addresses by the settings, nil before a reload.
 	boxes  atomic.Pointer[map[string]string]
 	fatal  chan error
--- a/box/crasher_test.go
+++ b/box/crasher_test.go
@@ -33,6 +33,8 @@
 	deadly  map[string]bool
 	servers []*standin.Server
 	closed  bool
+	// reborn has servers start again under the id that they had, with a later birth.
+	reborn bool
 }
 
 // restartAfter is how long a server that ended is away.
@@ -86,8 +88,8 @@
 	return entry
 }
 
-// server starts a server that holds models, at an address or, where that is "", at any.
-func (s *several) server(at string, models ...string) {
+// server starts a server that holds models, at an address or, where that is "", at any. id is that of its life before.
+func (s *several) server(id, at string, models ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
@@ -95,7 +97,8 @@
 	}
 	s.started++
 	v := &standin.Server{
-		ID: fmt.Sprint("i-", s.started), Service: "s", Hall: "h", Room: 220, AdapterSlots: 3, LoadTime: 100 * time.Millisecond, Beat: 100 * time.Millisecond,
+		ID:      fmt.Sprint("i-", s.started),
+		Service: "s", Hall: "h", Room: 220, AdapterSlots: 3, LoadTime: 100 * time.Millisecond, Beat: 100 * time.Millisecond,
 		Control: []string{s.control}, Events: 3, Pause: 30 * time.Millisecond, Weights: map[string]int{"m1": 70}, Address: at,
 	}
 	v.Crashes = func(body []byte) bool {
@@ -107,7 +110,18 @@
 		s.mu.Lock()
 		s.ended++
 		s.mu.Unlock()
-		time.AfterFunc(restartAfter, func() { s.server(v.At(), models...) })
+		holds := models
+		if s.reborn {
+			holds = nil // it has lost what it held
+		}
+		time.AfterFunc(restartAfter, func() { s.server(v.ID, v.At(), holds...) })
+	}
+	if s.reborn {
+		v.Born = uint64(time.Now().UnixMilli())
+		v.Said = 1000 // minutes of its first life
+		if id != "" {
+			v.ID, v.Said = id, 0
+		}
 	}
 	if err := v.Start(models...); err != nil {
 		s.t.Error(err)
@@ -184,7 +198,7 @@
 	g := NewWithT(s.t)
 	g.Eventually(func() int { return s.apply(config(1, "m1")) }, within).Should(Equal(http.StatusOK))
 	for range servers {
-		s.server("", "m1")
+		s.server("", "", "m1")
 	}
 	for n := range s.entries {
 		g.Eventually(func() bool { return s.send(n, "first", "/a/first", "first").whole }, within).Should(BeTrue())
@@ -255,3 +269,36 @@
 		g.Expect(s.send(n, "other-body", "/a/x?q=1", "harmless").whole).To(BeTrue())
 	}
 }
+
+// Servers that start again under the id that they had, empty and with their counts at 0: what was known of the life
+// before is not taken for true of the next one, which is served and ordered like any other.
+func TestServersBornAgainUnderTheirID(t *testing.T) {
+	s := startSeveral(t, 1)
+	s.reborn = true
+	g := NewWithT(t)
+	s.up(4)
+	s.mu.Lock()
+	for n := range 4 {
+		s.deadly[fmt.Sprint("boom-", n)] = true
+	}
+	s.mu.Unlock()
+	for n := range 4 { // each ends two servers
+		s.send(n, fmt.Sprint("attempt-", n), "/a/x?q=1", fmt.Sprint("boom-", n))
+	}
+	g.Expect(s.endedSoFar()).To(BeNumerically(">=", 4), "all have ended")
+	// No word of the life before is waited for: its silence takes 3.3 s, and its count of words, 1000, some 100 s.
+	g.Eventually(func() bool { return s.send(0, "later", "/a/later", "body").whole }, 8*time.Second).Should(BeTrue())
+	for n := range 40 {
+		s.send(n, fmt.Sprint("many-", n), fmt.Sprint("/a/many-", n), "body")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.servers {
+		g.Expect(v.Faults()).To(BeEmpty(), v.ID)
+	}
+	lives := map[string]bool{}
+	for _, v := range s.servers {
+		lives[v.ID] = true
+	}
+	g.Expect(len(lives)).To(BeNumerically("<", len(s.servers)), "some server was born again")
+}
--- a/box/platform.go
+++ b/box/platform.go
@@ -12,6 +12,7 @@
 	"leverdrum/event"
 	"leverdrum/fleet"
 	"leverdrum/gateway"
+	"leverdrum/meter"
 	"leverdrum/platform"
 	"leverdrum/reason"
 	"leverdrum/settings"
@@ -179,8 +180,8 @@
 }
 
 // Withdraw passes a server's end on to the leader.
-func (c *platformCluster) Withdraw(ctx context.Context, id string) error {
-	_, err := c.forward(ctx, &wire.Forward{Kind: wire.ForwardKind_FORWARD_WITHDRAW, Withdraw: &wire.Withdraw{Id: id}})
+func (c *platformCluster) Withdraw(ctx context.Context, w *wire.Withdraw) error {
+	_, err := c.forward(ctx, &wire.Forward{Kind: wire.ForwardKind_FORWARD_WITHDRAW, Withdraw: w})
 	return err
 }
 
@@ -221,3 +222,12 @@
 	c.box.meters.Refuse(reason.BadRequest)
 	event.CallMalformed.Log(c.box.log, zap.String("call", what), event.Cause(err))
 }
+
+// StrangeWord counts a word that names no server, and writes its line where none of its kind was written lately:
+// another writer may send one each second.
+func (c *platformCluster) StrangeWord(call string, why platform.Strangeness, err error) {
+	c.box.meters.Count(meter.StrangeWords, string(why)).Inc()
+	if c.box.strange.due(string(why), time.Now()) {
+		event.CallMalformed.Log(c.box.log, zap.String("call", call), zap.String("why", string(why)), event.Cause(err))
+	}
+}
--- a/control/announce.go
+++ b/control/announce.go
@@ -60,6 +60,9 @@
 	}
 	view := c.opts.Replica.View()
 	known := view.Announced[a.Id]
+	if view.Outlived(a) || known == nil && strange(a, view) {
+		return nil
+	}
 	news, differs := c.note(a, known, view)
 	if !news && !differs {
 		return nil
@@ -72,6 +75,12 @@
 	return err
 }
 
+// strange reports whether an announcement is of a service that the configuration does not name: there is nothing
+// to use its server for. Before the first configuration all are taken in.
+func strange(a *wire.Announcement, view *state.State) bool {
+	return view.Fleet != nil && view.Fleet.Pools[a.Service] == nil
+}
+
 // note remembers that a server was heard, and reports whether its word is news that
 // must be agreed, or differs for so long from what is agreed to be resident that it is
 // to be believed.
@@ -167,14 +176,24 @@
 	if !c.leads() {
 		return replica.ErrNotLeader
 	}
-	if a := c.opts.Replica.View().Announced[w.Id]; a == nil || a.Leaving {
-		return nil
+	for _, a := range c.opts.Replica.View().Announced {
+		if !meant(w, a) || a.Leaving {
+			continue
+		}
+		if _, err := c.opts.Replica.Propose(ctx, &wire.Command{Kind: &wire.Command_Withdraw{Withdraw: &wire.Withdraw{Id: a.Id}}}); err != nil {
+			return err
+		}
+		event.ServerWithdrew.Log(c.opts.Log, zap.String("server", a.Id))
 	}
-	_, err := c.opts.Replica.Propose(ctx, &wire.Command{Kind: &wire.Command_Withdraw{Withdraw: w}})
-	if err == nil {
-		event.ServerWithdrew.Log(c.opts.Log, zap.String("server", w.Id))
+	return nil
+}
+
+// meant reports whether a withdrawal is of a server's life.
+func meant(w *wire.Withdraw, a *wire.Announcement) bool {
+	if w.Name == "" {
+		return a.Id == w.Id
 	}
-	return err
+	return a.Name == w.Name && (w.BornMs == 0 || w.BornMs == a.BornMs)
 }
 
 // Notice takes over what a box met while it served: models and adapters that
--- a/control/beliefs_test.go
+++ b/control/beliefs_test.go
@@ -45,6 +45,21 @@
 	g.Expect(c.held(st, at(14))).To(BeEmpty())
 }
 
+// An order to the life before may be carried out seconds later, and the new life counts its orders from 0 again.
+func TestAnHeirGetsNoOrderWhileOneOfItsLifeBeforeMayArrive(t *testing.T) {
+	g := NewWithT(t)
+	c := New(Options{OrderPause: 3 * time.Second})
+	now := time.Now()
+	c.ledSince = now.Add(-time.Hour)
+	st := state.New()
+	st.Announced["i~2"] = &wire.Announcement{Id: "i~2", Heir: true}
+	st.Announced["j~2"] = &wire.Announcement{Id: "j~2"}
+	g.Expect(c.held(st, now)["i~2"]).To(BeTrue())
+	g.Expect(c.held(st, now)["j~2"]).To(BeFalse())
+	g.Expect(c.held(st, now.Add(12*time.Second))["i~2"]).To(BeTrue())
+	g.Expect(c.held(st, now.Add(13*time.Second))["i~2"]).To(BeFalse())
+}
+
 func TestABoxThatJustStartedHoldsAllServersBack(t *testing.T) {
 	g := NewWithT(t)
 	c := New(Options{OrderPause: 3 * time.Second})
--- a/control/control.go
+++ b/control/control.go
@@ -131,6 +131,7 @@
 	boxesAt time.Time     // when the boxes were looked at last
 	waited  time.Duration // for agreement, in the step under way
 
+	heirs      map[string]time.Time // since when servers are known that orders to their life before may reach
 	suspects   map[crasher.Key]watched
 	suspectsAt time.Time // when they were looked at last
 }
@@ -145,7 +146,7 @@
 	return &Controller{
 		opts: opts, reports: map[string]report{}, reading: map[string]bool{}, quarantine: map[string]time.Time{},
 		sending: map[uint64]bool{}, short: map[string]string{},
-		heard: map[string]*heard{}, lacking: map[string]time.Time{}, askedAt: map[string]time.Time{}, doubts: map[string]*doubt{}, counts: map[string]uint64{}, wanted: map[string]time.Time{}, kick: make(chan struct{}, 1),
+		heard: map[string]*heard{}, lacking: map[string]time.Time{}, askedAt: map[string]time.Time{}, doubts: map[string]*doubt{}, counts: map[string]uint64{}, wanted: map[string]time.Time{}, heirs: map[string]time.Time{}, kick: make(chan struct{}, 1),
 	}
 }
 
@@ -232,7 +233,7 @@
 		c.counts = map[string]uint64{}
 		c.wanted = map[string]time.Time{}
 		c.mu.Unlock()
-		c.suspects = nil
+		c.suspects, c.heirs = nil, map[string]time.Time{}
 		c.steady.forget()
 		c.opts.Meters.Count(meter.Elections).Inc()
 	}
--- a/control/pause.go
+++ b/control/pause.go
@@ -18,6 +18,11 @@
 //     as made then.
 //  3. A server may be given orders once that is the pause ago. Where an order of an
 //     earlier leader is still open, the pause counts from the leadership's begin.
+//  4. A server that began another life while an order was open gets none for heirFor: that order may still
+//     arrive, and would be taken where the new life's count of orders is the one that it names.
+
+// heirFor is how long an order without an answer may still arrive: 12 s by the servers' own word.
+const heirFor = 13 * time.Second
 
 // ordered is when a box first saw the entry that was about a server last.
 type ordered struct {
@@ -52,11 +57,12 @@
 // held returns the servers that must not be given orders yet (3).
 func (c *Controller) held(view *state.State, now time.Time) map[string]bool {
 	held := map[string]bool{}
+	c.holdHeirs(view, now, held)
 	if now.Sub(c.ledSince) >= c.opts.OrderPause {
 		return held
 	}
 	for name, o := range c.ordered {
-		held[name] = now.Sub(o.seen) < c.opts.OrderPause
+		held[name] = held[name] || now.Sub(o.seen) < c.opts.OrderPause
 	}
 	for _, o := range view.Orders {
 		if c.inherited(o) {
@@ -66,5 +72,23 @@
 	return held
 }
 
+// holdHeirs is rule 4; a new leader counts from its first look.
+func (c *Controller) holdHeirs(view *state.State, now time.Time, held map[string]bool) {
+	for id, a := range view.Announced {
+		if !a.Heir {
+			continue
+		}
+		if _, seen := c.heirs[id]; !seen {
+			c.heirs[id] = now
+		}
+		held[id] = now.Sub(c.heirs[id]) < heirFor
+	}
+	for id := range c.heirs {
+		if view.Announced[id] == nil {
+			delete(c.heirs, id)
+		}
+	}
+}
+
 // inherited reports whether an order was given by an earlier leader.
 func (c *Controller) inherited(o *wire.Order) bool { return o.Term != c.term }
--- a/gateway/crashers.go
+++ b/gateway/crashers.go
@@ -83,9 +83,9 @@
 	g.broken.Agreed(&view.Crashers)
 	for _, s := range g.broken.Waiting() {
 		switch a := view.Announced[s.ID]; {
-		case a == nil, a.Leaving:
+		case a.GetLeaving():
 			g.broken.Left(s)
-		case a.Silent:
+		case a == nil, a.Silent: // it has begun another life, or is not heard
 			g.broken.Ended(s)
 		}
 	}
--- a/gateway/failed.go
+++ b/gateway/failed.go
@@ -35,7 +35,7 @@
 // it is another than expected, or it lacks the model or the adapter.
 func (j *job) misdirected(s *server, a *answer) {
 	id := a.Header.Get(j.g.opts.Dialect.ServerID)
-	if id != "" && id != s.id || j.prompt.Model == "" {
+	if id != "" && id != s.name || j.prompt.Model == "" {
 		s.setGone()
 		return
 	}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -194,7 +194,7 @@
 	}
 	h.Del("Content-Length")
 	setHeader(h, d.Deadline, strconv.FormatInt(max(1, j.left().Milliseconds()), 10))
-	setHeader(h, d.Instance, s.id)
+	setHeader(h, d.Instance, s.name)
 	if j.prompt.Model != "" {
 		setHeader(h, d.Rank, strconv.Itoa(min(j.route.Rank, 9)))
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -15,7 +15,8 @@
 
 // server is one backend server as this box sees it.
 type server struct {
-	id      string
+	id      string // of its life
+	name    string // by which it is called
 	version string // of its software
 	address string
 	hall    string
@@ -41,7 +42,7 @@
 
 func newServer(a *wire.Announcement) *server {
 	return &server{
-		id: a.Id, version: a.Version, address: a.Address, hall: a.Hall, slots: int(max(1, a.Slots)), hash: xxhash.Sum64String(a.Id),
+		id: a.Id, name: cmp.Or(a.Name, a.Id), version: a.Version, address: a.Address, hall: a.Hall, slots: int(max(1, a.Slots)), hash: xxhash.Sum64String(a.Id),
 		conns: newConns(a.Address), kept: newKept(),
 	}
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -51,6 +51,7 @@
 	PeerGivenUp  = Metric{"leverdrum_peer_given_up_bytes_total", Counter, "Bytes that came from other boxes while their answers were waited for in vain.", nil}
 	CrashSigns   = Metric{"leverdrum_crash_signs_total", Counter, "Requests of this box that were at a backend server when it ended, by the weight of that sign.", []string{"weight"}}
 	CrashersHeld = Metric{"leverdrum_crashers_held", Gauge, "Requests that are kept from backend servers, because these ended while they ran them.", nil}
+	StrangeWords = Metric{"leverdrum_strange_words_total", Counter, "Words of backend servers, or of other writers, that name no server to use, by what is wrong with them.", []string{"why"}}
 	Claims       = Metric{"leverdrum_claims_total", Counter, "Claims on keyed calls by verdict.", []string{"verdict"}}
 )
 
@@ -58,7 +59,7 @@
 func All() []Metric {
 	return []Metric{
 		Refusals, RetriesMade, RetriesSpent, Requests, InTime, Duration, InFlight, StateIndex, FleetNumber,
-		Leads, Current, Elections, Orders, Ejections, PeerBytes, PeerCalls, PeerGivenUp, CrashSigns, CrashersHeld, Claims,
+		Leads, Current, Elections, Orders, Ejections, PeerBytes, PeerCalls, PeerGivenUp, CrashSigns, CrashersHeld, StrangeWords, Claims,
 	}
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -237,4 +237,9 @@
 mutant versions-alike crasher/book.go 's/return holdWeight - weakWeight\n\t\t\}/return 0\n\t\t}/' crasher 'TestAnotherVersion'
 mutant held-make-room crasher/book.go 's/func\(s \*wire.Suspect\) bool \{ return !s.Held \}/func(*wire.Suspect) bool { return true }/; s/cmp.Compare\(a.Weight, b.Weight\), //' crasher 'TestTheTableIsBounded'
 mutant held-forgotten state/snapshot.go 's/\tw.Suspects = s.Crashers.Encode\(\)\n//' box 'TestARequestThatCrashes|TestHeld'
+mutant lives-alike platform/beat.go 's/if bornMs == 0 \{/if true {/' platform 'TestLivesOfOneServer'
+mutant lives-alike-served platform/beat.go 's/if bornMs == 0 \{/if true {/' box 'TestServersBornAgain'
+mutant late-lives state/announce.go 's/if s.Outlived\(a\) \{/if false {/' state 'TestTheLifeBeforeEnds'
+mutant heirs-ordered control/pause.go 's/\tc.holdHeirs\(view, now, held\)\n//' control 'TestAnHeir'
+mutant strange-states platform/beat.go 's/case state != stateReady && state != stateDraining:/case false:/' platform 'TestWordsOfOtherWriters'
 exit $missed
--- a/state/announce.go
+++ b/state/announce.go
@@ -21,13 +21,22 @@
 //  4. Residents are taken over from the first announcement. Later words may be older
 //     than the last order: they replace what is agreed only where the leader says so,
 //     and while no order is open, since an open order's memory must stay counted.
+//  5. A server that starts again under its name begins another life, with another id and a later birth. All that is
+//     kept by the id of the life before ends with it, open orders included: what runs now holds nothing of
+//     it. Late words of that life change nothing. Two things stay: the entry that was about its orders last, since no two
+//     leaders may give one server orders within a pause; and that an order was open, which may yet arrive.
 
 // announce takes over what a server said of itself.
 func (s *State) announce(a *wire.Announcement) {
 	old := s.Announced[a.Id]
+	if s.Outlived(a) {
+		return
+	}
+	ordered, heir := s.endLivesBefore(a)
 	next := proto.CloneOf(a)
 	next.Sequence, next.RemainingMs, next.Residents, next.TakeResidents = 0, 0, nil, false
 	next.Leaving = a.Leaving || old.GetLeaving() // (2)
+	next.Heir = heir || old.GetHeir()
 	s.Announced[a.Id] = next
 	if old == nil {
 		s.silenceOthers(next) // (3)
@@ -38,12 +47,40 @@
 	if !a.Engine {
 		return
 	}
-	s.Servers[a.Id] = &wire.ServerState{Name: a.Id, Incarnation: a.Id, Leaving: next.Leaving, Ordered: s.Servers[a.Id].GetOrdered(), AtHand: a.AtHand}
+	s.Servers[a.Id] = &wire.ServerState{Name: a.Id, Incarnation: a.Id, Leaving: next.Leaving, Ordered: max(ordered, s.Servers[a.Id].GetOrdered()), AtHand: a.AtHand}
 	if (old == nil || a.TakeResidents) && !s.hasOrders(a.Id) { // (4)
 		s.replaceResidents(a)
 	}
 }
 
+// Outlived reports whether a later life of a server's name is known.
+func (s *State) Outlived(a *wire.Announcement) bool {
+	for _, other := range s.Announced {
+		if sameName(a, other) && other.BornMs > a.BornMs {
+			return true
+		}
+	}
+	return false
+}
+
+func sameName(a, b *wire.Announcement) bool {
+	return a.BornMs != 0 && b.BornMs != 0 && a.Name == b.Name && a.Id != b.Id
+}
+
+// endLivesBefore is rule 5. It returns the entry that was about an order to the life before last, and whether one was open.
+func (s *State) endLivesBefore(a *wire.Announcement) (ordered uint64, heir bool) {
+	for id, other := range s.Announced {
+		if !sameName(a, other) {
+			continue
+		}
+		ordered = max(ordered, s.Servers[id].GetOrdered())
+		heir = heir || other.Heir || s.hasOrders(id)
+		delete(s.Announced, id)
+		s.forgetServer(id)
+	}
+	return ordered, heir
+}
+
 func (s *State) silenceOthers(a *wire.Announcement) {
 	for id, other := range s.Announced {
 		if id == a.Id || other.Address != a.Address || other.Silent {
--- /dev/null
+++ b/state/lives_test.go
@@ -0,0 +1,61 @@
+package state_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+// entries applies commands one after another.
+type entries struct {
+	*state.State
+	t *testing.T
+}
+
+func (e *entries) apply(c *wire.Command) state.Result {
+	data, err := proto.Marshal(c)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	return e.Apply(&wire.Entry{Index: e.Index + 1, Term: 1, Kind: wire.EntryKind_ENTRY_COMMAND, Data: data})
+}
+
+func life(born uint64, id string, models ...string) *wire.Command {
+	a := &wire.Announcement{Id: id, Name: "i-1", BornMs: born, Service: "s", Address: "10.0.0.9:80", Slots: 4, Engine: true}
+	for _, m := range models {
+		a.Residents = append(a.Residents, &wire.Item{Model: m, Version: "v"})
+	}
+	return &wire.Command{Kind: &wire.Command_Announce{Announce: a}}
+}
+
+// A server that starts again under its name: what it held, its open orders and its leaving end with the life before, and
+// that life's late words change nothing.
+func TestTheLifeBeforeEnds(t *testing.T) {
+	g := NewWithT(t)
+	e := &entries{state.New(), t}
+	e.apply(life(1000, "i-1~1000", "m1"))
+	e.apply(&wire.Command{Kind: &wire.Command_Withdraw{Withdraw: &wire.Withdraw{Id: "i-1~1000"}}})
+	e.Orders[9] = &wire.Order{Id: 9, Server: "i-1~1000", Item: &wire.Item{Model: "m2"}}
+	e.Servers["i-1~1000"] = &wire.ServerState{Name: "i-1~1000", Ordered: 2}
+
+	e.apply(life(2000, "i-1~2000"))
+	g.Expect(e.Announced).To(HaveLen(1))
+	next := e.Announced["i-1~2000"]
+	g.Expect(next.Leaving).To(BeFalse(), "that was the life before")
+	g.Expect(next.Heir).To(BeTrue(), "an order to it was open and may still arrive")
+	g.Expect(e.Residents).To(BeEmpty())
+	g.Expect(e.Orders).To(BeEmpty())
+	g.Expect(e.Servers["i-1~2000"].Ordered).To(BeEquivalentTo(2), "two leaders still keep their pause")
+	g.Expect(e.Servers).To(HaveLen(1))
+
+	e.apply(life(1000, "i-1~1000", "m1"))
+	g.Expect(e.Announced).To(HaveLen(1), "a late word of the life before")
+	g.Expect(e.Residents).To(BeEmpty())
+	back, err := state.Decode(e.Encode())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(back.Announced["i-1~2000"].Heir).To(BeTrue())
+}
