--- a/crasher/shares_test.go
+++ b/crasher/shares_test.go
@@ -47,7 +47,6 @@
 	begun   time.Duration // when the first event came; 0: none has
 	runs    int           // in this attempt
 	again   int           // attempts left
-	ended   bool
 }
 
 type moment struct {
