replica, box: time slept counts; a test of a model under whose load servers end, failing (KNOWN-RED)

Cause: leases, the age of news and of claims were measured by the runtime's clock, which stands still while a machine is suspended: a leader that slept for 5 s still held its lease when it woke (replica TestALeaseIsOverOnceTheMachineHasSlept).

--- a/box/box.go
+++ b/box/box.go
@@ -23,6 +23,7 @@
 	"leverdrum/entry"
 	"leverdrum/event"
 	"leverdrum/gateway"
+	"leverdrum/internal/clock"
 	"leverdrum/internal/wait"
 	"leverdrum/keyed"
 	"leverdrum/meter"
@@ -279,7 +280,7 @@
 		Core: consensus.Options{
 			ID: self.Box + "/" + self.Incarnation, ElectionMin: s.Election, Heartbeat: s.Heartbeat, Lease: s.Lease, Seed: uint64(time.Now().UnixNano()),
 		},
-		Storage: storage, Send: b.pool.Send, CompactAfter: s.CompactAfter, Fatal: b.fail, Log: b.log,
+		Storage: storage, Send: b.pool.Send, CompactAfter: s.CompactAfter, Clock: clock.New().Now, Fatal: b.fail, Log: b.log,
 	})
 	if err != nil {
 		return nil, Error.Wrap(err)
--- a/box/crasher_test.go
+++ b/box/crasher_test.go
@@ -1,6 +1,7 @@
 package box_test
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -35,6 +36,9 @@
 	closed  bool
 	// reborn has servers start again under the id that they had, with a later birth.
 	reborn bool
+	// deadlyModel is one under whose load servers end.
+	deadlyModel string
+	model       string // that is asked for, m1 where it is ""
 }
 
 // restartAfter is how long a server that ended is away.
@@ -99,7 +103,7 @@
 	v := &standin.Server{
 		ID:      fmt.Sprint("i-", s.started),
 		Service: "s", Hall: "h", Room: 220, AdapterSlots: 3, LoadTime: 100 * time.Millisecond, Beat: 100 * time.Millisecond,
-		Control: []string{s.control}, Events: 3, Pause: 30 * time.Millisecond, Weights: map[string]int{"m1": 70}, Address: at,
+		Control: []string{s.control}, Events: 3, Pause: 30 * time.Millisecond, Weights: map[string]int{"m1": 70, "m2": 70}, Address: at, Deadly: s.deadlyModel,
 	}
 	v.Crashes = func(body []byte) bool {
 		s.mu.Lock()
@@ -182,7 +186,7 @@
 	req.Host = "h.example"
 	req.Header.Set("Leverdrum-Request-Id", id)
 	req.Header.Set("Leverdrum-Deadline-Ms", fmt.Sprint(15000+n)) // what is left differs each time
-	req.Header.Set("Leverdrum-Model", "m1")
+	req.Header.Set("Leverdrum-Model", cmp.Or(s.model, "m1"))
 	began := time.Now()
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -196,7 +200,7 @@
 // up applies a configuration and waits until each box serves.
 func (s *several) up(servers int) {
 	g := NewWithT(s.t)
-	g.Eventually(func() int { return s.apply(config(1, "m1")) }, within).Should(Equal(http.StatusOK))
+	g.Eventually(func() int { return s.apply(config(1, "m1", "m2")) }, within).Should(Equal(http.StatusOK))
 	for range servers {
 		s.server("", "", "m1")
 	}
@@ -302,3 +306,22 @@
 	}
 	g.Expect(len(lives)).To(BeNumerically("<", len(s.servers)), "some server was born again")
 }
+
+// A model under whose load each server ends was loaded on one server after another, for as long as requests asked for it:
+// an order that ended its server was given again, to the next one.
+func TestAModelThatCrashesServersIsStopped(t *testing.T) {
+	s := startSeveral(t, 0)
+	s.deadlyModel = "m2"
+	g := NewWithT(t)
+	s.up(6)
+	s.model = "m2"
+	for began := time.Now(); time.Since(began) < 12*time.Second; {
+		g.Expect(s.send(0, "deadly", "/a/x", "body").whole).To(BeFalse())
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.model = ""
+	t.Logf("%d servers ended", s.endedSoFar())
+	g.Expect(s.endedSoFar()).To(BeNumerically(">=", 2), "else the test proves nothing")
+	g.Expect(s.endedSoFar()).To(BeNumerically("<=", 6), "three that show it, and as many again")
+	g.Eventually(func() bool { return s.send(0, "later", "/a/later", "body").whole }, within).Should(BeTrue())
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -44,6 +44,8 @@
 	Send func(*wire.Message)
 	// CompactAfter is the count of log entries that a snapshot is taken at.
 	CompactAfter int
+	// Clock is steady and goes on while the machine is suspended; nil for the runtime's, which does not.
+	Clock func() time.Duration
 	// Fatal is called once when the process must not go on.
 	Fatal func(error)
 	Log   *zap.Logger
@@ -72,7 +74,6 @@
 // Replica is one running member.
 type Replica struct {
 	opts   Options
-	start  time.Time
 	core   *consensus.Node
 	master *state.State
 	events chan func()
@@ -125,8 +126,12 @@
 
 // New starts a replica from what its storage holds.
 func New(opts Options) (*Replica, error) {
+	if opts.Clock == nil {
+		start := time.Now()
+		opts.Clock = func() time.Duration { return time.Since(start) }
+	}
 	r := &Replica{
-		opts: opts, start: time.Now(),
+		opts:   opts,
 		events: make(chan func(), queueLength), stop: make(chan struct{}), done: make(chan struct{}),
 		waiting: map[uint64]*proposal{}, reads: map[uint64]chan error{},
 	}
@@ -177,8 +182,9 @@
 	return st, Error.Wrap(err)
 }
 
-// Now returns the time on the replica's monotonic clock.
-func (r *Replica) Now() time.Duration { return time.Since(r.start) }
+// Now returns the time on the replica's steady clock. What must not last longer than it says, a lease, the age of
+// news or of a claim, is measured by it.
+func (r *Replica) Now() time.Duration { return r.opts.Clock() }
 
 // ID returns the member's id.
 func (r *Replica) ID() string { return r.opts.Core.ID }
