control: a model under whose load servers end goes to no further ones

Cause: an order whose server ended was decided anew, for the next server, for as long as requests asked for its model. The leader takes such an end for a sign against the item, by the same rules as for requests (package crasher); what is ready on some server, or was loaded before, is no crasher.

--- a/control/control.go
+++ b/control/control.go
@@ -131,7 +131,9 @@
 	boxesAt time.Time     // when the boxes were looked at last
 	waited  time.Duration // for agreement, in the step under way
 
-	heirs      map[string]time.Time // since when servers are known that orders to their life before may reach
+	heirs      map[string]time.Time   // since when servers are known that orders to their life before may reach
+	loads      map[uint64]*openLoad   // by order, see loads.go
+	loaded     map[crasher.Print]bool // items that this leader saw loaded
 	suspects   map[crasher.Key]watched
 	suspectsAt time.Time // when they were looked at last
 }
@@ -146,7 +148,7 @@
 	return &Controller{
 		opts: opts, reports: map[string]report{}, reading: map[string]bool{}, quarantine: map[string]time.Time{},
 		sending: map[uint64]bool{}, short: map[string]string{},
-		heard: map[string]*heard{}, lacking: map[string]time.Time{}, askedAt: map[string]time.Time{}, doubts: map[string]*doubt{}, counts: map[string]uint64{}, wanted: map[string]time.Time{}, heirs: map[string]time.Time{}, kick: make(chan struct{}, 1),
+		heard: map[string]*heard{}, lacking: map[string]time.Time{}, askedAt: map[string]time.Time{}, doubts: map[string]*doubt{}, counts: map[string]uint64{}, wanted: map[string]time.Time{}, heirs: map[string]time.Time{}, loads: map[uint64]*openLoad{}, loaded: map[crasher.Print]bool{}, kick: make(chan struct{}, 1),
 	}
 }
 
@@ -193,6 +195,7 @@
 	c.lookAtBoxes(ctx)
 	c.expire(ctx, c.opts.Replica.View())
 	c.releaseSuspects(ctx, c.opts.Replica.View(), time.Now())
+	c.watchLoads(ctx, c.opts.Replica.View(), time.Now())
 	view := c.opts.Replica.View()
 	if view.Fleet == nil {
 		return
@@ -232,8 +235,9 @@
 		c.lacking, c.askedAt = map[string]time.Time{}, map[string]time.Time{}
 		c.counts = map[string]uint64{}
 		c.wanted = map[string]time.Time{}
+		c.loaded = map[crasher.Print]bool{}
 		c.mu.Unlock()
-		c.suspects, c.heirs = nil, map[string]time.Time{}
+		c.suspects, c.heirs, c.loads = nil, map[string]time.Time{}, map[uint64]*openLoad{}
 		c.steady.forget()
 		c.opts.Meters.Count(meter.Elections).Inc()
 	}
--- a/control/decide.go
+++ b/control/decide.go
@@ -65,7 +65,7 @@
 	var list []placement.Decision
 	var commands []*wire.Command
 	for _, d := range decisions {
-		if fromStore(view, d.Order) && !c.allowLoad(view.Fleet) {
+		if heldLoad(view, d.Order) || fromStore(view, d.Order) && !c.allowLoad(view.Fleet) {
 			continue
 		}
 		list = append(list, d)
--- /dev/null
+++ b/control/loads_test.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"leverdrum/ledger"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+// Which ends of servers are signs against what was being loaded there.
+func TestEndsOfServersThatLoad(t *testing.T) {
+	item := &wire.Item{Model: "m", Version: "v"}
+	for name, c := range map[string]struct {
+		then        func(st *state.State)
+		signs, weak int
+	}{
+		"it goes on":    {func(*state.State) {}, 0, 0},
+		"the load ends": {func(st *state.State) { delete(st.Orders, 7) }, 0, 0},
+		"another has its port": {func(st *state.State) {
+			st.Announced["s"].Silent = true
+			st.Announced["t"] = &wire.Announcement{Id: "t", Address: "a:1"}
+		}, 1, 0},
+		"another life":    {func(st *state.State) { delete(st.Announced, "s"); delete(st.Servers, "s"); delete(st.Orders, 7) }, 1, 0},
+		"it falls silent": {func(st *state.State) { st.Announced["s"].Silent = true }, 1, 1},
+		"it was leaving":  {func(st *state.State) { st.Announced["s"].Silent, st.Announced["s"].Leaving = true, true }, 0, 0},
+		"ready elsewhere": {func(st *state.State) {
+			st.Announced["s"].Silent = true
+			st.Residents[ledger.Place{Server: "u", Model: "m", Version: "v"}] = &wire.Resident{Server: "u", Item: item, Phase: wire.Phase_PHASE_READY}
+		}, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c0 := New(Options{Log: zap.NewNop()})
+			st := state.New()
+			st.Announced["s"] = &wire.Announcement{Id: "s", Address: "a:1", Version: "v1"}
+			st.Servers["s"] = &wire.ServerState{Name: "s", Incarnation: "s"}
+			st.Orders[7] = &wire.Order{Id: 7, Action: wire.OrderAction_ORDER_LOAD, Server: "s", ServerIncarnation: "s", Item: item}
+			g.Expect(c0.loadSigns(st, time.Now()).Signs).To(BeEmpty())
+			c.then(st)
+			r := c0.loadSigns(st, time.Now())
+			g.Expect(r.Signs).To(HaveLen(c.signs))
+			weak := 0
+			for _, s := range r.Signs {
+				g.Expect(s.Version).To(Equal("v1"))
+				if s.Weak {
+					weak++
+				}
+			}
+			g.Expect(weak).To(Equal(c.weak))
+			g.Expect(c0.loadSigns(st, time.Now()).Signs).To(BeEmpty(), "told once")
+		})
+	}
+}
--- a/control/orders.go
+++ b/control/orders.go
@@ -129,6 +129,7 @@
 	outcome := wire.OrderOutcome_OUTCOME_NOT_RUN
 	if out.Done {
 		outcome = wire.OrderOutcome_OUTCOME_DONE
+		c.noteLoaded(o)
 	}
 	cmd := &wire.Command{Kind: &wire.Command_Close{Close: &wire.CloseOrder{Id: o.Id, Outcome: outcome, Detail: out.Detail}}}
 	for c.mayGoOn(ctx, o) {
--- a/event/event.go
+++ b/event/event.go
@@ -79,7 +79,7 @@
 
 // The events of requests under which servers end.
 var (
-	CrashSeen       = add(Event{"crash-seen", zapcore.InfoLevel, "A backend server ended while requests of this box were at it.", "Nothing; prints name them, weak those that had run for long."})
+	CrashSeen       = add(Event{"crash-seen", zapcore.InfoLevel, "A backend server ended while requests of this box, or a load, were at it.", "Nothing; prints name them, weak those that had run for long."})
 	CrasherHeld     = add(Event{"crasher-held", zapcore.WarnLevel, "A request is kept from servers: they ended, one after another, while they ran it.", "See docs/OPERATIONS.md: find its caller by the print, and what is wrong with it by the servers' own logs."})
 	CrasherReleased = add(Event{"crasher-released", zapcore.InfoLevel, "A request that was kept from servers may go to one again.", "Nothing; one more end under it and it is kept from them for twice the time."})
 )
