crasher, gateway: servers that go dark under a request count, with half the weight

Cause (read, then shown by TestAServerThatGoesDarkIsASign): a server that ends without closing its connections breaks nothing off; such a sending ran into its time-out, or its caller left, and was no sign. It is one once it is agreed that the server is not heard.

--- a/crasher/watch.go
+++ b/crasher/watch.go
@@ -1,6 +1,7 @@
 package crasher
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -77,7 +78,7 @@
 }
 
 // Break takes a broken sending in. look says what became of the server; it is asked on another
-// goroutine, a few times at most.
+// goroutine, a few times at most. Without it only what is agreed of the server counts.
 func (w *Watch) Break(s Server, b Broken, look func() Fate) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -92,7 +93,7 @@
 	}
 	at.list = append(at.list, b)
 	w.count++
-	if !at.looking {
+	if look != nil && !at.looking {
 		at.looking = true
 		go w.look(s, look)
 	}
@@ -146,11 +147,11 @@
 
 // Ended tells of what broke at a server that has ended.
 func (w *Watch) Ended(s Server) {
-	list := w.take(s)
+	now := time.Now()
+	list := slices.DeleteFunc(w.take(s), func(b Broken) bool { return now.Sub(b.At) > brokenFor })
 	if len(list) == 0 {
 		return
 	}
-	now := time.Now()
 	r := &wire.CrashReport{}
 	for i := range list {
 		b := &list[i]
@@ -179,12 +180,17 @@
 	}
 }
 
-// dropOld forgets what waited in vain.
+// dropOld forgets what waited in vain. Sendings are listed as they broke.
 func (w *Watch) dropOld(now time.Time) {
 	for s, at := range w.waiting {
-		if n := len(at.list); now.Sub(at.list[n-1].At) > brokenFor && !at.looking {
+		old := 0
+		for old < len(at.list) && now.Sub(at.list[old].At) > brokenFor {
+			old++
+		}
+		at.list = at.list[old:]
+		w.count -= old
+		if len(at.list) == 0 && !at.looking {
 			delete(w.waiting, s)
-			w.count -= n
 		}
 	}
 }
--- a/gateway/crashers.go
+++ b/gateway/crashers.go
@@ -48,16 +48,20 @@
 }
 
 // noteBroken has a broken sending watched: its server may have ended under it. One that leaves may
-// end at any time.
+// end at any time. Where nothing broke, but the time ran out or the caller left, the server may have gone dark: that is
+// left to what is agreed of it.
 func (j *job) noteBroken(s *server, f *failure) {
-	if _, leaves := s.parted(time.Now()); leaves || f.outcome != reason.Unknown || f.why == reason.BackendLate {
+	now := time.Now()
+	if _, leaves := s.parted(now); leaves || f.outcome != reason.Unknown {
 		return
 	}
 	j.breaks++
-	now := time.Now()
-	j.g.broken.Break(s.named(), crasher.Broken{
-		Print: j.print(), Sent: j.arrived.Add(j.sent), Begun: j.firstAt, At: now, Silent: f.dark,
-	}, func() crasher.Fate { return j.g.fateOf(s, now) })
+	b := crasher.Broken{Print: j.print(), Sent: j.arrived.Add(j.sent), Begun: j.firstAt, At: now, Silent: f.dark}
+	look := func() crasher.Fate { return j.g.fateOf(s, now) }
+	if f.why == reason.BackendLate || j.r.Context().Err() != nil {
+		b.Silent, look = true, nil
+	}
+	j.g.broken.Break(s.named(), b, look)
 }
 
 // fateOf says what became of a server that broke off at a time. What it answered since speaks for
--- a/gateway/crashers_test.go
+++ b/gateway/crashers_test.go
@@ -140,4 +140,35 @@
 	}
 }
 
+// A server that goes dark under a request breaks nothing off: the caller's time runs out, or it leaves. The end counts once
+// it is agreed that the server is not heard, and weighs less.
+func TestAServerThatGoesDarkIsASign(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0") // takes connections and says nothing
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	view := viewOf(fleet.Unsafe, l.Addr().String())
+	view.Fleet.Routes[0].Timeout = 100 * time.Millisecond
+	seen := &told{}
+	var current atomic.Pointer[state.State]
+	current.Store(view)
+	gate := New(Options{
+		Dialect: dialect.Own, View: current.Load, Current: func() bool { return true }, Parting: time.Minute,
+		Budget: Budget{Ratio: 1, Slack: 100, Window: 10 * time.Second}, Crashes: seen.add, Meters: meter.New(), Log: zap.NewNop(),
+	})
+	gate.Changed()
+	r := httptest.NewRequest(http.MethodPost, "/x", nil)
+	r.Host = "h.example"
+	w := httptest.NewRecorder()
+	gate.ServeHTTP(w, r)
+	g.Expect(w.Code).To(Equal(http.StatusGatewayTimeout))
+	g.Expect(seen.signs()).To(BeZero(), "it may only be slow")
+	next := view.Clone()
+	next.Announced["i0"] = &wire.Announcement{Id: "i0", Service: "s", Address: l.Addr().String(), Version: "v1", Slots: 8, Silent: true}
+	current.Store(next)
+	gate.Changed()
+	g.Expect(seen.signs()).To(Equal(1))
+	g.Expect(seen.list[0].Signs[0].Weak).To(BeTrue())
+}
+
 const within = 10 * time.Second
--- a/gateway/failed.go
+++ b/gateway/failed.go
@@ -62,11 +62,11 @@
 // failed decides what follows a failure: another sending, or the end.
 func (j *job) failed(ctx context.Context, s *server, f *failure) (answered bool) {
 	j.last = f
+	j.noteBroken(s, f)
 	if j.r.Context().Err() != nil {
 		j.note("caller-gone", f)
 		return true
 	}
-	j.noteBroken(s, f)
 	switch {
 	case f.dark, f.dial:
 		s.silenced(time.Now())
