--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -473,24 +473,46 @@
 // inForceEverywhere waits until all boxes have the file of a number.
 func (c *cluster) inForceEverywhere(number uint64, limit time.Duration) {
 	c.t.Helper()
+	lacking := ""
+	ok := false
+	defer func() {
+		if !ok {
+			c.t.Log("lacking at the last look: ", lacking)
+		}
+	}()
 	eventually(c.t, fmt.Sprintf("file %d is in force on all boxes", number), limit, func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
 		for _, b := range c.boxes {
-			s := b.status(ctx)
-			if s == nil || s.Fleet == nil || s.Fleet.Number != number || len(s.Boxes) != len(c.boxes) {
+			began := time.Now()
+			if lacking = lacks(b.status(ctx), number, len(c.boxes)); lacking != "" {
+				lacking = fmt.Sprintf("%s after %v: %s", b.name, time.Since(began), lacking)
 				return false
 			}
-			for _, row := range s.Boxes {
-				if row.State != "in-force" {
-					return false
-				}
-			}
 		}
+		ok = true
 		return true
 	})
 }
 
+// lacks says what a box's status lacks of a file in force on all boxes, "" where nothing does.
+func lacks(s *admin.Status, number uint64, boxes int) string {
+	switch {
+	case s == nil:
+		return "no answer"
+	case s.Fleet == nil:
+		return "no file"
+	case s.Fleet.Number != number || len(s.Boxes) != boxes:
+		return fmt.Sprintf("file %d, %d boxes", s.Fleet.Number, len(s.Boxes))
+	}
+	for _, row := range s.Boxes {
+		if row.State != "in-force" {
+			return fmt.Sprintf("leader %s at %d has %+v", s.Leader, s.Index, row)
+		}
+	}
+	return ""
+}
+
 // isolate cuts a box off from all others, in both directions.
 func (c *cluster) isolate(b *boxProc) {
 	for _, o := range c.boxes {
