consensus, replica: who hears no leader names none

Cause: a campaign forgot the leader only where the node may campaign, so that one which voted once named its last leader for good, and its box passed all on to it.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -23,6 +23,8 @@
 //     before while the newest may not be agreed: its log may be the only one
 //     that can win then. It asks first whether it would win (pre-vote).
 //     1.7 A leader that has not heard from a quorum for ElectionMin steps down.
+//     1.8 A node that hears no leader for longer than it would wait before a campaign knows of none,
+//     whether it may campaign or not: one that does not vote any more hears of no change.
 //  2. The log.
 //     2.1 Entries are taken only behind an entry of equal index and term; a
 //     conflicting tail is dropped; what is agreed is never dropped.
@@ -265,8 +267,8 @@
 	return n.now - p.heard, p.match >= n.commit
 }
 
-// NeedsClock reports whether something will happen here with the time alone. To a member that
-// does not vote nothing does.
+// NeedsClock reports whether something will soon happen here with the time alone. To a member that
+// does not vote nothing does, but that it forgets its leader (1.8), which has time.
 func (n *Node) NeedsClock() bool { return n.role == Leader || n.mayCampaign() }
 
 // Tick tells the time. It must not go back.
--- a/consensus/step.go
+++ b/consensus/step.go
@@ -98,10 +98,10 @@
 // campaign asks for pre-votes, or at once for votes when the leader said so.
 func (n *Node) campaign(transfer bool) {
 	n.resetDeadline()
+	n.leader = ""         // (1.8)
 	if !n.mayCampaign() { // (1.6)
 		return
 	}
-	n.leader = ""
 	n.votes = map[string]bool{n.opts.ID: true}
 	if transfer {
 		n.requestVotes(true)
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -83,7 +83,8 @@
 	}
 	r.answerReads(&out)
 	alone := r.core.Role() == consensus.Leader && len(r.core.Peers()) == 0
-	if !idle || alone || r.core.Role() != r.Status().Role || len(out.Messages) > 0 {
+	turned := r.core.Role() != r.Status().Role || r.core.Leader() != r.Status().Leader
+	if !idle || alone || turned || len(out.Messages) > 0 {
 		r.publishStatus()
 	}
 	return r.compact()
