--- a/box/box.go
+++ b/box/box.go
@@ -264,7 +264,7 @@
 	wg.Go(func() { b.readPlatform(ctx, p) })
 	wg.Go(func() { b.readReports(ctx, p) })
 	wg.Go(func() { b.tellLeader(ctx, p) })
-	wg.Go(func() { p.crashes.run(ctx, &forwarder{b, p}) })
+	wg.Go(func() { p.crashes.run(ctx, (&forwarder{b, p}).Forward) })
 	wg.Wait()
 	p.replica.Close()
 }
--- a/box/crashes.go
+++ b/box/crashes.go
@@ -11,6 +11,7 @@
 	"leverdrum/event"
 	"leverdrum/internal/wait"
 	"leverdrum/meter"
+	"leverdrum/reason"
 	"leverdrum/wire"
 )
 
@@ -23,6 +24,8 @@
 	// has come again and been told anew.
 	crashesTimeout = 2 * time.Second
 	crashesFor     = 30 * time.Second
+	// crashesPause is the wait before a report is told again: a leader whose disk is full refuses at once.
+	crashesPause = 200 * time.Millisecond
 )
 
 // crashes tells the leader of requests under which servers ended, until it is agreed: unlike
@@ -71,8 +74,11 @@
 	event.CrashSeen.Log(c.log, zap.String("server", r.Signs[0].Server), zap.String("version", r.Signs[0].Version), zap.Strings("prints", strong), zap.Strings("weak", weak))
 }
 
+// forward passes a call on to the leader; the reason is nil once it was carried out.
+type forward func(context.Context, *wire.Forward) (*wire.ForwardAnswer, *reason.Reason)
+
 // run tells reports until the context ends.
-func (c *crashes) run(ctx context.Context, f *forwarder) {
+func (c *crashes) run(ctx context.Context, f forward) {
 	for {
 		select {
 		case r := <-c.reports:
@@ -88,16 +94,17 @@
 	}
 }
 
-func (c *crashes) tell(ctx context.Context, f *forwarder, list []crashReport) {
+func (c *crashes) tell(ctx context.Context, f forward, list []crashReport) {
 	for began := time.Now(); ctx.Err() == nil && time.Since(began) < crashesFor; {
 		once, cancel := context.WithTimeout(ctx, crashesTimeout)
-		_, why := f.Forward(once, &wire.Forward{
-			Kind: wire.ForwardKind_FORWARD_CRASHES, DeadlineMs: uint32(crashesTimeout.Milliseconds()), Box: f.box.settings.Box, Crashes: joined(list, time.Now()),
+		_, why := f(once, &wire.Forward{
+			Kind: wire.ForwardKind_FORWARD_CRASHES, DeadlineMs: uint32(crashesTimeout.Milliseconds()), Crashes: joined(list, time.Now()),
 		})
 		cancel()
 		if why == nil {
 			return
 		}
+		wait.For(ctx, crashesPause)
 	}
 	event.CrashSeen.Log(c.log, zap.Bool("dropped", true), zap.Int("reports", len(list)))
 }
--- /dev/null
+++ b/box/crashes_test.go
@@ -0,0 +1,48 @@
+package box
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"leverdrum/meter"
+	"leverdrum/reason"
+	"leverdrum/wire"
+)
+
+// Reports are told until they are agreed, with their times as of the telling, and not without a pause where the leader
+// refuses at once.
+func TestReportsOfCrashesAreToldUntilTheyAreAgreed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		c := newCrashes(zap.NewNop(), meter.New())
+		began := time.Now()
+		var told []*wire.CrashSign
+		calls := 0
+		go c.run(ctx, func(_ context.Context, f *wire.Forward) (*wire.ForwardAnswer, *reason.Reason) {
+			calls++
+			if time.Since(began) < 10*time.Second {
+				return nil, reason.DiskFull
+			}
+			told = append(told, f.Crashes.Signs...)
+			return &wire.ForwardAnswer{}, nil
+		})
+		for i := range 3 {
+			c.add(&wire.CrashReport{Signs: []*wire.CrashSign{{Print: make([]byte, 16), Server: string(rune('a' + i)), SentAgoMs: 100, EndedAgoMs: 40}}})
+		}
+		time.Sleep(12 * time.Second)
+		synctest.Wait()
+		g.Expect(calls).To(BeNumerically("<=", 52), "five a second")
+		g.Expect(told).To(HaveLen(3), "one call for all that ended together")
+		for _, s := range told {
+			g.Expect(s.EndedAgoMs).To(BeNumerically(">=", 10_000), "it ended that long ago by now")
+			g.Expect(s.SentAgoMs - s.EndedAgoMs).To(BeEquivalentTo(60))
+		}
+	})
+}
--- a/control/pause.go
+++ b/control/pause.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// held returns the servers that must not be given orders yet (3).
+// held returns the servers that must not be given orders yet (3, 4).
 func (c *Controller) held(view *state.State, now time.Time) map[string]bool {
 	held := map[string]bool{}
 	c.holdHeirs(view, now, held)
