--- a/box/crasher_test.go
+++ b/box/crasher_test.go
@@ -62,24 +62,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	text := fmt.Sprintf(`[box]
-name = %s
-hall = h
-roles = entry
-[cluster]
-name = c
-seeds = %s
-[peer]
-listen = %s
-[entry]
-listen = %s
-dialect = platform
-ready-listen = %s
-balancer-lag = 100ms
-[operator]
-listen = %s
-platform-listen = %s
-`, ip, s.settings.PeerListen, net.JoinHostPort(ip, port), entry, addressAt(s.t, ip), addressAt(s.t, ip), addressAt(s.t, ip))
+	text := settingsOf(s.t, ip, net.JoinHostPort(ip, port), s.settings.PeerListen, entry, addressAt(s.t, ip), addressAt(s.t, ip), "entry")
 	parsed, err := settings.Parse("box.ini", []byte(text))
 	if err != nil {
 		s.t.Fatal(err)
--- a/box/platform_test.go
+++ b/box/platform_test.go
@@ -50,18 +50,16 @@
 	return l.Addr().String()
 }
 
-// startOne starts the box in this process.
-func startOne(t *testing.T) *one {
-	o := &one{t: t, entry: address(t), control: address(t), ready: address(t)}
-	p := address(t)
-	text := fmt.Sprintf(`[box]
+// settingsOf are the settings that all boxes have; form is set for those with a disk.
+func settingsOf(t *testing.T, name, peerAt, seed, entry, ready, control, roles string) string {
+	return fmt.Sprintf(`[box]
 name = %s
 hall = h
-roles = control,entry
+roles = %s
 [cluster]
 name = c
 seeds = %s
-form = true
+form = %v
 [peer]
 listen = %s
 [entry]
@@ -72,14 +70,21 @@
 [operator]
 listen = %s
 platform-listen = %s
-[data]
+`, name, roles, seed, peerAt == seed, peerAt, entry, ready, addressAt(t, name), control)
+}
+
+// startOne starts the box in this process.
+func startOne(t *testing.T) *one {
+	o := &one{t: t, entry: address(t), control: address(t), ready: address(t)}
+	p := address(t)
+	text := settingsOf(t, ownIP, p, p, o.entry, o.ready, o.control, "control,entry") + fmt.Sprintf(`[data]
 folder = %s
 [orders]
 pause = 300ms
 demand-settles = 300ms
 [timing]
 config-lease = 1h
-`, ownIP, p, p, o.entry, o.ready, address(t), o.control, filepath.Join(t.TempDir(), "data"))
+`, filepath.Join(t.TempDir(), "data"))
 	s, err := settings.Parse("box.ini", []byte(text))
 	if err != nil {
 		t.Fatal(err)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -244,4 +244,6 @@
 mutant strange-states platform/beat.go 's/case state != stateReady && state != stateDraining:/case false:/' platform 'TestWordsOfOtherWriters'
 mutant loads-not-held control/decide.go 's/heldLoad\(view, d.Order\) \|\| //' box 'TestAModelThatCrashes'
 mutant lease-asleep replica/replica.go 's/func \(r \*Replica\) Now\(\) time.Duration \{ return r.opts.Clock\(\) \}/var began = time.Now()\n\nfunc (r *Replica) Now() time.Duration { return time.Since(began) }/' replica 'TestALeaseIsOver'
+mutant last-leader-for-good consensus/step.go 's/\tn.leader = "" +\/\/ \(1.8\)\n//' replica 'TestAMemberThatHears'
+mutant last-leader-shown replica/loop.go 's/ \|\| r.core.Leader\(\) != r.Status\(\).Leader//' replica 'TestAMemberThatHears'
 exit $missed
