bench: the least of five runs of a step is held against its bound, and the bounds are lower

One run is no measure then. In its place: the least of five, against 130 ms (150 before), 130 (150), 1.3 (1.5) and 18 (20): a step that grows by a third is still found, which one run did not promise.

--- a/bench/large_test.go
+++ b/bench/large_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -38,16 +39,16 @@
 const (
 	// mostLargeStart: the entries by which a fleet comes to be, and the claims' epochs. It
 	// took 2 s when each join made a list of 300 that guard keys.
-	mostLargeStart = 150 * time.Millisecond
+	mostLargeStart = 130 * time.Millisecond
 	// mostLargeChange: one more order, to the routes that follow it. It takes 0.4 to 0.7 ms;
 	// 0.6 to 0.9 where residents were gone over three times.
-	mostLargeChange = 1500 * time.Microsecond
+	mostLargeChange = 1300 * time.Microsecond
 	// mostLargeDecision: a decision when little has changed. It takes 8 ms; 93 ms where what
 	// can go from each server was found anew for each model.
-	mostLargeDecision = 20 * time.Millisecond
+	mostLargeDecision = 18 * time.Millisecond
 	// mostLargeNeeds: a decision when many models have lost their copies. It takes 70 to 105 ms;
 	// 495 ms where each load had all further copies found anew.
-	mostLargeNeeds = 150 * time.Millisecond
+	mostLargeNeeds = 130 * time.Millisecond
 	// mostLargeState is the size of a whole state before it is packed, in bytes. It was
 	// 502,000 with 48 lists of 300 that guard keys.
 	mostLargeState = 250_000
@@ -126,16 +127,28 @@
 	table.Enter(0, epochs)
 }
 
-// within fails when what a step took of the processor, on average, is above a bound.
+// leastOf is how many runs of a step the least is taken of. The processor's time of one run grows by up to a half
+// where other processes share its cores and caches: beside 24 busy loops one of ten single runs of a decision took 157 ms
+// that takes 64 to 93 ms of most others.
+const leastOf = 5
+
+// within fails when the least that a step took of the processor is above a bound.
 func within(b *testing.B, what string, bound time.Duration, step func()) {
-	began := processorTime(b)
-	for b.Loop() {
+	least := time.Duration(math.MaxInt64)
+	measured := func() {
+		began := processorTime(b)
 		step()
+		least = min(least, processorTime(b)-began)
+	}
+	for b.Loop() {
+		measured()
+	}
+	for range leastOf - b.N {
+		measured()
 	}
-	each := (processorTime(b) - began) / time.Duration(b.N)
-	b.ReportMetric(float64(each.Microseconds()), "cpu-us/op")
-	if each > bound {
-		b.Errorf("%s takes %v of the processor, at most %v is wanted", what, each, bound)
+	b.ReportMetric(float64(least.Microseconds()), "cpu-us/op")
+	if least > bound {
+		b.Errorf("%s takes %v of the processor, at most %v is wanted", what, least, bound)
 	}
 }
 
