--- a/control/announce.go
+++ b/control/announce.go
@@ -267,9 +267,10 @@
 func (c *Controller) silent(id string, led time.Duration) (time.Duration, bool) {
 	c.mu.Lock()
 	h := c.heard[id]
+	unheard := h == nil || h.at.IsZero()
 	c.mu.Unlock()
 	silence := c.silence(id, led)
-	if h == nil || h.at.IsZero() {
+	if unheard {
 		return silence, silence > unheardAfter
 	}
 	return silence, silence > silentAfter
