workspace: keys and rights, on both interfaces

cause: no request belonged to anybody: callers' keys were passed on to servers, and a key taken away went on opening routes. A key that two workspaces hold makes a file invalid. The key under which a call runs at most once is kept apart by workspace.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -16,6 +16,7 @@
 package admit
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -32,8 +33,10 @@
 
 // Ticket is one request that wants to start.
 type Ticket struct {
-	Target   *route.Target
-	Caller   string
+	Target *route.Target
+	Caller string
+	// Urgency goes before the priority of the class, 0 the highest.
+	Urgency  int
 	Deadline time.Time
 	// FirstBy is when the first event of a stream is due; zero for none.
 	FirstBy time.Time
@@ -151,10 +154,15 @@
 	return false
 }
 
+// compareUrgency is below zero where a is the more urgent: by its workspace, then by its class.
+func compareUrgency(a, b *Ticket) int {
+	return cmp.Or(cmp.Compare(a.Urgency, b.Urgency), cmp.Compare(b.Target.Class.Priority, a.Target.Class.Priority))
+}
+
 // less is rule 2: whether a goes before b.
 func (g *Gate) less(a, b *Ticket) bool {
-	if pa, pb := a.Target.Class.Priority, b.Target.Class.Priority; pa != pb {
-		return pa > pb
+	if c := compareUrgency(a, b); c != 0 {
+		return c < 0
 	}
 	if ca, cb := g.callers[a.Caller], g.callers[b.Caller]; ca != cb {
 		return ca < cb
@@ -174,7 +182,7 @@
 	}
 	var work time.Duration
 	for _, w := range g.waiting {
-		if w.Target.Class.Priority >= t.Target.Class.Priority && shares(w, t) {
+		if compareUrgency(w, t) <= 0 && shares(w, t) {
 			work += g.took[w.Target.Name].likely()
 		}
 	}
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"leverdrum/workspace"
 )
 
 // Dialect names the headers that requests and answers carry, and reads those that
@@ -20,18 +22,22 @@
 	Stamp     string // of a server's own answer
 	NotRun    string // in an answer: the server did not run the request
 	Fetch     string // the address of a server that has kept parts of the prompt; "": none fetch
+	Key       string // of the caller's workspace, never shown to a server
+	Workspace string // whose request it is, told to the server; "": servers are not told
 	// Reserved are further headers by which only the system speaks to a server.
 	Reserved []string
 	// Prompt reads what a request says of its prompt.
 	Prompt func(http.Header) Prompt
+	// Usage reads how many tokens a request may take.
+	Usage func(http.Header) workspace.Usage
 }
 
 // DropReserved takes off a caller's headers by which only the system speaks to a
-// server: the server that it is for, its urgency, where to fetch kept parts, and those
+// server: the server that it is for, its urgency, where to fetch kept parts, whose it is, and those
 // reserved besides. Passed on, they would let a caller take memory and places that others
 // need, or have its request turned away by a server that could run it.
 func (d *Dialect) DropReserved(h http.Header) {
-	for _, name := range []string{d.Instance, d.Rank, d.Fetch} {
+	for _, name := range []string{d.Instance, d.Rank, d.Fetch, d.Workspace} {
 		h.Del(name)
 	}
 	for _, name := range d.Reserved {
@@ -56,7 +62,7 @@
 // Own is the product's own dialect.
 var Own = Dialect{
 	RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", LastEvent: "Last-Event-Id", Instance: "X-Instance", ServerID: "X-Server-Id",
-	Rank: "X-Rank", Stamp: "X-Server-Stamp", NotRun: "X-Not-Run", Prompt: ownPrompt,
+	Rank: "X-Rank", Stamp: "X-Server-Stamp", NotRun: "X-Not-Run", Key: "X-Api-Key", Workspace: "X-Workspace", Prompt: ownPrompt, Usage: ownUsage,
 }
 
 // ownPrompt reads "X-Model: model/adapter" and "X-Prompt-Tokens: 120".
@@ -66,3 +72,13 @@
 	p.Tokens, _ = strconv.Atoi(h.Get("X-Prompt-Tokens"))
 	return p
 }
+
+// ownUsage reads "X-Prompt-Tokens: 120" and "X-Max-Tokens: 80", either of which may lack.
+func ownUsage(h http.Header) workspace.Usage {
+	in, inErr := strconv.ParseFloat(h.Get("X-Prompt-Tokens"), 64)
+	out, outErr := strconv.ParseFloat(h.Get("X-Max-Tokens"), 64)
+	if inErr != nil && outErr != nil {
+		return workspace.Usage{}
+	}
+	return workspace.UsageOf(in, out)
+}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -18,6 +18,7 @@
 	"leverdrum/proxy"
 	"leverdrum/reason"
 	"leverdrum/route"
+	"leverdrum/workspace"
 )
 
 // chatHead is what routing needs of a chat request.
@@ -81,7 +82,7 @@
 	// Only the box knows by which version a stream began, so only it continues one.
 	r.Header.Del(engine.HeaderLastEvent)
 	e.serve(w, r, &job{
-		id: a.id, arrived: a.at, target: target, repeatable: true, kind: head.kind(), stream: head.Stream, session: head.session(r.Header.Get(HeaderSession)),
+		id: a.id, arrived: a.at, owner: a.owner, target: target, repeatable: true, kind: head.kind(), stream: head.Stream, session: head.session(r.Header.Get(HeaderSession)),
 		attempt: proxy.Attempt{Method: http.MethodPost, Path: engine.ChatPath, Header: r.Header, Body: a.body},
 	})
 }
@@ -92,22 +93,37 @@
 	at    time.Time
 	body  []byte
 	table *route.Table
+	owner *workspace.Workspace // nil: nobody's
 }
 
-// arrive reads a request, or refuses it.
+// arrive reads a request, or refuses it: one without a key that it needs before its body is read.
 func (e *Entry) arrive(w http.ResponseWriter, r *http.Request) (*arrival, bool) {
 	a := &arrival{id: requestID(r), at: time.Now()}
-	var why *reason.Reason
-	if a.body, why = e.readBody(w, r); why == nil {
-		a.table, why = e.usable()
+	why := e.admit(r, a)
+	if why == nil {
+		a.body, why = e.readBody(w, r)
 	}
 	if why != nil {
 		e.refuse(w, a.id, why, "")
 		return nil, false
 	}
+	nameOwner(r, a.owner)
 	return a, true
 }
 
+// admit finds the table and the workspace of a request.
+func (e *Entry) admit(r *http.Request, a *arrival) (why *reason.Reason) {
+	if a.table, why = e.usable(); why != nil {
+		return why
+	}
+	owner, ok := e.opts.View().Fleet.Workspaces.Admit(keysOf(r), false)
+	if !ok {
+		return reason.NoAccess
+	}
+	a.owner = owner
+	return nil
+}
+
 // readBody reads the whole body, which a retry needs. Its time is bounded here
 // and not by the server's ReadTimeout, which would end long answers too.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *reason.Reason) {
@@ -146,6 +162,10 @@
 		e.refuse(w, requestID(r), why, "")
 		return
 	}
+	if _, ok := e.opts.View().Fleet.Workspaces.Admit(keysOf(r), false); !ok {
+		e.refuse(w, requestID(r), reason.NoAccess, "")
+		return
+	}
 	rows := []modelRow{}
 	for _, name := range slices.Sorted(maps.Keys(table.Models)) {
 		rows = append(rows, modelRow{name, "model", "leverdrum", len(table.Models[name].Backends)})
@@ -169,7 +189,7 @@
 	path := strings.TrimPrefix(r.URL.Path, "/services/"+name)
 	uri := strings.TrimPrefix(r.URL.RequestURI(), "/services/"+name)
 	j := &job{
-		id: a.id, arrived: a.at, target: target, repeatable: target.Service.Repeatable(r.Method, path),
+		id: a.id, arrived: a.at, owner: a.owner, target: target, repeatable: target.Service.Repeatable(r.Method, path),
 		kind:    kindOfCall{"/" + name, r.Method, bits.Len(uint(len(a.body)))},
 		attempt: proxy.Attempt{Method: r.Method, Path: uri, Header: r.Header, Body: a.body},
 	}
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -40,6 +40,9 @@
 	if key == "" {
 		return ""
 	}
+	if j.owner != nil { // one workspace's key never finds another's call
+		return j.target.Name + "\n" + j.owner.Name + "\n" + key
+	}
 	return j.target.Name + "\n" + key
 }
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -18,6 +18,7 @@
 	"leverdrum/reason"
 	"leverdrum/record"
 	"leverdrum/route"
+	"leverdrum/workspace"
 )
 
 // HeaderDeadline tells a backend server how many milliseconds are left.
@@ -30,6 +31,7 @@
 type job struct {
 	id         string
 	arrived    time.Time
+	owner      *workspace.Workspace // whose request it is; nil: nobody's
 	target     *route.Target
 	repeatable bool
 	key        string // of a call that may run at most once; "" without one
@@ -66,7 +68,7 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, j *job) {
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline())
 	defer cancel()
-	j.ticket = &admit.Ticket{Target: j.target, Caller: callerOf(r), Deadline: j.deadline(), Wish: route.Wish{Session: j.session}}
+	j.ticket = &admit.Ticket{Target: j.target, Caller: callerOf(r, j.owner), Urgency: urgencyOf(j.owner), Deadline: j.deadline(), Wish: route.Wish{Session: j.session}}
 	if first := j.target.Class.FirstToken; j.stream && first > 0 {
 		j.ticket.FirstBy = j.arrived.Add(first)
 	}
@@ -92,8 +94,12 @@
 	e.refuse(w, j.id, res.why, res.detail)
 }
 
-// callerOf names the caller for fair shares.
-func callerOf(r *http.Request) string {
+// callerOf names the caller for fair shares: the workspace, where there is one, since a key cannot
+// be made up as a name can.
+func callerOf(r *http.Request, owner *workspace.Workspace) string {
+	if owner != nil {
+		return owner.Name
+	}
 	if name := r.Header.Get(HeaderCaller); name != "" {
 		return name
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"leverdrum/internal/conf"
+	"leverdrum/workspace"
 )
 
 // Fleet is a checked fleet file.
@@ -40,7 +41,9 @@
 	// Pools are the services whose backend servers announce themselves.
 	Pools  map[string]*Pool
 	Limits Limits
-	kinds  map[string]*Kind
+	// Workspaces are whom requests belong to, nil where nobody needs a key.
+	Workspaces *workspace.Book
+	kinds      map[string]*Kind
 }
 
 // Hall is a data hall.
@@ -229,6 +232,32 @@
 	r.readServers()
 	r.readModels()
 	r.readServices()
+	r.readWorkspaces()
+}
+
+func (r *reader) readWorkspaces() {
+	var list []*workspace.Workspace
+	parts := map[string]*conf.Part{}
+	for _, p := range r.doc.Parts("workspace") {
+		w := &workspace.Workspace{Name: p.Name, Urgency: p.Int("urgency"), Quota: workspace.Quota{
+			Unit: workspace.Unit(p.String("unit")), Rate: p.Float("rate"), Burst: p.Float("burst"), Plain: p.Float("plain-tokens"),
+		}}
+		for i, text := range p.List("keys") {
+			d, err := workspace.ReadKey(text)
+			if err != nil {
+				p.Fault("keys", fmt.Sprintf("key %d cannot be used: %v", i+1, err), "keys as `leverdrum key` makes them, or their digests")
+				continue
+			}
+			w.Keys = append(w.Keys, d)
+		}
+		parts[p.Name] = p
+		list = append(list, w)
+	}
+	book, clashes := workspace.NewBook(list)
+	for _, c := range clashes {
+		parts[c.Second].Fault("keys", c.String(), "each key in one workspace")
+	}
+	r.fleet.Workspaces = book
 }
 
 func (r *reader) readServers() {
--- a/fleet/routes.go
+++ b/fleet/routes.go
@@ -44,7 +44,9 @@
 	MaxAttempts int
 	// Affinity keeps requests with the same prompt parts together.
 	Affinity bool
-	Split    []Share
+	// Public routes need no key.
+	Public bool
+	Split  []Share
 }
 
 // Repeatable reports whether a request may run more than once.
--- a/fleet/schema.go
+++ b/fleet/schema.go
@@ -53,6 +53,14 @@
 		{Name: "version", Type: conf.Name, Required: true, Text: "The version to serve."},
 		{Name: "memory", Type: conf.Bytes, Required: true, Text: "Accelerator memory that it takes."},
 	}},
+	{Kind: "workspace", Named: true, Text: "A customer's share of the system. Where there is one, each request shows the key of one.", Keys: []conf.Key{
+		{Name: "keys", Type: conf.Lines, Required: true, Text: "The keys that open it, or their digests as `leverdrum key` prints them. While keys are replaced it has two."},
+		{Name: "urgency", Type: conf.Int, Default: "0", Text: "Goes before the priority of the class; 0 is the highest."},
+		{Name: "rate", Type: conf.Float, Default: "0", Text: "What it may use a second, over all boxes; 0: no limit."},
+		{Name: "burst", Type: conf.Float, Default: "0", Text: "What it may use beyond the rate."},
+		{Name: "unit", Type: conf.Choice, Choices: []string{"requests", "tokens"}, Default: "requests", Text: "What rate and burst are counted in. Tokens are those of the prompt and the most that may be produced."},
+		{Name: "plain-tokens", Type: conf.Float, Default: "0", Text: "What a request that does not tell its tokens counts as."},
+	}},
 	{Kind: "service", Named: true, Text: "A plain service, reached under /services/NAME/.", Keys: []conf.Key{
 		{Name: "class", Type: conf.Name, Required: true, Text: "Service class of its requests."},
 		{Name: "non-repeatable", Type: conf.Lines, Default: "", Text: "Calls that run at most once, as `METHOD /path`; a path ending in * covers what begins so."},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,8 @@
 //     each keeps its own part of the budget.
 //  9. A request under which servers ended, one after another, goes to none of their
 //     version any more (package crasher), and is refused at once.
+//  10. Where the fleet has workspaces (package workspace), a request without a key of one is
+//     refused before its body is read. No server sees a key; it is told whose the request is.
 package gateway
 
 import (
@@ -147,12 +149,18 @@
 		g.refuseUnsent(w, r, t, why)
 		return
 	}
+	owner, ok := t.fleet.Workspaces.Admit(r.Header.Values(g.opts.Dialect.Key), route.Public)
+	if !ok {
+		g.refuseUnsent(w, r, t, reason.NoAccess)
+		return
+	}
 	body, why := readBody(r, t.limits)
 	if why != nil {
 		g.refuseUnsent(w, r, t, why)
 		return
 	}
 	j := g.newJob(w, r, t, route, body, arrived)
+	j.owner, j.keyed = owner, t.fleet.Workspaces != nil
 	j.serve()
 }
 
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -12,6 +12,7 @@
 	"leverdrum/fleet"
 	"leverdrum/meter"
 	"leverdrum/reason"
+	"leverdrum/workspace"
 )
 
 // leastLeft is the time below which nothing is sent any more.
@@ -23,6 +24,8 @@
 	w        http.ResponseWriter
 	r        *http.Request
 	route    *fleet.Route
+	owner    *workspace.Workspace // whose request it is; nil: nobody's
+	keyed    bool                 // the fleet has workspaces, so that the caller's key is for the system
 	poolName string
 	number   uint64 // of the configuration that routed it
 	id       string
@@ -189,6 +192,7 @@
 	s := c.server
 	h := passHeaders(j.r.Header)
 	d.DropReserved(h)
+	j.tellOwner(h)
 	if c.from != nil && d.Fetch != "" {
 		setHeader(h, d.Fetch, c.from.address)
 	}
@@ -196,10 +200,21 @@
 	setHeader(h, d.Deadline, strconv.FormatInt(max(1, j.left().Milliseconds()), 10))
 	setHeader(h, d.Instance, s.name)
 	if j.prompt.Model != "" {
-		setHeader(h, d.Rank, strconv.Itoa(min(j.route.Rank, 9)))
+		setHeader(h, d.Rank, strconv.Itoa(j.owner.RequestUrgency(j.route.Rank)))
 	}
 	if j.stream.any {
 		setHeader(h, d.LastEvent, strconv.FormatUint(j.stream.last, 10))
 	}
 	return &outgoing{method: j.r.Method, target: j.r.RequestURI, host: j.r.Host, header: h, body: j.body, id: j.id}
 }
+
+// tellOwner is rule 10. Without workspaces a header of the key's name is the caller's own affair.
+func (j *job) tellOwner(h http.Header) {
+	d := &j.g.opts.Dialect
+	if j.keyed {
+		h.Del(d.Key)
+	}
+	if j.owner != nil && d.Workspace != "" {
+		setHeader(h, d.Workspace, j.owner.Name)
+	}
+}
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -64,6 +64,7 @@
 	NoFleet        = add(Reason{"no-fleet", Callers, "No fleet file is in force yet.", "Come back once operators have applied one.", http.StatusServiceUnavailable, NotRun, 5 * second})
 	NotCurrent     = add(Reason{"not-current", Callers, "This box is cut off and may hold an old configuration.", "Ask another box.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	Stopping       = add(Reason{"stopping", Callers, "This box is stopping.", "Ask another box.", http.StatusServiceUnavailable, NotRun, 1 * second})
+	NoAccess       = add(Reason{"no-access", Callers, "The request shows no key of a workspace.", "Send the key that your operators gave you, once; `leverdrum explain NAME` shows a workspace's keys by their digests.", http.StatusUnauthorized, NotRun, 0})
 	NotResident    = add(Reason{"not-resident", Callers, "The model is not loaded anywhere yet.", "Come back; `leverdrum explain` says why.", http.StatusServiceUnavailable, NotRun, 2 * second})
 	NoServer       = add(Reason{"no-server", Callers, "No backend server can take the request now.", "Come back.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	Overloaded     = add(Reason{"overloaded", Callers, "The request would not be answered within its deadline.", "Come back, or ask for fewer at once.", http.StatusServiceUnavailable, NotRun, 1 * second})
--- /dev/null
+++ b/workspace/quota.go
@@ -0,0 +1,58 @@
+package workspace
+
+import "math"
+
+// Unit is what a quota is counted in.
+type Unit string
+
+// The units.
+const (
+	Requests Unit = "requests"
+	Tokens   Unit = "tokens"
+)
+
+// Quota bounds what a workspace is served, over all boxes together.
+type Quota struct {
+	Unit Unit
+	// Rate is in units a second; 0: no limit.
+	Rate float64
+	// Burst is what may be served beyond the rate, in units.
+	Burst float64
+	// Plain is what a request without a count weighs, in tokens.
+	Plain float64
+}
+
+// Limited reports whether there is a limit.
+func (q Quota) Limited() bool { return q.Rate > 0 }
+
+// Usage is what a request says of its size.
+type Usage struct {
+	// Tokens are those of the prompt and the most that may be produced.
+	Tokens float64
+	// Told reports whether the request says so in a way that can be read.
+	Told bool
+}
+
+// maxTokens bounds what one request can weigh, in tokens: more than any server holds, and so little
+// that sums of it stay exact.
+const maxTokens = 1 << 40
+
+// UsageOf makes the usage of a request from its two counts (6).
+func UsageOf(in, out float64) Usage {
+	sum := in + out
+	if math.IsNaN(sum) || in < 0 || out < 0 {
+		return Usage{}
+	}
+	return Usage{Tokens: min(sum, maxTokens), Told: true}
+}
+
+// Weigh returns what a request takes of the quota, in its unit (6).
+func (q Quota) Weigh(u Usage) float64 {
+	switch {
+	case q.Unit != Tokens:
+		return 1
+	case u.Told:
+		return u.Tokens
+	}
+	return q.Plain
+}
