--- a/box/answer.go
+++ b/box/answer.go
@@ -24,6 +24,8 @@
 		return &wire.Response{Kind: &wire.Response_Probe{Probe: p.spread.AnswerProbe()}}
 	case *wire.Request_Forward:
 		return b.answerForward(ctx, p, k.Forward)
+	case *wire.Request_Quota:
+		return &wire.Response{Kind: &wire.Response_Quota{Quota: p.quotas.answer(from.GetBox(), k.Quota)}}
 	}
 	return p.guard.Answer(r)
 }
--- a/box/box.go
+++ b/box/box.go
@@ -92,6 +92,7 @@
 	platform  http.Handler
 	notices   chan gateway.Notice
 	crashes   *crashes
+	quotas    *quotas
 	// accept is how long an apply waits for the boxes.
 	accept spread.Patience
 }
@@ -263,6 +264,7 @@
 	wg.Go(func() { b.readPlatform(ctx, p) })
 	wg.Go(func() { b.readReports(ctx, p) })
 	wg.Go(func() { b.tellLeader(ctx, p) })
+	wg.Go(func() { p.quotas.limiter.Run(ctx) })
 	wg.Go(func() { p.crashes.run(ctx, (&forwarder{b, p}).Forward) })
 	wg.Wait()
 	p.replica.Close()
@@ -301,10 +303,11 @@
 		Records: b.records, Meters: b.meters, Log: b.log,
 	})
 	p.guard = keyed.New(state.ProcessID(self), r, b.pool, b.meters)
+	p.quotas = newQuotas(self, r, p.spread, b.pool, s.QuotaWindow)
 	p.entry = entry.New(entry.Options{
 		Directory: p.directory, View: r.View, Current: func() bool { return b.warm.Load() && p.spread.Current() }, Sender: proxy.NewSender(),
 		Meters: b.meters, Records: b.records, MaxBody: s.MaxBody, BodyTimeout: s.BodyTimeout, Guard: p.guard,
-		Crashes: p.crashes.add,
+		Crashes: p.crashes.add, Quotas: p.quotas.limiter,
 	})
 	p.gateway = b.newGateway(p)
 	p.platform = platform.Control(&platformCluster{b, p})
--- a/box/platform.go
+++ b/box/platform.go
@@ -43,8 +43,8 @@
 			default: // the leader hears of it with the next request
 			}
 		},
-		Crashes: p.crashes.add,
-		Hall:    s.Hall, Parting: s.Parting,
+		Crashes: p.crashes.add, Quotas: p.quotas.limiter,
+		Hall: s.Hall, Parting: s.Parting,
 		Budget: gateway.Budget{Ratio: s.BudgetRatio, Slack: s.BudgetSlack, Window: s.BudgetWindow},
 		Meters: b.meters, Log: b.log,
 	})
--- /dev/null
+++ b/box/quotas.go
@@ -0,0 +1,130 @@
+package box
+
+import (
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"leverdrum/internal/clock"
+	"leverdrum/peer"
+	"leverdrum/replica"
+	"leverdrum/spread"
+	"leverdrum/state"
+	"leverdrum/wire"
+	"leverdrum/workspace"
+)
+
+// passOver is how long a box is not asked for leases again that did not answer. Each ask of it would
+// cost the requests that wait the whole time of an answer.
+const passOver = 500 * time.Millisecond
+
+// quotas is a box's part in the quotas of workspaces: it asks for leases, and answers others.
+type quotas struct {
+	self    string
+	replica *replica.Replica
+	spread  *spread.Spreader
+	pool    *peer.Pool
+	lessor  *workspace.Lessor
+	limiter *workspace.Limiter
+	now     func() time.Duration
+
+	mu     sync.Mutex
+	failed map[string]time.Duration // boxes that did not answer, and when
+}
+
+func newQuotas(self *wire.Member, r *replica.Replica, s *spread.Spreader, pool *peer.Pool, window time.Duration) *quotas {
+	now := clock.New().Now
+	q := &quotas{self: self.Box, replica: r, spread: s, pool: pool, now: now, failed: map[string]time.Duration{}}
+	q.lessor = workspace.NewLessor(state.ProcessID(self), now)
+	q.limiter = workspace.NewLimiter(workspace.Options{
+		Lease: q.lease, Now: now, Window: window,
+		Boxes: func() int { return len(r.View().Members) },
+	})
+	return q
+}
+
+// answer answers a box, this one included. A box that does not hold the lease of its leadership is not the leader: by
+// the time that it answers another may be.
+func (q *quotas) answer(box string, call *wire.QuotaCall) *wire.QuotaAnswer {
+	view := q.replica.View()
+	_, leads := q.replica.Lease()
+	lead := workspace.Lead{Leads: leads, Boxes: len(view.Members)}
+	if leads {
+		lead.Term = q.replica.Status().Term
+	}
+	var book *workspace.Book
+	if view.Fleet != nil {
+		book = view.Fleet.Workspaces
+	}
+	asks := make([]workspace.Asked, 0, len(call.Asks))
+	for _, a := range call.Asks {
+		asks = append(asks, workspace.Asked{Name: a.Workspace, Ask: workspace.Ask{Need: a.Need, Least: a.Least, Ahead: a.Ahead, Unused: a.Unused}})
+	}
+	answer := q.lessor.Answer(box, call.Epoch, lead, book, asks)
+	out := &wire.QuotaAnswer{Epoch: answer.Epoch}
+	for _, g := range answer.Rows {
+		after := min(max(g.After.Milliseconds(), 0), math.MaxUint32)
+		out.Grants = append(out.Grants, &wire.QuotaGrant{Workspace: g.Name, Leased: g.Leased, AfterMs: uint32(after)})
+	}
+	return out
+}
+
+// lease asks the leader, or else another box. It implements workspace.Options.Lease.
+func (q *quotas) lease(ctx context.Context, epoch string, asks []workspace.Asked) (workspace.Answer, error) {
+	call := &wire.QuotaCall{Epoch: epoch}
+	for _, a := range asks {
+		call.Asks = append(call.Asks, &wire.QuotaAsk{Workspace: a.Name, Need: a.Need, Least: a.Least, Ahead: a.Ahead, Unused: a.Unused})
+	}
+	box := q.lessorBox()
+	if box == q.self {
+		return answerOf(q.answer(q.self, call)), nil
+	}
+	response, err := q.pool.Call(ctx, box, &wire.Request{Kind: &wire.Request_Quota{Quota: call}})
+	if err == nil && response.GetQuota() == nil {
+		err = Error.New("box %s gave another answer than asked for", box)
+	}
+	if err != nil {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.failed[box] = q.now()
+		return workspace.Answer{}, Error.Wrap(err)
+	}
+	return answerOf(response.GetQuota()), nil
+}
+
+func answerOf(a *wire.QuotaAnswer) workspace.Answer {
+	out := workspace.Answer{Epoch: a.Epoch}
+	for _, g := range a.Grants {
+		grant := workspace.Grant{Leased: g.Leased, After: time.Duration(g.AfterMs) * time.Millisecond}
+		out.Rows = append(out.Rows, workspace.Granted{Name: g.Workspace, Grant: grant})
+	}
+	return out
+}
+
+// lessorBox returns whom to ask: the leader, else the first of the other boxes with a disk that answered
+// lately, so that all boxes that reach no leader ask the same one; else this box itself.
+func (q *quotas) lessorBox() string {
+	leader := wire.BoxOf(q.spread.Leader())
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.answers(leader) {
+		return leader
+	}
+	var disks []string
+	for name, m := range q.replica.View().Members {
+		if m.Disk && !m.Leaving && name != leader && q.answers(name) {
+			disks = append(disks, name)
+		}
+	}
+	if len(disks) == 0 {
+		return q.self
+	}
+	return slices.Min(disks)
+}
+
+func (q *quotas) answers(box string) bool {
+	at, failed := q.failed[box]
+	return box != "" && (!failed || q.now()-at > passOver)
+}
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -22,6 +22,7 @@
 	Stamp     string // of a server's own answer
 	NotRun    string // in an answer: the server did not run the request
 	Fetch     string // the address of a server that has kept parts of the prompt; "": none fetch
+	MaxTokens string // the most tokens that may be produced, where a header of its own says so
 	Key       string // of the caller's workspace, never shown to a server
 	Workspace string // whose request it is, told to the server; "": servers are not told
 	// Reserved are further headers by which only the system speaks to a server.
@@ -59,10 +60,12 @@
 	Tokens int
 }
 
+const headerMaxTokens = "X-Max-Tokens"
+
 // Own is the product's own dialect.
 var Own = Dialect{
 	RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", LastEvent: "Last-Event-Id", Instance: "X-Instance", ServerID: "X-Server-Id",
-	Rank: "X-Rank", Stamp: "X-Server-Stamp", NotRun: "X-Not-Run", Key: "X-Api-Key", Workspace: "X-Workspace", Prompt: ownPrompt, Usage: ownUsage,
+	Rank: "X-Rank", Stamp: "X-Server-Stamp", NotRun: "X-Not-Run", Key: "X-Api-Key", Workspace: "X-Workspace", MaxTokens: headerMaxTokens, Prompt: ownPrompt, Usage: ownUsage,
 }
 
 // ownPrompt reads "X-Model: model/adapter" and "X-Prompt-Tokens: 120".
@@ -76,7 +79,7 @@
 // ownUsage reads "X-Prompt-Tokens: 120" and "X-Max-Tokens: 80", either of which may lack.
 func ownUsage(h http.Header) workspace.Usage {
 	in, inErr := strconv.ParseFloat(h.Get("X-Prompt-Tokens"), 64)
-	out, outErr := strconv.ParseFloat(h.Get("X-Max-Tokens"), 64)
+	out, outErr := strconv.ParseFloat(h.Get(headerMaxTokens), 64)
 	if inErr != nil && outErr != nil {
 		return workspace.Usage{}
 	}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -82,7 +82,7 @@
 	// Only the box knows by which version a stream began, so only it continues one.
 	r.Header.Del(engine.HeaderLastEvent)
 	e.serve(w, r, &job{
-		id: a.id, arrived: a.at, owner: a.owner, target: target, repeatable: true, kind: head.kind(), stream: head.Stream, session: head.session(r.Header.Get(HeaderSession)),
+		id: a.id, arrived: a.at, owner: a.owner, usage: usageOf(r, head.MaxTokens), target: target, repeatable: true, kind: head.kind(), stream: head.Stream, session: head.session(r.Header.Get(HeaderSession)),
 		attempt: proxy.Attempt{Method: http.MethodPost, Path: engine.ChatPath, Header: r.Header, Body: a.body},
 	})
 }
@@ -189,7 +189,7 @@
 	path := strings.TrimPrefix(r.URL.Path, "/services/"+name)
 	uri := strings.TrimPrefix(r.URL.RequestURI(), "/services/"+name)
 	j := &job{
-		id: a.id, arrived: a.at, owner: a.owner, target: target, repeatable: target.Service.Repeatable(r.Method, path),
+		id: a.id, arrived: a.at, owner: a.owner, usage: usageOf(r, 0), target: target, repeatable: target.Service.Repeatable(r.Method, path),
 		kind:    kindOfCall{"/" + name, r.Method, bits.Len(uint(len(a.body)))},
 		attempt: proxy.Attempt{Method: r.Method, Path: uri, Header: r.Header, Body: a.body},
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"leverdrum/route"
 	"leverdrum/state"
 	"leverdrum/wire"
+	"leverdrum/workspace"
 )
 
 // Headers of answers.
@@ -55,6 +56,8 @@
 	Crashes func(*wire.CrashReport)
 	// Guard guards the keys of calls that may run at most once.
 	Guard Guard
+	// Quotas bounds what workspaces are served; nil where nothing does.
+	Quotas *workspace.Limiter
 }
 
 // Entry is the callers' side of a box.
@@ -145,16 +148,21 @@
 	RetryAfter int `json:"retry_after,omitempty"`
 }
 
-func errorBody(id string, why *reason.Reason, detail string) ErrorBody {
+func errorBody(id string, why *reason.Reason, detail string, after int) ErrorBody {
 	message := why.Title + " " + why.Text
 	if detail != "" {
 		message += " (" + detail + ")"
 	}
-	return ErrorBody{ErrorDetail{why.Code, string(why.Outcome), message, id, int(why.RetryAfter / time.Second)}}
+	return ErrorBody{ErrorDetail{why.Code, string(why.Outcome), message, id, after}}
 }
 
 // refuse answers at once with a reason.
 func (e *Entry) refuse(w http.ResponseWriter, id string, why *reason.Reason, detail string) {
+	e.refuseFor(w, id, why, detail, why.RetryAfter)
+}
+
+// refuseFor answers at once with a reason, and has the caller come back after a time; 0: not.
+func (e *Entry) refuseFor(w http.ResponseWriter, id string, why *reason.Reason, detail string, after time.Duration) {
 	e.opts.Meters.Refuse(why)
 	e.opts.Records.Note(record.Request, id, "refused: "+why.Code, why.Title+" "+detail)
 	h := w.Header()
@@ -162,12 +170,13 @@
 	h.Set(HeaderRequestID, id)
 	h.Set(HeaderOutcome, string(why.Outcome))
 	h.Set(HeaderReason, why.Code)
-	if why.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(why.RetryAfter/time.Second)))
+	seconds := int((after + time.Second - 1) / time.Second)
+	if seconds > 0 {
+		h.Set("Retry-After", strconv.Itoa(seconds))
 	}
 	w.WriteHeader(why.Status)
 	// A caller that has gone does not read its answer; nothing is left to do then.
-	_ = json.NewEncoder(w).Encode(errorBody(id, why, detail))
+	_ = json.NewEncoder(w).Encode(errorBody(id, why, detail, seconds))
 }
 
 // usable refuses what this box must not serve now, and returns the table.
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -65,7 +65,7 @@
 		e.answerStanding(w, j, answer)
 		return
 	}
-	res := e.try(ctx, j)
+	res := e.tryBorne(ctx, j)
 	if res.why != nil {
 		e.keepFailure(j, attempt, digest, res.why)
 		e.giveUp(w, j, res)
--- /dev/null
+++ b/entry/quota.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"leverdrum/dialect"
+	"leverdrum/reason"
+	"leverdrum/workspace"
+)
+
+// usageOf reads what a request says of its tokens; most is the most that may be produced, by its body, 0 where that
+// does not tell.
+func usageOf(r *http.Request, most int) workspace.Usage {
+	told := dialect.Own.Usage(r.Header)
+	if most <= 0 || told.Told && r.Header.Get(dialect.Own.MaxTokens) != "" {
+		return told
+	}
+	return workspace.UsageOf(told.Tokens, float64(most))
+}
+
+// tryBorne makes the attempts of a request that its workspace's quota bears. What did not run is given back.
+func (e *Entry) tryBorne(ctx context.Context, j *job) result {
+	if j.owner == nil || e.opts.Quotas == nil {
+		return e.try(ctx, j)
+	}
+	charge, refusal := e.opts.Quotas.Take(ctx, j.owner, j.owner.Quota.Weigh(j.usage))
+	if refusal != nil {
+		return refusedByQuota(refusal)
+	}
+	res := e.try(ctx, j)
+	if res.why != nil && res.why.Outcome == reason.NotRun {
+		charge.Release()
+	}
+	return res
+}
+
+func refusedByQuota(r *workspace.Refusal) result {
+	switch {
+	case r.TooLarge:
+		return result{why: reason.BeyondQuota}
+	case r.Spent:
+		// Callers of one workspace come back apart from each other.
+		return result{why: reason.OverQuota, after: r.After + time.Duration(rand.Int64N(int64(time.Second)))}
+	}
+	return result{why: reason.QuotaUnsure}
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -32,6 +33,7 @@
 	id         string
 	arrived    time.Time
 	owner      *workspace.Workspace // whose request it is; nil: nobody's
+	usage      workspace.Usage
 	target     *route.Target
 	repeatable bool
 	key        string // of a call that may run at most once; "" without one
@@ -61,6 +63,7 @@
 	backend *route.Backend
 	why     *reason.Reason
 	detail  string
+	after   time.Duration // when to come back, where it is not the reason's own time
 }
 
 // serve sends the request until it has an answer or must be given up, and
@@ -76,7 +79,7 @@
 		e.serveKeyed(w, r, j)
 		return
 	}
-	res := e.try(ctx, j)
+	res := e.tryBorne(ctx, j)
 	if res.why == nil {
 		e.pass(ctx, w, j, res)
 		return
@@ -91,7 +94,7 @@
 func (e *Entry) giveUp(w http.ResponseWriter, j *job, res result) {
 	e.noteDemand(j.target, 0)
 	e.finished(j, string(res.why.Outcome), res.detail)
-	e.refuse(w, j.id, res.why, res.detail)
+	e.refuseFor(w, j.id, res.why, res.detail, cmp.Or(res.after, res.why.RetryAfter))
 }
 
 // callerOf names the caller for fair shares: the workspace, where there is one, since a key cannot
@@ -325,7 +328,7 @@
 	}
 	e.finished(j, string(reason.Unknown), cause.Error())
 	if isStream {
-		body, err := json.Marshal(errorBody(j.id, reason.StreamBroke, ""))
+		body, err := json.Marshal(errorBody(j.id, reason.StreamBroke, "", 0))
 		if err == nil {
 			fmt.Fprintf(w, "event: error\ndata: %s\n\n", body)
 			_ = http.NewResponseController(w).Flush()
--- a/gateway/failed.go
+++ b/gateway/failed.go
@@ -63,6 +63,9 @@
 func (j *job) failed(ctx context.Context, s *server, f *failure) (answered bool) {
 	j.last = f
 	j.noteBroken(s, f)
+	if f.outcome != reason.NotRun {
+		j.runs++
+	}
 	if j.r.Context().Err() != nil {
 		j.note("caller-gone", f)
 		return true
@@ -76,9 +79,6 @@
 	case f.outcome != reason.NotRun:
 		s.failed(time.Now())
 	}
-	if f.outcome != reason.NotRun {
-		j.runs++
-	}
 	if ctx.Err() == nil && j.mayRepeat(f) {
 		j.noteRetry(f)
 		return false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,7 +23,8 @@
 //  9. A request under which servers ended, one after another, goes to none of their
 //     version any more (package crasher), and is refused at once.
 //  10. Where the fleet has workspaces (package workspace), a request without a key of one is
-//     refused before its body is read. No server sees a key; it is told whose the request is.
+//     refused before its body is read. No server sees a key; it is told whose the request is. A
+//     request that its workspace's quota does not bear is refused before a server is looked for.
 package gateway
 
 import (
@@ -45,6 +46,7 @@
 	"leverdrum/reason"
 	"leverdrum/state"
 	"leverdrum/wire"
+	"leverdrum/workspace"
 )
 
 // Options make a Gateway.
@@ -58,7 +60,9 @@
 	Notice func(Notice)
 	// Crashes tells of requests under which servers ended; nil where nobody is to hear. It must not block.
 	Crashes func(*wire.CrashReport)
-	Hall    string
+	// Quotas bounds what workspaces are served; nil where nothing does.
+	Quotas *workspace.Limiter
+	Hall   string
 	// Parting is how long a server that leaves is a last resort.
 	Parting time.Duration
 	Budget  Budget
@@ -225,7 +229,8 @@
 	if after == 0 {
 		after = why.RetryAfter
 	}
-	if why.Status == http.StatusServiceUnavailable && after > 0 {
+	comeBack := why.Status == http.StatusServiceUnavailable || why.Status == http.StatusTooManyRequests
+	if comeBack && after > 0 && why != reason.BeyondQuota {
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
 	body := why.Code + ": " + why.Title + "\n"
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -25,6 +25,7 @@
 	"leverdrum/reason"
 	"leverdrum/state"
 	"leverdrum/wire"
+	"leverdrum/workspace"
 )
 
 // within is how long a test waits for what must come; far above what it takes.
@@ -117,6 +118,11 @@
 }
 
 func newSetup(t *testing.T, timeout time.Duration, backends ...*backend) *setup {
+	return newLimitedSetup(t, nil, timeout, backends...)
+}
+
+// newLimitedSetup is newSetup where quotas bound what workspaces are served.
+func newLimitedSetup(t *testing.T, quotas *workspace.Limiter, timeout time.Duration, backends ...*backend) *setup {
 	f := fleet.New()
 	f.Number = 1
 	f.Pools["s"] = &fleet.Pool{Name: "s", MaxConnections: 100}
@@ -141,7 +147,7 @@
 	own.Fetch, own.Reserved = "X-Fetch", []string{"X-Reserved"}
 	s.gate = gateway.New(gateway.Options{
 		Dialect: own, View: func() *state.State { return s.view }, Current: func() bool { return true }, Hall: "h",
-		Budget: gateway.Budget{Ratio: 1, Slack: 100, Window: 10 * time.Second}, Meters: meter.New(), Log: zap.New(lines),
+		Budget: gateway.Budget{Ratio: 1, Slack: 100, Window: 10 * time.Second}, Quotas: quotas, Meters: meter.New(), Log: zap.New(lines),
 	})
 	s.gate.Changed()
 	server := httptest.NewServer(s.gate)
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -43,7 +43,7 @@
 func (j *job) comeBack(why *reason.Reason) time.Duration {
 	soon := time.Duration(comeBackShare * float64(j.route.Aim))
 	switch why {
-	case reason.Overloaded:
+	case reason.Overloaded, reason.OverQuota, reason.QuotaUnsure:
 		return max(soon, time.Duration(j.behind*float64(time.Millisecond)))
 	case reason.NotResident, reason.BackendRefused:
 		return j.comeBackFor(why, soon)
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -83,6 +83,12 @@
 		j.giveUp(reason.CrashesServers)
 		return
 	}
+	charge, why := j.bear(ctx)
+	if why != nil {
+		j.giveUp(why)
+		return
+	}
+	defer j.unbear(charge)
 	j.g.budgets.first(j.poolName)
 	j.noteDemand()
 	for {
--- /dev/null
+++ b/gateway/quota.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"leverdrum/reason"
+	"leverdrum/workspace"
+)
+
+// quotaSpread is the part, added by chance, by which callers of one workspace come back apart from each other.
+const quotaSpread = 1.0
+
+// bear has the request borne by its workspace's quota; else it says why not, and when to come back.
+func (j *job) bear(ctx context.Context) (workspace.Charge, *reason.Reason) {
+	if j.owner == nil || j.g.opts.Quotas == nil {
+		return workspace.Charge{}, nil
+	}
+	usage := j.g.opts.Dialect.Usage(j.r.Header)
+	charge, refusal := j.g.opts.Quotas.Take(ctx, j.owner, j.owner.Quota.Weigh(usage))
+	if refusal == nil {
+		return charge, nil
+	}
+	j.behind = quotaWait(refusal.After)
+	switch {
+	case refusal.TooLarge:
+		return charge, reason.BeyondQuota
+	case refusal.Spent:
+		return charge, reason.OverQuota
+	}
+	return charge, reason.QuotaUnsure
+}
+
+// quotaWait spreads a time to come back, in milliseconds.
+func quotaWait(after time.Duration) float64 {
+	return milliseconds(after) * (1 + quotaSpread*rand.Float64())
+}
+
+// unbear gives the weight back of a request that no server can have run.
+func (j *job) unbear(charge workspace.Charge) {
+	if j.runs == 0 && !j.headed {
+		charge.Release()
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -69,6 +69,9 @@
 		{Name: "slack", Type: conf.Float, Default: "20", Text: "Repeats to a service that are allowed besides, in each window."},
 		{Name: "window", Type: conf.Duration, Default: "10s", Text: "The span that is counted."},
 	}},
+	{Kind: "quotas", Text: "Quotas of workspaces, over all boxes together.", Keys: []conf.Key{
+		{Name: "window", Type: conf.Duration, Default: "8s", Text: "The span over which they are judged: a request that no such span bears is told so at once."},
+	}},
 	{Kind: "limits", Text: "What the process may use.", Keys: []conf.Key{
 		{Name: "memory", Type: conf.Bytes, Default: "0B", Text: "Memory of the process; 0: no limit. The garbage collector keeps below four fifths of it."},
 	}},
@@ -144,6 +147,7 @@
 	BudgetRatio   float64
 	BudgetSlack   float64
 	BudgetWindow  time.Duration
+	QuotaWindow   time.Duration
 	Memory        int64
 
 	DataFolder   string
@@ -211,7 +215,7 @@
 		Dialect: entry.String("dialect"), ReadyListen: entry.String("ready-listen"), Parting: entry.Duration("parting"),
 		OperatorListen: operator.String("listen"), PlatformListen: operator.String("platform-listen"), AcceptWait: operator.Duration("accept-wait"), AcceptMost: operator.Duration("accept-most"),
 		OrderPause: d.Part("orders").Duration("pause"), DemandSettles: d.Part("orders").Duration("demand-settles"),
-		BudgetRatio: budget.Float("ratio"), BudgetSlack: budget.Float("slack"), BudgetWindow: budget.Duration("window"),
+		BudgetRatio: budget.Float("ratio"), BudgetSlack: budget.Float("slack"), BudgetWindow: budget.Duration("window"), QuotaWindow: d.Part("quotas").Duration("window"),
 		Memory:     int64(d.Part("limits").Bytes("memory")),
 		DataFolder: data.String("folder"), DataLimit: int64(data.Bytes("limit")), CompactAfter: data.Int("compact-after"),
 		TLS:             TLS{tls.String("certificate"), tls.String("key"), tls.String("authority")},
--- /dev/null
+++ b/workspace/allocator.go
@@ -0,0 +1,127 @@
+package workspace
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// leaseLife is how long a lease may be spent after it was asked for. What is leased at one
+	// moment and spent at a later one adds to a span: at the most the rate over this time, 0.5 s of
+	// the 0.8 s that an overage of a tenth over a window of 8 s allows.
+	leaseLife = 500 * time.Millisecond
+	// firstLevel is what a new allocator's bucket holds, in seconds of the rate (9): enough for the
+	// first that waited, and with leaseLife below those 0.8 s after five changes of leader in a window.
+	firstLevel = 0.05
+	// scarce is the level, as a share of the burst, below which nothing is leased ahead of need.
+	scarce = 0.25
+	// bucketsMost bounds the buckets of an allocator; those that were not asked for in forgetBucket
+	// are dropped then.
+	bucketsMost  = 1 << 16
+	forgetBucket = time.Minute
+)
+
+// Ask is what a box asks for of one workspace's quota, in its unit.
+type Ask struct {
+	Need   float64 // by requests that wait for it
+	Least  float64 // by the smallest of these
+	Ahead  float64 // by those that are expected
+	Unused float64 // of leases of the same allocator that have ended
+}
+
+// Grant answers an Ask.
+type Grant struct {
+	Leased float64
+	// After is when the smallest request that waits can be borne, where nothing was leased.
+	After time.Duration
+}
+
+// bucket is a workspace's token bucket.
+type bucket struct {
+	level float64
+	at    time.Duration // when the level was so high, by the allocator's clock
+}
+
+// allocator leases the quotas of all workspaces, or a share of them.
+type allocator struct {
+	buckets map[string]*bucket
+}
+
+func newAllocator() *allocator { return &allocator{buckets: map[string]*bucket{}} }
+
+// lease answers one ask, where the allocator has a share of the quota, from 0 to 1.
+func (a *allocator) lease(now time.Duration, w *Workspace, share float64, ask Ask) Grant {
+	need, least, ahead := positive(ask.Need), positive(ask.Least), positive(ask.Ahead)
+	if !w.Quota.Limited() {
+		return Grant{Leased: need + ahead}
+	}
+	q := w.Quota.part(share)
+	b := a.bucketOf(now, w.Name, q)
+	b.fill(now, q)
+	b.level = min(b.level+positive(ask.Unused), q.most())
+	if b.level < scarce*q.most() {
+		ahead = 0
+	}
+	// A request that is larger than a full bucket is borne by a full one, which it leaves in debt:
+	// it is within the quota of a longer span.
+	if bearable := min(least, q.most()); need > 0 && b.level < bearable {
+		return Grant{After: time.Duration((bearable - b.level) / q.Rate * float64(time.Second))}
+	}
+	leased := min(need+ahead, max(b.level, min(least, need)))
+	b.level -= leased
+	return Grant{Leased: leased}
+}
+
+func positive(v float64) float64 {
+	if v > 0 && !math.IsInf(v, 0) { // a NaN is neither
+		return v
+	}
+	return 0
+}
+
+// partBurst is the burst of an allocator that has a part of the quota, in seconds of that part's rate:
+// the burst itself may have been spent just before, by leases of another.
+const partBurst = 0.25
+
+// part is a share of a quota.
+func (q Quota) part(share float64) Quota {
+	if share >= 1 {
+		return q
+	}
+	q.Rate *= share
+	q.Burst = min(q.Burst*share, partBurst*q.Rate)
+	return q
+}
+
+// most is what a full bucket holds: at least one unit, else nothing would ever be served.
+func (q Quota) most() float64 { return max(q.Burst, 1) }
+
+func (a *allocator) bucketOf(now time.Duration, name string, q Quota) *bucket {
+	b := a.buckets[name]
+	if b != nil {
+		return b
+	}
+	if len(a.buckets) >= bucketsMost {
+		a.forget(now)
+	}
+	b = &bucket{level: min(firstLevel*q.Rate, q.most()), at: now}
+	a.buckets[name] = b
+	return b
+}
+
+func (a *allocator) forget(now time.Duration) {
+	for name, b := range a.buckets {
+		if now-b.at > forgetBucket {
+			delete(a.buckets, name)
+		}
+	}
+}
+
+// fill adds what the rate has brought since. A limit that was lowered binds at once.
+func (b *bucket) fill(now time.Duration, q Quota) {
+	if now > b.at {
+		b.level += q.Rate * (now - b.at).Seconds()
+		b.at = now
+	}
+	b.level = min(b.level, q.most())
+}
--- /dev/null
+++ b/workspace/asking.go
@@ -0,0 +1,158 @@
+package workspace
+
+import (
+	"context"
+	"time"
+)
+
+// Run asks the allocator for what lacks, until the context ends. Without an answer it asks again
+// while there is use for one.
+func (l *Limiter) Run(ctx context.Context) {
+	for {
+		select {
+		case <-l.kick:
+		case <-ctx.Done():
+			return
+		}
+		pause := askPause
+		if !l.round(ctx) {
+			pause = againPause
+			l.wake()
+		}
+		if !waitFor(ctx, pause) {
+			return
+		}
+	}
+}
+
+// round asks once, where something lacks, and reports whether there was an answer.
+func (l *Limiter) round(ctx context.Context) bool {
+	began := l.opts.Now()
+	epoch, asks := l.collect(began)
+	if len(asks) == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	answer, err := l.opts.Lease(ctx, epoch, asks)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		answer = l.answerAlone(asks)
+	}
+	l.alone = err != nil
+	l.takeOver(answer, asks, began)
+	return err == nil
+}
+
+// answerAlone is the end of rule 10.
+func (l *Limiter) answerAlone(asks []Asked) Answer {
+	now := l.opts.Now()
+	answer := Answer{}
+	for _, a := range asks {
+		if r := l.rows[a.Name]; r != nil {
+			a.Unused = 0
+			share := 1 / float64(max(1, l.opts.Boxes()))
+			answer.Rows = append(answer.Rows, Granted{a.Name, l.own.lease(now, r.of, share, a.Ask)})
+		}
+	}
+	return answer
+}
+
+// collect lists what lacks. What was not spent is given back with it.
+func (l *Limiter) collect(now time.Duration) (epoch string, asks []Asked) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, r := range l.rows {
+		r.expire(now, l.epoch)
+		if len(r.waiting) == 0 && now-r.usedAt > idleRow {
+			delete(l.rows, name)
+			continue
+		}
+		if ask, lacks := r.ask(now); lacks {
+			asks = append(asks, Asked{name, ask})
+			r.unused = 0
+		}
+	}
+	return l.epoch, asks
+}
+
+func (r *row) ask(now time.Duration) (ask Ask, lacks bool) {
+	for _, x := range r.waiting {
+		ask.Need += x.weight
+		if ask.Least == 0 || x.weight < ask.Least {
+			ask.Least = x.weight
+		}
+	}
+	ask.Unused = r.unused
+	ahead, balance := r.ahead(now), r.balance(now)
+	if balance < lowAt*ahead && now >= r.spentUntil {
+		ask.Ahead = ahead - balance
+	}
+	return ask, ask.Need > 0 || ask.Ahead >= 1
+}
+
+// takeOver adds the leases of an answer. They count from before the question.
+func (l *Limiter) takeOver(answer Answer, asks []Asked, began time.Duration) {
+	if answer.Epoch != l.epoch {
+		l.epoch = answer.Epoch
+		for _, r := range l.rows {
+			r.unused = 0
+		}
+	}
+	grants := map[string]Grant{}
+	for _, g := range answer.Rows {
+		grants[g.Name] = g.Grant
+	}
+	for _, a := range asks {
+		r := l.rows[a.Name]
+		if r == nil {
+			continue
+		}
+		g, known := grants[a.Name]
+		if !known { // the leader's file has no such workspace
+			g.After = spentPause
+		}
+		r.take(g, a.Need, lease{positive(g.Leased), began + leaseLife, answer.Epoch}, l.opts.Now())
+		r.release()
+	}
+}
+
+func (r *row) take(g Grant, need float64, x lease, now time.Duration) {
+	switch {
+	case x.left > 0:
+		r.leases = append(r.leases, x)
+	case need > 0 && g.After > holdMost:
+		r.spentAt, r.spentUntil = now, now+max(g.After, spentPause)
+	case need > 0:
+		r.spentAt, r.spentUntil = now, now+max(g.After, askPause)
+	}
+}
+
+// release has all that wait look again.
+func (r *row) release() {
+	for _, x := range r.waiting {
+		close(x.ready)
+	}
+	r.waiting = nil
+}
+
+// Standing is what a box knows of a workspace's quota, for people.
+type Standing struct {
+	// Balance is what it may still spend, Demand what it is asked for a second.
+	Balance, Demand float64
+	// Spent tells that the allocator could bear nothing at the last ask, Alone that no box answered.
+	Spent, Alone bool
+}
+
+// Standing returns what the box knows of a workspace; false where it has not served it lately.
+func (l *Limiter) Standing(name string) (Standing, bool) {
+	now := l.opts.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.rows[name]
+	if r == nil {
+		return Standing{}, false
+	}
+	return Standing{r.balance(now), r.demand.rate(now, demandSpan), now < r.spentUntil, l.alone}, true
+}
--- /dev/null
+++ b/workspace/lessor.go
@@ -0,0 +1,82 @@
+package workspace
+
+import (
+	"strconv"
+	"sync"
+	"time"
+)
+
+// askerLasts is how long a box counts as one of those that ask an allocator that does not lead (10). A
+// box with callers asks several times in it.
+const askerLasts = time.Second
+
+// Lead is what a box knows of leading when it is asked.
+type Lead struct {
+	// Leads tells that no other box leads now; Term is unlike that of any other time of leading.
+	Leads bool
+	Term  uint64
+	// Boxes is how many boxes there are.
+	Boxes int
+}
+
+// Lessor answers what boxes ask for of quotas: as the box that leads, or as one that others turn to
+// while they reach no leader (10).
+type Lessor struct {
+	process string // unlike that of any other run of any box
+	now     func() time.Duration
+
+	mu        sync.Mutex
+	lead      Lead
+	allocator *allocator
+	askers    map[string]time.Duration // boxes, and when they asked last
+}
+
+// NewLessor returns the Lessor of a process; now is a steady clock that goes on while the machine sleeps.
+func NewLessor(process string, now func() time.Duration) *Lessor {
+	return &Lessor{process: process, now: now, allocator: newAllocator(), askers: map[string]time.Duration{}}
+}
+
+// Answer answers a box. The epoch is that of the allocator to which what it gives back belonged.
+func (l *Lessor) Answer(box, epoch string, lead Lead, book *Book, asks []Asked) Answer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	if lead.Leads != l.lead.Leads || lead.Term != l.lead.Term {
+		l.allocator = newAllocator()
+	}
+	l.lead = lead
+	answer := Answer{Epoch: l.epoch()}
+	share := l.share(box, now)
+	for _, ask := range asks {
+		w := book.Named(ask.Name)
+		if w == nil {
+			continue
+		}
+		if epoch != answer.Epoch {
+			ask.Unused = 0
+		}
+		answer.Rows = append(answer.Rows, Granted{ask.Name, l.allocator.lease(now, w, share, ask.Ask)})
+	}
+	return answer
+}
+
+func (l *Lessor) epoch() string {
+	if !l.lead.Leads {
+		return l.process
+	}
+	return l.process + "/" + strconv.FormatUint(l.lead.Term, 10)
+}
+
+// share is the part of the quotas that the allocator has.
+func (l *Lessor) share(box string, now time.Duration) float64 {
+	if l.lead.Leads {
+		return 1
+	}
+	l.askers[box] = now
+	for name, at := range l.askers {
+		if now-at > askerLasts {
+			delete(l.askers, name)
+		}
+	}
+	return min(1, float64(len(l.askers))/float64(max(1, l.lead.Boxes)))
+}
--- /dev/null
+++ b/workspace/limiter.go
@@ -0,0 +1,309 @@
+package workspace
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// aheadOf is how much expected demand a box leases, in seconds of it, and lowAt the part of this
+	// below which it asks for more.
+	aheadOf = 400 * time.Millisecond
+	lowAt   = 0.5
+	// answerTimeout bounds an ask: an answer takes some milliseconds, so what takes longer has no
+	// leader to come from.
+	answerTimeout = 150 * time.Millisecond
+	// askPause is the least time between two asks of a box. One carries all workspaces that lack.
+	askPause = 20 * time.Millisecond
+	// spentPause is the least time for which a workspace whose bucket is empty is not asked for
+	// again: with 65 boxes some 650 asks a second, of the leader's time 0.03 s.
+	spentPause = 100 * time.Millisecond
+	// holdMost is how long a request may wait until its workspace's bucket bears it. That is less
+	// than the way back to the caller and here again costs it.
+	holdMost = 60 * time.Millisecond
+	// demandSpan is the time over which a box averages what is asked for.
+	demandSpan = time.Second
+	// idleRow is how long nothing was asked of a workspace when what is known of it is dropped.
+	idleRow = 30 * time.Second
+	// againPause is the time between two asks without an answer.
+	againPause = 100 * time.Millisecond
+)
+
+// Refusal says that a request cannot be borne now.
+type Refusal struct {
+	// After is when it had best come back.
+	After time.Duration
+	// Spent tells that the workspace has used its quota; else no allocator could be asked.
+	Spent bool
+	// TooLarge tells that the request alone is beyond what the quota bears in a window.
+	TooLarge bool
+	// Age is how old the answer is that this rests on.
+	Age time.Duration
+}
+
+// Asked is one workspace of a call to the allocator.
+type Asked struct {
+	Name string
+	Ask
+}
+
+// Granted is one workspace of its answer.
+type Granted struct {
+	Name string
+	Grant
+}
+
+// Answer is what an allocator says.
+type Answer struct {
+	// Epoch is unlike that of any other allocator.
+	Epoch string
+	Rows  []Granted
+}
+
+// Options make a Limiter.
+type Options struct {
+	// Lease calls the allocator.
+	Lease func(ctx context.Context, epoch string, asks []Asked) (Answer, error)
+	// Boxes returns how many boxes there are.
+	Boxes func() int
+	// Now is a steady clock that goes on while the machine sleeps.
+	Now func() time.Duration
+	// Window is the span over which quotas are judged.
+	Window time.Duration
+}
+
+// Limiter is a box's side of the quotas.
+type Limiter struct {
+	opts Options
+	kick chan struct{}
+
+	mu    sync.Mutex
+	rows  map[string]*row
+	epoch string // of the newest answer
+	// own allocates this box's part to it while no box answers (10).
+	own *allocator
+	// alone tells that the newest ask had no answer.
+	alone bool
+}
+
+// row is what a box knows of one workspace.
+type row struct {
+	of      *Workspace
+	leases  []lease
+	unused  float64 // of the newest allocator's leases that have ended, to be given back
+	demand  fading
+	usedAt  time.Duration
+	waiting []*waiter
+	// spentUntil is when the bucket is asked again that could not bear spentLeast.
+	spentUntil time.Duration
+	spentAt    time.Duration
+}
+
+// lease is a part of the quota that may be spent until a time.
+type lease struct {
+	left  float64
+	until time.Duration
+	epoch string
+}
+
+type waiter struct {
+	weight float64
+	ready  chan struct{} // closed when it is to look again
+}
+
+// NewLimiter returns a Limiter; Run makes it ask.
+func NewLimiter(opts Options) *Limiter {
+	return &Limiter{opts: opts, kick: make(chan struct{}, 1), rows: map[string]*row{}, own: newAllocator()}
+}
+
+// Charge is what a request took of a quota.
+type Charge struct {
+	l      *Limiter
+	name   string
+	weight float64
+}
+
+// Release gives the weight of a request back that has not run (11).
+func (c Charge) Release() {
+	if c.l == nil || c.weight <= 0 {
+		return
+	}
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	if r := c.l.rows[c.name]; r != nil {
+		now := c.l.opts.Now()
+		r.leases = append(r.leases, lease{c.weight, now + leaseLife, c.l.epoch})
+	}
+}
+
+// Take has a request of a workspace borne by its quota, or says why not. It waits for the allocator's
+// answer, and a moment where the bucket is about to bear it.
+func (l *Limiter) Take(ctx context.Context, w *Workspace, weight float64) (Charge, *Refusal) {
+	if w == nil || !w.Quota.Limited() || weight <= 0 {
+		return Charge{}, nil
+	}
+	if weight > w.Quota.Rate*l.opts.Window.Seconds()+w.Quota.Burst {
+		return Charge{}, &Refusal{Spent: true, TooLarge: true}
+	}
+	began := l.opts.Now()
+	for first := true; ; first = false {
+		wait, refusal := l.try(w, weight, first)
+		switch {
+		case refusal != nil && refusal.Spent && l.opts.Now()-began+refusal.After <= holdMost:
+			if !waitFor(ctx, refusal.After) {
+				return Charge{}, &Refusal{}
+			}
+		case refusal != nil:
+			return Charge{}, refusal
+		case wait == nil:
+			return Charge{l, w.Name, weight}, nil
+		default:
+			select {
+			case <-wait.ready:
+			case <-ctx.Done():
+				l.leave(w.Name, wait)
+				return Charge{}, &Refusal{}
+			}
+		}
+	}
+}
+
+func waitFor(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// try spends from a lease; else it returns what to wait for.
+func (l *Limiter) try(w *Workspace, weight float64, first bool) (*waiter, *Refusal) {
+	now := l.opts.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.rowOf(w, now)
+	if first {
+		r.demand.add(now, weight, demandSpan)
+		r.usedAt = now
+	}
+	if r.spend(now, weight) {
+		if r.balance(now) < lowAt*r.ahead(now) {
+			l.wake()
+		}
+		return nil, nil
+	}
+	if now < r.spentUntil {
+		return nil, &Refusal{After: r.spentUntil - now, Spent: !l.alone, Age: now - r.spentAt}
+	}
+	x := &waiter{weight, make(chan struct{})}
+	r.waiting = append(r.waiting, x)
+	l.wake()
+	return x, nil
+}
+
+func (l *Limiter) wake() {
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Limiter) rowOf(w *Workspace, now time.Duration) *row {
+	r := l.rows[w.Name]
+	if r == nil {
+		r = &row{}
+		l.rows[w.Name] = r
+	}
+	r.of = w
+	return r
+}
+
+// leave takes a request off those that wait.
+func (l *Limiter) leave(name string, x *waiter) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.rows[name]
+	if r == nil {
+		return
+	}
+	for i, y := range r.waiting {
+		if y == x {
+			r.waiting = append(r.waiting[:i], r.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// expire ends leases whose time is over (8).
+func (r *row) expire(now time.Duration, epoch string) {
+	kept := r.leases[:0]
+	for _, x := range r.leases {
+		switch {
+		case now < x.until && x.left > 0:
+			kept = append(kept, x)
+		case x.epoch == epoch:
+			r.unused += x.left
+		}
+	}
+	r.leases = kept
+}
+
+func (r *row) balance(now time.Duration) (sum float64) {
+	for _, x := range r.leases {
+		if now < x.until {
+			sum += x.left
+		}
+	}
+	return sum
+}
+
+// spend takes the weight from leases, those that end first first.
+func (r *row) spend(now time.Duration, weight float64) bool {
+	if r.balance(now) < weight {
+		return false
+	}
+	for i := range r.leases {
+		x := &r.leases[i]
+		if now >= x.until {
+			continue
+		}
+		part := min(x.left, weight)
+		x.left -= part
+		weight -= part
+	}
+	return true
+}
+
+// ahead is what is to be leased beyond what waits.
+func (r *row) ahead(now time.Duration) float64 {
+	return r.demand.rate(now, demandSpan) * aheadOf.Seconds()
+}
+
+// fading is a sum of what came, fading over a span.
+type fading struct {
+	sum float64
+	at  time.Duration
+}
+
+func (f *fading) fade(now, span time.Duration) {
+	if now > f.at {
+		f.sum *= math.Exp(-float64(now-f.at) / float64(span))
+		f.at = now
+	}
+}
+
+func (f *fading) add(now time.Duration, v float64, span time.Duration) {
+	f.fade(now, span)
+	f.sum += v
+}
+
+// rate is what came in a second.
+func (f *fading) rate(now, span time.Duration) float64 {
+	f.fade(now, span)
+	return f.sum / span.Seconds()
+}
