level, state, peer: builds of different levels agree on the same state while one replaces the other

cause: a build reads files as it was made: INI with a [workspace] is refused by the build that users run and taken by this one, and a configuration in which two workspaces hold a key the other way round; two builds then hold different states at the same index. Unknown commands were passed over without a word. A level in the agreed state, 0 at first, says how files are read. The leader raises it once all listed boxes and voters know the next one and have for [upgrade] settles (10 min: until then the build before can be brought back), at once where no file was ever in force.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -14,6 +14,7 @@
 	"leverdrum/fleet"
 	"leverdrum/internal/conf"
 	"leverdrum/ledger"
+	"leverdrum/level"
 	"leverdrum/meter"
 	"leverdrum/reason"
 	"leverdrum/record"
@@ -196,7 +197,10 @@
 	Leaving bool   `json:"leaving,omitempty"`
 	// State is in-force, behind or silent.
 	State string `json:"state"`
-	Index uint64 `json:"index"`
+	// Build is what it runs, Level the newest level that this knows.
+	Build string      `json:"build,omitempty"`
+	Level level.Level `json:"level"`
+	Index uint64      `json:"index"`
 	// AgeMs is how long ago the box was heard, in milliseconds.
 	AgeMs uint32 `json:"age_ms"`
 }
@@ -219,7 +223,10 @@
 	Boxes  []BoxRow   `json:"boxes"`
 	Models []ModelRow `json:"models"`
 	Orders int        `json:"open_orders"`
-	Moves  uint64     `json:"moves"`
+	// Level is in force; Waits says what a higher one waits for.
+	Level level.Level `json:"level"`
+	Waits string      `json:"level_waits,omitempty"`
+	Moves uint64      `json:"moves"`
 	// Held are the requests that are kept from servers.
 	Held []HeldRow `json:"held,omitempty"`
 }
@@ -281,6 +288,7 @@
 	s := &Status{
 		Fleet: version(st.Version), Index: result.Index, Term: result.Term, Leader: result.Leader, Voters: result.Voters,
 		Orders: len(st.Orders), Moves: st.Moves, Boxes: boxRows(st, result), Models: modelRows(st), Held: heldRows(st),
+		Level: st.Level, Waits: levelWaits(st),
 	}
 	return s, nil
 }
--- a/admin/rows.go
+++ b/admin/rows.go
@@ -4,10 +4,12 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"leverdrum/crasher"
 	"leverdrum/fleet"
+	"leverdrum/level"
 	"leverdrum/state"
 	"leverdrum/wire"
 )
@@ -37,7 +39,7 @@
 		m := st.Members[name]
 		id := state.MemberID(m)
 		row := BoxRow{
-			Box: name, Member: id, Hall: m.Hall, Disk: m.Disk, Leaving: m.Leaving,
+			Box: name, Member: id, Hall: m.Hall, Disk: m.Disk, Leaving: m.Leaving, Build: m.Build, Level: level.Level(m.Level),
 			Voter: slices.Contains(result.Voters, id), Leader: id == result.Leader, State: "silent",
 		}
 		if h := holdings[id]; h != nil && h.AgeMs < uint32(silentAfter.Milliseconds()) {
@@ -96,3 +98,20 @@
 	}
 	return rows
 }
+
+// levelWaits says what the next level waits for, "" where the newest is in force.
+func levelWaits(st *state.State) string {
+	if st.Level >= level.Newest {
+		return ""
+	}
+	var behind []string
+	for _, name := range slices.Sorted(maps.Keys(st.Members)) {
+		if level.Level(st.Members[name].Level) <= st.Level {
+			behind = append(behind, name)
+		}
+	}
+	if len(behind) == 0 {
+		return "the time that [upgrade] settles gives for going back"
+	}
+	return "builds that know it on " + strings.Join(behind, " ")
+}
--- a/box/box.go
+++ b/box/box.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,8 +24,10 @@
 	"leverdrum/entry"
 	"leverdrum/event"
 	"leverdrum/gateway"
+	"leverdrum/internal/build"
 	"leverdrum/internal/clock"
 	"leverdrum/keyed"
+	"leverdrum/level"
 	"leverdrum/meter"
 	"leverdrum/peer"
 	"leverdrum/platform"
@@ -105,6 +108,7 @@
 		settings: s, log: log, meters: meter.New(), records: record.NewBook(recordLimit),
 		fatal: make(chan error, 1), cancel: cancel,
 	}
+	b.meters.Gauge(meter.Build, build.Name(), strconv.Itoa(int(level.Newest))).Set(1)
 	if err := b.open(tls); err != nil {
 		cancel()
 		return nil, err
@@ -287,6 +291,7 @@
 		return nil, Error.Wrap(err)
 	}
 	p := &parts{replica: r, directory: route.NewDirectory(s.Hall), accept: spread.Patience{All: s.AcceptWait, Most: s.AcceptMost}, notices: make(chan gateway.Notice, noticesLength)}
+	b.id.follow(func() level.Level { return r.View().Level })
 	p.crashes = newCrashes(state.ProcessID(self), b.log, b.meters)
 	p.spread = spread.New(spread.Options{
 		Replica: r, Caller: b.pool, Self: self, Seeds: slices.Sorted(maps.Keys(s.Boxes)), ConfigLease: s.ConfigLease,
@@ -298,7 +303,7 @@
 	engines := engine.NewClient(allowed)
 	p.control = control.New(control.Options{
 		Replica: r, Spread: p.spread, Engines: engines.At,
-		Gone: p.directory.Gone, Meet: b.meet, Wanted: cmp.Or(s.Voters, len(s.FirstMembers)), RepairAfter: s.RepairAfter,
+		Gone: p.directory.Gone, Meet: b.meet, Wanted: cmp.Or(s.Voters, len(s.FirstMembers)), RepairAfter: s.RepairAfter, UpgradeSettles: s.UpgradeSettles,
 		Counting: platform.NewEngines(allowed), Holder: s.Box, OrderPause: s.OrderPause, DemandSettles: s.DemandSettles, DisksOnly: s.VotersNeedDisks,
 		Records: b.records, Meters: b.meters, Log: b.log,
 	})
--- a/box/identity.go
+++ b/box/identity.go
@@ -8,6 +8,8 @@
 	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
 
+	"leverdrum/internal/build"
+	"leverdrum/level"
 	"leverdrum/settings"
 	"leverdrum/wal"
 	"leverdrum/wire"
@@ -30,13 +32,14 @@
 	clusterID string
 	store     *wal.Store // nil without a disk
 	adopted   chan struct{}
+	level     func() level.Level // in force, as far as known; nil before the cluster is found
 }
 
 func newIdentity(s *settings.Settings, store *wal.Store) *identity {
 	id := &identity{cluster: s.Cluster, store: store, adopted: make(chan struct{})}
 	id.self = &wire.Member{
 		Box: s.Box, Incarnation: newIncarnation(), Hall: s.Hall, PeerAddress: s.PeerAdvertise, EntryAddress: s.EntryListen, Disk: store != nil, Process: newIncarnation(),
-		AnnounceAddress: s.PlatformListen,
+		AnnounceAddress: s.PlatformListen, Level: uint32(level.Newest), Build: build.Name(),
 	}
 	if store != nil {
 		id.self.Incarnation = store.Identity().Incarnation
@@ -84,3 +87,21 @@
 	close(i.adopted)
 	return nil
 }
+
+// follow has the level in force told from now on.
+func (i *identity) follow(inForce func() level.Level) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.level = inForce
+}
+
+// Level returns the level in force, as far as this box knows.
+func (i *identity) Level() level.Level {
+	i.mu.Lock()
+	inForce := i.level
+	i.mu.Unlock()
+	if inForce == nil {
+		return level.First
+	}
+	return inForce()
+}
--- a/box/lead.go
+++ b/box/lead.go
@@ -78,6 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.control.RaiseFirst(ctx)
 	result, err := p.replica.Propose(ctx, &wire.Command{Kind: &wire.Command_Apply{Apply: a}})
 	if err != nil {
 		return nil, err
--- a/command/read.go
+++ b/command/read.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -79,10 +80,14 @@
 		fmt.Fprintf(w, "fleet file %d, digest %.12s, by %q, since %s\n", r.Fleet.Number, r.Fleet.Digest, r.Fleet.Operator, r.Fleet.Since.Format("2006-01-02 15:04:05Z07:00"))
 	}
 	fmt.Fprintf(w, "leader %s in term %d, index %d, %d open orders, %d moves\n\n", r.Leader, r.Term, r.Index, r.Orders, r.Moves)
+	fmt.Fprintln(w, r.Level)
+	if r.Waits != "" {
+		fmt.Fprintf(w, "the next one waits for %s\n", r.Waits)
+	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "BOX\tHALL\tDISK\tVOTER\tSTATE\tINDEX\tHEARD")
+	fmt.Fprintln(t, "BOX\tHALL\tDISK\tVOTER\tBUILD\tLEVEL\tSTATE\tINDEX\tHEARD")
 	for _, b := range r.Boxes {
-		fmt.Fprintf(t, "%s\t%s\t%v\t%v\t%s\t%d\t%d ms ago\n", b.Box, b.Hall, b.Disk, b.Voter, b.State, b.Index, b.AgeMs)
+		fmt.Fprintf(t, "%s\t%s\t%v\t%v\t%s\t%d\t%s\t%d\t%d ms ago\n", b.Box, b.Hall, b.Disk, b.Voter, cmp.Or(b.Build, "before levels"), uint32(b.Level), b.State, b.Index, b.AgeMs)
 	}
 	fmt.Fprintln(t, "\nMODEL\tVERSION\tREADY ON\tCOMING ON\t\t\t")
 	for _, m := range r.Models {
--- a/control/control.go
+++ b/control/control.go
@@ -95,9 +95,11 @@
 	Meet        func(ctx context.Context, box string)
 	Wanted      int // voters
 	RepairAfter time.Duration
-	Records     *record.Book
-	Meters      *meter.Meters
-	Log         *zap.Logger
+	// UpgradeSettles is how long all boxes know a level before it is raised to.
+	UpgradeSettles time.Duration
+	Records        *record.Book
+	Meters         *meter.Meters
+	Log            *zap.Logger
 }
 
 // Controller acts while its box leads.
@@ -132,6 +134,7 @@
 	waited  time.Duration // for agreement, in the step under way
 
 	heirs      map[string]time.Time   // since when servers are known that orders to their life before may reach
+	knownSince time.Time              // since when all listed boxes know the next level
 	loads      map[uint64]*openLoad   // by order, see loads.go
 	loaded     map[crasher.Print]bool // items that this leader saw loaded
 	suspects   map[crasher.Key]watched
@@ -193,6 +196,7 @@
 		return
 	}
 	c.lookAtBoxes(ctx)
+	c.raiseLevel(ctx, time.Now())
 	c.expire(ctx, c.opts.Replica.View())
 	c.releaseSuspects(ctx, c.opts.Replica.View(), time.Now())
 	c.watchLoads(ctx, c.opts.Replica.View(), time.Now())
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,8 @@
 	"leverdrum/box"
 	"leverdrum/certs"
 	"leverdrum/event"
+	"leverdrum/internal/build"
+	"leverdrum/level"
 	"leverdrum/logline"
 	"leverdrum/peer"
 	"leverdrum/settings"
@@ -31,6 +33,7 @@
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(&runCommand{}, "")
 	commander.Register(&checkCommand{}, "")
+	commander.Register(&versionCommand{}, "")
 	flag.Parse()
 	return int(commander.Execute(context.Background()))
 }
@@ -160,11 +163,11 @@
 func newLog(s *settings.Settings) *zap.Logger {
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.ISO8601TimeEncoder
-	core := logline.Core(zapcore.NewJSONEncoder(config), logline.New(os.Stdout), level(s.LogLevel))
+	core := logline.Core(zapcore.NewJSONEncoder(config), logline.New(os.Stdout), logLevel(s.LogLevel))
 	return zap.New(core).With(zap.String("box", s.Box), zap.String("hall", s.Hall))
 }
 
-func level(name string) zapcore.Level {
+func logLevel(name string) zapcore.Level {
 	l, err := zapcore.ParseLevel(name)
 	if err != nil {
 		return zapcore.InfoLevel
@@ -190,7 +193,7 @@
 func run(s *settings.Settings, path string, sent signals, log *zap.Logger) subcommands.ExitStatus {
 	done := make(chan struct{})
 	defer close(done)
-	event.Starting.Log(log)
+	event.Starting.Log(log, zap.String("build", build.Name()), zap.Stringer("knows", level.Newest))
 	tls, err := openTLS(s, log, done)
 	if err != nil {
 		event.CannotStart.Log(log, event.Cause(err))
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -126,6 +127,9 @@
 	// advertised is where the other boxes reach it.
 	advertised string
 
+	// program is the build that the box runs, "" for that of the tests.
+	program string
+
 	mu  sync.Mutex
 	cmd *exec.Cmd
 }
@@ -272,7 +276,7 @@
 		b.c.t.Error(err)
 		return
 	}
-	b.cmd = exec.Command(daemonPath, "run", b.settingsPath())
+	b.cmd = exec.Command(cmp.Or(b.program, daemonPath), "run", b.settingsPath())
 	b.cmd.Stdout, b.cmd.Stderr = log, log
 	if err := b.cmd.Start(); err != nil {
 		b.c.t.Error(err)
--- a/e2e/workspaces_test.go
+++ b/e2e/workspaces_test.go
@@ -33,10 +33,7 @@
 	c := newCluster(t, 3, 2)
 	c.withAll()
 	c.fleet += workspaces("1000000")
-	c.start()
 	c.up()
-	c.applyNow(1)
-	c.inForceEverywhere(1, 20*time.Second)
 	for _, b := range c.boxes {
 		eventually(t, "the box serves with a key", 20*time.Second, func() bool { return c.ask(b, libraryKey).status == http.StatusOK })
 		g.Expect(c.ask(b, "").status).To(Equal(http.StatusUnauthorized))
@@ -68,10 +65,7 @@
 	c := newCluster(t, 3, 2)
 	c.withAll()
 	c.fleet += workspaces("2000")
-	c.start()
 	c.up()
-	c.applyNow(1)
-	c.inForceEverywhere(1, 20*time.Second)
 	for _, b := range c.boxes {
 		eventually(t, "the box serves with a key", 20*time.Second, func() bool { return c.ask(b, atelierKey).status == http.StatusOK })
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -40,6 +40,7 @@
 	ClusterJoined      = add(Event{"cluster-joined", zapcore.InfoLevel, "The box is in its cluster.", "Nothing."})
 	Listed             = add(Event{"listed", zapcore.InfoLevel, "The agreed list shows the box as it is.", "Nothing."})
 	LeadershipChanged  = add(Event{"leadership-changed", zapcore.InfoLevel, "The box began or ceased to lead.", "Nothing, unless it happens often: then look at the network and disks of the voters."})
+	LevelRaised        = add(Event{"level-raised", zapcore.InfoLevel, "What the boxes' builds have in common has grown, and is used.", "Nothing; builds below the level are refused from now on."})
 	VotersChanging     = add(Event{"voters-changing", zapcore.InfoLevel, "A change of the voters has begun; the old ones are needed until it ends.", "Take no other box away before voters-changed."})
 	VotersChanged      = add(Event{"voters-changed", zapcore.InfoLevel, "The change of the voters has ended.", "Bring the box that was replaced back, or take it away."})
 	BoxForgotten       = add(Event{"box-forgotten", zapcore.InfoLevel, "A silent box was taken off the list.", "Nothing; it is listed again when it comes back."})
--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"leverdrum/level"
 )
 
 // Error is the class of this package's errors beside conf.Faults.
@@ -13,8 +15,8 @@
 
 // Codec reads a description that is written in another format than INI.
 type Codec struct {
-	// Decode must give the same fleet on every box, and fails with conf.Faults.
-	Decode func(text []byte) (*Fleet, error)
+	// Decode must give the same fleet on every box at a level, and fails with conf.Faults.
+	Decode func(l level.Level, text []byte) (*Fleet, error)
 	// Redact returns the description with digests in place of workspaces' keys.
 	Redact func(text []byte) ([]byte, error)
 }
@@ -32,10 +34,14 @@
 	codecs[format] = c
 }
 
-// Decode reads a description in the format, "" for INI.
-func Decode(format string, text []byte) (*Fleet, error) {
+// Decode reads a description in the format, "" for INI, as this build's newest level has it.
+func Decode(format string, text []byte) (*Fleet, error) { return DecodeAt(level.Newest, format, text) }
+
+// DecodeAt reads a description as a level has it: what is agreed of it must be the same for builds that
+// know no further one.
+func DecodeAt(l level.Level, format string, text []byte) (*Fleet, error) {
 	if format == "" {
-		return Parse("fleet", text)
+		return parseAt(l, "fleet", text)
 	}
 	codecsMu.RLock()
 	c, known := codecs[format]
@@ -43,7 +49,7 @@
 	if !known {
 		return nil, Error.New("no codec for the format %q", format)
 	}
-	return c.Decode(text)
+	return c.Decode(l, text)
 }
 
 // New returns an empty fleet with the defaults of the INI file, for codecs to
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"leverdrum/internal/conf"
+	"leverdrum/level"
 	"leverdrum/workspace"
 )
 
@@ -189,8 +190,10 @@
 
 // Parse checks a fleet file; path is for the faults only. The error is
 // conf.Faults.
-func Parse(path string, text []byte) (*Fleet, error) {
-	d := conf.Read(path, text, Schema)
+func Parse(path string, text []byte) (*Fleet, error) { return parseAt(level.Newest, path, text) }
+
+func parseAt(l level.Level, path string, text []byte) (*Fleet, error) {
+	d := conf.Read(path, text, schemaAt(l))
 	r := &reader{doc: d, fleet: newFleet()}
 	r.read()
 	if len(d.Faults()) == 0 {
@@ -238,7 +241,7 @@
 func (r *reader) readWorkspaces() {
 	var list []*workspace.Workspace
 	parts := map[string]*conf.Part{}
-	for _, p := range r.doc.Parts("workspace") {
+	for _, p := range r.doc.Parts(sectionWorkspace) {
 		w := &workspace.Workspace{Name: p.Name, Urgency: p.Int("urgency"), Quota: workspace.Quota{
 			Unit: workspace.Unit(p.String("unit")), Rate: p.Float("rate"), Burst: p.Float("burst"), Plain: p.Float("plain-tokens"),
 		}}
--- a/fleet/schema.go
+++ b/fleet/schema.go
@@ -1,6 +1,11 @@
 package fleet
 
-import "leverdrum/internal/conf"
+import (
+	"slices"
+
+	"leverdrum/internal/conf"
+	"leverdrum/level"
+)
 
 // Schema is the table of all keys of a fleet file.
 var Schema = []conf.Section{
@@ -53,7 +58,7 @@
 		{Name: "version", Type: conf.Name, Required: true, Text: "The version to serve."},
 		{Name: "memory", Type: conf.Bytes, Required: true, Text: "Accelerator memory that it takes."},
 	}},
-	{Kind: "workspace", Named: true, Text: "A customer's share of the system. Where there is one, each request shows the key of one.", Keys: []conf.Key{
+	{Kind: sectionWorkspace, Named: true, Text: "A customer's share of the system. Where there is one, each request shows the key of one.", Keys: []conf.Key{
 		{Name: "keys", Type: conf.Lines, Required: true, Text: "The keys that open it, or their digests as `leverdrum key` prints them. While keys are replaced it has two."},
 		{Name: "urgency", Type: conf.Int, Default: "0", Text: "Goes before the priority of the class; 0 is the highest."},
 		{Name: "rate", Type: conf.Float, Default: "0", Text: "What it may use a second, over all boxes; 0: no limit."},
@@ -74,3 +79,14 @@
 		{Name: "concurrency", Type: conf.Int, Default: "64", Min: 1, Text: "Requests that it serves well at once."},
 	}},
 }
+
+// sectionWorkspace is the kind of section that came with level.Workspaces.
+const sectionWorkspace = "workspace"
+
+// schemaAt is the table of keys that a level has.
+func schemaAt(l level.Level) []conf.Section {
+	if l >= level.Workspaces {
+		return Schema
+	}
+	return slices.DeleteFunc(slices.Clone(Schema), func(s conf.Section) bool { return s.Kind == sectionWorkspace })
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -52,6 +52,8 @@
 	CrashSigns   = Metric{"leverdrum_crash_signs_total", Counter, "Requests of this box that were at a backend server when it ended, by the weight of that sign.", []string{"weight"}}
 	CrashersHeld = Metric{"leverdrum_crashers_held", Gauge, "Requests that are kept from backend servers, because these ended while they ran them.", nil}
 	StrangeWords = Metric{"leverdrum_strange_words_total", Counter, "Words of backend servers, or of other writers, that name no server to use, by what is wrong with them.", []string{"why"}}
+	Build        = Metric{"leverdrum_build_info", Gauge, "1, with the build that the box runs and the newest level that it knows.", []string{"build", "level"}}
+	LevelInForce = Metric{"leverdrum_level", Gauge, "The level in force, as far as the box knows.", nil}
 	Workspaces   = Metric{"leverdrum_workspace_requests_total", Counter, "Requests by workspace, and whether its quota bore them or why not; beyond a thousand workspaces the rest together.", []string{"workspace", "outcome"}}
 	Claims       = Metric{"leverdrum_claims_total", Counter, "Claims on keyed calls by verdict.", []string{"verdict"}}
 )
@@ -60,7 +62,7 @@
 func All() []Metric {
 	return []Metric{
 		Refusals, RetriesMade, RetriesSpent, Requests, InTime, Duration, InFlight, StateIndex, FleetNumber,
-		Leads, Current, Elections, Orders, Ejections, PeerBytes, PeerCalls, PeerGivenUp, CrashSigns, CrashersHeld, StrangeWords, Workspaces, Claims,
+		Leads, Current, Elections, Orders, Ejections, PeerBytes, PeerCalls, PeerGivenUp, CrashSigns, CrashersHeld, StrangeWords, Build, LevelInForce, Workspaces, Claims,
 	}
 }
 
--- a/peer/idle_test.go
+++ b/peer/idle_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"leverdrum/level"
 	"leverdrum/meter"
 	"leverdrum/wire"
 )
@@ -18,6 +19,8 @@
 
 func (s someone) Self() *wire.Member { return &wire.Member{Box: s.box, Incarnation: "1"} }
 
+func (someone) Level() level.Level { return level.First }
+
 func (someone) Cluster() (name, id string) { return "c", "x" }
 
 func (someone) Adopt(string) error { return nil }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -16,6 +16,7 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/zeebo/errs"
+	"leverdrum/level"
 	"leverdrum/meter"
 	"leverdrum/reason"
 	"leverdrum/wire"
@@ -53,6 +54,8 @@
 	Cluster() (name, id string)
 	// Adopt takes over the cluster id of a formed peer when this box has none.
 	Adopt(id string) error
+	// Level returns the level in force, as far as the box knows.
+	Level() level.Level
 }
 
 // TLS gives the configuration for a new connection, nil for plain text.
@@ -108,7 +111,7 @@
 
 func hello(id Identity) *wire.Hello {
 	name, clusterID := id.Cluster()
-	return &wire.Hello{Version: Version, Cluster: name, ClusterId: clusterID, Self: id.Self()}
+	return &wire.Hello{Version: Version, Cluster: name, ClusterId: clusterID, Self: id.Self(), Level: uint32(id.Level())}
 }
 
 // judge says why a peer is turned away, nil when it is welcome.
@@ -117,6 +120,8 @@
 	switch {
 	case h.Version != Version:
 		return reason.PeerVersion
+	case level.Level(h.Self.GetLevel()) < id.Level(), level.Level(h.Level) > level.Newest:
+		return reason.PeerLevel
 	case h.Cluster != name:
 		return reason.PeerCluster
 	case clusterID != "" && h.ClusterId != "" && clusterID != h.ClusterId:
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"leverdrum/certs"
+	"leverdrum/level"
 	"leverdrum/meter"
 	"leverdrum/peer"
 	"leverdrum/reason"
@@ -35,12 +36,14 @@
 type who struct {
 	box, cluster, id string
 	adopted          string
+	level            level.Level
 }
 
 func (w *who) Self() *wire.Member { return &wire.Member{Box: w.box, Incarnation: "i"} }
 func (w *who) Cluster() (string, string) {
 	return w.cluster, w.id
 }
+func (w *who) Level() level.Level    { return w.level }
 func (w *who) Adopt(id string) error { w.adopted = id; return nil }
 
 // echo answers probes and notes messages.
@@ -182,6 +185,14 @@
 		})
 	})
 
+	It("turns away a build that does not know the level in force, by its reason", func() {
+		server.level = level.Newest
+		DeferCleanup(func() { server.level = level.First })
+		raw(listen(peer.Plain{}), func(y *yamux.Session) {
+			Expect(greet(y, peer.Version).Refusal.GetCode()).To(Equal(reason.PeerLevel.Code))
+		})
+	})
+
 	// Ending it at once lost the refusal in 15 of 360 runs: the refused box saw
 	// only the end of the session.
 	It("leaves the end of a refused session to the other side, and ends it if that side does not", func() {
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -102,6 +102,7 @@
 // The reasons for which a box turns another away.
 var (
 	PeerVersion   = add(Reason{"peer-version", Boxes, "The other box speaks another version of the protocol.", "Bring both to versions that overlap.", 0, "", 0})
+	PeerLevel     = add(Reason{"peer-level", Boxes, "One of both builds does not know the level in force in the cluster.", "Start a build that knows it on the box that has none; `leverdrum status` names the level and each box's build.", 0, "", 0})
 	PeerCluster   = add(Reason{"peer-cluster", Boxes, "The other box belongs to another cluster.", "Check [cluster] name and the addresses of both.", 0, "", 0})
 	PeerName      = add(Reason{"peer-name", Boxes, "The certificate does not carry the box's name.", "Issue a certificate for the name in [box].", 0, "", 0})
 	PeerSelf      = add(Reason{"peer-self", Boxes, "A box by this box's own name called.", "Give each box its own name.", 0, "", 0})
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -192,6 +192,9 @@
 
 func (r *Replica) applyOne(e *wire.Entry) {
 	result := r.master.Apply(e)
+	if result.Unknown != nil {
+		r.opts.Fatal(Error.Wrap(result.Unknown))
+	}
 	r.remember(e)
 	p := r.waiting[e.Index]
 	if p == nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -69,6 +69,9 @@
 		{Name: "slack", Type: conf.Float, Default: "20", Text: "Repeats to a service that are allowed besides, in each window."},
 		{Name: "window", Type: conf.Duration, Default: "10s", Text: "The span that is counted."},
 	}},
+	{Kind: "upgrade", Text: "Builds that replace one another.", Keys: []conf.Key{
+		{Name: "settles", Type: conf.Duration, Default: "10m", Text: "How long all boxes run a build before the cluster uses what only that one knows. Until then the build before can be brought back."},
+	}},
 	{Kind: "quotas", Text: "Quotas of workspaces, over all boxes together.", Keys: []conf.Key{
 		{Name: "window", Type: conf.Duration, Default: "8s", Text: "The span over which they are judged: a request that no such span bears is told so at once."},
 	}},
@@ -142,13 +145,14 @@
 	AcceptWait     time.Duration
 	AcceptMost     time.Duration
 
-	OrderPause    time.Duration
-	DemandSettles time.Duration
-	BudgetRatio   float64
-	BudgetSlack   float64
-	BudgetWindow  time.Duration
-	QuotaWindow   time.Duration
-	Memory        int64
+	OrderPause     time.Duration
+	DemandSettles  time.Duration
+	BudgetRatio    float64
+	BudgetSlack    float64
+	BudgetWindow   time.Duration
+	QuotaWindow    time.Duration
+	UpgradeSettles time.Duration
+	Memory         int64
 
 	DataFolder   string
 	DataLimit    int64
@@ -215,7 +219,7 @@
 		Dialect: entry.String("dialect"), ReadyListen: entry.String("ready-listen"), Parting: entry.Duration("parting"),
 		OperatorListen: operator.String("listen"), PlatformListen: operator.String("platform-listen"), AcceptWait: operator.Duration("accept-wait"), AcceptMost: operator.Duration("accept-most"),
 		OrderPause: d.Part("orders").Duration("pause"), DemandSettles: d.Part("orders").Duration("demand-settles"),
-		BudgetRatio: budget.Float("ratio"), BudgetSlack: budget.Float("slack"), BudgetWindow: budget.Duration("window"), QuotaWindow: d.Part("quotas").Duration("window"),
+		BudgetRatio: budget.Float("ratio"), BudgetSlack: budget.Float("slack"), BudgetWindow: budget.Duration("window"), QuotaWindow: d.Part("quotas").Duration("window"), UpgradeSettles: d.Part("upgrade").Duration("settles"),
 		Memory:     int64(d.Part("limits").Bytes("memory")),
 		DataFolder: data.String("folder"), DataLimit: int64(data.Bytes("limit")), CompactAfter: data.Int("compact-after"),
 		TLS:             TLS{tls.String("certificate"), tls.String("key"), tls.String("authority")},
--- a/standin/numbered.go
+++ b/standin/numbered.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"leverdrum/fleet"
+	"leverdrum/level"
 	"leverdrum/wire"
 )
 
@@ -11,7 +12,7 @@
 const numbered = "numbered"
 
 func init() {
-	decode := func(text []byte) (*fleet.Fleet, error) {
+	decode := func(_ level.Level, text []byte) (*fleet.Fleet, error) {
 		f := &fleet.Fleet{}
 		_, err := fmt.Sscan(string(text), &f.Number)
 		return f, err
--- a/state/announce_test.go
+++ b/state/announce_test.go
@@ -8,6 +8,7 @@
 
 	"leverdrum/fleet"
 	"leverdrum/ledger"
+	"leverdrum/level"
 	"leverdrum/state"
 	"leverdrum/wire"
 )
@@ -16,7 +17,7 @@
 const poolFormat = "test-pool"
 
 func init() {
-	fleet.Register(poolFormat, func(text []byte) (*fleet.Fleet, error) {
+	decode := func(_ level.Level, _ []byte) (*fleet.Fleet, error) {
 		f := fleet.New()
 		f.Number = 1
 		f.Pools["p"] = &fleet.Pool{Name: "p", Kind: &fleet.Kind{Name: "p", Accelerators: 1, Memory: 100, Concurrency: 4, CountsOrders: true, AdapterSlots: 2}}
@@ -25,7 +26,8 @@
 			f.Adapters[name] = &fleet.Adapter{Name: name, Model: "m", Version: "v", Memory: 1, OnDemand: true}
 		}
 		return f, nil
-	})
+	}
+	fleet.Register(poolFormat, fleet.Codec{Decode: decode})
 }
 
 type log struct {
--- a/state/file.go
+++ b/state/file.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return Result{Apply: Invalid, Winner: s.Version, Err: err}
 	}
-	f, err := fleet.Decode(a.Format, []byte(text))
+	f, err := fleet.DecodeAt(s.Level, a.Format, []byte(text))
 	if err != nil || f.Number != a.Number || fleet.Digest([]byte(text)) != a.Digest {
 		return Result{Apply: Invalid, Winner: s.Version, Err: err}
 	}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -8,6 +8,7 @@
 	"leverdrum/crasher"
 	"leverdrum/fleet"
 	"leverdrum/ledger"
+	"leverdrum/level"
 	"leverdrum/wire"
 )
 
@@ -15,7 +16,7 @@
 func (s *State) Encode() *wire.State {
 	w := s.EncodeFile()
 	w.History, w.Moves, w.Most, w.Epochs, w.Roster = s.History, s.Moves, s.Most, s.Epochs, s.Roster
-	w.Suspects = s.Crashers.Encode()
+	w.Suspects, w.Level = s.Crashers.Encode(), uint32(s.Level)
 	for _, k := range slices.Sorted(maps.Keys(s.Announced)) {
 		w.Announced = append(w.Announced, s.Announced[k])
 	}
@@ -42,6 +43,9 @@
 // Decode returns the state that a snapshot holds.
 func Decode(w *wire.State) (*State, error) {
 	s := New()
+	if s.Level = level.Level(w.GetLevel()); s.Level > level.Newest {
+		return nil, Error.New("the snapshot at %d is of %v; start a build that knows it", w.GetIndex(), s.Level)
+	}
 	s.Index, s.Version, s.History = w.GetIndex(), w.GetFleet(), w.GetHistory()
 	s.Moves, s.Epochs, s.Roster = w.GetMoves(), w.GetEpochs(), w.GetRoster()
 	s.Crashers = crasher.Decode(w.GetSuspects())
@@ -54,7 +58,7 @@
 			return nil, err
 		}
 		s.setText(text, w.GetFleetFormat())
-		f, err := fleet.Decode(s.Format, []byte(s.Text))
+		f, err := fleet.DecodeAt(s.Level, s.Format, []byte(s.Text))
 		if err != nil {
 			return nil, Error.New("the fleet file of the snapshot at %d cannot be read: %v", s.Index, err)
 		}
--- a/state/state.go
+++ b/state/state.go
@@ -16,6 +16,7 @@
 	"leverdrum/crasher"
 	"leverdrum/fleet"
 	"leverdrum/ledger"
+	"leverdrum/level"
 	"leverdrum/wire"
 )
 
@@ -54,6 +55,9 @@
 	Err error
 	// Order is the order that was issued.
 	Order *wire.Order
+	// Unknown tells that the entry is of a level that this build does not know, so that the state is
+	// that of the other boxes no more.
+	Unknown error
 	// Held and Released are requests that are kept from servers now, and those that no longer are.
 	Held, Released []*wire.Suspect
 }
@@ -61,7 +65,9 @@
 // State is the agreed state at one index. What its maps hold is never changed
 // in place, so that a Clone may be read while the original goes on.
 type State struct {
-	Index   uint64
+	Index uint64
+	// Level is in force (package level).
+	Level   level.Level
 	Version *wire.FleetVersion
 	Text    string
 	// Format is the codec of Text.
@@ -150,12 +156,25 @@
 		s.withdraw(k.Withdraw)
 	case *wire.Command_Crashes:
 		return Result{Held: s.Crashers.Take(k.Crashes, crasher.At{Index: e.Index, Term: e.Term, UnixMs: c.UnixMs})}
+	case *wire.Command_Raise:
+		return s.raise(level.Level(k.Raise.Level))
 	case *wire.Command_Release:
 		return Result{Released: s.Crashers.Release(k.Release, crasher.At{Index: e.Index, Term: e.Term, UnixMs: c.UnixMs})}
+	default:
+		return Result{Unknown: Error.New("entry %d is a command that this build does not know", e.Index)}
 	}
 	return Result{}
 }
 
+// raise is rule 1 of package level.
+func (s *State) raise(to level.Level) Result {
+	if to > level.Newest {
+		return Result{Unknown: Error.New("entry %d raises to %v", s.Index, to)}
+	}
+	s.Level = max(s.Level, to)
+	return Result{}
+}
+
 // dropStrangers forgets servers that the fleet file does not name any more.
 func (s *State) dropStrangers() {
 	for name := range s.Servers {
