--- a/workspace/quota_sim_test.go
+++ b/workspace/quota_sim_test.go
@@ -315,3 +315,37 @@
 	g.Expect(served).To(BeNumerically(">", 0.9*(20*q.Rate)))
 	g.Expect(x.worst()).To(BeNumerically("<=", q.Rate*window.Seconds()+q.Burst+leaseLife.Seconds()*q.Rate))
 }
+
+// What did not run is given back, and what a lease's time has passed by goes back to its allocator.
+func TestWhatWasNotSpentIsGivenBack(t *testing.T) {
+	g := NewWithT(t)
+	q := Quota{Unit: Tokens, Rate: 1000, Burst: 1000}
+	x := newWorld(q, 1, 1)
+	x.elect()
+	x.now = time.Second
+	b := x.boxes[0]
+	x.arrive(b, 50) // the bucket begins with 50
+	g.Expect(x.spends).To(HaveLen(1))
+	Charge{b.l, x.w.Name, 50}.Release()
+	_, refusal := b.l.try(x.w, 50, true)
+	g.Expect(refusal).To(BeNil(), "it is there again")
+	Charge{b.l, x.w.Name, 50}.Release()
+	x.now += 2 * leaseLife
+	_, asks := b.l.collect(x.now)
+	g.Expect(asks).To(HaveLen(1))
+	g.Expect(asks[0].Unused).To(Equal(50.0))
+}
+
+// A sleep ends all leases, as long as the clock counts it.
+func TestALeaseEndsInASleep(t *testing.T) {
+	g := NewWithT(t)
+	x := newWorld(Quota{Unit: Tokens, Rate: 1000, Burst: 1000}, 1, 1)
+	x.elect()
+	x.now = time.Second
+	b := x.boxes[0]
+	x.arrive(b, 1)
+	Charge{b.l, x.w.Name, 500}.Release()
+	x.now += time.Minute
+	wait, _ := b.l.try(x.w, 400, true)
+	g.Expect(wait).NotTo(BeNil(), "it asks anew")
+}
