--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -263,5 +263,5 @@
 mutant read-above-its-level state/file.go 's/fleet.DecodeAt\(s.Level, /fleet.DecodeAt(1, /' state 'TestAFileIsRead'
 mutant level-not-kept state/snapshot.go 's/, w.Level = s.Crashers.Encode\(\), uint32\(s.Level\)/ = s.Crashers.Encode()/' state 'TestALevelNever'
 mutant builds-below-welcome peer/peer.go 's/case level.Level\(h.Self.GetLevel\(\)\) < id.Level\(\), /case /' peer 'TestPeer'
-mutant level-without-all control/levels.go 's/if level.Level\(m.Level\) < l \{/if false {/' control 'TestALevelWaits'
+mutant level-without-all control/levels.go 's/if level.Level\(m.Level\) < l \{/if level.Level(m.Level) < l \&\& false {/' control 'TestALevelWaits'
 exit $missed
--- a/workspace/limiter.go
+++ b/workspace/limiter.go
@@ -79,14 +79,14 @@
 // row is what a box knows of one workspace.
 type row struct {
 	of      *Workspace
-	leases  []lease
+	leases  []lease // in the order in which they end
 	unused  float64 // of the newest allocator's leases that have ended, to be given back
 	demand  fading
 	usedAt  time.Duration
 	waiting []*waiter
-	// spentUntil is when the bucket is asked again that could not bear spentLeast.
-	spentUntil time.Duration
-	spentAt    time.Duration
+	// spentAt is when the allocator's bucket could bear nothing that waited, spentUntil when it is
+	// asked again.
+	spentAt, spentUntil time.Duration
 }
 
 // lease is a part of the quota that may be spent until a time.
