--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -17,6 +17,7 @@
 	"leverdrum/keyed"
 	"leverdrum/proxy"
 	"leverdrum/reason"
+	"leverdrum/workspace"
 )
 
 // Guard guards keys, see package keyed.
@@ -40,10 +41,15 @@
 	if key == "" {
 		return ""
 	}
-	if j.owner != nil { // one workspace's key never finds another's call
-		return j.target.Name + "\n" + j.owner.Name + "\n" + key
+	return keyName(j.target.Name, j.owner, key)
+}
+
+// keyName names a claim. One workspace's key never finds another's call.
+func keyName(target string, owner *workspace.Workspace, key string) string {
+	if owner == nil {
+		return target + "\n" + key
 	}
-	return j.target.Name + "\n" + key
+	return target + "\n" + owner.Name + "\n" + key
 }
 
 func digestOf(a *proxy.Attempt) []byte {
