--- a/box/apply_test.go
+++ b/box/apply_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"leverdrum/consensus"
+	"leverdrum/control"
 	"leverdrum/fleet"
 	"leverdrum/replica"
 	"leverdrum/spread"
@@ -45,7 +46,7 @@
 		}
 	}
 	s := spread.New(spread.Options{Replica: r, Self: &wire.Member{Box: "a", Incarnation: "1"}, Log: zap.NewNop()})
-	return &parts{replica: r, spread: s, accept: accept}
+	return &parts{replica: r, spread: s, accept: accept, control: control.New(control.Options{Replica: r, Log: zap.NewNop()})}
 }
 
 func numberedFile(number uint64, mark string) *wire.ApplyFleet {
--- a/box/quotas.go
+++ b/box/quotas.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"leverdrum/internal/clock"
+	"leverdrum/level"
 	"leverdrum/peer"
 	"leverdrum/replica"
 	"leverdrum/spread"
@@ -110,31 +111,44 @@
 	return out
 }
 
-// lessorBox returns whom to ask: the leader, else the first of the other boxes with a disk that answered
-// lately, so that all boxes that reach no leader ask the same one; else this box itself.
+// lessorBox returns whom to ask now.
 func (q *quotas) lessorBox() string {
-	leader := wire.BoxOf(q.spread.Leader())
-	if age, heard := q.spread.Age(); leader != "" && heard && age < leaderSure {
-		return leader
-	}
+	age, heard := q.spread.Age()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.answers(leader) {
-		return leader
+	return lessorOf(q.replica.View().Members, lessorChoice{
+		self: q.self, leader: wire.BoxOf(q.spread.Leader()), leads: heard && age < leaderSure, answers: q.answers,
+	})
+}
+
+// lessorChoice is what the choice of a lessor depends on, beside the boxes.
+type lessorChoice struct {
+	self, leader string
+	leads        bool // there surely is a leader
+	answers      func(box string) bool
+}
+
+// lessorOf returns whom to ask: the leader, else the first of the other boxes with a disk that answered lately, so that all
+// boxes that reach no leader ask the same one; else the box itself. A build that knows no quotas is asked for none: under
+// a leader of such a build the boxes that know them share their part of the rate.
+func lessorOf(members map[string]*wire.Member, c lessorChoice) string {
+	knows := func(box string) bool { return level.Level(members[box].GetLevel()) >= level.Workspaces }
+	if knows(c.leader) && (c.leads || c.answers(c.leader)) {
+		return c.leader
 	}
 	var disks []string
-	for name, m := range q.replica.View().Members {
-		if m.Disk && !m.Leaving && name != leader && q.answers(name) {
+	for name, m := range members {
+		if m.Disk && !m.Leaving && name != c.leader && knows(name) && (name == c.self || c.answers(name)) {
 			disks = append(disks, name)
 		}
 	}
 	if len(disks) == 0 {
-		return q.self
+		return c.self
 	}
 	return slices.Min(disks)
 }
 
 func (q *quotas) answers(box string) bool {
 	at, failed := q.failed[box]
-	return box != "" && (!failed || q.now()-at > passOver)
+	return !failed || q.now()-at > passOver
 }
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -29,7 +29,9 @@
 	j.behind = quotaWait(refusal.After)
 	j.refusal = refusal
 	why := refusal.Reason()
-	j.g.opts.Meters.CountWorkspace(j.owner.Name, why.Code)
+	if j.r.Context().Err() == nil { // else the caller left while it waited
+		j.g.opts.Meters.CountWorkspace(j.owner.Name, why.Code)
+	}
 	return charge, why
 }
 
--- a/workspace/asking.go
+++ b/workspace/asking.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"leverdrum/internal/wait"
 )
 
 // Run asks the allocator for what lacks, until the context ends. Without an answer it asks again
@@ -19,7 +21,7 @@
 			pause = againPause
 			l.wake()
 		}
-		if !waitFor(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			return
 		}
 	}
--- a/workspace/limiter.go
+++ b/workspace/limiter.go
@@ -5,6 +5,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"leverdrum/internal/wait"
 )
 
 const (
@@ -137,38 +139,27 @@
 	}
 	began := l.opts.Now()
 	for first := true; ; first = false {
-		wait, refusal := l.try(w, weight, first)
+		waits, refusal := l.try(w, weight, first)
 		switch {
 		case refusal != nil && refusal.Spent && l.opts.Now()-began+refusal.After <= holdMost:
-			if !waitFor(ctx, refusal.After) {
+			if !wait.For(ctx, refusal.After) {
 				return Charge{}, &Refusal{}
 			}
 		case refusal != nil:
 			return Charge{}, refusal
-		case wait == nil:
+		case waits == nil:
 			return Charge{l, w.Name, weight}, nil
 		default:
 			select {
-			case <-wait.ready:
+			case <-waits.ready:
 			case <-ctx.Done():
-				l.leave(w.Name, wait)
+				l.leave(w.Name, waits)
 				return Charge{}, &Refusal{}
 			}
 		}
 	}
 }
 
-func waitFor(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // try spends from a lease; else it returns what to wait for.
 func (l *Limiter) try(w *Workspace, weight float64, first bool) (*waiter, *Refusal) {
 	now := l.opts.Now()
