--- a/control/levels.go
+++ b/control/levels.go
@@ -13,11 +13,11 @@
 	"leverdrum/wire"
 )
 
-// raiseLevel is rule 3 of package level.
+// raiseLevel is rule 3 of package level. Only the goroutine that decides calls it.
 func (c *Controller) raiseLevel(ctx context.Context, now time.Time) {
 	view := c.opts.Replica.View()
-	next := view.Level + 1
-	if next > level.Newest || !allKnow(view, c.opts.Replica.Status().Voters, next) {
+	next, known := c.nextLevel(view)
+	if !known {
 		c.knownSince = time.Time{}
 		return
 	}
@@ -27,20 +27,31 @@
 	if view.Version != nil && now.Sub(c.knownSince) < c.opts.UpgradeSettles {
 		return
 	}
-	// An error is met again at the next step.
-	if _, err := c.propose(ctx, &wire.Command{Kind: &wire.Command_Raise{Raise: &wire.RaiseLevel{Level: uint32(next)}}}); err == nil {
-		event.LevelRaised.Log(c.opts.Log, zap.Stringer("to", next))
-	}
+	began := time.Now()
+	c.raiseTo(ctx, next)
+	c.waited += time.Since(began)
 }
 
 // RaiseFirst raises the level where no file was ever in force, so that the first one is read as this build reads it.
 func (c *Controller) RaiseFirst(ctx context.Context) {
-	if view := c.opts.Replica.View(); view.Version != nil || view.Level == level.Newest {
-		return
+	view := c.opts.Replica.View()
+	if next, known := c.nextLevel(view); known && view.Version == nil {
+		c.raiseTo(ctx, next)
+	}
+}
+
+// nextLevel returns the level behind the one in force, where all boxes know it.
+func (c *Controller) nextLevel(view *state.State) (level.Level, bool) {
+	next := view.Level + 1
+	return next, next <= level.Newest && allKnow(view, c.opts.Replica.Status().Voters, next)
+}
+
+// raiseTo has a level agreed. Twice the same changes nothing, and an error is met again at the next step.
+func (c *Controller) raiseTo(ctx context.Context, next level.Level) {
+	raise := &wire.Command{Kind: &wire.Command_Raise{Raise: &wire.RaiseLevel{Level: uint32(next)}}}
+	if _, err := c.propose(ctx, raise); err == nil {
+		event.LevelRaised.Log(c.opts.Log, zap.Stringer("to", next))
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.raiseLevel(ctx, time.Now())
 }
 
 // allKnow reports whether all listed boxes, and all that vote, run builds that know a level.
