--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -25,6 +25,7 @@
 	MaxTokens string // the most tokens that may be produced, where a header of its own says so
 	Key       string // of the caller's workspace, never shown to a server
 	Workspace string // whose request it is, told to the server; "": servers are not told
+	Limit     string // in an answer: the requests a second that its server takes from all boxes together
 	// Reserved are further headers by which only the system speaks to a server.
 	Reserved []string
 	// Prompt reads what a request says of its prompt.
@@ -65,7 +66,8 @@
 // Own is the product's own dialect.
 var Own = Dialect{
 	RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", LastEvent: "Last-Event-Id", Instance: "X-Instance", ServerID: "X-Server-Id",
-	Rank: "X-Rank", Stamp: "X-Server-Stamp", NotRun: "X-Not-Run", Key: "X-Api-Key", Workspace: "X-Workspace", MaxTokens: headerMaxTokens, Prompt: ownPrompt, Usage: ownUsage,
+	Rank: "X-Rank", Stamp: "X-Server-Stamp", NotRun: "X-Not-Run", Key: "X-Api-Key", Workspace: "X-Workspace", Limit: "X-Server-Limit",
+	MaxTokens: headerMaxTokens, Prompt: ownPrompt, Usage: ownUsage,
 }
 
 // ownPrompt reads "X-Model: model/adapter" and "X-Prompt-Tokens: 120".
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -164,6 +164,7 @@
 	if f != nil {
 		return j.failed(ctx, s, f)
 	}
+	j.noteLimit(s, a)
 	if f := j.judge(a); f != nil {
 		a.discard()
 		if a.StatusCode == http.StatusMisdirectedRequest {
