--- a/box/crasher_test.go
+++ b/box/crasher_test.go
@@ -39,13 +39,15 @@
 	// deadlyModel is one under whose load servers end.
 	deadlyModel string
 	model       string // that is asked for, m1 where it is ""
+	// limits are what servers name as theirs, by id.
+	limits map[string]string
 }
 
 // restartAfter is how long a server that ended is away.
 const restartAfter = 300 * time.Millisecond
 
 func startSeveral(t *testing.T, others int) *several {
-	s := &several{one: startOne(t), deadly: map[string]bool{}}
+	s := &several{one: startOne(t), deadly: map[string]bool{}, limits: map[string]string{}}
 	s.entries = []string{s.entry}
 	for i := range others {
 		s.entries = append(s.entries, s.startEntry(i))
@@ -93,6 +95,11 @@
 		defer s.mu.Unlock()
 		return s.deadly[string(body)]
 	}
+	v.Limit = func() string {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.limits[v.ID]
+	}
 	v.Crashed = func() {
 		s.mu.Lock()
 		s.ended++
