rate: what quotas of workspaces are leased by, as a package of its own

Moved from workspace, logic unchanged: limits are known by a name and a Limit in place of a Workspace, so that limits of servers can be leased by the same code.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -16,11 +16,11 @@
 	"leverdrum/ledger"
 	"leverdrum/level"
 	"leverdrum/meter"
+	"leverdrum/rate"
 	"leverdrum/reason"
 	"leverdrum/record"
 	"leverdrum/state"
 	"leverdrum/wire"
-	"leverdrum/workspace"
 )
 
 // Paths of the operators' interface.
@@ -48,7 +48,7 @@
 	Records *record.Book
 	Meters  *meter.Meters
 	// Standing returns what this box knows of a workspace's quota; nil where it serves none.
-	Standing func(workspace string) (workspace.Standing, bool)
+	Standing func(workspace string) (rate.Standing, bool)
 }
 
 // Admin serves operators.
--- a/admin/workspaces.go
+++ b/admin/workspaces.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"leverdrum/rate"
 	"leverdrum/workspace"
 )
 
@@ -23,7 +24,7 @@
 		shown[i] = k.String()
 	}
 	lines := []string{fmt.Sprintf("workspace of urgency %d, opened by the keys with digests %s", w.Urgency, strings.Join(shown, " "))}
-	if !w.Quota.Limited() {
+	if !w.Quota.Limit().Bounded() {
 		return append(lines, "no limit")
 	}
 	lines = append(lines, fmt.Sprintf("limit: %.0f %s a second and a burst of %.0f, over all boxes", w.Quota.Rate, w.Quota.Unit, w.Quota.Burst))
@@ -33,7 +34,7 @@
 	return append(lines, standingLine(w, a.opts.Standing))
 }
 
-func standingLine(w *workspace.Workspace, of func(string) (workspace.Standing, bool)) string {
+func standingLine(w *workspace.Workspace, of func(string) (rate.Standing, bool)) string {
 	s, served := of(w.Name)
 	if !served {
 		return "not served by this box lately"
--- a/box/quotas.go
+++ b/box/quotas.go
@@ -10,11 +10,11 @@
 	"leverdrum/internal/clock"
 	"leverdrum/level"
 	"leverdrum/peer"
+	"leverdrum/rate"
 	"leverdrum/replica"
 	"leverdrum/spread"
 	"leverdrum/state"
 	"leverdrum/wire"
-	"leverdrum/workspace"
 )
 
 const (
@@ -34,8 +34,8 @@
 	replica *replica.Replica
 	spread  *spread.Spreader
 	pool    *peer.Pool
-	lessor  *workspace.Lessor
-	limiter *workspace.Limiter
+	lessor  *rate.Lessor
+	limiter *rate.Limiter
 	now     func() time.Duration
 
 	mu     sync.Mutex
@@ -45,8 +45,8 @@
 func newQuotas(self *wire.Member, r *replica.Replica, s *spread.Spreader, pool *peer.Pool, window time.Duration) *quotas {
 	now := clock.New().Now
 	q := &quotas{self: self.Box, replica: r, spread: s, pool: pool, now: now, failed: map[string]time.Duration{}}
-	q.lessor = workspace.NewLessor(state.ProcessID(self), now)
-	q.limiter = workspace.NewLimiter(workspace.Options{
+	q.lessor = rate.NewLessor(state.ProcessID(self), now)
+	q.limiter = rate.NewLimiter(rate.Options{
 		Lease: q.lease, Now: now, Window: window,
 		Boxes: func() int { return len(r.View().Members) },
 	})
@@ -58,19 +58,15 @@
 func (q *quotas) answer(box string, call *wire.QuotaCall) *wire.QuotaAnswer {
 	view := q.replica.View()
 	_, leads := q.replica.Lease()
-	lead := workspace.Lead{Leads: leads, Boxes: len(view.Members)}
+	lead := rate.Lead{Leads: leads, Boxes: len(view.Members)}
 	if leads {
 		lead.Term = q.replica.Status().Term
 	}
-	var book *workspace.Book
-	if view.Fleet != nil {
-		book = view.Fleet.Workspaces
-	}
-	asks := make([]workspace.Asked, 0, len(call.Asks))
+	asks := make([]rate.Asked, 0, len(call.Asks))
 	for _, a := range call.Asks {
-		asks = append(asks, workspace.Asked{Name: a.Workspace, Ask: workspace.Ask{Need: a.Need, Least: a.Least, Ahead: a.Ahead, Unused: a.Unused}})
+		asks = append(asks, rate.Asked{Name: a.Workspace, Ask: rate.Ask{Need: a.Need, Least: a.Least, Ahead: a.Ahead, Unused: a.Unused}})
 	}
-	answer := q.lessor.Answer(box, call.Epoch, lead, book, asks)
+	answer := q.lessor.Answer(box, call.Epoch, lead, quotaLimits(view), asks)
 	out := &wire.QuotaAnswer{Epoch: answer.Epoch}
 	for _, g := range answer.Rows {
 		after := min(max(g.After.Milliseconds(), 0), math.MaxUint32)
@@ -79,8 +75,22 @@
 	return out
 }
 
-// lease asks the leader, or else another box. It implements workspace.Options.Lease.
-func (q *quotas) lease(ctx context.Context, epoch string, asks []workspace.Asked) (workspace.Answer, error) {
+// quotaLimits tells what workspaces are bounded by.
+func quotaLimits(view *state.State) func(rate.Asked) (rate.Limit, bool) {
+	return func(a rate.Asked) (rate.Limit, bool) {
+		if view.Fleet == nil {
+			return rate.Limit{}, false
+		}
+		w := view.Fleet.Workspaces.Named(a.Name)
+		if w == nil {
+			return rate.Limit{}, false
+		}
+		return w.Quota.Limit(), true
+	}
+}
+
+// lease asks the leader, or else another box. It implements rate.Options.Lease.
+func (q *quotas) lease(ctx context.Context, epoch string, asks []rate.Asked) (rate.Answer, error) {
 	call := &wire.QuotaCall{Epoch: epoch}
 	for _, a := range asks {
 		call.Asks = append(call.Asks, &wire.QuotaAsk{Workspace: a.Name, Need: a.Need, Least: a.Least, Ahead: a.Ahead, Unused: a.Unused})
@@ -97,16 +107,16 @@
 		q.mu.Lock()
 		defer q.mu.Unlock()
 		q.failed[box] = q.now()
-		return workspace.Answer{}, Error.Wrap(err)
+		return rate.Answer{}, Error.Wrap(err)
 	}
 	return answerOf(response.GetQuota()), nil
 }
 
-func answerOf(a *wire.QuotaAnswer) workspace.Answer {
-	out := workspace.Answer{Epoch: a.Epoch}
+func answerOf(a *wire.QuotaAnswer) rate.Answer {
+	out := rate.Answer{Epoch: a.Epoch}
 	for _, g := range a.Grants {
-		grant := workspace.Grant{Leased: g.Leased, After: time.Duration(g.AfterMs) * time.Millisecond}
-		out.Rows = append(out.Rows, workspace.Granted{Name: g.Workspace, Grant: grant})
+		grant := rate.Grant{Leased: g.Leased, After: time.Duration(g.AfterMs) * time.Millisecond}
+		out.Rows = append(out.Rows, rate.Granted{Name: g.Workspace, Grant: grant})
 	}
 	return out
 }
--- a/limit/limit_test.go
+++ b/dialect/limit_test.go
@@ -1,4 +1,4 @@
-package limit
+package dialect
 
 import (
 	"math"
@@ -11,7 +11,7 @@
 func TestLimitsAreRead(t *testing.T) {
 	for name, c := range map[string]struct {
 		values []string
-		rate   Rate
+		limit  Limit
 		said   bool
 		faulty bool
 	}{
@@ -19,9 +19,9 @@
 		"whole":                    {[]string{"3"}, 3000, true, false},
 		"a fraction":               {[]string{" 0.4 "}, 400, true, false},
 		"rounded down":             {[]string{"1.0009"}, 1000, true, false},
-		"zero":                     {[]string{"0"}, least, true, true},
-		"tiny":                     {[]string{"1e-9"}, least, true, true},
-		"huge":                     {[]string{"1e30"}, most, true, true},
+		"zero":                     {[]string{"0"}, leastLimit, true, true},
+		"tiny":                     {[]string{"1e-9"}, leastLimit, true, true},
+		"huge":                     {[]string{"1e30"}, mostLimit, true, true},
 		"infinite":                 {[]string{"+Inf"}, 0, false, true},
 		"beyond a float":           {[]string{"1e999"}, 0, false, true},
 		"not a number":             {[]string{"NaN"}, 0, false, true},
@@ -32,25 +32,25 @@
 		"twice, one of them reads": {[]string{"x", "2"}, 2000, true, true},
 	} {
 		g := NewWithT(t)
-		rate, said, err := Read(c.values)
-		g.Expect(rate).To(Equal(c.rate), name)
+		limit, said, err := ReadLimit(c.values)
+		g.Expect(limit).To(Equal(c.limit), name)
 		g.Expect(said).To(Equal(c.said), name)
 		g.Expect(err != nil).To(Equal(c.faulty), name)
 	}
 }
 
 // Whatever a server writes, what is read is a limit within bounds or none, and a line of it is short.
-func FuzzRead(f *testing.F) {
+func FuzzReadLimit(f *testing.F) {
 	for _, v := range []string{"1", "0.4", "", "NaN", "-0", "1e309", "0x1p4", strings.Repeat("9", 500)} {
 		f.Add(v, "2")
 	}
 	f.Fuzz(func(t *testing.T, a, b string) {
 		g := NewWithT(t)
-		rate, said, err := Read([]string{a, b})
+		limit, said, err := ReadLimit([]string{a, b})
 		if said {
-			g.Expect(rate).To(BeNumerically(">=", least))
-			g.Expect(rate).To(BeNumerically("<=", most))
-			g.Expect(math.IsInf(rate.PerSecond(), 0)).To(BeFalse())
+			g.Expect(limit).To(BeNumerically(">=", leastLimit))
+			g.Expect(limit).To(BeNumerically("<=", mostLimit))
+			g.Expect(math.IsInf(limit.PerSecond(), 0)).To(BeFalse())
 		}
 		if err != nil {
 			g.Expect(len(err.Error())).To(BeNumerically("<", 300))
--- a/entry/access_test.go
+++ b/entry/access_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"leverdrum/engine"
+	"leverdrum/rate"
 	"leverdrum/reason"
 	"leverdrum/workspace"
 )
@@ -67,7 +68,7 @@
 
 func TestWhatCallersAreToldOfAQuota(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect(refusedByQuota(&workspace.Refusal{Spent: true}).why).To(Equal(reason.OverQuota))
-	g.Expect(refusedByQuota(&workspace.Refusal{Spent: true, TooLarge: true}).why).To(Equal(reason.BeyondQuota))
-	g.Expect(refusedByQuota(&workspace.Refusal{}).why).To(Equal(reason.QuotaUnsure))
+	g.Expect(refusedByQuota(&rate.Refusal{Spent: true}).why).To(Equal(reason.OverQuota))
+	g.Expect(refusedByQuota(&rate.Refusal{Spent: true, TooLarge: true}).why).To(Equal(reason.BeyondQuota))
+	g.Expect(refusedByQuota(&rate.Refusal{}).why).To(Equal(reason.QuotaUnsure))
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,12 +16,12 @@
 	"leverdrum/crasher"
 	"leverdrum/meter"
 	"leverdrum/proxy"
+	"leverdrum/rate"
 	"leverdrum/reason"
 	"leverdrum/record"
 	"leverdrum/route"
 	"leverdrum/state"
 	"leverdrum/wire"
-	"leverdrum/workspace"
 )
 
 // Headers of answers.
@@ -57,7 +57,7 @@
 	// Guard guards the keys of calls that may run at most once.
 	Guard Guard
 	// Quotas bounds what workspaces are served; nil where nothing does.
-	Quotas *workspace.Limiter
+	Quotas *rate.Limiter
 }
 
 // Entry is the callers' side of a box.
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -8,6 +8,7 @@
 
 	"leverdrum/dialect"
 	"leverdrum/meter"
+	"leverdrum/rate"
 	"leverdrum/reason"
 	"leverdrum/workspace"
 )
@@ -27,9 +28,9 @@
 	if j.owner == nil || e.opts.Quotas == nil {
 		return e.try(ctx, j)
 	}
-	charge, refusal := e.opts.Quotas.Take(ctx, j.owner, j.owner.Quota.Weigh(j.usage))
+	charge, refusal := e.opts.Quotas.Take(ctx, j.owner.Name, j.owner.Quota.Limit(), j.owner.Quota.Weigh(j.usage))
 	if refusal != nil {
-		e.opts.Meters.CountWorkspace(j.owner.Name, refusal.Reason().Code)
+		e.opts.Meters.CountWorkspace(j.owner.Name, workspace.ReasonOf(refusal).Code)
 		return refusedByQuota(refusal)
 	}
 	e.opts.Meters.CountWorkspace(j.owner.Name, meter.Borne)
@@ -40,8 +41,8 @@
 	return res
 }
 
-func refusedByQuota(r *workspace.Refusal) result {
-	why := r.Reason()
+func refusedByQuota(r *rate.Refusal) result {
+	why := workspace.ReasonOf(r)
 	if why != reason.OverQuota {
 		return result{why: why}
 	}
--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -29,11 +29,11 @@
 // demand keeps fading rates of what is asked for, by model and by adapter.
 type demand struct {
 	mu   sync.Mutex
-	rows map[string]*rate
+	rows map[string]*row
 }
 
-// rate is in events a second, weighted towards the newest.
-type rate struct {
+// row is in events a second, weighted towards the newest.
+type row struct {
 	requests, reading trend
 	at                time.Time
 }
@@ -54,9 +54,9 @@
 // ahead is the average that is to come if the trend lasts, not below the older.
 func (t *trend) ahead() float64 { return t.older + trendShare*(t.recent-t.older) }
 
-func newDemand() *demand { return &demand{rows: map[string]*rate{}} }
+func newDemand() *demand { return &demand{rows: map[string]*row{}} }
 
-func (r *rate) fade(now time.Time) {
+func (r *row) fade(now time.Time) {
 	past := now.Sub(r.at)
 	r.requests.fade(past)
 	r.reading.fade(past)
@@ -77,7 +77,7 @@
 func (d *demand) add(name string, now time.Time, busy time.Duration) {
 	r := d.rows[name]
 	if r == nil {
-		r = &rate{at: now}
+		r = &row{at: now}
 		d.rows[name] = r
 	}
 	r.fade(now)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,10 +43,10 @@
 	"leverdrum/event"
 	"leverdrum/fleet"
 	"leverdrum/meter"
+	"leverdrum/rate"
 	"leverdrum/reason"
 	"leverdrum/state"
 	"leverdrum/wire"
-	"leverdrum/workspace"
 )
 
 // Options make a Gateway.
@@ -61,7 +61,7 @@
 	// Crashes tells of requests under which servers ended; nil where nobody is to hear. It must not block.
 	Crashes func(*wire.CrashReport)
 	// Quotas bounds what workspaces are served; nil where nothing does.
-	Quotas *workspace.Limiter
+	Quotas *rate.Limiter
 	Hall   string
 	// Parting is how long a server that leaves is a last resort.
 	Parting time.Duration
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -22,10 +22,10 @@
 	"leverdrum/fleet"
 	"leverdrum/gateway"
 	"leverdrum/meter"
+	"leverdrum/rate"
 	"leverdrum/reason"
 	"leverdrum/state"
 	"leverdrum/wire"
-	"leverdrum/workspace"
 )
 
 // within is how long a test waits for what must come; far above what it takes.
@@ -122,7 +122,7 @@
 }
 
 // newLimitedSetup is newSetup where quotas bound what workspaces are served.
-func newLimitedSetup(t *testing.T, quotas *workspace.Limiter, timeout time.Duration, backends ...*backend) *setup {
+func newLimitedSetup(t *testing.T, quotas *rate.Limiter, timeout time.Duration, backends ...*backend) *setup {
 	f := fleet.New()
 	f.Number = 1
 	f.Pools["s"] = &fleet.Pool{Name: "s", MaxConnections: 100}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -11,6 +11,7 @@
 	"leverdrum/dialect"
 	"leverdrum/fleet"
 	"leverdrum/meter"
+	"leverdrum/rate"
 	"leverdrum/reason"
 	"leverdrum/workspace"
 )
@@ -25,7 +26,7 @@
 	r        *http.Request
 	route    *fleet.Route
 	owner    *workspace.Workspace // whose request it is; nil: nobody's
-	refusal  *workspace.Refusal   // by the quota; nil: it bore the request
+	refusal  *rate.Refusal        // by the quota; nil: it bore the request
 	keyed    bool                 // the fleet has workspaces, so that the caller's key is for the system
 	poolName string
 	number   uint64 // of the configuration that routed it
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -3,8 +3,8 @@
 import (
 	"go.uber.org/zap"
 
+	"leverdrum/dialect"
 	"leverdrum/event"
-	"leverdrum/limit"
 )
 
 // noteLimit takes over what a server says of its limit in an answer of its own.
@@ -13,14 +13,14 @@
 	if d.Limit == "" || a.Header.Get(d.Stamp) == "" {
 		return
 	}
-	rate, said, err := limit.Read(a.Header.Values(d.Limit))
+	limit, said, err := dialect.ReadLimit(a.Header.Values(d.Limit))
 	if !said {
-		rate = limit.Rate(s.limit.Load())
+		limit = dialect.Limit(s.limit.Load())
 	}
 	if err != nil && s.limitFaults.Add(1) == 1 {
-		event.LimitMalformed.Log(j.g.opts.Log, zap.String("server", s.id), zap.Float64("limit", rate.PerSecond()), event.Cause(err))
+		event.LimitMalformed.Log(j.g.opts.Log, zap.String("server", s.id), zap.Float64("limit", limit.PerSecond()), event.Cause(err))
 	}
-	if before := limit.Rate(s.limit.Swap(uint32(rate))); before != rate {
-		event.ServerLimited.Log(j.g.opts.Log, zap.String("server", s.id), zap.Float64("limit", rate.PerSecond()), zap.Float64("before", before.PerSecond()))
+	if before := dialect.Limit(s.limit.Swap(uint32(limit))); before != limit {
+		event.ServerLimited.Log(j.g.opts.Log, zap.String("server", s.id), zap.Float64("limit", limit.PerSecond()), zap.Float64("before", before.PerSecond()))
 	}
 }
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"leverdrum/meter"
+	"leverdrum/rate"
 	"leverdrum/reason"
 	"leverdrum/workspace"
 )
@@ -16,19 +17,19 @@
 const quotaSpread = 1.0
 
 // bear has the request borne by its workspace's quota; else it says why not, and when to come back.
-func (j *job) bear(ctx context.Context) (workspace.Charge, *reason.Reason) {
+func (j *job) bear(ctx context.Context) (rate.Charge, *reason.Reason) {
 	if j.owner == nil || j.g.opts.Quotas == nil {
-		return workspace.Charge{}, nil
+		return rate.Charge{}, nil
 	}
 	usage := j.g.opts.Dialect.Usage(j.r.Header)
-	charge, refusal := j.g.opts.Quotas.Take(ctx, j.owner, j.owner.Quota.Weigh(usage))
+	charge, refusal := j.g.opts.Quotas.Take(ctx, j.owner.Name, j.owner.Quota.Limit(), j.owner.Quota.Weigh(usage))
 	if refusal == nil {
 		j.g.opts.Meters.CountWorkspace(j.owner.Name, meter.Borne)
 		return charge, nil
 	}
 	j.behind = quotaWait(refusal.After)
 	j.refusal = refusal
-	why := refusal.Reason()
+	why := workspace.ReasonOf(refusal)
 	if j.r.Context().Err() == nil { // else the caller left while it waited
 		j.g.opts.Meters.CountWorkspace(j.owner.Name, why.Code)
 	}
@@ -54,7 +55,7 @@
 }
 
 // unbear gives the weight back of a request that no server can have run.
-func (j *job) unbear(charge workspace.Charge) {
+func (j *job) unbear(charge rate.Charge) {
 	if j.runs == 0 && !j.headed {
 		charge.Release()
 	}
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"leverdrum/internal/clock"
+	"leverdrum/rate"
 	"leverdrum/reason"
 	"leverdrum/workspace"
 )
@@ -17,14 +18,14 @@
 var errNobody = errors.New("no box answers")
 
 // limited is a limiter whose only allocator is that of a lessor in this process; nil is a box that is alone.
-func limited(t *testing.T, lessor *workspace.Lessor, book func() *workspace.Book) *workspace.Limiter {
-	l := workspace.NewLimiter(workspace.Options{
+func limited(t *testing.T, lessor *rate.Lessor, book func() *workspace.Book) *rate.Limiter {
+	l := rate.NewLimiter(rate.Options{
 		Now: clock.New().Now, Window: 8 * time.Second, Boxes: func() int { return 1000 },
-		Lease: func(_ context.Context, epoch string, asks []workspace.Asked) (workspace.Answer, error) {
+		Lease: func(_ context.Context, epoch string, asks []rate.Asked) (rate.Answer, error) {
 			if lessor == nil {
-				return workspace.Answer{}, errNobody
+				return rate.Answer{}, errNobody
 			}
-			return lessor.Answer("box", epoch, workspace.Lead{Leads: true, Term: 1, Boxes: 1}, book(), asks), nil
+			return lessor.Answer("box", epoch, rate.Lead{Leads: true, Term: 1, Boxes: 1}, limitsOf(book()), asks), nil
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -33,12 +34,23 @@
 	return l
 }
 
+// limitsOf tells the limits of a book's workspaces.
+func limitsOf(book *workspace.Book) func(rate.Asked) (rate.Limit, bool) {
+	return func(a rate.Asked) (rate.Limit, bool) {
+		w := book.Named(a.Name)
+		if w == nil {
+			return rate.Limit{}, false
+		}
+		return w.Quota.Limit(), true
+	}
+}
+
 // quotaSetup is a setup with one workspace, whose quota is in tokens.
 func quotaSetup(t *testing.T, q workspace.Quota, alone bool) *setup {
 	var s *setup
-	var lessor *workspace.Lessor
+	var lessor *rate.Lessor
 	if !alone {
-		lessor = workspace.NewLessor("p", clock.New().Now)
+		lessor = rate.NewLessor("p", clock.New().Now)
 	}
 	quotas := limited(t, lessor, func() *workspace.Book { return s.view.Fleet.Workspaces })
 	s = newLimitedSetup(t, quotas, 5*time.Second, newBackend(t, "i1", ok))
--- a/workspace/allocator.go
+++ b/rate/allocator.go
@@ -1,4 +1,4 @@
-package workspace
+package rate
 
 import (
 	"math"
@@ -10,7 +10,7 @@
 	// moment and spent at a later one adds to a span: at the most the rate over this time, 0.5 s of
 	// the 0.8 s that an overage of a tenth over a window of 8 s allows.
 	leaseLife = 500 * time.Millisecond
-	// firstLevel is what a new allocator's bucket holds, in seconds of the rate (9): enough for the
+	// firstLevel is what a new allocator's bucket holds, in seconds of the rate (3): enough for the
 	// first that waited, and with leaseLife below those 0.8 s after five changes of leader in a window.
 	firstLevel = 0.05
 	// scarce is the level, as a share of the burst, below which nothing is leased ahead of need.
@@ -21,7 +21,18 @@
 	forgetBucket = time.Minute
 )
 
-// Ask is what a box asks for of one workspace's quota, in its unit.
+// Limit bounds what is had of something by all boxes together, in units of its own.
+type Limit struct {
+	// PerSecond is the rate; 0: no limit.
+	PerSecond float64
+	// Burst is what may be had beyond the rate.
+	Burst float64
+}
+
+// Bounded reports whether there is a limit.
+func (l Limit) Bounded() bool { return l.PerSecond > 0 }
+
+// Ask is what a box asks for of one limit.
 type Ask struct {
 	Need   float64 // by requests that wait for it
 	Least  float64 // by the smallest of these
@@ -36,36 +47,36 @@
 	After time.Duration
 }
 
-// bucket is a workspace's token bucket.
+// bucket is the token bucket of one limit.
 type bucket struct {
 	level float64
 	at    time.Duration // when the level was so high, by the allocator's clock
 }
 
-// allocator leases the quotas of all workspaces, or a share of them.
+// allocator leases what limits bear, or a share of it.
 type allocator struct {
 	buckets map[string]*bucket
 }
 
 func newAllocator() *allocator { return &allocator{buckets: map[string]*bucket{}} }
 
-// lease answers one ask, where the allocator has a share of the quota, from 0 to 1.
-func (a *allocator) lease(now time.Duration, w *Workspace, share float64, ask Ask) Grant {
+// lease answers one ask, where the allocator has a share of the limit, from 0 to 1.
+func (a *allocator) lease(now time.Duration, name string, limit Limit, share float64, ask Ask) Grant {
 	need, least, ahead := positive(ask.Need), positive(ask.Least), positive(ask.Ahead)
-	if !w.Quota.Limited() {
+	if !limit.Bounded() {
 		return Grant{Leased: need + ahead}
 	}
-	q := w.Quota.part(share)
-	b := a.bucketOf(now, w.Name, q)
-	b.fill(now, q)
-	b.level = min(b.level+positive(ask.Unused), q.most())
-	if b.level < scarce*q.most() {
+	l := limit.part(share)
+	b := a.bucketOf(now, name, l)
+	b.fill(now, l)
+	b.level = min(b.level+positive(ask.Unused), l.most())
+	if b.level < scarce*l.most() {
 		ahead = 0
 	}
 	// A request that is larger than a full bucket is borne by a full one, which it leaves in debt:
-	// it is within the quota of a longer span.
-	if bearable := min(least, q.most()); need > 0 && b.level < bearable {
-		return Grant{After: time.Duration((bearable - b.level) / q.Rate * float64(time.Second))}
+	// it is within the limit of a longer span.
+	if bearable := min(least, l.most()); need > 0 && b.level < bearable {
+		return Grant{After: time.Duration((bearable - b.level) / l.PerSecond * float64(time.Second))}
 	}
 	leased := min(need+ahead, max(b.level, min(least, need)))
 	b.level -= leased
@@ -79,24 +90,24 @@
 	return 0
 }
 
-// partBurst is the burst of an allocator that has a part of the quota, in seconds of that part's rate:
+// partBurst is the burst of an allocator that has a part of the limit, in seconds of that part's rate:
 // the burst itself may have been spent just before, by leases of another.
 const partBurst = 0.25
 
-// part is a share of a quota.
-func (q Quota) part(share float64) Quota {
+// part is a share of a limit.
+func (l Limit) part(share float64) Limit {
 	if share >= 1 {
-		return q
+		return l
 	}
-	q.Rate *= share
-	q.Burst = min(q.Burst*share, partBurst*q.Rate)
-	return q
+	l.PerSecond *= share
+	l.Burst = min(l.Burst*share, partBurst*l.PerSecond)
+	return l
 }
 
 // most is what a full bucket holds: at least one unit, else nothing would ever be served.
-func (q Quota) most() float64 { return max(q.Burst, 1) }
+func (l Limit) most() float64 { return max(l.Burst, 1) }
 
-func (a *allocator) bucketOf(now time.Duration, name string, q Quota) *bucket {
+func (a *allocator) bucketOf(now time.Duration, name string, l Limit) *bucket {
 	b := a.buckets[name]
 	if b != nil {
 		return b
@@ -104,7 +115,7 @@
 	if len(a.buckets) >= bucketsMost {
 		a.forget(now)
 	}
-	b = &bucket{level: min(firstLevel*q.Rate, q.most()), at: now}
+	b = &bucket{level: min(firstLevel*l.PerSecond, l.most()), at: now}
 	a.buckets[name] = b
 	return b
 }
@@ -118,10 +129,10 @@
 }
 
 // fill adds what the rate has brought since. A limit that was lowered binds at once.
-func (b *bucket) fill(now time.Duration, q Quota) {
+func (b *bucket) fill(now time.Duration, l Limit) {
 	if now > b.at {
-		b.level += q.Rate * (now - b.at).Seconds()
+		b.level += l.PerSecond * (now - b.at).Seconds()
 		b.at = now
 	}
-	b.level = min(b.level, q.most())
+	b.level = min(b.level, l.most())
 }
--- a/workspace/asking.go
+++ b/rate/asking.go
@@ -1,4 +1,4 @@
-package workspace
+package rate
 
 import (
 	"context"
@@ -47,7 +47,7 @@
 	return err == nil
 }
 
-// answerAlone is the end of rule 10.
+// answerAlone is the end of rule 4.
 func (l *Limiter) answerAlone(asks []Asked) Answer {
 	now := l.opts.Now()
 	answer := Answer{}
@@ -55,7 +55,7 @@
 		if r := l.rows[a.Name]; r != nil {
 			a.Unused = 0
 			share := 1 / float64(max(1, l.opts.Boxes()))
-			answer.Rows = append(answer.Rows, Granted{a.Name, l.own.lease(now, r.of, share, a.Ask)})
+			answer.Rows = append(answer.Rows, Granted{a.Name, l.own.lease(now, a.Name, r.limit, share, a.Ask)})
 		}
 	}
 	return answer
@@ -112,7 +112,7 @@
 			continue
 		}
 		g, known := grants[a.Name]
-		if !known { // the leader's file has no such workspace
+		if !known { // the leader knows no such limit
 			g.After = spentPause
 		}
 		r.take(g, a.Need, lease{positive(g.Leased), began + leaseLife, answer.Epoch}, l.opts.Now())
@@ -139,7 +139,7 @@
 	r.waiting = nil
 }
 
-// Standing is what a box knows of a workspace's quota, for people.
+// Standing is what a box knows of a limit, for people.
 type Standing struct {
 	// Balance is what it may still spend, Demand what it is asked for a second.
 	Balance, Demand float64
@@ -147,7 +147,7 @@
 	Spent, Alone bool
 }
 
-// Standing returns what the box knows of a workspace; false where it has not served it lately.
+// Standing returns what the box knows of a limit; false where nothing was taken of it lately.
 func (l *Limiter) Standing(name string) (Standing, bool) {
 	now := l.opts.Now()
 	l.mu.Lock()
--- a/workspace/lessor.go
+++ b/rate/lessor.go
@@ -1,4 +1,4 @@
-package workspace
+package rate
 
 import (
 	"strconv"
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// askerLasts is how long a box counts as one of those that ask an allocator that does not lead (10). A
+// askerLasts is how long a box counts as one of those that ask an allocator that does not lead (4). A
 // box with callers asks several times in it.
 const askerLasts = time.Second
 
@@ -19,8 +19,8 @@
 	Boxes int
 }
 
-// Lessor answers what boxes ask for of quotas: as the box that leads, or as one that others turn to
-// while they reach no leader (10).
+// Lessor answers what boxes ask for of limits: as the box that leads, or as one that others turn to
+// while they reach no leader (4).
 type Lessor struct {
 	process string // unlike that of any other run of any box
 	now     func() time.Duration
@@ -36,8 +36,9 @@
 	return &Lessor{process: process, now: now, allocator: newAllocator(), askers: map[string]time.Duration{}}
 }
 
-// Answer answers a box. The epoch is that of the allocator to which what it gives back belonged.
-func (l *Lessor) Answer(box, epoch string, lead Lead, book *Book, asks []Asked) Answer {
+// Answer answers a box. The epoch is that of the allocator to which what it gives back belonged; limitOf tells what a
+// key is bounded by, false where it is not known.
+func (l *Lessor) Answer(box, epoch string, lead Lead, limitOf func(Asked) (Limit, bool), asks []Asked) Answer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
@@ -48,14 +49,14 @@
 	answer := Answer{Epoch: l.epoch()}
 	share := l.share(box, now)
 	for _, ask := range asks {
-		w := book.Named(ask.Name)
-		if w == nil {
+		limit, known := limitOf(ask)
+		if !known {
 			continue
 		}
 		if epoch != answer.Epoch {
 			ask.Unused = 0
 		}
-		answer.Rows = append(answer.Rows, Granted{ask.Name, l.allocator.lease(now, w, share, ask.Ask)})
+		answer.Rows = append(answer.Rows, Granted{ask.Name, l.allocator.lease(now, ask.Name, limit, share, ask.Ask)})
 	}
 	return answer
 }
@@ -67,7 +68,7 @@
 	return l.process + "/" + strconv.FormatUint(l.lead.Term, 10)
 }
 
-// share is the part of the quotas that the allocator has.
+// share is the part of the limits that the allocator has.
 func (l *Lessor) share(box string, now time.Duration) float64 {
 	if l.lead.Leads {
 		return 1
--- a/workspace/limiter.go
+++ b/rate/limiter.go
@@ -1,4 +1,4 @@
-package workspace
+package rate
 
 import (
 	"context"
@@ -17,12 +17,12 @@
 	// answerTimeout bounds an ask: an answer takes some milliseconds, so what takes longer has no
 	// leader to come from.
 	answerTimeout = 150 * time.Millisecond
-	// askPause is the least time between two asks of a box. One carries all workspaces that lack.
+	// askPause is the least time between two asks of a box. One carries all limits that lack.
 	askPause = 30 * time.Millisecond
-	// spentPause is the least time for which a workspace whose bucket is empty is not asked for
+	// spentPause is the least time for which a limit whose bucket is empty is not asked for
 	// again: with 65 boxes some 260 asks a second.
 	spentPause = 250 * time.Millisecond
-	// holdMost is how long a request may wait until its workspace's bucket bears it. That is less
+	// holdMost is how long a request may wait until its limit's bucket bears it. That is less
 	// than the way back to the caller and here again costs it.
 	holdMost = 60 * time.Millisecond
 	// demandSpan is the time over which a box averages what is asked for.
@@ -33,13 +33,13 @@
 	againPause = 100 * time.Millisecond
 )
 
-// Asked is one workspace of a call to the allocator.
+// Asked is one limit of a call to the allocator.
 type Asked struct {
 	Name string
 	Ask
 }
 
-// Granted is one workspace of its answer.
+// Granted is one limit of its answer.
 type Granted struct {
 	Name string
 	Grant
@@ -60,11 +60,11 @@
 	Boxes func() int
 	// Now is a steady clock that goes on while the machine sleeps.
 	Now func() time.Duration
-	// Window is the span over which quotas are judged.
+	// Window is the span over which limits are judged.
 	Window time.Duration
 }
 
-// Limiter is a box's side of the quotas.
+// Limiter is a box's side of the limits.
 type Limiter struct {
 	opts Options
 	kick chan struct{}
@@ -72,15 +72,15 @@
 	mu    sync.Mutex
 	rows  map[string]*row
 	epoch string // of the newest answer
-	// own allocates this box's part to it while no box answers (10).
+	// own allocates this box's part to it while no box answers (4).
 	own *allocator
 	// alone tells that the newest ask had no answer.
 	alone bool
 }
 
-// row is what a box knows of one workspace.
+// row is what a box knows of one limit.
 type row struct {
-	of      *Workspace
+	limit   Limit
 	leases  []lease // in the order in which they end
 	unused  float64 // of the newest allocator's leases that have ended, to be given back
 	demand  fading
@@ -91,7 +91,7 @@
 	spentAt, spentUntil time.Duration
 }
 
-// lease is a part of the quota that may be spent until a time.
+// lease is a part of a limit that may be spent until a time.
 type lease struct {
 	left  float64
 	until time.Duration
@@ -108,14 +108,14 @@
 	return &Limiter{opts: opts, kick: make(chan struct{}, 1), rows: map[string]*row{}, own: newAllocator()}
 }
 
-// Charge is what a request took of a quota.
+// Charge is what a request took of a limit.
 type Charge struct {
 	l      *Limiter
 	name   string
 	weight float64
 }
 
-// Release gives the weight of a request back that has not run (11).
+// Release gives the weight of a request back that has not run (5).
 func (c Charge) Release() {
 	if c.l == nil || c.weight <= 0 {
 		return
@@ -128,18 +128,18 @@
 	}
 }
 
-// Take has a request of a workspace borne by its quota, or says why not. It waits for the allocator's
+// Take has a request borne by the limit of a name, or says why not. It waits for the allocator's
 // answer, and a moment where the bucket is about to bear it.
-func (l *Limiter) Take(ctx context.Context, w *Workspace, weight float64) (Charge, *Refusal) {
-	if w == nil || !w.Quota.Limited() || weight <= 0 {
+func (l *Limiter) Take(ctx context.Context, name string, limit Limit, weight float64) (Charge, *Refusal) {
+	if !limit.Bounded() || weight <= 0 {
 		return Charge{}, nil
 	}
-	if weight > w.Quota.Rate*l.opts.Window.Seconds()+w.Quota.Burst {
+	if weight > limit.PerSecond*l.opts.Window.Seconds()+limit.Burst {
 		return Charge{}, &Refusal{Spent: true, TooLarge: true}
 	}
 	began := l.opts.Now()
 	for first := true; ; first = false {
-		waits, refusal := l.try(w, weight, first)
+		waits, refusal := l.try(name, limit, weight, first)
 		switch {
 		case refusal != nil && refusal.Spent && l.opts.Now()-began+refusal.After <= holdMost:
 			if !wait.For(ctx, refusal.After) {
@@ -148,12 +148,12 @@
 		case refusal != nil:
 			return Charge{}, refusal
 		case waits == nil:
-			return Charge{l, w.Name, weight}, nil
+			return Charge{l, name, weight}, nil
 		default:
 			select {
 			case <-waits.ready:
 			case <-ctx.Done():
-				l.leave(w.Name, waits)
+				l.leave(name, waits)
 				return Charge{}, &Refusal{}
 			}
 		}
@@ -161,11 +161,11 @@
 }
 
 // try spends from a lease; else it returns what to wait for.
-func (l *Limiter) try(w *Workspace, weight float64, first bool) (*waiter, *Refusal) {
+func (l *Limiter) try(name string, limit Limit, weight float64, first bool) (*waiter, *Refusal) {
 	now := l.opts.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := l.rowOf(w, now)
+	r := l.rowOf(name, limit)
 	if first {
 		r.demand.add(now, weight, demandSpan)
 		r.usedAt = now
@@ -192,13 +192,13 @@
 	}
 }
 
-func (l *Limiter) rowOf(w *Workspace, now time.Duration) *row {
-	r := l.rows[w.Name]
+func (l *Limiter) rowOf(name string, limit Limit) *row {
+	r := l.rows[name]
 	if r == nil {
 		r = &row{}
-		l.rows[w.Name] = r
+		l.rows[name] = r
 	}
-	r.of = w
+	r.limit = limit
 	return r
 }
 
@@ -218,7 +218,7 @@
 	}
 }
 
-// expire ends leases whose time is over (8).
+// expire ends leases whose time is over (2).
 func (r *row) expire(now time.Duration, epoch string) {
 	kept := r.leases[:0]
 	for _, x := range r.leases {
--- a/workspace/quota_sim_test.go
+++ b/rate/sim_test.go
@@ -1,4 +1,4 @@
-package workspace
+package rate
 
 import (
 	"context"
@@ -15,15 +15,17 @@
 // tick is the step of the simulation, in which each box asks at most once.
 const tick = 10 * time.Millisecond
 
+// name is that of the limit in these tests.
+const name = "w"
+
 // world is one workspace's quota over several boxes, in simulated time.
 type world struct {
-	w       *Workspace
+	limit   Limit
 	now     time.Duration
 	boxes   []*simBox
 	leader  int // box that leads, -1 for none
 	term    uint64
 	started int
-	book    *Book
 	rand    *rand.Rand
 	spends  []spend
 	refused float64
@@ -43,9 +45,8 @@
 	until time.Duration // when it is back
 }
 
-func newWorld(q Quota, boxes int, seed uint64) *world {
-	x := &world{w: &Workspace{Name: "w", Quota: q}, rand: rand.New(rand.NewPCG(seed, 1)), leader: -1}
-	x.book, _ = NewBook([]*Workspace{x.w})
+func newWorld(q Limit, boxes int, seed uint64) *world {
+	x := &world{limit: q, rand: rand.New(rand.NewPCG(seed, 1)), leader: -1}
 	for range boxes {
 		x.boxes = append(x.boxes, &simBox{})
 	}
@@ -103,12 +104,12 @@
 // arrive has a request tried; one that must wait is looked at after the next answer.
 func (x *world) arrive(b *simBox, weight float64) {
 	x.asked += weight
-	wait, refusal := b.l.try(x.w, weight, true)
+	wait, refusal := b.l.try(name, x.limit, weight, true)
 	if wait != nil {
 		x.round(b)
-		wait, refusal = b.l.try(x.w, weight, false)
+		wait, refusal = b.l.try(name, x.limit, weight, false)
 		if wait != nil {
-			b.l.leave(x.w.Name, wait)
+			b.l.leave(name, wait)
 		}
 	}
 	if wait != nil || refusal != nil {
@@ -138,8 +139,9 @@
 	if i == x.leader {
 		lead.Leads, lead.Term = true, x.term
 	}
-	name := strconv.Itoa(slices.Index(x.boxes, b))
-	b.l.takeOver(x.boxes[i].asked.Answer(name, epoch, lead, x.book, asks), asks, x.now)
+	box := strconv.Itoa(slices.Index(x.boxes, b))
+	limitOf := func(Asked) (Limit, bool) { return x.limit, true }
+	b.l.takeOver(x.boxes[i].asked.Answer(box, epoch, lead, limitOf, asks), asks, x.now)
 }
 
 const window = 8 * time.Second
@@ -159,8 +161,8 @@
 }
 
 // bound is what the operators allow in a window: a tenth beyond the quota, and a slack.
-func bound(q Quota, slack float64) float64 {
-	return (q.Rate*window.Seconds()+q.Burst)*1.1 + slack
+func bound(q Limit, slack float64) float64 {
+	return (q.PerSecond*window.Seconds()+q.Burst)*1.1 + slack
 }
 
 const (
@@ -191,8 +193,8 @@
 // window stays within what the operators allow.
 func TestNoHistorySpendsMoreThanIsAllowed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		q := Quota{Unit: Tokens, Rate: float64(rapid.SampledFrom([]int{60_000, 150_000, 600_000}).Draw(t, "rate"))}
-		q.Burst = max(q.Rate, 69_000)
+		q := Limit{PerSecond: float64(rapid.SampledFrom([]int{60_000, 150_000, 600_000}).Draw(t, "rate"))}
+		q.Burst = max(q.PerSecond, 69_000)
 		x := newWorld(q, rapid.IntRange(3, 65).Draw(t, "boxes"), rapid.Uint64().Draw(t, "seed"))
 		shares := make([]float64, len(x.boxes))
 		holders := rapid.IntRange(1, len(shares)).Draw(t, "boxes with callers")
@@ -251,7 +253,7 @@
 					b.cut = false
 				}
 			}
-			x.step(x.arrivals(demand*q.Rate, shares))
+			x.step(x.arrivals(demand*q.PerSecond, shares))
 		}
 		if worst, most := x.worst(), bound(q, slackTokens); worst > most {
 			t.Fatalf("%.0f tokens in a window, %.0f allowed", worst, most)
@@ -264,7 +266,7 @@
 func TestBelowItsLimitAWorkspaceIsHardlyRefused(t *testing.T) {
 	for name, holders := range map[string]int{"callers at 3 boxes": 3, "at 20": 20, "at all": 65} {
 		g := NewWithT(t)
-		q := Quota{Unit: Tokens, Rate: 300_000, Burst: 300_000}
+		q := Limit{PerSecond: 300_000, Burst: 300_000}
 		x := newWorld(q, 65, 7)
 		shares := make([]float64, 65)
 		for i := range holders {
@@ -272,7 +274,7 @@
 		}
 		x.elect()
 		for x.now < 30*time.Second {
-			x.step(x.arrivals(q.Rate/1.8, shares))
+			x.step(x.arrivals(q.PerSecond/1.8, shares))
 		}
 		g.Expect(x.refused/x.asked).To(BeNumerically("<", 0.001), name)
 	}
@@ -281,7 +283,7 @@
 // A leader is lost for 1.5 s in every 8, twice as often as days with trouble have it.
 func TestALostLeaderCostsAWorkspaceLittle(t *testing.T) {
 	g := NewWithT(t)
-	q := Quota{Unit: Tokens, Rate: 300_000, Burst: 300_000}
+	q := Limit{PerSecond: 300_000, Burst: 300_000}
 	x := newWorld(q, 65, 7)
 	shares := make([]float64, 65)
 	for i := range shares {
@@ -295,7 +297,7 @@
 		if at == 6500*time.Millisecond {
 			x.leader = -1
 		}
-		x.step(x.arrivals(q.Rate/1.8, shares))
+		x.step(x.arrivals(q.PerSecond/1.8, shares))
 	}
 	g.Expect(x.refused / x.asked).To(BeNumerically("<", 0.05))
 	g.Expect(x.worst()).To(BeNumerically("<=", bound(q, slackTokens)))
@@ -304,32 +306,32 @@
 // A workspace that asks for seven times its limit gets nearly all of it.
 func TestAHotWorkspaceGetsItsQuota(t *testing.T) {
 	g := NewWithT(t)
-	q := Quota{Unit: Tokens, Rate: 60_000, Burst: 69_000}
+	q := Limit{PerSecond: 60_000, Burst: 69_000}
 	x := newWorld(q, 65, 7)
 	x.elect()
 	shares := slices.Repeat([]float64{1}, 65)
 	for x.now < 20*time.Second {
-		x.step(x.arrivals(7*q.Rate, shares))
+		x.step(x.arrivals(7*q.PerSecond, shares))
 	}
 	served := x.asked - x.refused
-	g.Expect(served).To(BeNumerically(">", 0.9*(20*q.Rate)))
-	g.Expect(x.worst()).To(BeNumerically("<=", q.Rate*window.Seconds()+q.Burst+leaseLife.Seconds()*q.Rate))
+	g.Expect(served).To(BeNumerically(">", 0.9*(20*q.PerSecond)))
+	g.Expect(x.worst()).To(BeNumerically("<=", q.PerSecond*window.Seconds()+q.Burst+leaseLife.Seconds()*q.PerSecond))
 }
 
 // What did not run is given back, and what a lease's time has passed by goes back to its allocator.
 func TestWhatWasNotSpentIsGivenBack(t *testing.T) {
 	g := NewWithT(t)
-	q := Quota{Unit: Tokens, Rate: 1000, Burst: 1000}
+	q := Limit{PerSecond: 1000, Burst: 1000}
 	x := newWorld(q, 1, 1)
 	x.elect()
 	x.now = time.Second
 	b := x.boxes[0]
 	x.arrive(b, 50) // the bucket begins with 50
 	g.Expect(x.spends).To(HaveLen(1))
-	Charge{b.l, x.w.Name, 50}.Release()
-	_, refusal := b.l.try(x.w, 50, true)
+	Charge{b.l, name, 50}.Release()
+	_, refusal := b.l.try(name, x.limit, 50, true)
 	g.Expect(refusal).To(BeNil(), "it is there again")
-	Charge{b.l, x.w.Name, 50}.Release()
+	Charge{b.l, name, 50}.Release()
 	x.now += 2 * leaseLife
 	_, asks := b.l.collect(x.now)
 	g.Expect(asks).To(HaveLen(1))
@@ -339,13 +341,13 @@
 // A sleep ends all leases, as long as the clock counts it.
 func TestALeaseEndsInASleep(t *testing.T) {
 	g := NewWithT(t)
-	x := newWorld(Quota{Unit: Tokens, Rate: 1000, Burst: 1000}, 1, 1)
+	x := newWorld(Limit{PerSecond: 1000, Burst: 1000}, 1, 1)
 	x.elect()
 	x.now = time.Second
 	b := x.boxes[0]
 	x.arrive(b, 1)
-	Charge{b.l, x.w.Name, 500}.Release()
+	Charge{b.l, name, 500}.Release()
 	x.now += time.Minute
-	wait, _ := b.l.try(x.w, 400, true)
+	wait, _ := b.l.try(name, x.limit, 400, true)
 	g.Expect(wait).NotTo(BeNil(), "it asks anew")
 }
--- a/workspace/quota.go
+++ b/workspace/quota.go
@@ -1,6 +1,11 @@
 package workspace
 
-import "math"
+import (
+	"math"
+
+	"leverdrum/rate"
+	"leverdrum/reason"
+)
 
 // Unit is what a quota is counted in.
 type Unit string
@@ -22,8 +27,19 @@
 	Plain float64
 }
 
-// Limited reports whether there is a limit.
-func (q Quota) Limited() bool { return q.Rate > 0 }
+// Limit is what all boxes together keep to, in the quota's unit.
+func (q Quota) Limit() rate.Limit { return rate.Limit{PerSecond: q.Rate, Burst: q.Burst} }
+
+// ReasonOf is what callers are told where a quota does not bear their request.
+func ReasonOf(r *rate.Refusal) *reason.Reason {
+	switch {
+	case r.TooLarge:
+		return reason.BeyondQuota
+	case r.Spent:
+		return reason.OverQuota
+	}
+	return reason.QuotaUnsure
+}
 
 // Usage is what a request says of its size.
 type Usage struct {
--- a/workspace/workspace.go
+++ b/workspace/workspace.go
@@ -14,16 +14,8 @@
 //  6. A request weighs one, or its tokens: those of the prompt and the most that may be produced. A
 //     count that is missing, below zero or no number counts as missing (quota.go).
 //  7. In any span a workspace is served no more than its rate over that span and its burst, and what
-//     the operators allow beyond. The box that leads allocates leases of a workspace's token bucket
-//     to the others (allocator.go, lessor.go); each spends what it holds (limiter.go).
-//  8. A lease ends a fixed time after it was asked for, by the clock of the box that asked. What was
-//     not spent goes back to the allocator that gave it.
-//  9. A new allocator begins with little, since what the one before gave may still be spent.
-//  10. While a box reaches no leader, any other box allocates to it: of the rate and the burst that
-//     part which those that ask there are of all boxes. In the end it allocates to itself, its own
-//     part. So all allocators together, however many there are, allocate the rate once; and once
-//     more, for those that are cut off, their part of it.
-//  11. A request that ends without having run gives its weight back.
+//     the operators allow beyond (package rate). A request that ends without having run gives its
+//     weight back.
 package workspace
 
 import (
