--- a/box/limit_test.go
+++ b/box/limit_test.go
@@ -73,14 +73,14 @@
 }
 
 // mostIn is the most requests that arrived within a window, of those since a time.
-func mostIn(arrived []time.Time, since time.Time) (most int) {
-	for i, at := range arrived {
-		if at.Before(since) {
+func mostIn(arrived []standin.Arrival, since time.Time) (most int) {
+	for i, first := range arrived {
+		if first.At.Before(since) {
 			continue
 		}
 		n := 0
 		for _, other := range arrived[i:] {
-			if other.Sub(at) < limitWindow {
+			if other.At.Sub(first.At) < limitWindow {
 				n++
 			}
 		}
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"leverdrum/platform/standin"
 )
 
 const (
@@ -90,6 +92,7 @@
 	req.Header.Set("Leverdrum-Request-Id", id)
 	req.Header.Set("Leverdrum-Deadline-Ms", "5000")
 	req.Header.Set("Leverdrum-Model", model)
+	req.Header.Set(standin.HeaderVia, box.ip)
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return 0, ""
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -73,6 +73,7 @@
 	f.wg.Go(func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
+		defer f.w.limits.excuse(time.Now(), d)
 		do()
 	})
 }
@@ -118,6 +119,7 @@
 		wg.Go(func() {
 			d.mu.Lock()
 			defer d.mu.Unlock()
+			defer f.w.limits.excuse(time.Now(), d)
 			d.killLocked()
 			d.start()
 		})
@@ -175,8 +177,12 @@
 	for _, pair := range list {
 		f.w.links.set(pair[0].ip, pair[1].ip, silent, delay)
 	}
+	began := time.Now()
 	f.wg.Go(func() {
 		time.Sleep(span)
+		for _, pair := range list {
+			f.w.limits.excuse(began, pair[0], pair[1])
+		}
 		for _, pair := range list {
 			f.w.links.set(pair[0].ip, pair[1].ip, false, 0)
 		}
@@ -208,7 +214,11 @@
 	f.between(list, false, delay, span)
 }
 
-func (f *faults) reset() { f.w.links.reset(f.box().ip) }
+func (f *faults) reset() {
+	d := f.box()
+	f.w.links.reset(d.ip)
+	f.w.limits.excuse(time.Now(), d)
+}
 
 func (f *faults) crash() {
 	place, down := f.random.IntN(servers), f.span()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -72,6 +72,7 @@
 	var wg sync.WaitGroup
 	f := &faults{w: w, random: rand.New(rand.NewPCG(seed, 1))}
 	wg.Go(func() { f.run(ctx) })
+	wg.Go(func() { w.limits.run(ctx, w) })
 	wg.Go(func() { o.run(ctx) })
 	for _, c := range list {
 		wg.Go(func() { c.run(ctx) })
@@ -89,6 +90,7 @@
 		return true
 	})
 	w.checkRuns(list)
+	w.checkLimits()
 	w.report(list)
 }
 
--- a/standin/chat.go
+++ b/standin/chat.go
@@ -37,6 +37,7 @@
 		q.MaxTokens = defaultTokens
 	}
 	f := e.next()
+	f.nameLimit(w)
 	e.setID(w, r, f)
 	version, resident := e.find(q.Model)
 	if !resident || f.Refuse {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -76,6 +76,7 @@
 	f.DurationVar(&o.PrefillByte, "prefill-byte", 0, "time of reading one byte of a prompt that is not kept")
 	f.IntVar(&o.Prefixes, "prefixes", 1000, "prompt messages that are kept")
 	f.BoolVar(&o.Resumes, "resumes-streams", true, "number the events of streams and go on with streams of others")
+	limit := limitFlag(f)
 	f.StringVar(&o.Store, "store", "", "address of the weight store")
 	return func() http.Handler {
 		n, err := humanize.ParseBytes(*memory)
@@ -83,7 +84,9 @@
 			panic(err)
 		}
 		o.Memory = n
-		return NewEngine(o)
+		e := NewEngine(o)
+		e.Set(Faults{Limit: *limit})
+		return e
 	}
 }
 
--- a/standin/service.go
+++ b/standin/service.go
@@ -44,7 +44,12 @@
 	name := f.String("name", "service", "name in answers")
 	key := f.String("key-header", "Idempotency-Key", "header with the key")
 	took := f.Duration("time", time.Millisecond, "time of one call")
-	return func() http.Handler { return NewService(*name, *key, *took) }
+	limit := limitFlag(f)
+	return func() http.Handler {
+		s := NewService(*name, *key, *took)
+		s.Set(Faults{Limit: *limit})
+		return s
+	}
 }
 
 // NewService returns a service.
@@ -74,6 +79,7 @@
 		return
 	}
 	f := s.next()
+	f.nameLimit(w)
 	if f.Refuse {
 		w.Header().Set(engine.HeaderRan, "true")
 		http.Error(w, "not run", http.StatusServiceUnavailable)
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/google/subcommands"
+
+	"leverdrum/dialect"
 )
 
 // FaultsPath takes a Faults by PUT; AccountPath answers the account by GET.
@@ -49,6 +51,8 @@
 	Leaving bool `json:"leaving"`
 	// LoseOrderAnswers runs orders and closes the connection without an answer.
 	LoseOrderAnswers bool `json:"lose_order_answers"`
+	// Limit is what answers name as the requests a second that the server takes from all boxes; "": none.
+	Limit string `json:"limit"`
 	// OrderDelayMs holds up orders before they run, in milliseconds.
 	OrderDelayMs int `json:"order_delay_ms"`
 }
@@ -57,6 +61,7 @@
 	mu    sync.Mutex
 	now   Faults
 	count int // of requests
+	came  []time.Time
 }
 
 func (f *faults) get() Faults {
@@ -70,8 +75,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.count++
+	f.came = append(f.came, time.Now())
 	if f.now.Every > 1 && f.count%f.now.Every != 0 {
-		return Faults{Leaving: f.now.Leaving}
+		return Faults{Leaving: f.now.Leaving, Limit: f.now.Limit}
 	}
 	return f.now
 }
@@ -83,6 +89,20 @@
 	f.now = v
 }
 
+// Came returns when requests came, orders and readings of its state aside.
+func (f *faults) Came() []time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]time.Time(nil), f.came...)
+}
+
+// nameLimit has an answer name the limit.
+func (f Faults) nameLimit(w http.ResponseWriter) {
+	if f.Limit != "" {
+		w.Header().Set(dialect.Own.Limit, f.Limit)
+	}
+}
+
 func (f *faults) handle(w http.ResponseWriter, r *http.Request) {
 	var v Faults
 	if err := json.NewDecoder(r.Body).Decode(&v); err != nil {
@@ -145,6 +165,10 @@
 	return subcommands.ExitSuccess
 }
 
+func limitFlag(f *flag.FlagSet) *string {
+	return f.String("limit", "", "requests a second that answers name as what the server takes from all boxes")
+}
+
 func storeFlags(f *flag.FlagSet) func() http.Handler {
 	perSecond := f.Float64("rate", 2, "loads a second")
 	atOnce := f.Int("at-once", 8, "loads at once")
