placement: a server that names a limit has less room

A copy there is booked with its part of the limit alone, the rest of its model's demand on copies elsewhere; where all copies of a model stand on such servers, what they do not bear counts as missed, so that another copy comes elsewhere; further copies go to servers without a limit first. Decisions with random limits are the same found anew or kept (TestWhatIsKeptChangesNoDecision).

--- a/placement/demand.go
+++ b/placement/demand.go
@@ -25,8 +25,8 @@
 	movesAtOnce = 4
 )
 
-// spreadWork books each model's demand in equal parts on the servers of its
-// copies.
+// spreadWork books each model's demand on the servers of its copies: in equal parts, but for
+// what servers with a limit do not take.
 func (p *planner) spreadWork() {
 	for _, m := range p.models { // sums depend on their order
 		p.book(m, 1)
@@ -37,8 +37,13 @@
 // copies.
 func (p *planner) book(m *fleet.Model, sign float64) {
 	list, d := p.serving(m), p.in.Demand[m.Name]
-	for _, c := range list {
-		c.acc.load.add(d, sign/float64(len(list)))
+	parts := p.parts(m, list)
+	for i, c := range list {
+		part := 1 / float64(len(list))
+		if parts != nil {
+			part = parts[i]
+		}
+		c.acc.load.add(d, sign*part)
 	}
 }
 
@@ -366,13 +371,21 @@
 		if p.atHand(m, a) {
 			best = &atHand
 		}
-		if best.acc == nil || at.room > best.room {
+		if best.acc == nil || betterForMore(at, *best) {
 			*best = at
 		}
 	}
 	return atHand, others
 }
 
+// betterForMore prefers servers without a limit, then those with more room.
+func betterForMore(a, b placeForMore) bool {
+	if limitedA, limitedB := a.acc.load.limit != 0, b.acc.load.limit != 0; limitedA != limitedB {
+		return limitedB
+	}
+	return a.room > b.room
+}
+
 // move loads the copy, or first makes room for it.
 func (p *planner) move(c *candidate) {
 	if len(c.out) == 0 {
--- a/placement/kept_test.go
+++ b/placement/kept_test.go
@@ -45,6 +45,11 @@
 			}
 			add(&wire.Command{Kind: &wire.Command_Announce{Announce: a}})
 		}
+		for i := range servers {
+			if r.IntN(8) == 0 {
+				add(&wire.Command{Kind: &wire.Command_Limit{Limit: &wire.ServerLimit{Server: fmt.Sprintf("i-%d", i), Milli: uint32(200 + r.IntN(20000))}}})
+			}
+		}
 		for round := range 6 {
 			demand := map[string]Demand{}
 			patient, idle, wanted := map[string]bool{}, map[string]bool{}, map[string]bool{}
--- a/placement/load.go
+++ b/placement/load.go
@@ -9,6 +9,7 @@
 	reading  float64 // share of its time in which it reads prompts
 	requests float64 // a second
 	good     float64 // share of the places up to which answers come in time
+	limit    float64 // requests a second that its server says it takes; 0: it says none
 }
 
 // readingFull is the share of a server's time in which it reads prompts at which about all
@@ -25,15 +26,23 @@
 }
 
 // use is the part of the server that is taken: of its places or of its time, whichever is
-// scarcer.
-func (l *load) use() float64 { return max(l.work/l.size, l.reading) }
+// scarcer, or of the requests that it takes.
+func (l *load) use() float64 { return max(l.work/l.size, l.reading, l.ofLimit()) }
+
+// ofLimit is the share of the server's limit that is asked for, 0 where it has none.
+func (l *load) ofLimit() float64 {
+	if l.limit == 0 {
+		return 0
+	}
+	return l.requests / l.limit
+}
 
 // room is the use that is left up to good use.
 func (l *load) room() float64 { return l.good - l.use() }
 
 // late is how many requests a second come too late.
 func (l *load) late() float64 {
-	return max(l.lateByPlaces(), l.lateByReading()) * l.requests
+	return max(l.lateByPlaces(), l.lateByReading(), l.refusedByLimit()) * l.requests
 }
 
 // lateByPlaces is the share that is late for want of places: none up to good use, and from
@@ -55,6 +64,14 @@
 // lowering how many are in time: u(1-f((u-good)/(1-good))²) has its maximum at u = 1 then.
 func fullLate(good float64) float64 { return (1 - good) / (3 - good) }
 
+// refusedByLimit is the share that the server's limit does not bear.
+func (l *load) refusedByLimit() float64 {
+	if of := l.ofLimit(); of > 1 {
+		return 1 - 1/of
+	}
+	return 0
+}
+
 // knee is the share of reading up to which more requests are in time the more come, and
 // lateAtKnee the share that is late there: x(1-x²) has its maximum at 1/√3.
 var knee, lateAtKnee = readingFull / math.Sqrt(3), 1.0 / 3
--- a/placement/needs.go
+++ b/placement/needs.go
@@ -156,6 +156,9 @@
 }
 
 func (p *planner) better(m *fleet.Model, a, b *accelerator, halls map[string]bool) bool {
+	if limitedA, limitedB := a.load.limit != 0, b.load.limit != 0; limitedA != limitedB {
+		return limitedB
+	}
 	if handA, handB := p.atHand(m, a), p.atHand(m, b); handA != handB { // (12)
 		return handA
 	}
@@ -298,7 +301,7 @@
 // useOf is the use that a copy makes of its server (load.use).
 func (p *planner) useOf(c copyOf) float64 {
 	m := p.fleet.Models[c.resident.Item.Model]
-	alone := load{size: c.acc.load.size}
+	alone := load{size: c.acc.load.size, limit: c.acc.load.limit}
 	alone.add(p.in.Demand[m.Name], 1/float64(max(1, len(p.serving(m)))))
 	return alone.use()
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -150,6 +150,7 @@
 	number   uint32
 	free     int64 // bytes, less what is promised to adapters of copies there
 	adapters int   // in whatever phase
+	stood    int   // models that stood there when the decision began
 	unusable bool  // its server leaves or does not answer: copies there do not count
 	busy     bool  // takes no further order now
 	models   map[string]bool
@@ -201,7 +202,7 @@
 	p.models = p.fleet.SortedModels()
 	p.places = slices.SortedFunc(maps.Keys(in.State.Residents), comparePlaces)
 	for _, s := range p.fleet.SortedServers() {
-		l := &load{size: float64(s.Kind.Concurrency), good: p.fleet.GoodUse}
+		l := &load{size: float64(s.Kind.Concurrency), good: p.fleet.GoodUse, limit: p.limitOf(s.Name)}
 		unusable := p.unusable(s)
 		for n := range s.Kind.Accelerators {
 			a := &accelerator{server: s, load: l, number: uint32(n), free: int64(s.Kind.Usable()), models: map[string]bool{}, unusable: unusable}
@@ -273,6 +274,7 @@
 			if m := p.fleet.Models[place.Model]; m != nil && m.Version == place.Version {
 				acc.models[place.Model] = true
 			}
+			acc.stood++
 			p.copies[place.Model] = append(p.copies[place.Model], copyOf{acc, r})
 			p.reserveAdapters(acc, place)
 		}
