--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -73,7 +73,7 @@
 	limit  dialect.Limit
 	agreed dialect.Limit // when limit was taken over
 	at     time.Time     // of its newest answer here
-	tryAt  time.Time // when it is to be tried though others go before it
+	tryAt  time.Time     // when it is to be tried though others go before it
 	told   dialect.Limit // to the leader
 	toldAt time.Time
 	faulty bool // a value that cannot be read was logged
