--- a/entry/limits_test.go
+++ b/entry/limits_test.go
@@ -157,7 +157,7 @@
 	named := time.Now()
 	asked, refused := l.ask(t, 30, 6*time.Second)
 	g.Expect(mostIn4s(l.instances[0].Came(), named.Add(time.Second))).To(BeNumerically("<=", 17))
-	g.Expect(asked - len(refused)).To(BeNumerically(">=", 8), "what it takes is used")
+	g.Expect(asked-len(refused)).To(BeNumerically(">=", 8), "what it takes is used")
 	g.Expect(len(refused)).To(BeNumerically(">", asked/2))
 	for _, r := range refused {
 		g.Expect(r.StatusCode).To(Equal(http.StatusServiceUnavailable))
