placement: models of limited servers get copies elsewhere also where all room is taken

Cause: in a full fleet the further copy was weighed only on the server with the most room for work, where last copies of other models would have gone; and what it spares was reckoned for the 15 s that demand lasts. Where all copies of a model are on limited servers the place whose copies are missed least is weighed, too, and for 30 s.

Without limits nothing is weighed otherwise.

--- a/placement/demand.go
+++ b/placement/demand.go
@@ -200,7 +200,11 @@
 func (p *planner) placeFor(m *fleet.Model, freeOnly bool) *candidate {
 	var best *candidate
 	atHand, others := p.placesForMore(m, freeOnly)
-	for _, at := range []placeForMore{atHand, others} { // (12)
+	places := []placeForMore{atHand, others} // (12)
+	if p.limited(m) {
+		places = append(places, p.leastMissed(m, freeOnly))
+	}
+	for _, at := range places {
 		if at.acc == nil {
 			continue
 		}
@@ -220,7 +224,7 @@
 func (p *planner) weigh(m *fleet.Model, acc *accelerator, out []copyOf) candidate {
 	spared, missed, touched := p.spared(m, acc, out)
 	coming := (p.clearTime(out) + p.loadTime(m, acc)).Seconds()
-	requests := spared*max(0, p.fleet.DemandLasts.Seconds()-coming) - missed*coming
+	requests := spared*max(0, p.lasts(m).Seconds()-coming) - missed*coming
 	return candidate{model: m, acc: acc, out: out, worth: requests * p.fleet.AttainmentWeight, rate: spared, touched: touched}
 }
 
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -1,6 +1,11 @@
 package placement
 
-import "leverdrum/fleet"
+import (
+	"slices"
+	"time"
+
+	"leverdrum/fleet"
+)
 
 // Rules for servers that name a limit (package throttle):
 //
@@ -9,6 +14,10 @@
 //  2. Where all copies of a model are on such servers, what they do not bear is missed, as if it
 //     came too late: a reason for another copy elsewhere.
 //  3. A further copy goes to a server without a limit first.
+//  4. Such a copy needs little room for work: the rate of a limited server is small. So where the copies that make room for it
+//     are missed least is weighed, too, and not only where most room for work is.
+//  5. What a limited server does not bear is missed for longer than demand lasts: the server is in need, and demand comes
+//     to it as to the others.
 
 // limitOf returns the limit of a server, in requests a second; 0 for none.
 func (p *planner) limitOf(server string) float64 {
@@ -48,3 +57,52 @@
 	}
 	return parts
 }
+
+// limitLasts is how long a server is taken to go on naming a limit (5).
+const limitLasts = 30 * time.Second
+
+// lasts is how long one more copy of a model is taken to be of use.
+func (p *planner) lasts(m *fleet.Model) time.Duration {
+	if p.limited(m) {
+		return max(p.fleet.DemandLasts, limitLasts)
+	}
+	return p.fleet.DemandLasts
+}
+
+// limited reports whether all copies of a model stand on servers with a limit.
+func (p *planner) limited(m *fleet.Model) bool {
+	if len(p.in.State.Limits) == 0 {
+		return false
+	}
+	list := p.serving(m)
+	return len(list) > 0 && !slices.ContainsFunc(list, func(c copyOf) bool { return c.acc.load.limit == 0 })
+}
+
+// leastMissed is rule 4.
+func (p *planner) leastMissed(m *fleet.Model, freeOnly bool) (best placeForMore) {
+	least := 0.0
+	for _, a := range p.accs {
+		if a.load.limit != 0 || !p.mayHold(m, a) {
+			continue
+		}
+		at := placeForMore{acc: a}
+		if lack := int64(m.Footprint()) - a.free; lack > 0 {
+			if freeOnly {
+				continue
+			}
+			out, _, ok := p.spare(a, lack, false)
+			if !ok {
+				continue
+			}
+			at.out = out
+		}
+		missed := 0.0
+		for _, c := range at.out {
+			missed += p.lacked(c)
+		}
+		if best.acc == nil || missed < least {
+			best, least = at, missed
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/placement/limits_move_test.go
@@ -0,0 +1,138 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"leverdrum/fleet"
+	_ "leverdrum/platform"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+// fullFleet is a fleet whose servers have no room left: each of the models stands once, the first of them twice.
+type fullFleet struct {
+	*state.State
+	demand map[string]Demand
+}
+
+const (
+	fullServers = 18
+	fullModels  = 39
+	fullPlaces  = 3 // of a server
+)
+
+func modelName(n int) string  { return fmt.Sprintf("model%02d", n%fullModels) }
+func serverName(n int) string { return fmt.Sprintf("i-%02d", n) }
+
+// newFullFleet is one whose models are asked for so many times a second in all, the first ones the most.
+func newFullFleet(perSecond float64) *fullFleet {
+	var models []string
+	sum := 0.0
+	for i := range fullModels {
+		models = append(models, fmt.Sprintf(`{"name":%q,"weights_mb":70000,"load_s":4,"adapters":0,"adapter_mb":66,"warm_s":0.4,"disk_s":0.8}`, modelName(i)))
+		sum += math.Pow(float64(i+1), -0.8)
+	}
+	text := fmt.Sprintf(`{"version":1,"routes":[{"name":"r","hostname":"h.example","path_prefix":"/p/","route_type":"streaming","timeout_ms":5000,"target_latency_ms":800,"backend":"s"}],
+	"backends":[{"name":"s","max_connections":380,"engine":{"slots":64,"weights_mb":220000,"adapter_slots":8,"loads_per_s":2.1,"models":[%s]}}]}`, strings.Join(models, ","))
+	f := &fullFleet{state.New(), map[string]Demand{}}
+	f.agree(&wire.Command{Kind: &wire.Command_Apply{Apply: &wire.ApplyFleet{Number: 1, Digest: fleet.Digest([]byte(text)), Text: text, Format: "platform"}}})
+	for i := range fullServers {
+		a := &wire.Announcement{Id: serverName(i), Service: "s", Address: fmt.Sprintf("10.9.%d.1:80", i), Hall: fmt.Sprint("hall", i%4), Slots: 64, Engine: true}
+		for k := range fullPlaces {
+			name := modelName(i*fullPlaces + k)
+			a.Residents = append(a.Residents, &wire.Item{Model: name, Version: "newest"})
+			a.AtHand = append(a.AtHand, name)
+		}
+		f.agree(&wire.Command{Kind: &wire.Command_Announce{Announce: a}})
+	}
+	for i := range fullModels {
+		rate := perSecond * math.Pow(float64(i+1), -0.8) / sum
+		f.demand[modelName(i)] = Demand{Requests: rate, Places: rate, Steady: rate, Reading: rate * 0.02}
+	}
+	return f
+}
+
+func (f *fullFleet) agree(c *wire.Command) state.Result {
+	data, _ := proto.Marshal(c) // cannot fail
+	return f.Apply(&wire.Entry{Index: f.Index + 1, Kind: wire.EntryKind_ENTRY_COMMAND, Data: data})
+}
+
+func (f *fullFleet) limit(server string, perSecond float64) {
+	f.agree(&wire.Command{Kind: &wire.Command_Limit{Limit: &wire.ServerLimit{Server: server, Milli: uint32(1000 * perSecond)}}})
+}
+
+// settle decides and carries out until nothing is left to do, and returns the count of orders.
+func (f *fullFleet) settle() (orders int) {
+	for range 40 {
+		before := orders
+		for _, d := range Decide(Input{State: f.State, Demand: f.demand, Since: time.Hour}).Decisions {
+			r := f.agree(&wire.Command{Kind: &wire.Command_Issue{Issue: &wire.IssueOrder{Order: d.Order}}})
+			if r.Err != nil {
+				continue
+			}
+			orders++
+			f.agree(&wire.Command{Kind: &wire.Command_Close{Close: &wire.CloseOrder{Id: r.Order.Id, Outcome: wire.OrderOutcome_OUTCOME_DONE}}})
+		}
+		if orders == before {
+			break
+		}
+	}
+	return orders
+}
+
+// refused is how many requests a second no server takes: of models whose only copies are on servers with a limit.
+func (f *fullFleet) refused() (sum float64) {
+	left := map[string]float64{}
+	for id, l := range f.Limits {
+		left[id] = float64(l.Milli) / 1000
+	}
+	for i := range fullModels {
+		var rooms []string
+		free := false
+		for p := range f.Residents {
+			if p.Model != modelName(i) {
+				continue
+			}
+			_, limited := left[p.Server]
+			free = free || !limited
+			rooms = append(rooms, p.Server)
+		}
+		if free {
+			continue
+		}
+		need := f.demand[modelName(i)].Requests
+		for _, server := range rooms {
+			take := min(need, left[server])
+			left[server] -= take
+			need -= take
+		}
+		sum += need
+	}
+	return sum
+}
+
+// The load that an incident had: two of eighteen full servers name a limit of about one request a second. What they do not
+// bear goes to copies elsewhere, for which the least asked-for spare copies go; and it comes to rest.
+func TestModelsOfLimitedServersGetCopiesElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	f := newFullFleet(52)
+	g.Expect(f.settle()).To(BeZero(), "nothing is to be done without limits")
+	f.limit(serverName(3), 1)
+	f.limit(serverName(9), 1.1)
+	g.Expect(f.refused()).To(BeNumerically(">", 0.5))
+	orders := f.settle()
+	t.Logf("%d orders, %.2f refused a second", orders, f.refused())
+	g.Expect(f.refused()).To(BeNumerically("<", 0.05))
+	g.Expect(orders).To(BeNumerically("<=", 12), "two for each of the six models there")
+	g.Expect(f.settle()).To(BeZero())
+	f.limit(serverName(3), 0)
+	f.limit(serverName(9), 0)
+	g.Expect(f.settle()).To(BeNumerically("<=", 2), "the end of a limit moves next to nothing")
+}
