--- a/placement/demand.go
+++ b/placement/demand.go
@@ -131,7 +131,7 @@
 	// touched are the servers whose work it changes.
 	touched []*load
 	// weighed are the places of which it is the better one.
-	weighed [2]*accelerator
+	weighed []*accelerator
 }
 
 // Rules for what is found of the models' further copies in one decision:
@@ -164,7 +164,7 @@
 		delete(p.found, name)
 	}
 	for name, c := range p.found {
-		if c != nil && (c.weighed[0] == a || c.weighed[1] == a || slices.Contains(c.touched, a.load)) {
+		if c != nil && (slices.Contains(c.weighed, a) || slices.Contains(c.touched, a.load)) {
 			delete(p.found, name)
 		}
 	}
@@ -213,7 +213,9 @@
 		}
 	}
 	if best != nil {
-		best.weighed = [2]*accelerator{atHand.acc, others.acc}
+		for _, at := range places {
+			best.weighed = append(best.weighed, at.acc)
+		}
 	}
 	return best
 }
