--- a/soak/limits_test.go
+++ b/soak/limits_test.go
@@ -18,16 +18,19 @@
 	limitWindow = 4 * time.Second
 	limitOver   = 1.5
 	limitSlack  = 5
-	// limitContact is the time from a server's first naming of a limit until all boxes hold to it, limitTold that
-	// after which a box holds to an answer that it passed on itself.
-	limitContact = 4 * time.Second
+	// limitContact is the time from a server's first naming of a limit until all boxes hold to it: half of what the users
+	// allow, so that more of a short run is judged. limitTold is the time after which a box holds to an answer that it
+	// passed on itself.
+	limitContact = 2 * time.Second
 	limitTold    = 500 * time.Millisecond
 )
 
 // limits are what servers name, and which boxes are excused from them when.
 type limits struct {
 	mu      sync.Mutex
+	random  *rand.Rand
 	named   map[string]string // by server
+	ended   bool              // no further server names one
 	excused []excuse
 }
 
@@ -37,7 +40,25 @@
 	from, to time.Time
 }
 
-func newLimits() *limits { return &limits{named: map[string]string{}} }
+// newLimits draws from a source of its own, so that a seed's series of faults stays what it was.
+func newLimits(seed uint64) *limits {
+	return &limits{random: rand.New(rand.NewPCG(seed, 11)), named: map[string]string{}}
+}
+
+func (l *limits) draw(n int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.random.IntN(n)
+}
+
+// begin has a server that starts name something.
+func (l *limits) begin(server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.ended {
+		l.named[server] = values[l.random.IntN(len(values))]
+	}
+}
 
 func (l *limits) of(server string) string {
 	l.mu.Lock()
@@ -70,14 +91,12 @@
 }
 
 // values are what servers name: limits, none, and what cannot be read.
-var values = []string{"0.4", "1", "1.1", "3", "8", "", "NaN", "-1", ""}
+var values = []string{"0.4", "1.1", "3", "8", "20", "", "", "", "NaN", "-1"}
 
-// run has one server after another name something else. It draws from a source of its own, so that a seed's series of faults
-// stays what it was.
+// run has one server after another name something else, and all of them nothing in the end.
 func (l *limits) run(ctx context.Context, w *world) {
-	random := rand.New(rand.NewPCG(w.seed, 11))
-	for wait.For(ctx, time.Duration(500+random.IntN(3000))*time.Millisecond) {
-		place, value := random.IntN(servers), values[random.IntN(len(values))]
+	for wait.For(ctx, time.Duration(1500+l.draw(4500))*time.Millisecond) {
+		place, value := l.draw(servers), values[l.draw(len(values))]
 		if s := w.liveServer(place); s != nil {
 			w.t.Logf("%s %s names the limit %q", time.Now().Format("05.000"), s.ID, value)
 			l.name(s.ID, value)
@@ -86,6 +105,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	clear(l.named)
+	l.ended = true
 }
 
 // checkLimits judges each server by what it saw.
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -87,7 +87,7 @@
 
 func newWorld(t *testing.T, seed uint64) *world {
 	runs++
-	w := &world{t: t, seed: seed, links: newLinks(), limits: newLimits()}
+	w := &world{t: t, seed: seed, links: newLinks(), limits: newLimits(seed)}
 	net := fmt.Sprintf("127.%d.%d", 64+(os.Getpid()+runs)>>8&63, (os.Getpid()+runs)&255)
 	for i := range boxes {
 		w.boxes = append(w.boxes, &daemon{w: w, ip: fmt.Sprintf("%s.%d", net, 10+i), folder: t.TempDir(), disk: i < disks})
@@ -253,6 +253,7 @@
 		ID: fmt.Sprintf("i-%d-%d", place, time.Now().UnixNano()), Service: "s", Hall: "h", Room: 220, AdapterSlots: 3, LoadTime: 200 * time.Millisecond,
 		Beat: 300 * time.Millisecond, Lease: orderPause - 100*time.Millisecond, Events: events, Pause: 15 * time.Millisecond, Weights: map[string]int{},
 	}
+	w.limits.begin(s.ID)
 	s.Limit = func() string { return w.limits.of(s.ID) }
 	for _, d := range w.boxes {
 		s.Control = append(s.Control, d.control())
