--- a/box/quotas.go
+++ b/box/quotas.go
@@ -25,8 +25,7 @@
 	passOver = 500 * time.Millisecond
 	// leaderSure is the age of the news up to which there surely is a leader: a parent holds a
 	// question for 400 ms. A leader that leads and is only slow must not have another allocator
-	// beside it: 65 boxes that turned to one for half a second after each late answer spent 9.9
-	// seconds of the rate of 9 in a window.
+	// beside it, or both lease their part for as long as it is slow.
 	leaderSure = 700 * time.Millisecond
 )
 
--- a/control/patience.go
+++ b/control/patience.go
@@ -12,8 +12,8 @@
 	// others make room for it: a server that crashed is mostly back by then, and has
 	// the model on its disk.
 	patience = 8 * time.Second
-	// idleAfter is the time after which a model that nobody asked for counts as idle:
-	// rare ones are asked for every 6 s or so where this was measured.
+	// idleAfter is the time after which a model that nobody asked for counts as idle: longer than
+	// rare ones mostly go without a request.
 	idleAfter = 15 * time.Second
 )
 
--- a/control/steady.go
+++ b/control/steady.go
@@ -8,8 +8,8 @@
 )
 
 // steadySpan is the time over which the rate of requests for a model is averaged that
-// tells whether it is asked for all the time or now and then: rare models were asked for
-// every two to six seconds where this was measured.
+// tells whether it is asked for all the time or now and then: long enough for some requests of
+// a rare model.
 const steadySpan = 10 * time.Second
 
 // steadyLeast is the rate, in requests a second, below which nothing is remembered.
--- a/crasher/book.go
+++ b/crasher/book.go
@@ -14,15 +14,15 @@
 const (
 	// strongWeight and weakWeight are what signs weigh (2), and holdWeight what holds a suspect (4): three
 	// servers that ended at the request's first step, or five at which it had run for long. Two would
-	// find the guilty as well and save a server in three, but refuse 42 of 2,704 innocent requests beside ten
-	// guilty ones, which are sent again to the same few servers with their model; with three it is none (TestShares).
+	// save a server in three, but refuse innocent requests that are sent again to the same few servers with
+	// their model as the guilty ones.
 	strongWeight = 2
 	weakWeight   = 1
 	holdWeight   = 5
 	// serversKept is how many of the servers that ended are named for operators.
 	serversKept = 5
-	// suspectsMost bounds the table: some 150 bytes each in every box, 0.6 MB. It holds what was at 60
-	// servers of 64 places that ended one after another within suspectFor.
+	// suspectsMost bounds the table, which each box holds. It has room for what was at 60 servers of 64
+	// places that ended one after another within suspectFor.
 	suspectsMost = 4096
 	// heldMost bounds those of the table that are held.
 	heldMost = 1024
--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -21,7 +21,7 @@
 	// known to come (2).
 	waitShare = 0.45
 	// decideWithin is the time in which a leader that is told of a want has given an order
-	// for it, if it means to, and all boxes know: 0.1 to 0.4 s where it was measured.
+	// for it, if it means to, and all boxes know.
 	decideWithin = time.Second
 )
 
--- a/gateway/reading.go
+++ b/gateway/reading.go
@@ -20,7 +20,7 @@
 
 const (
 	// readFirst is the time in milliseconds to read a token that is assumed of a model
-	// before its first answer: that of the slower kind of model where it was measured.
+	// before its first answer.
 	readFirst = 1 / 38.0
 	// readQuantile is the quantile that is followed, and readStep the factor, as a
 	// logarithm, of a step at the quantile 1.
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -130,14 +130,13 @@
 	rate float64
 	// touched are the servers whose work it changes.
 	touched []*load
-	// weighed are the places of which it is the better one.
+	// weighed are the places of which it is the best one.
 	weighed []*accelerator
 }
 
 // Rules for what is found of the models' further copies in one decision:
 //
-//  1. It is kept until something moves: each load would have it found anew for all models,
-//     15 ms at 240 servers and 399 models, 30 times where 30 models lost their copies.
+//  1. It is kept until something moves: each load would have it found anew for all models.
 //  2. The first copy of a model only makes its server busier. So only what was reckoned with
 //     that server is found anew: models that stand there, or whose further copy would.
 //  3. After any other move all is found anew: work goes down elsewhere, too.
@@ -269,10 +268,7 @@
 // absentLeast is the rate, in requests a second, at which a model without a copy is missed at
 // least. What was not asked for lately may be soon, and a copy that came back costs more than the
 // requests that missed it: an order or two, a load of seconds in which room is made, and the copies
-// that went for it. With 90 servers of three places before 166 models, of which 121 are asked for
-// 0.26 times a second each, it was compared at 0.5, 1.5, 3 and 6: at 1.5 loads from the weight store
-// fall from 337 to 196 on a day with trouble, and more of the rare models' requests are
-// served; at 6 the models that are asked for all the time have too few copies.
+// that went for it. Too high, it takes copies from models that are asked for all the time.
 const absentLeast = 1.5
 
 // absentRate is the rate at which requests miss a model without a copy (15).
--- a/placement/load.go
+++ b/placement/load.go
@@ -13,9 +13,8 @@
 }
 
 // readingFull is the share of a server's time in which it reads prompts at which about all
-// its answers come late. Reading holds up each stream that runs beside it: where prompts
-// took 20 to 60 ms and streams bore pauses of 250 ms, a sixth of the streams were late at a
-// share of 0.33 and a third at 0.45, which is the square of the share over this.
+// its answers come late. Reading holds up each stream that runs beside it: the share of
+// streams that are late is about the square of the share of reading over this.
 const readingFull = 0.8
 
 // add books a part of a model's demand.
--- a/placement/needs.go
+++ b/placement/needs.go
@@ -247,8 +247,8 @@
 }
 
 // spares are the copies on an accelerator that can go, the least asked for first, as the
-// round stood at some time. Each move weighs each of them for each model that has too few
-// copies: at 240 servers and 399 models that was six sevenths of a decision.
+// round stood at some time: each move weighs each of them for each model that has too few
+// copies.
 type spares struct {
 	round int // planner.round
 	list  []copyOf
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -48,10 +48,8 @@
 //     copies too: the last copy of one that is asked for now and then may go, where the
 //     server has it at hand, for a copy that spares more requests, and comes back by the
 //     same measure. It is missed by the requests that it is asked for on average, by those
-//     of now where they are many, and by some even if nobody asked for it lately. With
-//     this the models that are asked for all the time had copies enough on days when
-//     servers were lost (0.50 of what was owed earned there, 0.46 when each model kept a
-//     place of its own; 0.79 and 0.75 on a quiet day).
+//     of now where they are many, and by some even if nobody asked for it lately. So the
+//     models that are asked for all the time have copies enough when servers are lost.
 //  16. Room that is needed is not made by taking a copy that many requests need while a
 //     server that takes no order yet, such as one that another leader gave orders to,
 //     can spare one that few need.
