rate: a part that rested has saved nothing up

Seen in TestMomentsAloneSaveNothingUp, made for a frozen leader: 10 boxes that again and again reach nobody for two seconds sent a server with a limit of 1 a second 13 requests in 4 s, allowed 11. Cause: the bucket of a box's own part filled while others allocated, to the whole unit that a bucket holds at the least, and each box began its next moment alone with it: ten at once.

--- a/rate/asking.go
+++ b/rate/asking.go
@@ -39,17 +39,30 @@
 	answer, err := l.opts.Lease(ctx, epoch, asks)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if err != nil {
+	l.setAlone(err != nil)
+	if l.alone {
 		answer = l.answerAlone(asks)
 	}
-	l.alone = err != nil
 	l.takeOver(answer, asks, began)
 	return err == nil
 }
 
+// setAlone notes whether a box answered. What the own part saved up while others allocated is theirs: each box
+// would begin its next moment alone with it. One that asked nobody since does not know (ownLasts).
+func (l *Limiter) setAlone(alone bool) {
+	if l.alone && !alone {
+		l.own = newAllocator()
+	}
+	l.alone = alone
+}
+
 // answerAlone is the end of rule 4.
 func (l *Limiter) answerAlone(asks []Asked) Answer {
 	now := l.opts.Now()
+	if now-l.ownAt > ownLasts {
+		l.own = newAllocator()
+	}
+	l.ownAt = now
 	answer := Answer{}
 	for _, a := range asks {
 		if r := l.rows[a.Key]; r != nil {
--- a/rate/lessor.go
+++ b/rate/lessor.go
@@ -28,6 +28,7 @@
 	mu        sync.Mutex
 	lead      Lead
 	allocator *allocator
+	askedAt   time.Duration            // by any box, last
 	askers    map[string]time.Duration // boxes, and when they asked last
 }
 
@@ -42,10 +43,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	if lead.Leads != l.lead.Leads || lead.Term != l.lead.Term {
+	changed := lead.Leads != l.lead.Leads || lead.Term != l.lead.Term
+	rested := !lead.Leads && now-l.askedAt > ownLasts // what a part saved up meanwhile was another's to give
+	if changed || rested {
 		l.allocator = newAllocator()
 	}
-	l.lead = lead
+	l.lead, l.askedAt = lead, now
 	answer := Answer{Epoch: l.epoch()}
 	share := l.share(box, now)
 	for _, ask := range asks {
--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -29,6 +29,8 @@
 	demandSpan = time.Second
 	// idleRow is how long nothing was asked of a workspace when what is known of it is dropped.
 	idleRow = 30 * time.Second
+	// ownLasts is for how long a box's own part saves up without being asked for.
+	ownLasts = 2 * time.Second
 	// againPause is the time between two asks without an answer.
 	againPause = 100 * time.Millisecond
 )
@@ -82,7 +84,8 @@
 	rows  map[Key]*row
 	epoch string // of the newest answer
 	// own allocates this box's part to it while no box answers (4).
-	own *allocator
+	own   *allocator
+	ownAt time.Duration // when it was asked last
 	// alone tells that the newest ask had no answer.
 	alone bool
 }
--- a/rate/servers_sim_test.go
+++ b/rate/servers_sim_test.go
@@ -241,3 +241,26 @@
 		}
 	}
 }
+
+// Again and again no box reaches another for a moment, as while a leader is frozen or elected. What each box saves of its
+// own part meanwhile must not be there, whole, the next time: with 10 boxes that is ten requests at once.
+func TestMomentsAloneSaveNothingUp(t *testing.T) {
+	for _, boxes := range []int{3, 10, 65, 300} {
+		for _, perSecond := range []float64{0.4, 1, 3} {
+			g := NewWithT(t)
+			x := newWorld(serverLimit(perSecond), boxes, 7)
+			x.elect()
+			for x.now < 120*time.Second {
+				x.unreached = x.now%(40*time.Second) > 38*time.Second
+				asked := max(20, 4*perSecond)
+				if !x.unreached && x.now > 40*time.Second { // most boxes are asked for nothing between two moments
+					asked = 0
+				}
+				x.requests(asked/float64(boxes), func() int { return 0 })
+			}
+			worst, allowed, at := x.overServerLimit([]spend{{0, perSecond}})
+			t.Logf("%d boxes, %g a second: %.0f in a window that ends at %v, allowed %.1f", boxes, perSecond, worst, at, allowed)
+			g.Expect(worst).To(BeNumerically("<=", allowed))
+		}
+	}
+}
--- a/rate/sim_test.go
+++ b/rate/sim_test.go
@@ -134,7 +134,7 @@
 	b.l.mu.Lock()
 	defer b.l.mu.Unlock()
 	i := x.lessor(b)
-	b.l.alone = i < 0
+	b.l.setAlone(i < 0)
 	if b.l.alone {
 		b.next = x.now + againPause
 		b.l.takeOver(b.l.answerAlone(asks), asks, x.now)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -270,6 +270,7 @@
 mutant limits-refused-late entry/limits.go 's/why == reason.NoServer && e.allFull\(j\)/false/' entry 'TestCallsBeyond'
 mutant ranks-alike rate/turns.go 's/return reserve\n/return 0\n/' rate 'TestTheMoreUrgent'
 mutant ranks-starve rate/turns.go 's/passedMost = 4/passedMost = 100000/' rate 'TestNoRankStarves'
+mutant parts-saved-up rate/asking.go 's/\tif l.alone && !alone \{/\tif false {/; s/now-l.ownAt > ownLasts/false/' rate 'TestMomentsAlone'
 mutant parts-are-whole rate/allocator.go 's/\tl.PerSecond \*= share\n//' rate 'TestNoHistoryGives'
 mutant levels-one-by-one control/levels.go 's/\tfor ctx.Err\(\) == nil \{\n\t\tview/\tfor range 1 {\n\t\tview/' control 'TestTheFirstFile'
 mutant limited-servers-take-all placement/limits.go 's/parts\[i\] = min\(equal, limitPart\(c.acc\)\/asked\)/parts[i] = equal/' placement 'TestModelsOfLimited|TestPlacement'
