--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -178,14 +178,14 @@
 	agreed := t.opts.View().LimitOf(server)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.words[server]
-	switch {
-	case w == nil && agreed == 0:
+	if t.words[server] == nil && agreed == 0 {
 		return 0
-	case w == nil:
-		return t.wordOf(server, agreed, time.Now()).limit
 	}
-	return t.wordOf(server, agreed, w.at).limit
+	w := t.wordOf(server, agreed, time.Now())
+	if w.limit == 0 && agreed == 0 { // it has ended for all
+		delete(t.words, server)
+	}
+	return w.limit
 }
 
 // LimitOf is what all boxes together keep to for a server that names a limit.
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -87,6 +87,7 @@
 	agree(view, 0)
 	g.Expect(x.Limit("s")).To(BeZero())
 	g.Expect(x.Limit("another life at its address")).To(BeZero())
+	g.Expect(x.Any()).To(BeFalse(), "what has ended is forgotten")
 }
 
 // A server whose limit is used up is passed over by this rank and refuses at once with a time to come back.
