rate: what another box says is bounded

An allocator's word that nothing is to be had for 49 days (the most that fits the message) would have kept a box from a server, or a workspace, for so long; a minute is the most now.

--- a/rate/asking.go
+++ b/rate/asking.go
@@ -134,13 +134,14 @@
 }
 
 func (r *row) take(g Grant, need float64, x lease, now time.Duration) {
+	after := min(max(g.After, 0), afterMost)
 	switch {
 	case x.left > 0:
 		r.leases = append(r.leases, x)
-	case need > 0 && g.After > holdMost:
-		r.spentAt, r.spentUntil = now, now+max(g.After, spentPause)
+	case need > 0 && after > holdMost:
+		r.spentAt, r.spentUntil = now, now+max(after, spentPause)
 	case need > 0:
-		r.spentAt, r.spentUntil = now, now+max(g.After, askPause)
+		r.spentAt, r.spentUntil = now, now+max(after, askPause)
 	}
 }
 
--- /dev/null
+++ b/rate/fuzz_test.go
@@ -0,0 +1,47 @@
+package rate
+
+import (
+	"context"
+	"math"
+	"testing"
+	"time"
+)
+
+// Whatever another box asks for or answers, what is leased and held stays a number within bounds, and a refusal ends.
+func FuzzWhatOtherBoxesSay(f *testing.F) {
+	f.Add(1.0, 1.0, 0.0, 0.0, 0, 1.0, int64(100))
+	f.Add(math.NaN(), -1.0, math.Inf(1), 1e308, -7, math.Inf(1), int64(math.MaxInt64))
+	f.Add(1.0, 1.0, 0.0, 0.0, 3, 0.0, int64(math.MaxUint32))
+	f.Add(1e308, 1e-308, 1e308, math.Inf(-1), 1<<40, -5.0, int64(-1))
+	f.Fuzz(func(t *testing.T, need, least, ahead, unused float64, rank int, leased float64, afterMs int64) {
+		now := 10 * time.Second
+		key := Key{Name: "w", Rank: rank}
+		limit := Limit{PerSecond: 100, Burst: 100}
+		lessor := NewLessor("p", func() time.Duration { return now })
+		for range 3 {
+			answer := lessor.Answer("b", "p/1", Lead{Leads: true, Term: 1, Boxes: 3}, func(Asked) (Limit, bool) { return limit, true },
+				[]Asked{{Key: key, Ask: Ask{Need: need, Least: least, Ahead: ahead, Unused: unused}}})
+			for _, g := range answer.Rows {
+				if !(g.Leased >= 0) || math.IsInf(g.Leased, 0) || g.After < 0 {
+					t.Fatalf("leased %v after %v", g.Leased, g.After)
+				}
+			}
+			now += time.Second
+		}
+		l := NewLimiter(Options{Boxes: func() int { return 3 }, Now: func() time.Duration { return now }, Window: window,
+			Lease: func(context.Context, string, []Asked) (Answer, error) { panic("not called") }})
+		if wait, _ := l.try(key, limit, 1, true); wait == nil {
+			t.Fatal("there was nothing to spend")
+		}
+		_, asks := l.collect(now)
+		l.mu.Lock()
+		l.takeOver(Answer{Rows: []Granted{{key, Grant{Leased: leased, After: time.Duration(afterMs) * time.Millisecond}}}}, asks, now)
+		l.mu.Unlock()
+		if after, spent := l.Spent(key); spent && (after <= 0 || after > afterMost) {
+			t.Fatalf("spent for %v", after)
+		}
+		if s, _ := l.Standing(key); math.IsNaN(s.Balance) || math.IsInf(s.Balance, 0) {
+			t.Fatalf("balance %v", s.Balance)
+		}
+	})
+}
--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -22,6 +22,8 @@
 	// spentPause is the least time for which a limit whose bucket is empty is not asked for
 	// again: with 65 boxes some 260 asks a second.
 	spentPause = 250 * time.Millisecond
+	// afterMost bounds that time, whatever an allocator says.
+	afterMost = time.Minute
 	// holdMost is how long a request may wait until its limit's bucket bears it. That is less
 	// than the way back to the caller and here again costs it.
 	holdMost = 60 * time.Millisecond
