gateway: events that were not passed on are asked for again

Cause: a box that was stopped for a moment read the server's answer just as its watch had given the exchange up; nothing was passed on, but the events had been counted as passed, and the next server was asked for what follows the last of them. The box's lines of that request and the standin's answer show each step; TestEventsThatWereNotPassedOnAreAskedForAgain failed before. What was not passed is forgotten now; a stream whose head was passed on never comes this way.

--- a/gateway/pass.go
+++ b/gateway/pass.go
@@ -139,6 +139,7 @@
 			}
 			if !j.headed && !a.watch.pass(func() { j.writeHead(a, -1) }) {
 				a.done(false)
+				j.stream = events{} // none of them reaches the caller: the next server is asked for all
 				return j.streamBroke(ctx, s, errSilent, true)
 			}
 			if _, werr := j.w.Write(out); werr != nil {
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -1,17 +1,25 @@
 package gateway
 
 import (
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
+	"leverdrum/dialect"
 	"leverdrum/fleet"
 	"leverdrum/meter"
 	"leverdrum/reason"
+	"leverdrum/state"
+	"leverdrum/wire"
 )
 
 // The last sending that a stream had was ended after 1.2 s of silence, and the caller's
@@ -196,3 +204,31 @@
 	w.look()
 	g.Expect(w.stop()).To(BeTrue())
 }
+
+// A caller got a stream that ended as if whole, without an event (soak, seed 618484344335: a box was stopped for a moment and woke).
+// The server's answer came as its exchange was given up for its silence, so nothing of it was passed on, but its events had been
+// counted as passed: the next server was asked for what follows the last of them, and had nothing. The box's lines of that
+// request ("began when it had been given up", then another sending) and the empty answer proved it.
+func TestEventsThatWereNotPassedOnAreAskedForAgain(t *testing.T) {
+	g := NewWithT(t)
+	view := viewOf(fleet.Streaming, "127.0.0.1:1")
+	gate := New(Options{
+		Dialect: dialect.Own, View: func() *state.State { return view }, Current: func() bool { return true },
+		Budget: Budget{Ratio: 1, Slack: 100, Window: 10 * time.Second}, Meters: meter.New(), Log: zap.NewNop(),
+	})
+	gate.Changed()
+	route := &fleet.Route{Kind: fleet.Streaming, Resumable: true, MaxAttempts: 2, Timeout: time.Minute}
+	r := httptest.NewRequest(http.MethodPost, "/x", nil)
+	j := gate.newJob(httptest.NewRecorder(), r, gate.dir.table(), route, nil, time.Now())
+	s := newServer(&wire.Announcement{Id: "i", Address: "127.0.0.1:1", Slots: 1})
+	j.tried, j.sends = []*server{s}, 1
+	near, far := net.Pipe()
+	defer far.Close()
+	a := &answer{
+		Response: &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))},
+		conn:     &conn{Conn: near, from: s.conns}, from: s.conns, stop: func() bool { return true }, watch: &watch{dark: true},
+	}
+	g.Expect(j.relay(t.Context(), s, a, func() {})).To(BeFalse(), "it goes to another server")
+	g.Expect(j.headed).To(BeFalse())
+	g.Expect(j.stream).To(Equal(events{}), "from the first event on")
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -259,6 +259,7 @@
 mutant full-at-first rate/allocator.go 's/firstLevel = 0.05/firstLevel = 2.0/; s/min\(firstLevel\*l.PerSecond, l.most\(\)\)/firstLevel*l.PerSecond/; s/b.level = min\(b.level, l.most\(\)\)\n\}/}/' rate 'TestNoHistory'
 mutant spent-for-good rate/limiter.go 's/r.leases = append\(r.leases, lease\{c.weight/_ = append(r.leases, lease{c.weight/' rate 'TestWhatWasNotSpent'
 mutant quota-passed-over gateway/job.go 's/\tcharge, why := j.bear\(ctx\)\n/\tcharge, why := rate.Charge{}, (*reason.Reason)(nil)\n/' gateway 'TestWhatAQuota|TestARequestBeyond'
+mutant events-not-asked-again gateway/pass.go 's/\t+j.stream = events\{\}[^\n]*\n//' gateway 'TestEventsThatWere'
 mutant limits-not-heeded throttle/throttle.go 's/\tif limit == 0 \{\n\t\treturn rate.Charge/\tif limit >= 0 {\n\t\treturn rate.Charge/' throttle 'TestAUsedLimit'
 mutant limits-of-entry-not-heeded entry/limits.go 's/charge, refusal := e.opts.Throttle.Take\(ctx, b.Name, j.ticket.Rank\)/charge, refusal := rate.Charge{}, (*rate.Refusal)(nil)/' entry 'TestCallsBeyond'
 mutant limits-of-gateway-not-heeded gateway/limits.go 's/return refusal != nil/_ = refusal\n\treturn false/' box 'TestWhatNoServerCan'
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -33,6 +33,7 @@
 	{643281099898, "the same"},
 	{1016905792061, "SIGTERM as early ended it without a planned stop"},
 	{667783712339, "the soak's own: a process killed before its first line was waited for by count"},
+	{618484344335, "events that were not passed on were counted as passed, and not asked for again (gateway, relay)"},
 	{416881008403, "an order was sent again, since its closing was answered before the view showed it (replica, publish)"},
 }
 
