engine: an order that was not allowed to leave is told so each time

Nothing had left. Cause: once a write is refused the transport closes the connection, and its reader may fail before its writer has told why. Both clients share the guard, which stood twice.

--- a/engine/counting.go
+++ b/engine/counting.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 )
 
@@ -60,13 +59,5 @@
 // Guarded returns a client whose bytes leave only while allowed says so; it is
 // asked last thing before each write. Connections are not kept.
 func Guarded(allowed func() bool) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &guardedConn{c, allowed}, nil
-	}
-	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}}
+	return &http.Client{Transport: newGuardedTransport(allowed)}
 }
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -104,34 +103,10 @@
 // so; it is asked last thing before each write to a connection.
 func NewClient(allowed func() bool) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	guarded := func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &guardedConn{c, allowed}, nil
-	}
 	return &Client{
 		reads:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1}},
-		orders: &http.Client{Transport: &http.Transport{DialContext: guarded, DisableKeepAlives: true}},
-	}
-}
-
-// ErrNotAllowed: the box does not lead any more; nothing was written.
-var ErrNotAllowed = errors.New("this box may not give orders any more")
-
-// guardedConn refuses to write once its box does not lead.
-type guardedConn struct {
-	net.Conn
-	allowed func() bool
-}
-
-// Write asks for permission right before the bytes leave.
-func (c *guardedConn) Write(b []byte) (int, error) {
-	if !c.allowed() {
-		return 0, ErrNotAllowed
+		orders: Guarded(allowed),
 	}
-	return c.Conn.Write(b)
 }
 
 // At returns the server at an address.
