--- a/box/crasher_test.go
+++ b/box/crasher_test.go
@@ -285,7 +285,9 @@
 	}
 	g.Expect(s.endedSoFar()).To(BeNumerically(">=", 4), "all have ended")
 	// No word of the life before is waited for: its silence takes 3.3 s, and its count of words, 1000, some 100 s.
-	g.Eventually(func() bool { return s.send(0, "later", "/a/later", "body").whole }, 8*time.Second).Should(BeTrue())
+	var last answer
+	g.Eventually(func() bool { last = s.send(0, "later", "/a/later", "body"); return last.whole }, 8*time.Second).
+		Should(BeTrue(), func() string { return fmt.Sprintf("%+v, %+v", last, s.status()) })
 	for n := range 40 {
 		s.send(n, fmt.Sprint("many-", n), fmt.Sprint("/a/many-", n), "body")
 	}
