--- a/entry/limits.go
+++ b/entry/limits.go
@@ -13,11 +13,9 @@
 	"leverdrum/workspace"
 )
 
-const (
-	// classRanks is how many steps of priority of a class are told apart where servers' limits are scarce, below
-	// the urgency of a workspace.
-	classRanks = 4
-)
+// classRanks is how many steps of priority of a class are told apart where servers' limits are scarce, below
+// the urgency of a workspace.
+const classRanks = 4
 
 // rankOf is the urgency of a request, 0 the highest: its workspace's, then its class's.
 func rankOf(owner *workspace.Workspace, t *route.Target) int {
