dialect, pushback: what answers say of their server is read in one place, remembered and logged

Sight for the incident of a server that asks for rest: no line told that a box was asked for one, nor until when.

One typed value (dialect.Report: limit, rest, draining) is read from each answer on both request paths, surplus answers and "not run" included; package pushback records it by the server's life and writes one line a change (server-resting, server-draining, pushback-malformed). Nothing heeds it yet. Package throttle gets the same value in place of header strings. The stand-in of the platform's servers turns requests away with Retry-After, says that it leaves, and keeps who sent what.

--- a/box/box.go
+++ b/box/box.go
@@ -32,6 +32,7 @@
 	"leverdrum/peer"
 	"leverdrum/platform"
 	"leverdrum/proxy"
+	"leverdrum/pushback"
 	"leverdrum/record"
 	"leverdrum/replica"
 	"leverdrum/route"
@@ -99,6 +100,7 @@
 	quotas    *quotas
 	limits    *quotas // that servers name
 	throttle  *throttle.Throttle
+	pushback  *pushback.Registry
 	// accept is how long an apply waits for the boxes.
 	accept spread.Patience
 }
@@ -315,11 +317,12 @@
 	p.quotas = newQuotas(leased{since: level.Workspaces, window: s.QuotaWindow}, self, r, p.spread, b.pool)
 	p.limits = newQuotas(leased{servers: true, since: level.ServerLimits, window: serverWindow}, self, r, p.spread, b.pool)
 	p.throttle = throttle.New(throttle.Options{Limiter: p.limits.limiter, View: r.View, Tell: p.tellLimit, Meters: b.meters, Log: b.log})
+	p.pushback = pushback.New(pushback.Options{Now: clock.New().Now, Throttle: p.throttle, Log: b.log})
 	p.directory.Hold(p.throttle)
 	p.entry = entry.New(entry.Options{
 		Directory: p.directory, View: r.View, Current: func() bool { return b.warm.Load() && p.spread.Current() }, Sender: proxy.NewSender(),
 		Meters: b.meters, Records: b.records, MaxBody: s.MaxBody, BodyTimeout: s.BodyTimeout, Guard: p.guard,
-		Crashes: p.crashes.add, Quotas: p.quotas.limiter, Throttle: p.throttle,
+		Crashes: p.crashes.add, Quotas: p.quotas.limiter, Throttle: p.throttle, Pushback: p.pushback,
 	})
 	p.gateway = b.newGateway(p)
 	p.platform = platform.Control(&platformCluster{b, p})
--- a/box/crasher_test.go
+++ b/box/crasher_test.go
@@ -41,13 +41,16 @@
 	model       string // that is asked for, m1 where it is ""
 	// limits are what servers name as theirs, by id.
 	limits map[string]string
+	// rests are the Retry-After with which servers turn all requests away, leaves tells which say that they end, by id.
+	rests  map[string]string
+	leaves map[string]bool
 }
 
 // restartAfter is how long a server that ended is away.
 const restartAfter = 300 * time.Millisecond
 
 func startSeveral(t *testing.T, others int) *several {
-	s := &several{one: startOne(t), deadly: map[string]bool{}, limits: map[string]string{}}
+	s := &several{one: startOne(t), deadly: map[string]bool{}, limits: map[string]string{}, rests: map[string]string{}, leaves: map[string]bool{}}
 	s.entries = []string{s.entry}
 	for i := range others {
 		s.entries = append(s.entries, s.startEntry(i))
@@ -100,6 +103,16 @@
 		defer s.mu.Unlock()
 		return s.limits[v.ID]
 	}
+	v.TurnAway = func(string) string {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.rests[v.ID]
+	}
+	v.Leaves = func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.leaves[v.ID]
+	}
 	v.Crashed = func() {
 		s.mu.Lock()
 		s.ended++
@@ -181,6 +194,7 @@
 	req.Header.Set("Leverdrum-Request-Id", id)
 	req.Header.Set("Leverdrum-Deadline-Ms", fmt.Sprint(15000+n)) // what is left differs each time
 	req.Header.Set("Leverdrum-Model", cmp.Or(s.model, "m1"))
+	req.Header.Set(standin.HeaderVia, s.entries[n%len(s.entries)])
 	began := time.Now()
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"leverdrum/workspace"
 )
@@ -26,6 +27,10 @@
 	Key       string // of the caller's workspace, never shown to a server
 	Workspace string // whose request it is, told to the server; "": servers are not told
 	Limit     string // in an answer: the requests a second that its server takes from all boxes together
+	Draining  string // in an answer: its server is about to end
+	// DrainTTL is how long a server counts as draining after its last answer that says so, where one of its name may start
+	// again unnoticed; 0: for its life.
+	DrainTTL time.Duration
 	// Reserved are further headers by which only the system speaks to a server.
 	Reserved []string
 	// Prompt reads what a request says of its prompt.
@@ -61,12 +66,16 @@
 	Tokens int
 }
 
+// ownDrainTTL is longer than a planned stop of a server takes.
+const ownDrainTTL = 30 * time.Second
+
 const headerMaxTokens = "X-Max-Tokens"
 
 // Own is the product's own dialect.
 var Own = Dialect{
 	RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", LastEvent: "Last-Event-Id", Instance: "X-Instance", ServerID: "X-Server-Id",
 	Rank: "X-Rank", Stamp: "X-Server-Stamp", NotRun: "X-Not-Run", Key: "X-Api-Key", Workspace: "X-Workspace", Limit: "X-Server-Limit",
+	Draining: "X-Server-Draining", DrainTTL: ownDrainTTL,
 	MaxTokens: headerMaxTokens, Prompt: ownPrompt, Usage: ownUsage,
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	"leverdrum/crasher"
 	"leverdrum/meter"
 	"leverdrum/proxy"
+	"leverdrum/pushback"
 	"leverdrum/rate"
 	"leverdrum/reason"
 	"leverdrum/record"
@@ -61,6 +62,8 @@
 	Quotas *rate.Limiter
 	// Throttle keeps to the limits that backends name; nil where none does.
 	Throttle *throttle.Throttle
+	// Pushback remembers what backends say of themselves; nil where nothing does.
+	Pushback *pushback.Registry
 }
 
 // Entry is the callers' side of a box.
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -65,13 +65,17 @@
 	return result{why: why, after: j.bearsAfter + time.Duration(rand.Int64N(int64(time.Second)))}
 }
 
-// noteLimit takes over what an answer says of its backend's limit, and gives back what did not leave.
-func (e *Entry) noteLimit(j *job, b *route.Backend, answer *proxy.Answer, failure *proxy.Failure) {
-	if answer != nil {
-		e.opts.Throttle.Note(b.Name, answer.Header.Values(dialect.Own.Limit), true)
-	}
-	if failure != nil {
-		e.opts.Throttle.Note(b.Name, failure.Header.Values(dialect.Own.Limit), false)
+// observe records what an answer says of its backend, and gives back what did not leave.
+func (e *Entry) observe(j *job, b *route.Backend, answer *proxy.Answer, failure *proxy.Failure) {
+	switch {
+	case answer != nil:
+		said := dialect.Own.ReadReport(answer.Status, answer.Header, time.Now())
+		said.Own = true
+		e.opts.Pushback.Observe(b.Name, j.id, said)
+	case failure.Header != nil:
+		said := dialect.Own.ReadReport(failure.Status, failure.Header, time.Now())
+		said.Own = false
+		e.opts.Pushback.Observe(b.Name, j.id, said)
 	}
 	if failure != nil && failure.Reason == reason.NotReached {
 		j.borne.Release()
--- a/entry/limits_test.go
+++ b/entry/limits_test.go
@@ -18,6 +18,7 @@
 	"leverdrum/internal/clock"
 	"leverdrum/meter"
 	"leverdrum/proxy"
+	"leverdrum/pushback"
 	"leverdrum/rate"
 	"leverdrum/record"
 	"leverdrum/route"
@@ -83,7 +84,7 @@
 	d.Update(st)
 	box := httptest.NewServer(entry.New(entry.Options{
 		Directory: d, View: l.agreed.view.Load, Current: func() bool { return true }, Sender: proxy.NewSender(),
-		Meters: meter.New(), Records: record.NewBook(100), MaxBody: 1000, Throttle: limits,
+		Meters: meter.New(), Records: record.NewBook(100), MaxBody: 1000, Throttle: limits, Pushback: pushback.New(pushback.Options{Now: clock.New().Now, Throttle: limits, Log: zap.NewNop()}),
 	}))
 	t.Cleanup(box.Close)
 	return box
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -235,7 +235,7 @@
 		e.blame(b, failure)
 		e.noteBroken(j, b, failure.Reason)
 	}
-	e.noteLimit(j, b, answer, failure)
+	e.observe(j, b, answer, failure)
 	return answer, failure
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -32,9 +32,11 @@
 	header               http.Header
 	body                 []byte
 	id                   string
+	// observe is told of each answer that comes, also of one to another request; nil: nobody is.
+	observe func(*http.Response)
 }
 
-// bytes returns the request's head.
+// head returns the request's head.
 func (o *outgoing) head() []byte {
 	var b bytes.Buffer
 	b.WriteString(o.method + " " + o.target + " HTTP/1.1\r\nHost: " + o.host + "\r\n")
@@ -197,6 +199,9 @@
 		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		if o.observe != nil {
+			o.observe(resp)
+		}
 		if id := resp.Header.Get(idHeader); id == "" || id == o.id {
 			a.Response = resp
 			return nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,7 @@
 	"leverdrum/event"
 	"leverdrum/fleet"
 	"leverdrum/meter"
+	"leverdrum/pushback"
 	"leverdrum/rate"
 	"leverdrum/reason"
 	"leverdrum/state"
@@ -68,6 +69,8 @@
 	Quotas *rate.Limiter
 	// Throttle keeps to the limits that servers name; nil where none does.
 	Throttle *throttle.Throttle
+	// Pushback remembers what servers say of themselves; nil where nothing does.
+	Pushback *pushback.Registry
 	Hall     string
 	// Parting is how long a server that leaves is a last resort.
 	Parting time.Duration
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -167,14 +167,15 @@
 	j.beside = s.begin(began, c.work)
 	unread := true
 	defer func() { s.end(began, c.work, unread) }()
-	a, f := exchange(ctx, s.conns, j.outgoing(c), j.g.opts.Dialect.RequestID, j.mute(), j.silenceMayEnd(s))
+	o := j.outgoing(c)
+	o.observe = func(resp *http.Response) { j.observe(s, resp) }
+	a, f := exchange(ctx, s.conns, o, j.g.opts.Dialect.RequestID, j.mute(), j.silenceMayEnd(s))
 	if f != nil {
 		if f.unsent() {
 			j.unthrottle()
 		}
 		return j.failed(ctx, s, f)
 	}
-	j.noteLimit(s, a)
 	if f := j.judge(a); f != nil {
 		a.discard()
 		if a.StatusCode == http.StatusMisdirectedRequest {
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,10 +12,13 @@
 	"leverdrum/reason"
 )
 
-// noteLimit takes over what an answer says of its server's limit.
-func (j *job) noteLimit(s *server, a *answer) {
+// observe records what an answer says of its server. An answer of another server at the address says nothing of this one.
+func (j *job) observe(s *server, resp *http.Response) {
 	d := &j.g.opts.Dialect
-	j.g.opts.Throttle.Note(s.id, a.Header.Values(d.Limit), a.Header.Get(d.Stamp) != "")
+	if id := resp.Header.Get(d.ServerID); id != "" && id != s.name {
+		return
+	}
+	j.g.opts.Pushback.Observe(s.id, j.id, d.ReadReport(resp.StatusCode, resp.Header, time.Now()))
 }
 
 // throttled reports whether the server's limit does not bear a sending now; it is passed over then (11).
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -78,8 +78,10 @@
 	Outcome reason.Outcome
 	Reason  *reason.Reason
 	Cause   error
-	// Header is that of the backend's word that it did not run the request, nil for other failures.
+	// Header and Status are those of an answer that is not the request's own, as of a backend that did not run it; nil and
+	// 0 for other failures.
 	Header http.Header
+	Status int
 }
 
 // Error returns the cause.
@@ -192,11 +194,11 @@
 func (s *Sender) receive(a *Attempt, resp *http.Response) (*Answer, *Failure) {
 	if id := resp.Header.Get(engine.HeaderID); id != "" && id != a.ID { // (4)
 		resp.Body.Close()
-		return nil, &Failure{Outcome: reason.Unknown, Reason: reason.BackendBroke, Cause: Error.New("the answer is of attempt %q", id)}
+		return nil, &Failure{Outcome: reason.Unknown, Reason: reason.BackendBroke, Header: resp.Header, Status: resp.StatusCode, Cause: Error.New("the answer is of attempt %q", id)}
 	}
 	if resp.Header.Get(engine.HeaderRan) == "true" {
 		resp.Body.Close()
-		return nil, &Failure{Outcome: reason.NotRun, Reason: reason.BackendRefused, Header: resp.Header, Cause: Error.New("the backend server answered %d, not run", resp.StatusCode)}
+		return nil, &Failure{Outcome: reason.NotRun, Reason: reason.BackendRefused, Header: resp.Header, Status: resp.StatusCode, Cause: Error.New("the backend server answered %d, not run", resp.StatusCode)}
 	}
 	answer := &Answer{Status: resp.StatusCode, Header: http.Header{}, Version: resp.Header.Get(engine.HeaderVersion)}
 	PassHeaders(answer.Header, resp.Header)
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -84,14 +84,14 @@
 	return &Throttle{opts: opts, words: map[string]*word{}}
 }
 
-// Note takes over the values of the header that names a limit, from an answer of a server. own tells that the answer is
-// surely the server's: only then does one without the header say that there is no limit.
-func (t *Throttle) Note(server string, values []string, own bool) {
-	if t == nil || len(values) == 0 && (!own || !t.knows(server)) {
+// Note records what an answer of a server says of its limit. One that names none ends it, if it is surely the server's.
+func (t *Throttle) Note(server string, r dialect.Report) {
+	named := r.HasLimit || r.LimitErr != nil
+	if t == nil || !named && (!r.Own || !t.knows(server)) {
 		return
 	}
 	now := time.Now()
-	limit, said, err := dialect.ReadLimit(values)
+	limit, said, err := r.Limit, r.HasLimit || !named, r.LimitErr
 	agreed := t.opts.View().LimitOf(server)
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -32,6 +33,13 @@
 	t.list = append(t.list, l)
 }
 
+// answer is one that names limits; own tells that it is surely the server's.
+func answer(own bool, limits ...string) dialect.Report {
+	r := dialect.Own.ReadReport(http.StatusOK, http.Header{dialect.Own.Limit: limits}, time.Now())
+	r.Own = own
+	return r
+}
+
 func newThrottle(t *testing.T, view *state.State) (*Throttle, *told, *observer.ObservedLogs) {
 	heard := &told{}
 	core, lines := observer.New(zap.InfoLevel)
@@ -62,26 +70,26 @@
 	view := state.New()
 	x, heard, lines := newThrottle(t, view)
 	g.Expect(x.Any()).To(BeFalse())
-	x.Note("s", nil, true)
+	x.Note("s", answer(true))
 	g.Expect(x.Any()).To(BeFalse(), "servers that name nothing are not remembered")
 
-	x.Note("s", []string{"2"}, true)
+	x.Note("s", answer(true, "2"))
 	g.Expect(x.Limit("s")).To(Equal(dialect.Limit(2000)))
 	g.Expect(heard.list).To(Equal([]dialect.Limit{2000}))
 	agree(view, 2000)
-	x.Note("s", []string{"2.05"}, true)
+	x.Note("s", answer(true, "2.05"))
 	g.Expect(x.Limit("s")).To(Equal(dialect.Limit(2050)))
 	g.Expect(heard.list).To(HaveLen(1), "a small change is not worth an entry")
 	agree(view, 500)
 	g.Expect(x.Limit("s")).To(Equal(dialect.Limit(500)), "another box was told since")
 
-	x.Note("s", nil, false)
+	x.Note("s", answer(false))
 	g.Expect(x.Limit("s")).To(Equal(dialect.Limit(500)), "an answer that is not surely the server's does not end it")
-	x.Note("s", []string{"x"}, true)
-	x.Note("s", []string{"-1"}, true)
+	x.Note("s", answer(true, "x"))
+	x.Note("s", answer(true, "-1"))
 	g.Expect(x.Limit("s")).To(Equal(dialect.Limit(500)), "what cannot be read changes nothing")
 	g.Expect(lines.FilterMessage(event.LimitMalformed.Title).Len()).To(Equal(1), "one line, not one for each")
-	x.Note("s", nil, true)
+	x.Note("s", answer(true))
 	g.Expect(x.Limit("s")).To(BeZero())
 	g.Expect(heard.list).To(Equal([]dialect.Limit{2000, 0}))
 	agree(view, 0)
@@ -94,7 +102,7 @@
 func TestAUsedLimitIsKnownAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	x, _, _ := newThrottle(t, state.New())
-	x.Note("s", []string{"0.5"}, true)
+	x.Note("s", answer(true, "0.5"))
 	var refusal *rate.Refusal
 	for range 5 {
 		if _, refusal = x.Take(context.Background(), "s", 0); refusal != nil {
@@ -123,7 +131,7 @@
 	for i := range wordsMost {
 		x.words[string(rune(i))+"old"] = &word{at: long}
 	}
-	x.Note("s", []string{"1"}, true)
+	x.Note("s", answer(true, "1"))
 	g.Expect(len(x.words)).To(Equal(1))
 }
 
@@ -140,7 +148,7 @@
 	defer cancel()
 	go limiter.Run(ctx)
 	x := New(Options{Limiter: limiter, View: state.New, Tell: func(string, dialect.Limit) {}, Meters: meter.New(), Log: zap.NewNop()})
-	x.Note("s", []string{"10"}, true)
+	x.Note("s", answer(true, "10"))
 	borne := 0
 	for ctx.Err() == nil {
 		if _, refusal := x.Take(ctx, "s", 0); refusal == nil {
