pushback: a server that asks for rest gets it, and one that says that it drains gets no more

What callers saw: requests to a server that asked a box for 3 s of rest went on, up to five of one box in that time, and twice as many as before over all boxes; the retry budget was spent on them, and 7 to 16 requests a second were refused.

Class: what a server says of itself in an answer has no single reader. Ruled out: a rest kept on one path only (no path knew of it); that the surplus is of one request's attempts alone (other callers' requests went there as before).

Fix: package pushback is the one place that both request paths feed with every answer and ask before each attempt, and again right before the bytes leave; package throttle is under it now. Why it holds: every attempt of both paths needs a permit (gateway find, entry enter), and exchange asks once more when the connection is there.

Ways weighed: (a) one package with throttle under it, keyed by the server's life: kept; it removes the second set of limit fields in gateway and entry. (b) the records in gateway.server and route.Backend with a shared type: those are dropped and made again when an announcement is forgotten, and calls of the leader see neither; not built.

A rest is no failure: entry does not blame the backend, gateway never did. What no server takes is refused at once (servers-resting), with the time at which one does.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -16,11 +16,11 @@
 	"leverdrum/ledger"
 	"leverdrum/level"
 	"leverdrum/meter"
+	"leverdrum/pushback"
 	"leverdrum/rate"
 	"leverdrum/reason"
 	"leverdrum/record"
 	"leverdrum/state"
-	"leverdrum/throttle"
 	"leverdrum/wire"
 )
 
@@ -50,8 +50,8 @@
 	Meters  *meter.Meters
 	// Standing returns what this box knows of a workspace's quota; nil where it serves none.
 	Standing func(rate.Key) (rate.Standing, bool)
-	// Throttle is what this box knows of servers' limits; nil where it sends no requests.
-	Throttle *throttle.Throttle
+	// Pushback is what servers said to this box of themselves; nil where it sends no requests.
+	Pushback *pushback.Registry
 }
 
 // Admin serves operators.
@@ -242,6 +242,9 @@
 	Held []HeldRow `json:"held,omitempty"`
 	// Limits are the backend servers that name one.
 	Limits []LimitRow `json:"limits,omitempty"`
+	// Asked is the box that was asked, and Said what backend servers said to it of their rest or end.
+	Asked string         `json:"asked,omitempty"`
+	Said  []pushback.Row `json:"said,omitempty"`
 }
 
 func (a *Admin) read(ctx context.Context) (*wire.ReadResult, *reason.Reason) {
@@ -290,6 +293,7 @@
 		a.refuse(w, reason.Busy, nil)
 		return
 	}
+	s.Asked, s.Said = a.opts.Box, a.opts.Pushback.Rows()
 	a.reply(w, http.StatusOK, s)
 }
 
@@ -323,7 +327,7 @@
 		}
 	}
 	e.Now = append(e.Now, a.explainWorkspace(name)...)
-	e.Now = append(e.Now, a.explainLimit(name)...)
+	e.Now = append(e.Now, a.explainServer(name)...)
 	if len(e.Decisions) == 0 && len(e.Now) == 0 {
 		a.refuse(w, reason.NotFound, nil)
 		return
--- a/admin/limits.go
+++ b/admin/limits.go
@@ -5,20 +5,25 @@
 	"time"
 )
 
-// explainLimit says what a backend server takes, and whether requests of this box are kept from it for that; nil where
-// it names no limit.
-func (a *Admin) explainLimit(server string) []string {
-	limit := a.opts.Throttle.Limit(server)
+// explainServer says what a backend server said of itself in its answers, and whether requests of this box are kept from
+// it for that; nil where it said nothing.
+func (a *Admin) explainServer(server string) (lines []string) {
+	for _, row := range a.opts.Pushback.Rows() {
+		if row.Server == server {
+			lines = append(lines, row.Lines()...)
+		}
+	}
+	limit := a.opts.Pushback.Limit(server)
 	if limit == 0 {
-		return nil
+		return lines
 	}
-	lines := []string{fmt.Sprintf("takes %.3g requests a second from all boxes together, by its own answers", limit.PerSecond())}
+	lines = append(lines, fmt.Sprintf("takes %.3g requests a second from all boxes together, by its own answers", limit.PerSecond()))
 	if agreed := a.opts.View().Limits[server]; agreed != nil {
 		lines = append(lines, fmt.Sprintf("agreed since %s", time.UnixMilli(agreed.UnixMs).UTC().Format(time.RFC3339)))
 	}
 	const mostUrgent = 0
-	if after, full := a.opts.Throttle.Full(server, mostUrgent); full {
-		lines = append(lines, fmt.Sprintf("used up: this box sends it no request, not even the most urgent, for %v yet", after.Round(time.Millisecond)))
+	if block, blocked := a.opts.Pushback.Blocked(server, mostUrgent); blocked {
+		lines = append(lines, fmt.Sprintf("%s: this box sends it no request, not even the most urgent, for %v yet", block.Why.Code, block.After.Round(time.Millisecond)))
 	}
 	return lines
 }
--- a/box/box.go
+++ b/box/box.go
@@ -101,6 +101,7 @@
 	limits    *quotas // that servers name
 	throttle  *throttle.Throttle
 	pushback  *pushback.Registry
+	drains    *drains
 	// accept is how long an apply waits for the boxes.
 	accept spread.Patience
 }
@@ -275,6 +276,7 @@
 	wg.Go(func() { b.tellLeader(ctx, p) })
 	wg.Go(func() { p.quotas.limiter.Run(ctx) })
 	wg.Go(func() { p.limits.limiter.Run(ctx) })
+	wg.Go(func() { p.drains.run(ctx, (&forwarder{b, p}).Forward) })
 	wg.Go(func() { p.crashes.run(ctx, (&forwarder{b, p}).Forward) })
 	wg.Wait()
 	p.replica.Close()
@@ -317,18 +319,21 @@
 	p.quotas = newQuotas(leased{since: level.Workspaces, window: s.QuotaWindow}, self, r, p.spread, b.pool)
 	p.limits = newQuotas(leased{servers: true, since: level.ServerLimits, window: serverWindow}, self, r, p.spread, b.pool)
 	p.throttle = throttle.New(throttle.Options{Limiter: p.limits.limiter, View: r.View, Tell: p.tellLimit, Meters: b.meters, Log: b.log})
-	p.pushback = pushback.New(pushback.Options{Now: clock.New().Now, Throttle: p.throttle, Log: b.log})
-	p.directory.Hold(p.throttle)
+	p.drains = newDrains(p, b.log)
+	p.pushback = pushback.New(pushback.Options{
+		Now: clock.New().Now, Throttle: p.throttle, Boxes: func() int { return len(r.View().Members) }, Drains: p.drains.add, Log: b.log,
+	})
+	p.directory.Heed(p.pushback)
 	p.entry = entry.New(entry.Options{
 		Directory: p.directory, View: r.View, Current: func() bool { return b.warm.Load() && p.spread.Current() }, Sender: proxy.NewSender(),
 		Meters: b.meters, Records: b.records, MaxBody: s.MaxBody, BodyTimeout: s.BodyTimeout, Guard: p.guard,
-		Crashes: p.crashes.add, Quotas: p.quotas.limiter, Throttle: p.throttle, Pushback: p.pushback,
+		Crashes: p.crashes.add, Quotas: p.quotas.limiter, Pushback: p.pushback,
 	})
 	p.gateway = b.newGateway(p)
 	p.platform = platform.Control(&platformCluster{b, p})
 	p.admin = admin.New(admin.Options{
 		Box: s.Box, Cluster: &forwarder{b, p}, View: r.View, Ready: b.ready, Records: b.records, Meters: b.meters,
-		Standing: p.quotas.limiter.Standing, Throttle: p.throttle,
+		Standing: p.quotas.limiter.Standing, Pushback: p.pushback,
 	})
 	return p, nil
 }
--- a/box/platform.go
+++ b/box/platform.go
@@ -43,7 +43,7 @@
 			default: // the leader hears of it with the next request
 			}
 		},
-		Crashes: p.crashes.add, Quotas: p.quotas.limiter, Throttle: p.throttle, Pushback: p.pushback,
+		Crashes: p.crashes.add, Quotas: p.quotas.limiter, Pushback: p.pushback,
 		Hall: s.Hall, Parting: s.Parting,
 		Budget: gateway.Budget{Ratio: s.BudgetRatio, Slack: s.BudgetSlack, Window: s.BudgetWindow},
 		Meters: b.meters, Log: b.log,
--- a/command/read.go
+++ b/command/read.go
@@ -100,6 +100,12 @@
 	for _, l := range r.Limits {
 		fmt.Fprintf(w, "%s  %.3g, since %s\n", l.Server, l.PerSecond, l.Since.Format("15:04:05Z07:00"))
 	}
+	if len(r.Said) > 0 {
+		fmt.Fprintf(w, "\nservers that said in their answers to box %s that they rest or drain:\n", r.Asked)
+	}
+	for _, row := range r.Said {
+		fmt.Fprintf(w, "%s  %s\n", row.Server, strings.Join(row.Lines(), "; "))
+	}
 	if len(r.Held) == 0 {
 		return
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,7 +22,6 @@
 	"leverdrum/record"
 	"leverdrum/route"
 	"leverdrum/state"
-	"leverdrum/throttle"
 	"leverdrum/wire"
 )
 
@@ -60,9 +59,7 @@
 	Guard Guard
 	// Quotas bounds what workspaces are served; nil where nothing does.
 	Quotas *rate.Limiter
-	// Throttle keeps to the limits that backends name; nil where none does.
-	Throttle *throttle.Throttle
-	// Pushback remembers what backends say of themselves; nil where nothing does.
+	// Pushback keeps to what backends say of themselves; nil where none does.
 	Pushback *pushback.Registry
 }
 
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -7,7 +7,7 @@
 
 	"leverdrum/dialect"
 	"leverdrum/proxy"
-	"leverdrum/rate"
+	"leverdrum/pushback"
 	"leverdrum/reason"
 	"leverdrum/route"
 	"leverdrum/workspace"
@@ -23,62 +23,67 @@
 	return urgencyOf(owner)*classRanks + class
 }
 
-// enter takes a place at a backend whose limit bears the sending. One that does not is passed over.
+// enter takes a place at a backend that takes the attempt now. One at its limit, or at rest, is skipped.
 func (e *Entry) enter(ctx context.Context, j *job) (*route.Backend, *reason.Reason) {
 	for {
 		b, why := e.gate.Enter(ctx, j.ticket)
-		if why == reason.NoServer && e.allFull(j) {
-			return nil, reason.ServersLimited
+		if why == reason.NoServer {
+			return nil, e.blockedBy(j)
 		}
 		if why != nil {
 			return nil, why
 		}
-		charge, refusal := e.opts.Throttle.Take(ctx, b.Name, j.ticket.Rank)
-		if refusal == nil {
-			j.borne = charge
+		permit, block := e.opts.Pushback.Acquire(ctx, b.Name, j.ticket.Rank)
+		if block == nil {
+			j.permit = permit
 			return b, nil
 		}
 		e.gate.Leave(b, j.ticket, 0)
-		j.bearsAfter = refusal.After
+		j.takenAfter = block.After
 		if ctx.Err() != nil {
-			return nil, reason.ServersLimited
+			return nil, block.Why
 		}
 	}
 }
 
-// allFull reports whether the limits of some backends are what keeps the request from running.
-func (e *Entry) allFull(j *job) (full bool) {
+// blockedBy says why no backend takes the request: where some are at their limits or rest, what ends first of that.
+func (e *Entry) blockedBy(j *job) *reason.Reason {
+	why := reason.NoServer
 	for _, b := range j.target.Backends {
-		left, is := e.opts.Directory.Full(b, j.ticket.Rank)
-		if is && (!full || left < j.bearsAfter) {
-			j.bearsAfter, full = left, true
+		block, blocked := e.opts.Directory.Blocked(b, j.ticket.Rank)
+		if blocked && (why == reason.NoServer || block.After < j.takenAfter) {
+			why, j.takenAfter = block.Why, block.After
 		}
 	}
-	return full
+	return why
 }
 
-// refusedFor is a refusal before anything was sent. Callers that one limit refuses come back apart from each other.
+// refusedFor is a refusal before anything was sent. Callers that one limit or rest refuses come back apart from each other.
 func refusedFor(j *job, why *reason.Reason) result {
-	if why != reason.ServersLimited {
+	if why != reason.ServersLimited && why != reason.ServersResting {
 		return result{why: why}
 	}
-	return result{why: why, after: j.bearsAfter + time.Duration(rand.Int64N(int64(time.Second)))}
+	return result{why: why, after: j.takenAfter + time.Duration(rand.Int64N(int64(time.Second)))}
 }
 
-// observe records what an answer says of its backend, and gives back what did not leave.
-func (e *Entry) observe(j *job, b *route.Backend, answer *proxy.Answer, failure *proxy.Failure) {
+// observe records what an answer says of its backend, and gives back the permit of an attempt that was not sent. It reports
+// whether the backend asked for rest: that is no failure.
+func (e *Entry) observe(j *job, b *route.Backend, answer *proxy.Answer, failure *proxy.Failure) (rests bool) {
 	switch {
 	case answer != nil:
 		said := dialect.Own.ReadReport(answer.Status, answer.Header, time.Now())
 		said.Own = true
 		e.opts.Pushback.Observe(b.Name, j.id, said)
+		rests = said.Rest > 0
 	case failure.Header != nil:
 		said := dialect.Own.ReadReport(failure.Status, failure.Header, time.Now())
 		said.Own = false
 		e.opts.Pushback.Observe(b.Name, j.id, said)
+		rests = said.Rest > 0
 	}
-	if failure != nil && failure.Reason == reason.NotReached {
-		j.borne.Release()
+	if failure != nil && (failure.Reason == reason.NotReached || failure.Reason == reason.ServersResting) {
+		j.permit.Release()
 	}
-	j.borne = rate.Charge{}
+	j.permit = pushback.Permit{}
+	return rests || failure != nil && failure.Reason == reason.ServersResting
 }
--- a/entry/limits_test.go
+++ b/entry/limits_test.go
@@ -80,11 +80,12 @@
 	go limiter.Run(ctx)
 	limits := throttle.New(throttle.Options{Limiter: limiter, View: l.agreed.view.Load, Tell: l.tell, Meters: meter.New(), Log: zap.NewNop()})
 	d := route.NewDirectory("a")
-	d.Hold(limits)
+	said := pushback.New(pushback.Options{Now: clock.New().Now, Throttle: limits, Boxes: func() int { return boxes }, Log: zap.NewNop()})
+	d.Heed(said)
 	d.Update(st)
 	box := httptest.NewServer(entry.New(entry.Options{
 		Directory: d, View: l.agreed.view.Load, Current: func() bool { return true }, Sender: proxy.NewSender(),
-		Meters: meter.New(), Records: record.NewBook(100), MaxBody: 1000, Throttle: limits, Pushback: pushback.New(pushback.Options{Now: clock.New().Now, Throttle: limits, Log: zap.NewNop()}),
+		Meters: meter.New(), Records: record.NewBook(100), MaxBody: 1000, Pushback: said,
 	}))
 	t.Cleanup(box.Close)
 	return box
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -16,7 +16,7 @@
 	"leverdrum/internal/wait"
 	"leverdrum/meter"
 	"leverdrum/proxy"
-	"leverdrum/rate"
+	"leverdrum/pushback"
 	"leverdrum/reason"
 	"leverdrum/record"
 	"leverdrum/route"
@@ -41,16 +41,17 @@
 	attempt    proxy.Attempt
 	ticket     *admit.Ticket
 	kind       kindOfCall
-	stream     bool          // the caller asked for one
-	session    uint64        // hash of the session, 0 for none
-	tries      int           // attempts so far
-	firstLate  bool          // the stream's first event came too late
-	printed    crasher.Print // once asked for
-	breaks     int           // attempts at whose end their servers may have ended
-	sentAt     time.Time     // of the newest attempt
-	borne      rate.Charge   // of its backend's limit
-	bearsAfter time.Duration // until a limit bears more, where one refused it
-	firstAt    time.Time     // of its first event; zero: none has come
+	stream     bool            // the caller asked for one
+	session    uint64          // hash of the session, 0 for none
+	tries      int             // attempts so far
+	firstLate  bool            // the stream's first event came too late
+	printed    crasher.Print   // once asked for
+	breaks     int             // attempts at whose end their servers may have ended
+	sentAt     time.Time       // of the newest attempt
+	permit     pushback.Permit // of that attempt
+	takenAfter time.Duration   // until a backend takes it, where limits or rests refused it
+	rested     bool            // the newest attempt's backend asked for rest
+	firstAt    time.Time       // of its first event; zero: none has come
 	// suspects are backends whose failed answers are not yet held against them.
 	suspects []*route.Backend
 }
@@ -136,7 +137,9 @@
 		}
 		e.gate.Leave(b, j.ticket, 0)
 		if failure == nil { // it is given to the caller if the next attempt gives none
-			j.suspects = append(j.suspects, b)
+			if !j.rested {
+				j.suspects = append(j.suspects, b)
+			}
 			last = result{answer: answer}
 			continue
 		}
@@ -181,7 +184,7 @@
 		for _, suspect := range j.suspects {
 			e.blame(suspect, &proxy.Failure{Outcome: reason.Failed, Reason: reason.BackendFailed, Cause: errOthersDid})
 		}
-	case len(j.suspects) == 0:
+	case len(j.suspects) == 0 && !j.rested:
 		e.blame(b, failedAnswer(a))
 	}
 }
@@ -208,6 +211,8 @@
 	switch {
 	case f.Reason == reason.NotReached:
 		return reason.RetryUnreached
+	case f.Outcome == reason.NotRun && j.rested:
+		return reason.RetryResting
 	case f.Outcome == reason.NotRun:
 		return reason.RetryRefused
 	case !j.repeatable:
@@ -230,12 +235,13 @@
 	a.Once = !j.repeatable
 	a.Header = attemptHeaders(j.attempt.Header, time.Until(j.deadline()))
 	j.sentAt, j.firstAt = time.Now(), time.Time{}
+	a.Sendable = func() bool { return e.opts.Pushback.Sendable(b.Name) }
 	answer, failure := e.sendPatiently(ctx, j, &a)
-	if failure != nil && !errors.Is(failure.Cause, context.Canceled) {
+	j.rested = e.observe(j, b, answer, failure)
+	if failure != nil && !j.rested && !errors.Is(failure.Cause, context.Canceled) {
 		e.blame(b, failure)
 		e.noteBroken(j, b, failure.Reason)
 	}
-	e.observe(j, b, answer, failure)
 	return answer, failure
 }
 
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -93,7 +93,7 @@
 	again := *j
 	again.attempt.Header = j.attempt.Header.Clone()
 	again.attempt.Header.Set(engine.HeaderLastEvent, strconv.FormatUint(at, 10))
-	again.borne = j.borne
+	again.permit = j.permit
 	answer, failure := e.attempt(ctx, &again, b)
 	j.tries, j.breaks, j.sentAt, j.firstAt = again.tries, again.breaks, again.sentAt, again.firstAt
 	if failure == nil && answer.Stream && answer.Version == version && answer.Status == http.StatusOK {
--- a/event/event.go
+++ b/event/event.go
@@ -64,6 +64,7 @@
 	LimitAgreed       = add(Event{"limit-agreed", zapcore.InfoLevel, "All boxes hold to another limit of a backend server, or to none any more.", "See the server: it said so in its answers."})
 	LimitMalformed    = add(Event{"limit-malformed", zapcore.WarnLevel, "A backend server names a limit that cannot be read, or lies outside of what is taken.", "Mend the server; limit is what is held to, 0 where what it said is passed over."})
 	ServerResting     = add(Event{"server-resting", zapcore.InfoLevel, "A backend server turned a request away and wants no more from this box for a time.", "Nothing; if it recurs, see the server's load. rest is what it asked for, request the one that it answered."})
+	ServerRested      = add(Event{"server-rested", zapcore.InfoLevel, "A backend server takes requests of this box again after its rest.", "Nothing; rested is how long it asked for in all, late how much later it was tried."})
 	ServerDraining    = add(Event{"server-draining", zapcore.InfoLevel, "A backend server said in an answer that it is about to end.", "Nothing."})
 	PushbackMalformed = add(Event{"pushback-malformed", zapcore.WarnLevel, "A backend server's answer names a rest, or tells of its end, in a way that cannot be read or is out of range.", "Fix the server; what cannot be read is ignored."})
 	ServerSilent      = add(Event{"server-silent", zapcore.InfoLevel, "A backend server was not heard for a time.", "See whether it runs and reaches a box."})
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -31,7 +31,7 @@
 //     fetched from there, where servers can: that takes a fifth of reading it.
 //  6. A server that lately held up streams beside the reading of prompts (it is a
 //     slow one) is avoided, the more the longer the prompt.
-//  7. A server that names a limit (package throttle) is passed over while that is used up, and else costs as
+//  7. A server that is at the limit that it names, or rests (package pushback), is skipped. One that names a limit costs as
 //     much as one whose slots are taken: work goes to the others first.
 //  8. A server that no connection rests to costs the opening of one, and of servers that cost
 //     the same any is taken: 300 boxes that each see a few requests a second must not all
@@ -96,7 +96,7 @@
 func (d *directory) usable(list []*server, now time.Time, w wish) []*server {
 	p, tried := w.prompt, w.tried
 	var good, poor, parting []*server
-	limits := d.throttle.Any()
+	blocks := d.pushback.Any()
 	for _, s := range list {
 		since, leaves := s.parted(now)
 		switch {
@@ -106,7 +106,7 @@
 				parting = append(parting, s)
 			}
 		case slices.Contains(tried, s):
-		case limits && d.full(s, w.rank):
+		case blocks && d.blocked(s, w.rank):
 		case p.Model != "" && s.lacking(wantedOf(p), now):
 		case s.out(now), s.silent.Load():
 			poor = append(poor, s)
@@ -123,30 +123,30 @@
 	return poor
 }
 
-// full reports whether a server's limit is used up for requests of a rank.
-func (d *directory) full(s *server, rank int) bool {
-	_, full := d.throttle.Full(s.id, rank)
-	return full
+// blocked reports whether a server takes no request of a rank now.
+func (d *directory) blocked(s *server, rank int) bool {
+	_, blocked := d.pushback.Blocked(s.id, rank)
+	return blocked
 }
 
 // limited is the cost in milliseconds of a server for the limit that it names (7). One that is due for a try is taken.
 func (d *directory) limited(s *server) float64 {
 	switch {
-	case d.throttle.Limit(s.id) == 0:
+	case d.pushback.Limit(s.id) == 0:
 		return 0
-	case d.throttle.DueForTry(s.id):
+	case d.pushback.DueForTry(s.id):
 		return math.Inf(-1)
 	}
 	return fullPenalty
 }
 
-// anyUp reports whether some server of the list takes connections and stays: else its
+// anyUp reports whether some server of the list takes connections and requests, and stays: else its
 // models are as good as nowhere.
 func (d *directory) anyUp(list []*server) bool {
 	now := time.Now()
 	return slices.ContainsFunc(list, func(s *server) bool {
 		_, leaves := s.parted(now)
-		return !leaves && !s.gone() && !s.down(now)
+		return !leaves && !s.gone() && !s.down(now) && d.pushback.Sendable(s.id)
 	})
 }
 
@@ -159,7 +159,7 @@
 	}
 	_, loadA := a.load(now)
 	_, loadB := b.load(now)
-	if d.throttle.Any() {
+	if d.pushback.Any() {
 		loadA += d.limited(a) / fullPenalty
 		loadB += d.limited(b) / fullPenalty
 	}
@@ -190,7 +190,7 @@
 	source := mostKept(list, kept)
 	var best choice
 	least := 0.0
-	limits := d.throttle.Any()
+	limits := d.pushback.Any()
 	first := rand.IntN(len(list)) // (8)
 	for n := range list {
 		i := (first + n) % len(list)
--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -18,6 +18,9 @@
 // ErrConnections: the box may open no more connections to the server.
 var ErrConnections = Error.New("no connection is free")
 
+// ErrResting: the server asked for a rest before the request was sent.
+var ErrResting = Error.New("the server rests")
+
 const (
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = 400 * time.Millisecond
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -9,8 +9,8 @@
 
 	"leverdrum/fleet"
 	"leverdrum/ledger"
+	"leverdrum/pushback"
 	"leverdrum/state"
-	"leverdrum/throttle"
 	"leverdrum/wire"
 )
 
@@ -42,7 +42,7 @@
 	hall string
 	// parting is how long a server that leaves is a last resort.
 	parting  time.Duration
-	throttle *throttle.Throttle // nil: no server names a limit
+	pushback *pushback.Registry // nil: no server says anything of itself
 
 	mu      sync.Mutex
 	servers map[string]*server         // by id
@@ -53,8 +53,8 @@
 	changed atomic.Pointer[chan struct{}]
 }
 
-func newDirectory(hall string, parting time.Duration, limits *throttle.Throttle) *directory {
-	d := &directory{hall: hall, parting: parting, throttle: limits, servers: map[string]*server{}, loading: map[ledger.Place]time.Time{}, making: map[string]*making{}}
+func newDirectory(hall string, parting time.Duration, said *pushback.Registry) *directory {
+	d := &directory{hall: hall, parting: parting, pushback: said, servers: map[string]*server{}, loading: map[ledger.Place]time.Time{}, making: map[string]*making{}}
 	d.current.Store(&table{})
 	first := make(chan struct{})
 	d.changed.Store(&first)
@@ -121,8 +121,11 @@
 			d.servers[id] = s
 		}
 		s.silent.Store(a.Silent)
-		if a.Leaving && s.part(time.Now()) {
-			time.AfterFunc(d.parting, s.conns.close)
+		if since, drains := d.pushback.Drains(id); drains {
+			d.part(s, time.Now().Add(-since))
+		}
+		if a.Leaving {
+			d.part(s, time.Now())
 		}
 		if p := view.Fleet.Pools[a.Service]; p != nil && p.MaxConnections > 0 {
 			s.conns.limit(max(minConnections, p.MaxConnections*connectionShare/100/d.boxes()))
@@ -130,6 +133,22 @@
 	}
 }
 
+// part has a server count as draining since a time, unless it does already.
+func (d *directory) part(s *server, since time.Time) {
+	if s.part(since) {
+		time.AfterFunc(d.parting-time.Since(since), s.conns.close)
+	}
+}
+
+// drains takes in that a server said that it drains.
+func (d *directory) drains(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.servers[id]; s != nil {
+		d.part(s, time.Now())
+	}
+}
+
 const (
 	// minConnections is what a box may always open to one server.
 	minConnections = 4
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -34,6 +34,8 @@
 	id                   string
 	// observe is told of each answer that comes, also of one to another request; nil: nobody is.
 	observe func(*http.Response)
+	// sendable is asked right before the request is sent; nil: it may be sent.
+	sendable func() bool
 }
 
 // head returns the request's head.
@@ -106,7 +108,9 @@
 }
 
 // unsent reports whether nothing arrived anywhere.
-func (f *failure) unsent() bool { return f.dial || errors.Is(f.cause, ErrConnections) }
+func (f *failure) unsent() bool {
+	return f.dial || errors.Is(f.cause, ErrConnections) || errors.Is(f.cause, ErrResting)
+}
 
 func notRun(why *reason.Reason, cause error) *failure {
 	return &failure{outcome: reason.NotRun, why: why, cause: cause}
@@ -126,6 +130,10 @@
 		f.dial = !errors.Is(err, ErrConnections)
 		return nil, f
 	}
+	if o.sendable != nil && !o.sendable() {
+		to.put(x)
+		return nil, notRun(reason.ServersResting, ErrResting)
+	}
 	a := &answer{conn: x, from: to}
 	// A deadline in the past ends reads and writes that are under way.
 	a.stop = context.AfterFunc(ctx, func() { x.SetDeadline(time.Unix(1, 0)) })
--- a/gateway/failed.go
+++ b/gateway/failed.go
@@ -51,7 +51,7 @@
 	f := &failure{outcome: reason.Failed, why: reason.BackendFailed, cause: Error.New("the server answered %d", a.StatusCode)}
 	j.runs++
 	s.failed(time.Now())
-	if !j.mayRepeat(f) {
+	if _, blocked := j.nowhere(); blocked || !j.mayRepeat(f) {
 		return false
 	}
 	j.last = f
@@ -79,6 +79,10 @@
 	case f.outcome != reason.NotRun:
 		s.failed(time.Now())
 	}
+	if why, blocked := j.nowhere(); blocked && !j.headed && f.outcome == reason.NotRun {
+		j.giveUp(why)
+		return true
+	}
 	if ctx.Err() == nil && j.mayRepeat(f) {
 		j.noteRetry(f)
 		return false
@@ -167,6 +171,8 @@
 		why = reason.RetryStream
 	case f.dial:
 		why = reason.RetryUnreached
+	case !j.g.opts.Pushback.Sendable(j.tried[len(j.tried)-1].id):
+		why = reason.RetryResting
 	case f.outcome == reason.NotRun:
 		why = reason.RetryRefused
 	case f.outcome == reason.Failed:
--- a/gateway/find.go
+++ b/gateway/find.go
@@ -35,7 +35,7 @@
 				j.behind = c.waits
 				return choice{}, reason.Overloaded
 			}
-			if !j.throttled(ctx, c.server) {
+			if j.permitted(ctx, c.server) {
 				return c, nil
 			}
 			if ctx.Err() != nil {
@@ -43,8 +43,8 @@
 			}
 			continue
 		}
-		if after, full := j.allFull(list); full {
-			if why := j.waitForLimit(ctx, after); why != nil {
+		if first, all := j.allBlocked(list); all {
+			if why := j.waitForServer(ctx, first); why != nil {
 				return choice{}, why
 			}
 			continue
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,9 +25,9 @@
 //  10. Where the fleet has workspaces (package workspace), a request without a key of one is
 //     refused before its body is read. No server sees a key; it is told whose the request is. A
 //     request that its workspace's quota does not bear is refused before a server is looked for.
-//  11. A server gets no more sendings than it says that it takes from all boxes (package throttle): each
-//     is borne by its limit first. Where no other server is left the request is refused at once, with the time at which
-//     more is borne.
+//  11. A server gets no more than it says that it takes (package pushback): its limit over all boxes, nothing while it rests.
+//     Where no other server is left the request is refused at once, with the time at which one takes it. What it says is
+//     read from every answer that comes from it, whatever request that is for.
 package gateway
 
 import (
@@ -50,7 +50,6 @@
 	"leverdrum/rate"
 	"leverdrum/reason"
 	"leverdrum/state"
-	"leverdrum/throttle"
 	"leverdrum/wire"
 )
 
@@ -67,9 +66,7 @@
 	Crashes func(*wire.CrashReport)
 	// Quotas bounds what workspaces are served; nil where nothing does.
 	Quotas *rate.Limiter
-	// Throttle keeps to the limits that servers name; nil where none does.
-	Throttle *throttle.Throttle
-	// Pushback remembers what servers say of themselves; nil where nothing does.
+	// Pushback keeps to what servers say of themselves; nil where none does.
 	Pushback *pushback.Registry
 	Hall     string
 	// Parting is how long a server that leaves is a last resort.
@@ -105,7 +102,7 @@
 	if opts.Crashes == nil {
 		opts.Crashes = func(*wire.CrashReport) {}
 	}
-	g := &Gateway{opts: opts, dir: newDirectory(opts.Hall, opts.Parting*partingShare/100, opts.Throttle), demand: newDemand(), reading: newReading(), lasting: newLasting(), notices: newNotices(opts.Notice), stopping: make(chan struct{})}
+	g := &Gateway{opts: opts, dir: newDirectory(opts.Hall, opts.Parting*partingShare/100, opts.Pushback), demand: newDemand(), reading: newReading(), lasting: newLasting(), notices: newNotices(opts.Notice), stopping: make(chan struct{})}
 	g.budgets = newBudgets(opts.Budget, g.dir.boxes)
 	g.broken = crasher.NewWatch(opts.Crashes)
 	return g
@@ -118,6 +115,9 @@
 	g.noteEnded(view)
 }
 
+// Drains takes in that a server said in an answer that it drains.
+func (g *Gateway) Drains(server string) { g.dir.drains(server) }
+
 // Drain closes each connection after its next answer.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -15,8 +16,17 @@
 	comeBackShare = 0.25
 	// comeBackLoad is when it is told to come back for a model that is on its way.
 	comeBackLoad = 1500 * time.Millisecond
+	// minRestSpread and maxRestSpread bound the time over which callers are spread that one rest refuses.
+	minRestSpread = 100 * time.Millisecond
+	maxRestSpread = time.Second
 )
 
+// restSpread is how much later than the end of a rest a caller is told to come back, so that not all of them come at once.
+func restSpread(after time.Duration) time.Duration {
+	most := min(max(after, minRestSpread), maxRestSpread)
+	return time.Duration(rand.Float64() * float64(most))
+}
+
 // giveUp ends the request without a server's answer (3).
 func (j *job) giveUp(why *reason.Reason) {
 	if j.r.Context().Err() != nil {
@@ -47,6 +57,8 @@
 		return max(soon, time.Duration(j.behind*float64(time.Millisecond)))
 	case reason.ServersLimited:
 		return max(soon, spreadAfter(j.after))
+	case reason.ServersResting:
+		return min(j.after+restSpread(j.after), j.left())
 	case reason.NotResident, reason.BackendRefused:
 		return j.comeBackFor(why, soon)
 	}
@@ -78,7 +90,7 @@
 		fields = append(fields, zap.String("model", j.prompt.Model), zap.String("adapter", j.prompt.Adapter))
 	}
 	fields = append(fields, j.quotaFields()...)
-	fields = append(fields, j.limitFields(outcome)...)
+	fields = append(fields, j.blockFields(outcome)...)
 	if n := len(j.tried); n > 0 {
 		fields = append(fields, zap.String("server", j.tried[n-1].id))
 	}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"leverdrum/dialect"
 	"leverdrum/fleet"
 	"leverdrum/meter"
+	"leverdrum/pushback"
 	"leverdrum/rate"
 	"leverdrum/reason"
 	"leverdrum/workspace"
@@ -46,9 +48,9 @@
 	begun  atomic.Bool // the same, for other goroutines
 	// granted tells that the next sending was taken off the budget already.
 	granted atomic.Bool
-	borne   rate.Charge   // of the server's limit, by the newest sending
-	after   time.Duration // until more of a limit is to be had, where that refused it
-	breaks  int           // sendings at whose end their servers may have ended
+	permit  pushback.Permit // of the newest attempt
+	after   time.Duration   // until a server takes it, where limits or rests refused it
+	breaks  int             // sendings at whose end their servers may have ended
 	// waited is the time to the first sending, sent that to the last one, first that to
 	// the first event, and longest the longest pause between two events.
 	waited, sent, first, longest time.Duration
@@ -151,7 +153,7 @@
 // attempt sends the request to one server, and reports whether it was answered.
 func (j *job) attempt(ctx context.Context, c choice) (answered bool) {
 	if j.left() < leastLeft {
-		j.unthrottle()
+		j.releasePermit()
 		j.giveUp(reason.BackendLate)
 		return true
 	}
@@ -168,11 +170,15 @@
 	unread := true
 	defer func() { s.end(began, c.work, unread) }()
 	o := j.outgoing(c)
+	o.sendable = func() bool { return j.g.opts.Pushback.Sendable(s.id) }
 	o.observe = func(resp *http.Response) { j.observe(s, resp) }
 	a, f := exchange(ctx, s.conns, o, j.g.opts.Dialect.RequestID, j.mute(), j.silenceMayEnd(s))
 	if f != nil {
 		if f.unsent() {
-			j.unthrottle()
+			j.releasePermit()
+		}
+		if errors.Is(f.cause, ErrResting) {
+			j.sends--
 		}
 		return j.failed(ctx, s, f)
 	}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"leverdrum/internal/wait"
-	"leverdrum/rate"
+	"leverdrum/pushback"
 	"leverdrum/reason"
 )
 
@@ -21,69 +21,83 @@
 	j.g.opts.Pushback.Observe(s.id, j.id, d.ReadReport(resp.StatusCode, resp.Header, time.Now()))
 }
 
-// throttled reports whether the server's limit does not bear a sending now; it is passed over then (11).
-func (j *job) throttled(ctx context.Context, s *server) bool {
-	charge, refusal := j.g.opts.Throttle.Take(ctx, s.id, j.rank())
-	j.borne = charge
-	return refusal != nil
+// permitted reports whether the server takes an attempt now (11).
+func (j *job) permitted(ctx context.Context, s *server) bool {
+	permit, block := j.g.opts.Pushback.Acquire(ctx, s.id, j.rank())
+	j.permit = permit
+	return block == nil
 }
 
-// unthrottle gives a sending back that did not leave.
-func (j *job) unthrottle() {
-	j.borne.Release()
-	j.borne = rate.Charge{}
+// releasePermit gives back the permit of an attempt that was not sent.
+func (j *job) releasePermit() {
+	j.permit.Release()
+	j.permit = pushback.Permit{}
 }
 
-// allFull reports whether the limits of all servers that stay and take connections are used up, and when the first of
-// them bears more.
-func (j *job) allFull(list []*server) (after time.Duration, full bool) {
-	if !j.g.opts.Throttle.Any() {
-		return 0, false
+// allBlocked reports whether all servers that stay and take connections are at their limits or rest, and which of them takes
+// a request first.
+func (j *job) allBlocked(list []*server) (first pushback.Block, all bool) {
+	if !j.g.opts.Pushback.Any() {
+		return first, false
 	}
 	now := time.Now()
 	for _, s := range list {
 		if _, leaves := s.parted(now); leaves || s.gone() || s.down(now) {
 			continue
 		}
-		left, is := j.g.opts.Throttle.Full(s.id, j.rank())
-		if !is {
-			return 0, false
+		block, blocked := j.g.opts.Pushback.Blocked(s.id, j.rank())
+		if !blocked {
+			return first, false
 		}
-		if !full || left < after {
-			after, full = left, true
+		if !all || block.After < first.After {
+			first, all = block, true
 		}
 	}
-	return after, full
+	return first, all
+}
+
+// nowhere reports whether all servers that could take the request are at their limits or rest, and notes when one takes it.
+func (j *job) nowhere() (*reason.Reason, bool) {
+	list, why := j.candidates()
+	if why != nil {
+		return nil, false
+	}
+	first, all := j.allBlocked(list)
+	if !all {
+		return nil, false
+	}
+	j.after = first.After
+	return first.Why, true
 }
 
 // resumeLook is the time between two looks for a server that goes on with a stream.
 const resumeLook = 100 * time.Millisecond
 
-// waitForLimit refuses a request that no server's limit bears. A stream that was begun waits: to break it off would lose what
+// waitForServer refuses a request that no server takes now. A stream that was begun waits: to break it off would lose what
 // its caller has.
-func (j *job) waitForLimit(ctx context.Context, after time.Duration) *reason.Reason {
-	j.after = after
-	if !j.headed || j.left() < leastForModel || after > j.left() {
-		return reason.ServersLimited
+func (j *job) waitForServer(ctx context.Context, first pushback.Block) *reason.Reason {
+	j.after = first.After
+	if !j.headed || j.left() < leastForModel || first.After > j.left() {
+		return first.Why
 	}
-	if !wait.For(ctx, min(after, resumeLook)) {
-		return reason.ServersLimited
+	if !wait.For(ctx, min(first.After, resumeLook)) {
+		return first.Why
 	}
 	return nil
 }
 
-// limitFields say what decided where limits refused the request.
-func (j *job) limitFields(outcome string) []zap.Field {
-	if outcome != reason.ServersLimited.Code {
+// blockFields say what decided where servers' limits or rests refused the request.
+func (j *job) blockFields(outcome string) []zap.Field {
+	if outcome != reason.ServersLimited.Code && outcome != reason.ServersResting.Code {
 		return nil
 	}
-	fields := []zap.Field{zap.Duration("limit_bears_after", j.after), zap.Int("rank", j.rank())}
+	fields := []zap.Field{zap.Duration("taken_after", j.after), zap.Int("rank", j.rank())}
 	list, why := j.candidates()
 	if why != nil {
 		return fields
 	}
 	for _, s := range list {
-		if l := j.g.opts.Throttle.Limit(s.id); l != 0 {
+		if l := j.g.opts.Pushback.Limit(s.id); l != 0 {
 			fields = append(fields, zap.String("limited", s.id), zap.Float64("limit", l.PerSecond()))
 			break
 		}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -58,6 +58,8 @@
 	Body   []byte
 	// Once marks a call that may not be repeated (5).
 	Once bool
+	// Sendable is asked before the attempt is sent, once there is a connection; nil: it may be sent.
+	Sendable func() bool
 }
 
 // Answer is what came back. Either Body is the whole body, or Rest still has to
@@ -98,9 +100,8 @@
 
 // NewSender returns a sender with its own connections.
 func NewSender() *Sender {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	base := http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true,
+		DialContext: dial, DisableCompression: true,
 		MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout, ForceAttemptHTTP2: false,
 	}
 	fresh := base.Clone()
@@ -108,6 +109,26 @@
 	return &Sender{kept: base.Clone(), fresh: fresh}
 }
 
+// errNotSendable: the backend server asked for rest while a connection was being opened.
+var errNotSendable = Error.New("the backend server rests")
+
+// sendableKey names Attempt.Sendable in a request's context.
+type sendableKey struct{}
+
+// dial opens a connection, unless its request must not be sent any more by then.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	c, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if sendable, ok := ctx.Value(sendableKey{}).(func() bool); ok && !sendable() {
+		c.Close()
+		return nil, errNotSendable
+	}
+	return c, nil
+}
+
 // hopHeaders concern one connection only and are not passed on.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Connection",
@@ -161,6 +182,9 @@
 // stream or large. The context bounds the reading of Rest too.
 func (s *Sender) Send(ctx context.Context, a *Attempt) (*Answer, *Failure) {
 	var connected atomic.Bool
+	if a.Sendable != nil {
+		ctx = context.WithValue(ctx, sendableKey{}, a.Sendable)
+	}
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), a.Method, "http://"+a.Address+a.Path, nil)
 	if err != nil {
@@ -183,6 +207,8 @@
 // classify is rule 2.
 func classify(err error, connected bool) *Failure {
 	switch {
+	case errors.Is(err, errNotSendable):
+		return &Failure{Outcome: reason.NotRun, Reason: reason.ServersResting, Cause: Error.Wrap(err)}
 	case !connected:
 		return &Failure{Outcome: reason.NotRun, Reason: reason.NotReached, Cause: Error.Wrap(err)}
 	case errors.Is(err, context.DeadlineExceeded):
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -71,6 +71,7 @@
 	NotResident    = add(Reason{"not-resident", Callers, "The model is not loaded anywhere yet.", "Come back; `leverdrum explain` says why.", http.StatusServiceUnavailable, NotRun, 2 * second})
 	NoServer       = add(Reason{"no-server", Callers, "No backend server can take the request now.", "Come back.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	ServersLimited = add(Reason{"servers-limited", Callers, "The servers that could run the request take no more requests a second than they are sent.", "Come back when the answer says; `leverdrum status` lists servers with a limit.", http.StatusServiceUnavailable, NotRun, 1 * second})
+	ServersResting = add(Reason{"servers-resting", Callers, "The servers that could run the request turned others away and want none for a time.", "Come back when the answer says; `leverdrum status` lists servers that rest.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	Overloaded     = add(Reason{"overloaded", Callers, "The request would not be answered within its deadline.", "Come back, or ask for fewer at once.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	OverShare      = add(Reason{"over-share", Callers, "The caller has more than its fair share waiting.", "Ask for fewer at once.", http.StatusTooManyRequests, NotRun, 1 * second})
 	NotReached     = add(Reason{"not-reached", Callers, "No backend server could be reached.", "Come back.", http.StatusServiceUnavailable, NotRun, 1 * second})
@@ -118,6 +119,7 @@
 var (
 	RetryUnreached = add(Reason{"retry-unreached", Retries, "The backend server could not be reached; another is tried.", "See which servers are down.", 0, NotRun, 0})
 	RetryRefused   = add(Reason{"retry-refused", Retries, "The backend server refused without running; another is tried.", "See why it refuses.", 0, NotRun, 0})
+	RetryResting   = add(Reason{"retry-resting", Retries, "The backend server turned the request away and wants a rest; another is tried.", "See why it is overloaded.", 0, NotRun, 0})
 	RetryFailed    = add(Reason{"retry-failed", Retries, "The backend server failed at a repeatable request.", "See why it fails.", 0, Failed, 0})
 	RetrySlow      = add(Reason{"retry-slow", Retries, "The backend server took far longer over a repeatable request than others do.", "See what slows it down.", 0, Unknown, 0})
 	RetryStream    = add(Reason{"retry-stream", Retries, "A stream broke off and is continued at a server that resumes streams.", "See why it breaks.", 0, Unknown, 0})
--- a/route/choose.go
+++ b/route/choose.go
@@ -55,7 +55,7 @@
 	var home *Backend
 	var highest uint64
 	for _, b := range list {
-		if b.leaving.Load() || b.ejected(now) || contains(w.Tried, b) || d.full(b, w.Rank) {
+		if d.drains(b) || b.ejected(now) || contains(w.Tried, b) || d.blocked(b, w.Rank) {
 			continue
 		}
 		var both [16]byte
@@ -84,7 +84,7 @@
 		return nil, false
 	}
 	may := func(b *Backend) bool {
-		if b.leaving.Load() || contains(w.Tried, b) || !ejectedToo && b.ejected(now) || d.full(b, w.Rank) {
+		if d.drains(b) || contains(w.Tried, b) || !ejectedToo && b.ejected(now) || d.blocked(b, w.Rank) {
 			return false
 		}
 		room := b.HasRoom()
@@ -125,9 +125,18 @@
 	return a
 }
 
-func (d *Directory) full(b *Backend, rank int) bool {
-	_, full := d.Full(b, rank)
-	return full
+func (d *Directory) blocked(b *Backend, rank int) bool {
+	_, blocked := d.Blocked(b, rank)
+	return blocked
+}
+
+// drains reports whether a backend leaves, by whichever word (1).
+func (d *Directory) drains(b *Backend) bool {
+	if b.leaving.Load() {
+		return true
+	}
+	_, drains := d.pushback.Drains(b.Name)
+	return drains
 }
 
 // limitedLoad is how much more load, as a share of its size, a backend with a limit counts as having (8).
@@ -136,9 +145,9 @@
 // limited is the load that a backend counts as having for its limit. One that is due for a try is taken.
 func (d *Directory) limited(b *Backend) float64 {
 	switch {
-	case d.throttle.Limit(b.Name) == 0:
+	case d.pushback.Limit(b.Name) == 0:
 		return 0
-	case d.throttle.DueForTry(b.Name):
+	case d.pushback.DueForTry(b.Name):
 		return math.Inf(-1)
 	}
 	return limitedLoad
--- a/route/route.go
+++ b/route/route.go
@@ -22,7 +22,7 @@
 //     prefix of its prompt, unless that one is busier than the one chosen
 //     otherwise by more than the fleet file's affinity-slack, as a share of its
 //     size.
-//  8. A backend that names a limit (package throttle) is passed over while that is used up, and else counts as
+//  8. A backend that is at the limit that it names, or rests (package pushback), is skipped. One that names a limit counts as
 //     taken to a good part: work goes to the others first.
 package route
 
@@ -30,14 +30,13 @@
 	"maps"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"leverdrum/fleet"
 	"leverdrum/ledger"
+	"leverdrum/pushback"
 	"leverdrum/state"
-	"leverdrum/throttle"
 	"leverdrum/wire"
 )
 
@@ -61,7 +60,7 @@
 // Directory makes tables and keeps the backends between them.
 type Directory struct {
 	hall     string
-	throttle *throttle.Throttle // nil: no backend names a limit
+	pushback *pushback.Registry // nil: no backend says anything of itself
 
 	mu       sync.Mutex
 	backends map[string]*Backend
@@ -71,15 +70,15 @@
 	stale    atomic.Bool
 }
 
-// Hold has backends that name a limit passed over while that is used up (8). It must be called before requests are routed.
-func (d *Directory) Hold(limits *throttle.Throttle) { d.throttle = limits }
+// Heed has the directory keep to what backends say of themselves (8). It must be called before requests are routed.
+func (d *Directory) Heed(said *pushback.Registry) { d.pushback = said }
 
-// Full reports whether the limit of a backend is used up for requests of a rank, and for how long yet (8).
-func (d *Directory) Full(b *Backend, rank int) (time.Duration, bool) {
-	if !d.throttle.Any() {
-		return 0, false
+// Blocked reports whether a backend takes no request of a rank now, why, and for how long yet (8).
+func (d *Directory) Blocked(b *Backend, rank int) (pushback.Block, bool) {
+	if !d.pushback.Any() {
+		return pushback.Block{}, false
 	}
-	return d.throttle.Full(b.Name, rank)
+	return d.pushback.Blocked(b.Name, rank)
 }
 
 // NewDirectory returns an empty directory for a box in the hall.
