engine, platform, control: orders and the reading of reports heed a server's rest, and feed what their answers say

One transport (engine.Heed) asks before each call, and once more right before the first bytes of an order, and has each answer observed; both protocols use it. A server that rests is given no order (pause.go, rule 5); one that was agreed and not sent is closed as not run.

--- a/box/box.go
+++ b/box/box.go
@@ -308,15 +308,6 @@
 		Log:    b.log,
 	})
 	allowed := func() bool { _, held := r.Lease(); return held }
-	engines := engine.NewClient(allowed)
-	p.control = control.New(control.Options{
-		Replica: r, Spread: p.spread, Engines: engines.At,
-		Gone: p.directory.Gone, Meet: b.meet, Wanted: cmp.Or(s.Voters, len(s.FirstMembers)), RepairAfter: s.RepairAfter, UpgradeSettles: s.UpgradeSettles,
-		Counting: platform.NewEngines(allowed), Holder: s.Box, OrderPause: s.OrderPause, DemandSettles: s.DemandSettles, DisksOnly: s.VotersNeedDisks,
-		Records: b.records, Meters: b.meters, Log: b.log,
-	})
-	p.guard = keyed.New(state.ProcessID(self), r, b.pool, b.meters)
-	p.quotas = newQuotas(leased{since: level.Workspaces, window: s.QuotaWindow}, self, r, p.spread, b.pool)
 	p.limits = newQuotas(leased{servers: true, since: level.ServerLimits, window: serverWindow}, self, r, p.spread, b.pool)
 	p.throttle = throttle.New(throttle.Options{Limiter: p.limits.limiter, View: r.View, Tell: p.tellLimit, Meters: b.meters, Log: b.log})
 	p.drains = newDrains(p, b.log)
@@ -324,6 +315,15 @@
 		Now: clock.New().Now, Throttle: p.throttle, Boxes: func() int { return len(r.View().Members) }, Drains: p.drains.add, Log: b.log,
 	})
 	p.directory.Heed(p.pushback)
+	engines := engine.NewClient(allowed, p.pushback)
+	p.control = control.New(control.Options{
+		Replica: r, Spread: p.spread, Engines: engines.At,
+		Gone: p.directory.Gone, Meet: b.meet, Wanted: cmp.Or(s.Voters, len(s.FirstMembers)), RepairAfter: s.RepairAfter, UpgradeSettles: s.UpgradeSettles,
+		Counting: platform.NewEngines(allowed, p.pushback), Rests: func(server string) bool { return !p.pushback.Sendable(server) }, Holder: s.Box, OrderPause: s.OrderPause, DemandSettles: s.DemandSettles, DisksOnly: s.VotersNeedDisks,
+		Records: b.records, Meters: b.meters, Log: b.log,
+	})
+	p.guard = keyed.New(state.ProcessID(self), r, b.pool, b.meters)
+	p.quotas = newQuotas(leased{since: level.Workspaces, window: s.QuotaWindow}, self, r, p.spread, b.pool)
 	p.entry = entry.New(entry.Options{
 		Directory: p.directory, View: r.View, Current: func() bool { return b.warm.Load() && p.spread.Current() }, Sender: proxy.NewSender(),
 		Meters: b.meters, Records: b.records, MaxBody: s.MaxBody, BodyTimeout: s.BodyTimeout, Guard: p.guard,
--- a/box/reports.go
+++ b/box/reports.go
@@ -23,7 +23,7 @@
 // readReports takes over what model servers say of their load and of leaving,
 // whether or not a controller leads.
 func (b *Box) readReports(ctx context.Context, p *parts) {
-	client := engine.NewClient(func() bool { return false })
+	client := engine.NewClient(func() bool { return false }, p.pushback)
 	ticker := time.NewTicker(reportEvery)
 	defer ticker.Stop()
 	for {
@@ -60,7 +60,7 @@
 			continue
 		}
 		wg.Go(func() {
-			st, err := client.At(s.Address).State(ctx)
+			st, err := client.At(s.Name, s.Address).State(ctx)
 			if err != nil {
 				return // the last word stands
 			}
--- a/box/rest_test.go
+++ b/box/rest_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,6 +26,35 @@
 	s.rests[server] = after
 }
 
+// Orders and the reading of reports heed a rest as well: what they are answered asks for it, too, and the leader was not kept
+// from a server that it had been told to leave alone. An order that was not sent is none that may still arrive.
+func TestAServerThatAsksForRestGetsNoOrders(t *testing.T) {
+	o := startOne(t)
+	g := NewWithT(t)
+	g.Eventually(func() int { return o.apply(config(1, "m1", "m2")) }, within).Should(Equal(http.StatusOK))
+	first := o.server("i-1", "m1")
+	g.Eventually(func() int { s, _ := o.ask("first", "m1"); return s }, within).Should(Equal(http.StatusOK))
+	var rests atomic.Bool
+	first.TurnCallsAway = func() string {
+		if rests.Load() {
+			return "2"
+		}
+		return ""
+	}
+	rests.Store(true)
+	status, body := o.ask("adapter", "m1/a1")
+	g.Expect(status).To(Equal(http.StatusServiceUnavailable), body)
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		o.ask("again", "m1/a1")
+	}
+	got := mostInRest(first.AllArrived())
+	t.Logf("at most %d calls in a rest of 2 s; %d arrived", got, len(first.AllArrived()))
+	g.Expect(got).To(BeNumerically("<=", restMost))
+	rests.Store(false)
+	g.Eventually(func() int { s, _ := o.ask("then", "m1/a1"); return s }, within).Should(Equal(http.StatusOK))
+	g.Expect(first.Faults()).To(BeEmpty())
+}
+
 // mostInRest returns the most requests that one box sent within a rest that it was asked for.
 func mostInRest(arrived []standin.Arrival) (most int) {
 	for i, asked := range arrived {
--- a/control/control.go
+++ b/control/control.go
@@ -79,9 +79,11 @@
 type Options struct {
 	Replica *replica.Replica
 	Spread  *spread.Spreader
-	Engines func(address string) engine.Server
+	Engines func(name, address string) engine.Server
 	// Counting speaks to servers that count orders; nil when there are none.
 	Counting engine.Counting
+	// Rests reports whether a server asked this box for a rest that lasts; nil: none does.
+	Rests func(server string) bool
 	// Holder names this box in orders.
 	Holder string
 	// OrderPause is the least time between the orders of two leaders to a server (5).
--- a/control/counted.go
+++ b/control/counted.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -125,6 +126,13 @@
 		x.count, x.known = r.Count, true
 	}
 	verdict, err := x.give(ctx)
+	if errors.Is(err, engine.ErrResting) && !x.unsure {
+		return engine.Outcome{Detail: "the server rests; nothing was sent"}, true
+	}
+	if errors.Is(err, engine.ErrResting) {
+		wait.For(ctx, countedResend)
+		return engine.Outcome{}, false
+	}
 	if err != nil {
 		event.OrderUnanswered.Log(x.c.opts.Log, zap.Uint64("order", x.order.Id), zap.String("server", x.order.Server), event.Cause(err))
 		x.unsure = true
--- a/control/decide.go
+++ b/control/decide.go
@@ -24,6 +24,9 @@
 			down[name] = c.unheard(view, name)
 			continue
 		}
+		if c.rests(name) { // it is not read either
+			continue
+		}
 		r, ok := c.report(name)
 		if gone[name] || ok && time.Since(r.began) > downAfter || !ok && time.Since(c.ledSince) > downAfter {
 			down[name] = true
--- a/control/pause.go
+++ b/control/pause.go
@@ -20,6 +20,7 @@
 //     earlier leader is still open, the pause counts from the leadership's begin.
 //  4. A server that began another life while an order was open gets none for heirFor: that order may still
 //     arrive, and would be taken where the new life's count of orders is the one that it names.
+//  5. A server that asked this box for a rest gets none while it lasts.
 
 // heirFor is how long an order without an answer may still arrive: 12 s by the servers' own word.
 const heirFor = 13 * time.Second
@@ -54,10 +55,13 @@
 	}
 }
 
-// held returns the servers that must not be given orders yet (3, 4).
+// held returns the servers that must not be given orders yet (3, 4, 5).
 func (c *Controller) held(view *state.State, now time.Time) map[string]bool {
 	held := map[string]bool{}
 	c.holdHeirs(view, now, held)
+	for name := range view.Servers {
+		held[name] = held[name] || c.rests(name)
+	}
 	if now.Sub(c.ledSince) >= c.opts.OrderPause {
 		return held
 	}
@@ -90,5 +94,7 @@
 	}
 }
 
+func (c *Controller) rests(server string) bool { return c.opts.Rests != nil && c.opts.Rests(server) }
+
 // inherited reports whether an order was given by an earlier leader.
 func (c *Controller) inherited(o *wire.Order) bool { return o.Term != c.term }
--- a/control/states.go
+++ b/control/states.go
@@ -35,7 +35,7 @@
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	began := time.Now()
-	st, err := c.opts.Engines(s.Address).State(ctx)
+	st, err := c.opts.Engines(s.Name, s.Address).State(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.reading, s.Name)
--- a/dialect/report.go
+++ b/dialect/report.go
@@ -29,6 +29,12 @@
 	return r.HasLimit || r.Rest > 0 || r.Draining || r.LimitErr != nil || r.RestErr != nil || r.DrainingErr != nil
 }
 
+// OfAnother reports whether an answer is of another server than the one that was meant; "" where none was.
+func (d *Dialect) OfAnother(h http.Header, meant string) bool {
+	id := h.Get(d.ServerID)
+	return id != "" && meant != "" && id != meant
+}
+
 // headerRetryAfter tells, with a 503, for how long a server wants to rest.
 const headerRetryAfter = "Retry-After"
 
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"leverdrum/dialect"
 )
 
 // Error is the class of this package's errors.
@@ -100,26 +102,27 @@
 )
 
 // NewClient returns a client whose orders are written only while allowed says
-// so; it is asked last thing before each write to a connection.
-func NewClient(allowed func() bool) *Client {
+// so; it is asked last thing before each write to a connection. It keeps to what servers say of themselves; said may be nil.
+func NewClient(allowed func() bool, said Pushback) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
-		reads:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1}},
-		orders: Guarded(allowed),
+		reads:  Heed(&http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1}}, said, &dialect.Own),
+		orders: Heed(Guarded(allowed), said, &dialect.Own),
 	}
 }
 
-// At returns the server at an address.
-func (c *Client) At(address string) Server { return &remote{c, "http://" + address} }
+// At returns the server of a name at an address.
+func (c *Client) At(name, address string) Server { return &remote{c, name, "http://" + address} }
 
 type remote struct {
 	client *Client
+	name   string
 	base   string
 }
 
 // State reads GET /state.
 func (r *remote) State(ctx context.Context) (*State, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.base+StatePath, nil)
+	req, err := http.NewRequestWithContext(WithServer(ctx, r.name), http.MethodGet, r.base+StatePath, nil)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -140,7 +143,7 @@
 		return Outcome{}, Error.Wrap(err)
 	}
 	// The body is hidden from the transport, which else might send it again.
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.base+OrderPath, io.NopCloser(bytes.NewReader(body)))
+	req, err := http.NewRequestWithContext(WithServer(ctx, r.name), http.MethodPost, r.base+OrderPath, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		return Outcome{}, Error.Wrap(err)
 	}
--- a/engine/guard.go
+++ b/engine/guard.go
@@ -22,40 +22,60 @@
 		if err != nil {
 			return nil, err
 		}
-		refused, _ := ctx.Value(refusedKey{}).(*atomic.Bool)
-		return &guardedConn{c, allowed, refused}, nil
+		sent, _ := ctx.Value(sendingKey{}).(*sending)
+		return &guardedConn{Conn: c, allowed: allowed, sending: sent}, nil
 	}
 	return &guardedTransport{&http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}}
 }
 
-// refusedKey names, in a request's context, whether a write of it was refused.
-type refusedKey struct{}
+// sendingKey names, in a request's context, its sending.
+type sendingKey struct{}
 
-// RoundTrip says ErrNotAllowed where a write was refused. The transport closes the connection then, and its reader may
-// fail before its writer has told why.
+// sending is one sending of a request.
+type sending struct {
+	// sendable is asked before the first bytes leave; nil: they may.
+	sendable func() bool
+	// refused tells that the box was not allowed a write, resting that the server asked for a rest before the first one.
+	refused, resting atomic.Bool
+}
+
+// RoundTrip says ErrNotAllowed or ErrResting where a write was refused. The transport closes the connection then, and its
+// reader may fail before its writer has told why.
 func (t *guardedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	refused := &atomic.Bool{}
-	resp, err := t.Transport.RoundTrip(r.WithContext(context.WithValue(r.Context(), refusedKey{}, refused)))
-	if err != nil && refused.Load() {
+	s := &sending{}
+	if c, ok := r.Context().Value(callKey{}).(*call); ok {
+		s.sendable = c.sendable
+	}
+	resp, err := t.Transport.RoundTrip(r.WithContext(context.WithValue(r.Context(), sendingKey{}, s)))
+	switch {
+	case err != nil && s.refused.Load():
 		return nil, ErrNotAllowed
+	case err != nil && s.resting.Load():
+		return nil, ErrResting
 	}
 	return resp, err
 }
 
-// guardedConn refuses to write once its box does not lead.
+// guardedConn refuses to write once its box does not lead, and to begin with a server that rests.
 type guardedConn struct {
 	net.Conn
 	allowed func() bool
-	refused *atomic.Bool // nil: nobody asks
+	sending *sending // nil: nobody asks
+	began   bool
 }
 
 // Write asks for permission right before the bytes leave.
 func (c *guardedConn) Write(b []byte) (int, error) {
-	if c.allowed() {
-		return c.Conn.Write(b)
+	if !c.allowed() {
+		if c.sending != nil {
+			c.sending.refused.Store(true)
+		}
+		return 0, ErrNotAllowed
 	}
-	if c.refused != nil {
-		c.refused.Store(true)
+	if s := c.sending; s != nil && !c.began && s.sendable != nil && !s.sendable() {
+		s.resting.Store(true)
+		return 0, ErrResting
 	}
-	return 0, ErrNotAllowed
+	c.began = true
+	return c.Conn.Write(b)
 }
