--- a/control/pause.go
+++ b/control/pause.go
@@ -60,7 +60,9 @@
 	held := map[string]bool{}
 	c.holdHeirs(view, now, held)
 	for name := range view.Servers {
-		held[name] = held[name] || c.rests(name)
+		if c.rests(name) {
+			held[name] = true
+		}
 	}
 	if now.Sub(c.ledSince) >= c.opts.OrderPause {
 		return held
