--- a/pushback/pushback.go
+++ b/pushback/pushback.go
@@ -58,6 +58,8 @@
 	Boxes func() int
 	// Drains is called once for each server that says that it drains; nil where nobody is to hear. It must not block.
 	Drains func(server string)
+	// Random draws from [0, 1); nil: a source of its own.
+	Random func() float64
 	Log    *zap.Logger
 }
 
@@ -92,7 +94,12 @@
 }
 
 // New returns a Registry.
-func New(opts Options) *Registry { return &Registry{opts: opts, records: map[string]*record{}} }
+func New(opts Options) *Registry {
+	if opts.Random == nil {
+		opts.Random = rand.Float64
+	}
+	return &Registry{opts: opts, records: map[string]*record{}}
+}
 
 // Observe records what an answer to a request says of its server.
 func (r *Registry) Observe(server, request string, said dialect.Report) {
@@ -154,7 +161,7 @@
 		event.ServerResting.Log(r.opts.Log, zap.String("server", server), zap.String("request", request), zap.Duration("rest", rest))
 	}
 	rec.restsUntil, rec.probedAt = until, 0
-	rec.spread = time.Duration(rand.Float64() * float64(min(time.Duration(r.opts.Boxes())*spreadPerBox, maxSpread)))
+	rec.spread = time.Duration(r.opts.Random() * float64(min(time.Duration(r.opts.Boxes())*spreadPerBox, maxSpread)))
 }
 
 func (r *Registry) noteMalformed(rec *record, server string, said dialect.Report) {
