soak, standin, entry: servers that ask for rest and that say in answers that they end, on both interfaces and at random

The soak judges each server by what it saw, by box, orders and reports among it. The product's own stand-ins do it by command line (-rest, -every, -drains). A life that follows under a name begins with nothing (route, noteLives).

--- a/pushback/sim_test.go
+++ b/pushback/sim_test.go
@@ -273,8 +273,8 @@
 		t.Logf("%d boxes: usual %.0f a tenth of a second, most %d in the 3 s after the rest; first after %v, half of the usual after %v",
 			boxes, usual, peak, time.Duration(first)*slice-rest, time.Duration(reached)*slice-rest)
 		g.Expect(float64(peak)).To(BeNumerically("<=", 1.5*usual+8))
-		g.Expect(time.Duration(first)*slice).To(BeNumerically("<=", rest+time.Second))
-		g.Expect(time.Duration(reached)*slice).To(BeNumerically("<=", rest+2*time.Second))
+		g.Expect(time.Duration(first) * slice).To(BeNumerically("<=", rest+time.Second))
+		g.Expect(time.Duration(reached) * slice).To(BeNumerically("<=", rest+2*time.Second))
 		g.Expect(s.refused).To(BeZero(), "the other server has room")
 	}
 }
--- a/route/route.go
+++ b/route/route.go
@@ -65,9 +65,11 @@
 	mu       sync.Mutex
 	backends map[string]*Backend
 	gone     map[string]bool // machines that leave, by the platform's list
-	view     *state.State    // what the next table is to be made from, nil: nothing new
-	table    atomic.Pointer[Table]
-	stale    atomic.Bool
+	// lives are the incarnations of the servers, where they are known.
+	lives map[string]string
+	view  *state.State // what the next table is to be made from, nil: nothing new
+	table atomic.Pointer[Table]
+	stale atomic.Bool
 }
 
 // Heed has the directory keep to what backends say of themselves (8). It must be called before requests are routed.
@@ -83,7 +85,7 @@
 
 // NewDirectory returns an empty directory for a box in the hall.
 func NewDirectory(hall string) *Directory {
-	d := &Directory{hall: hall, backends: map[string]*Backend{}, gone: map[string]bool{}}
+	d := &Directory{hall: hall, backends: map[string]*Backend{}, gone: map[string]bool{}, lives: map[string]string{}}
 	d.table.Store(&Table{})
 	return d
 }
@@ -148,6 +150,7 @@
 	}
 	d.view = nil
 	d.refresh(view.Fleet)
+	d.noteLives(view)
 	t := &Table{Models: map[string]*Target{}, Services: map[string]*Target{}, Index: view.Index}
 	for name, m := range view.Fleet.Models {
 		t.Models[name] = &Target{Name: name, Class: m.Class, AffinitySlack: view.Fleet.AffinitySlack}
@@ -175,12 +178,30 @@
 	d.backends = next
 }
 
+// noteLives forgets what servers said that have begun another life since.
+func (d *Directory) noteLives(view *state.State) {
+	for name := range view.Fleet.Servers {
+		life := view.Servers[name].GetIncarnation()
+		if life == "" {
+			continue
+		}
+		if before := d.lives[name]; before != "" && life != before {
+			d.pushback.Forget(name)
+		}
+		d.lives[name] = life
+	}
+	maps.DeleteFunc(d.lives, func(name, _ string) bool { return view.Fleet.Servers[name] == nil })
+}
+
 // keep returns the backend that is known already if it is the same.
 func (d *Directory) keep(next *Backend) *Backend {
 	b := d.backends[next.Name]
 	if b != nil && b.Address == next.Address && b.Hall == next.Hall && b.Concurrency == next.Concurrency && b.Resumes == next.Resumes {
 		return b
 	}
+	if b != nil && b.Address != next.Address {
+		d.pushback.Forget(next.Name)
+	}
 	next.limit, next.hash = float64(next.Concurrency), xxhash.Sum64String(next.Name)
 	return next
 }
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -93,6 +94,7 @@
 	req.Header.Set("Leverdrum-Deadline-Ms", "5000")
 	req.Header.Set("Leverdrum-Model", model)
 	req.Header.Set(standin.HeaderVia, box.ip)
+	req.Header.Set(standin.HeaderSent, strconv.FormatInt(time.Now().UnixMilli(), 10))
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return 0, ""
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -73,7 +73,7 @@
 	f.wg.Go(func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		defer f.w.limits.excuse(time.Now(), d)
+		defer f.w.limits.excuse(time.Now(), true, d)
 		do()
 	})
 }
@@ -119,7 +119,7 @@
 		wg.Go(func() {
 			d.mu.Lock()
 			defer d.mu.Unlock()
-			defer f.w.limits.excuse(time.Now(), d)
+			defer f.w.limits.excuse(time.Now(), true, d)
 			d.killLocked()
 			d.start()
 		})
@@ -181,7 +181,7 @@
 	f.wg.Go(func() {
 		time.Sleep(span)
 		for _, pair := range list {
-			f.w.limits.excuse(began, pair[0], pair[1])
+			f.w.limits.excuse(began, false, pair[0], pair[1])
 		}
 		for _, pair := range list {
 			f.w.links.set(pair[0].ip, pair[1].ip, false, 0)
@@ -217,7 +217,7 @@
 func (f *faults) reset() {
 	d := f.box()
 	f.w.links.reset(d.ip)
-	f.w.limits.excuse(time.Now(), d)
+	f.w.limits.excuse(time.Now(), false, d)
 }
 
 func (f *faults) crash() {
--- a/soak/limits_test.go
+++ b/soak/limits_test.go
@@ -34,10 +34,11 @@
 	excused []excuse
 }
 
-// excuse is a time in which a box was disturbed.
+// excuse is a time in which a box was disturbed. process tells that its process was, and not only its links to others.
 type excuse struct {
 	box      string
 	from, to time.Time
+	process  bool
 }
 
 // newLimits draws from a source of its own, so that a seed's series of faults stays what it was.
@@ -73,11 +74,11 @@
 }
 
 // excuse notes that boxes were disturbed from a time until now.
-func (l *limits) excuse(from time.Time, list ...*daemon) {
+func (l *limits) excuse(from time.Time, process bool, list ...*daemon) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, d := range list {
-		l.excused = append(l.excused, excuse{d.ip, from, time.Now()})
+		l.excused = append(l.excused, excuse{d.ip, from, time.Now(), process})
 	}
 }
 
@@ -90,6 +91,13 @@
 	})
 }
 
+// undisturbed reports whether a box's process was left alone in a span.
+func (l *limits) undisturbed(box string, from, to time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !slices.ContainsFunc(l.excused, func(e excuse) bool { return e.process && e.box == box && e.from.Before(to) && e.to.After(from) })
+}
+
 // values are what servers name: limits, none, and what cannot be read.
 var values = []string{"0.4", "1.1", "3", "8", "20", "", "", "", "NaN", "-1"}
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -74,6 +74,7 @@
 	f := &faults{w: w, random: rand.New(rand.NewPCG(seed, 1))}
 	wg.Go(func() { f.run(ctx) })
 	wg.Go(func() { w.limits.run(ctx, w) })
+	wg.Go(func() { w.pushback.run(ctx, w) })
 	wg.Go(func() { o.run(ctx) })
 	for _, c := range list {
 		wg.Go(func() { c.run(ctx) })
@@ -92,6 +93,7 @@
 	})
 	w.checkRuns(list)
 	w.checkLimits()
+	w.checkPushback()
 	w.report(list)
 }
 
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -69,7 +69,8 @@
 
 	missed bool // some wait ended in vain
 
-	limits *limits
+	limits   *limits
+	pushback *pushback
 
 	mu       sync.Mutex
 	findings []string
@@ -87,7 +88,7 @@
 
 func newWorld(t *testing.T, seed uint64) *world {
 	runs++
-	w := &world{t: t, seed: seed, links: newLinks(), limits: newLimits(seed)}
+	w := &world{t: t, seed: seed, links: newLinks(), limits: newLimits(seed), pushback: newPushback(seed)}
 	net := fmt.Sprintf("127.%d.%d", 64+(os.Getpid()+runs)>>8&63, (os.Getpid()+runs)&255)
 	for i := range boxes {
 		w.boxes = append(w.boxes, &daemon{w: w, ip: fmt.Sprintf("%s.%d", net, 10+i), folder: t.TempDir(), disk: i < disks})
@@ -255,6 +256,9 @@
 	}
 	w.limits.begin(s.ID)
 	s.Limit = func() string { return w.limits.of(s.ID) }
+	s.TurnAway = func(string) string { return w.pushback.turnAway(s.ID) }
+	s.TurnCallsAway = func() string { return w.pushback.turnAway(s.ID) }
+	s.Leaves = func() bool { return w.pushback.leaves(s.ID) }
 	for _, d := range w.boxes {
 		s.Control = append(s.Control, d.control())
 	}
--- a/standin/chat.go
+++ b/standin/chat.go
@@ -37,10 +37,10 @@
 		q.MaxTokens = defaultTokens
 	}
 	f := e.next()
-	f.nameLimit(w)
+	f.speak(w)
 	e.setID(w, r, f)
 	version, resident := e.find(q.Model)
-	if !resident || f.Refuse {
+	if !resident || f.refuses() {
 		w.Header().Set(engine.HeaderRan, "true")
 		http.Error(w, "not run", http.StatusServiceUnavailable)
 		return
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -76,7 +76,7 @@
 	f.DurationVar(&o.PrefillByte, "prefill-byte", 0, "time of reading one byte of a prompt that is not kept")
 	f.IntVar(&o.Prefixes, "prefixes", 1000, "prompt messages that are kept")
 	f.BoolVar(&o.Resumes, "resumes-streams", true, "number the events of streams and go on with streams of others")
-	limit := limitFlag(f)
+	said := selfFlags(f)
 	f.StringVar(&o.Store, "store", "", "address of the weight store")
 	return func() http.Handler {
 		n, err := humanize.ParseBytes(*memory)
@@ -85,7 +85,7 @@
 		}
 		o.Memory = n
 		e := NewEngine(o)
-		e.Set(Faults{Limit: *limit})
+		e.Set(*said)
 		return e
 	}
 }
--- a/standin/service.go
+++ b/standin/service.go
@@ -44,10 +44,10 @@
 	name := f.String("name", "service", "name in answers")
 	key := f.String("key-header", "Idempotency-Key", "header with the key")
 	took := f.Duration("time", time.Millisecond, "time of one call")
-	limit := limitFlag(f)
+	said := selfFlags(f)
 	return func() http.Handler {
 		s := NewService(*name, *key, *took)
-		s.Set(Faults{Limit: *limit})
+		s.Set(*said)
 		return s
 	}
 }
@@ -79,8 +79,8 @@
 		return
 	}
 	f := s.next()
-	f.nameLimit(w)
-	if f.Refuse {
+	f.speak(w)
+	if f.refuses() {
 		w.Header().Set(engine.HeaderRan, "true")
 		http.Error(w, "not run", http.StatusServiceUnavailable)
 		return
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -53,6 +53,10 @@
 	LoseOrderAnswers bool `json:"lose_order_answers"`
 	// Limit is what answers name as the requests a second that the server takes from all boxes; "": none.
 	Limit string `json:"limit"`
+	// Rest is the Retry-After with which requests are turned away, 503 and not run; "": none is.
+	Rest string `json:"rest"`
+	// Drains has answers say that the server is about to end.
+	Drains bool `json:"drains"`
 	// OrderDelayMs holds up orders before they run, in milliseconds.
 	OrderDelayMs int `json:"order_delay_ms"`
 }
@@ -77,7 +81,7 @@
 	f.count++
 	f.came = append(f.came, time.Now())
 	if f.now.Every > 1 && f.count%f.now.Every != 0 {
-		return Faults{Leaving: f.now.Leaving, Limit: f.now.Limit}
+		return Faults{Leaving: f.now.Leaving, Limit: f.now.Limit, Drains: f.now.Drains}
 	}
 	return f.now
 }
@@ -96,13 +100,22 @@
 	return append([]time.Time(nil), f.came...)
 }
 
-// nameLimit has an answer name the limit.
-func (f Faults) nameLimit(w http.ResponseWriter) {
+// speak has an answer say what the server says of itself.
+func (f Faults) speak(w http.ResponseWriter) {
 	if f.Limit != "" {
 		w.Header().Set(dialect.Own.Limit, f.Limit)
 	}
+	if f.Drains {
+		w.Header().Set(dialect.Own.Draining, "1")
+	}
+	if f.Rest != "" {
+		w.Header().Set("Retry-After", f.Rest)
+	}
 }
 
+// refuses reports whether requests are turned away.
+func (f Faults) refuses() bool { return f.Refuse || f.Rest != "" }
+
 func (f *faults) handle(w http.ResponseWriter, r *http.Request) {
 	var v Faults
 	if err := json.NewDecoder(r.Body).Decode(&v); err != nil {
@@ -165,8 +178,14 @@
 	return subcommands.ExitSuccess
 }
 
-func limitFlag(f *flag.FlagSet) *string {
-	return f.String("limit", "", "requests a second that answers name as what the server takes from all boxes")
+// selfFlags tell what a stand-in says of itself.
+func selfFlags(f *flag.FlagSet) *Faults {
+	said := &Faults{}
+	f.StringVar(&said.Limit, "limit", "", "requests a second that answers name as what the server takes from all boxes")
+	f.StringVar(&said.Rest, "rest", "", "Retry-After with which requests are turned away")
+	f.IntVar(&said.Every, "every", 0, "turn away each n-th request only; 0: all")
+	f.BoolVar(&said.Drains, "drains", false, "say in answers that the server is about to end")
+	return said
 }
 
 func storeFlags(f *flag.FlagSet) func() http.Handler {
