placement, control: a server that rests to many boxes for long is room that is missing

Boxes tell the leader of rests of 10 s or more, asked for at once or again and again; a server of which a fifth of the boxes do counts in placement as one with a limit of next to nothing, so that its models get copies elsewhere.

--- a/box/box.go
+++ b/box/box.go
@@ -276,6 +276,7 @@
 	wg.Go(func() { b.tellLeader(ctx, p) })
 	wg.Go(func() { p.quotas.limiter.Run(ctx) })
 	wg.Go(func() { p.limits.limiter.Run(ctx) })
+	wg.Go(func() { p.tellRests(ctx) })
 	wg.Go(func() { p.drains.run(ctx, (&forwarder{b, p}).Forward) })
 	wg.Go(func() { p.crashes.run(ctx, (&forwarder{b, p}).Forward) })
 	wg.Wait()
--- a/box/platform.go
+++ b/box/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -12,6 +13,7 @@
 	"leverdrum/event"
 	"leverdrum/fleet"
 	"leverdrum/gateway"
+	"leverdrum/internal/wait"
 	"leverdrum/meter"
 	"leverdrum/platform"
 	"leverdrum/reason"
@@ -78,6 +80,21 @@
 	}
 }
 
+// restsEvery is the time between two reports of servers' long rests, so that a new leader soon knows of them.
+const restsEvery = 2 * time.Second
+
+// tellRests has the leader hear of servers' long rests until the context ends.
+func (p *parts) tellRests(ctx context.Context) {
+	for wait.For(ctx, restsEvery) {
+		for server, left := range p.pushback.LongRests() {
+			select {
+			case p.notices <- gateway.Notice{Resting: server, Rests: left}:
+			default: // told again while it lasts
+			}
+		}
+	}
+}
+
 func addNotice(call *wire.Forward, n gateway.Notice) {
 	if n.Wanted != "" {
 		call.Wants = append(call.Wants, &wire.Demand{Model: n.Wanted})
@@ -88,6 +105,9 @@
 	if n.Limited != "" {
 		call.Limits = append(call.Limits, &wire.ServerLimit{Server: n.Limited, Milli: uint32(n.Limit)})
 	}
+	if n.Resting != "" {
+		call.Rests = append(call.Rests, &wire.ServerRest{Server: n.Resting, LeftMs: uint32(min(n.Rests.Milliseconds(), math.MaxUint32))})
+	}
 	if n.Unreached != "" {
 		call.Unreached = append(call.Unreached, n.Unreached)
 	}
--- a/box/rest_test.go
+++ b/box/rest_test.go
@@ -55,6 +55,21 @@
 	g.Expect(first.Faults()).To(BeEmpty())
 }
 
+// A server that wants no requests for long is room that is missing: its model is loaded elsewhere.
+func TestTheModelOfAServerThatRestsLongIsLoadedElsewhere(t *testing.T) {
+	s := startSeveral(t, 4)
+	g := NewWithT(t)
+	s.up(1)
+	s.server("", "") // holds nothing
+	s.rest("i-1", "30")
+	stop := s.load(20)
+	g.Eventually(func() bool { return s.limited("i-2").Holds("m1") }, within).Should(BeTrue())
+	time.Sleep(time.Second)
+	stop()
+	g.Expect(s.send(0, "then", "/a/then", "body").whole).To(BeTrue())
+	g.Expect(mostInRest(s.limited("i-1").Arrived())).To(BeNumerically("<=", restMost))
+}
+
 // mostInRest returns the most requests that one box sent within a rest that it was asked for.
 func mostInRest(arrived []standin.Arrival) (most int) {
 	for i, asked := range arrived {
--- a/control/announce.go
+++ b/control/announce.go
@@ -209,6 +209,7 @@
 	c.mu.Unlock()
 	c.noteRefusing(ctx, f)
 	c.noteLimits(ctx, f.Limits)
+	c.noteRests(f, time.Now())
 	select {
 	case c.kick <- struct{}{}:
 	default:
--- a/control/control.go
+++ b/control/control.go
@@ -127,10 +127,11 @@
 	doubts map[string]*doubt // of servers, see refusing.go
 	// limitedAt is when a server's limit was agreed last.
 	limitedAt map[string]time.Time
-	ordered   map[string]ordered   // by server, see pause.go; nil before the first look
-	lacking   map[string]time.Time // since when models have no copy, see patience.go
-	askedAt   map[string]time.Time // when models were asked for last
-	wanted    map[string]time.Time // models and adapters that requests wait for
+	resting   map[string]map[string]time.Time // until when boxes count as told of a server's long rest, by server and box
+	ordered   map[string]ordered              // by server, see pause.go; nil before the first look
+	lacking   map[string]time.Time            // since when models have no copy, see patience.go
+	askedAt   map[string]time.Time            // when models were asked for last
+	wanted    map[string]time.Time            // models and adapters that requests wait for
 	steady    steady
 	kick      chan struct{}
 	metAt     time.Time     // when silent boxes were called on last
@@ -155,7 +156,7 @@
 	return &Controller{
 		opts: opts, reports: map[string]report{}, reading: map[string]bool{}, quarantine: map[string]time.Time{},
 		sending: map[uint64]bool{}, short: map[string]string{},
-		heard: map[string]*heard{}, lacking: map[string]time.Time{}, askedAt: map[string]time.Time{}, doubts: map[string]*doubt{}, limitedAt: map[string]time.Time{}, counts: map[string]uint64{}, wanted: map[string]time.Time{}, heirs: map[string]time.Time{}, loads: map[uint64]*openLoad{}, loaded: map[crasher.Print]bool{}, kick: make(chan struct{}, 1),
+		heard: map[string]*heard{}, lacking: map[string]time.Time{}, askedAt: map[string]time.Time{}, doubts: map[string]*doubt{}, limitedAt: map[string]time.Time{}, resting: map[string]map[string]time.Time{}, counts: map[string]uint64{}, wanted: map[string]time.Time{}, heirs: map[string]time.Time{}, loads: map[uint64]*openLoad{}, loaded: map[crasher.Print]bool{}, kick: make(chan struct{}, 1),
 	}
 }
 
@@ -241,6 +242,7 @@
 		c.heard = map[string]*heard{}
 		c.doubts = map[string]*doubt{}
 		c.limitedAt = map[string]time.Time{}
+		c.resting = map[string]map[string]time.Time{}
 		c.lacking, c.askedAt = map[string]time.Time{}, map[string]time.Time{}
 		c.counts = map[string]uint64{}
 		c.wanted = map[string]time.Time{}
--- a/control/rests_test.go
+++ b/control/rests_test.go
@@ -39,3 +39,29 @@
 	_, done = (&counted{c: c, order: order, known: true, unsure: true}).step(context.Background())
 	g.Expect(done).To(BeFalse())
 }
+
+// A server is room that is missing while enough boxes say that it rests for long, and no longer.
+func TestServersThatRestToManyBoxesAreRoomThatIsMissing(t *testing.T) {
+	g := NewWithT(t)
+	c := New(Options{})
+	view := agreedServers(map[string]uint64{"rests": 1, "works": 1})
+	for i := range 10 {
+		view.Members[string(rune('a'+i))] = &wire.Member{}
+	}
+	now := time.Now()
+	tell := func(box, server string, left time.Duration) {
+		c.noteRests(&wire.Forward{Box: box, Rests: []*wire.ServerRest{{Server: server, LeftMs: uint32(left.Milliseconds())}}}, now)
+	}
+	tell("a", "rests", 3*time.Second)
+	tell("a", "rests", 3*time.Second)
+	g.Expect(c.restingServers(view, now)).To(BeEmpty(), "to one of ten")
+	tell("b", "rests", time.Hour)
+	tell("b", "unknown", time.Hour)
+	g.Expect(c.restingServers(view, now)).To(Equal(map[string]bool{"rests": true}))
+	now = now.Add(4 * time.Second)
+	g.Expect(c.restingServers(view, now)).To(BeEmpty(), "one of the two rests has ended")
+	tell("a", "rests", time.Hour)
+	now = now.Add(maxRest + time.Second)
+	g.Expect(c.restingServers(view, now)).To(BeEmpty(), "nobody tells it any more")
+	g.Expect(c.resting).To(BeEmpty())
+}
--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -121,6 +121,8 @@
 	Unreached string // one that does not answer when a connection is opened, or
 	Limited   string // a server that named another limit than is agreed
 	Limit     dialect.Limit
+	Resting   string // a server that asks for a long rest
+	Rests     time.Duration
 }
 
 // notices tells the leader, of each thing not too often.
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -19,21 +19,31 @@
 //     It stays as long as no other copy is on a server without a limit: it is missed like a last one.
 //  5. What a limited server does not bear is missed for longer than demand lasts: the server is in need, and demand comes
 //     to it as to the others.
+//  6. A server that rests to many boxes for long counts as one with a limit of next to nothing.
+
+// restingLimit stands for the limit of a server that rests, in requests a second (6).
+const restingLimit = 0.05
 
 // limitOf returns the limit of a server, in requests a second; 0 for none.
 func (p *planner) limitOf(server string) float64 {
+	if p.in.Resting[server] {
+		return restingLimit
+	}
 	if len(p.in.State.Limits) == 0 {
 		return 0
 	}
 	return p.in.State.LimitOf(server).PerSecond()
 }
 
+// unlimited reports whether no server has a limit.
+func (p *planner) unlimited() bool { return len(p.in.State.Limits) == 0 && len(p.in.Resting) == 0 }
+
 // limitPart is the most that one copy on a limited server has of its limit (1).
 func limitPart(a *accelerator) float64 { return a.load.limit / float64(max(1, a.stood)) }
 
 // parts are the shares of a model's demand that its copies take, in their order; nil where they are equal.
 func (p *planner) parts(m *fleet.Model, list []copyOf) []float64 {
-	if len(p.in.State.Limits) == 0 {
+	if p.unlimited() {
 		return nil
 	}
 	asked := p.in.Demand[m.Name].Requests
@@ -72,7 +82,7 @@
 
 // limited reports whether all copies of a model stand on servers with a limit.
 func (p *planner) limited(m *fleet.Model) bool {
-	if len(p.in.State.Limits) == 0 {
+	if p.unlimited() {
 		return false
 	}
 	list := p.serving(m)
@@ -111,7 +121,7 @@
 // onlyFree reports whether all other copies of a model are on servers with a limit: then this one is missed like a
 // last one.
 func (p *planner) onlyFree(m *fleet.Model, c copyOf) bool {
-	if len(p.in.State.Limits) == 0 || c.acc.load.limit != 0 {
+	if p.unlimited() || c.acc.load.limit != 0 {
 		return false
 	}
 	return !slices.ContainsFunc(p.serving(m), func(other copyOf) bool { return other.acc != c.acc && other.acc.load.limit == 0 })
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -93,6 +93,8 @@
 	Down map[string]bool
 	// Held names servers that get no orders now, though their copies count.
 	Held map[string]bool
+	// Resting names servers that want no requests for so long that other copies of their models are worth a move.
+	Resting map[string]bool
 	// Since is how long the box has led. A new leader first lets demand be
 	// reported to it before it moves anything for demand's sake.
 	Since time.Duration
--- a/pushback/pushback.go
+++ b/pushback/pushback.go
@@ -44,6 +44,9 @@
 	maxRankSteps = 3
 	// probeEvery is the time between two requests to a server that has not answered one since its rest (3).
 	probeEvery = 250 * time.Millisecond
+	// LongRest is the time from which a server that asks for rest, at once or again and again, is room that is missing: other
+	// copies of its models are worth a move then.
+	LongRest = 10 * time.Second
 	// maxRecords bounds the servers that are remembered; those whose rest ended longer than keepFor ago go then.
 	maxRecords = 4096
 	keepFor    = time.Minute
@@ -136,16 +139,18 @@
 		rec.rests = false
 		event.ServerRested.Log(r.opts.Log, zap.String("server", server), zap.Duration("rested", rec.restsUntil-rec.restsSince), zap.Duration("late", now-rec.restsUntil))
 	}
-	if !said.Draining {
-		return false
-	}
-	if said.DrainTTL > 0 {
-		rec.drainsUntil = now + said.DrainTTL
+	return said.Draining && r.drain(rec, server, request, now, said.DrainTTL)
+}
+
+// drain is rule 4. It reports whether it is news.
+func (r *Registry) drain(rec *record, server, request string, now, ttl time.Duration) bool {
+	if ttl > 0 {
+		rec.drainsUntil = now + ttl
 	}
 	if rec.drains {
 		return false
 	}
-	rec.drains, rec.drainsSince = true, now // (4)
+	rec.drains, rec.drainsSince = true, now
 	event.ServerDraining.Log(r.opts.Log, zap.String("server", server), zap.String("request", request))
 	return true
 }
@@ -330,6 +335,23 @@
 	return now - rec.drainsSince, true
 }
 
+// LongRests returns for how long yet servers rest whose rests last for LongRest in all.
+func (r *Registry) LongRests() map[string]time.Duration {
+	if !r.some.Load() {
+		return nil
+	}
+	now := r.opts.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rests := map[string]time.Duration{}
+	for server, rec := range r.records {
+		if rec.rests && now < rec.restsUntil && rec.restsUntil-rec.restsSince >= LongRest {
+			rests[server] = rec.restsUntil - now
+		}
+	}
+	return rests
+}
+
 // Limit returns the limit that a server names, 0 for none.
 func (r *Registry) Limit(server string) dialect.Limit {
 	if r == nil {
