--- a/entry/rest_test.go
+++ b/entry/rest_test.go
@@ -81,3 +81,17 @@
 		g.Expect(at.Sub(began)).To(BeNumerically("<", 2*time.Second))
 	}
 }
+
+// An instance that asked for many short rests is not held to be sick: it gets calls as soon as it takes them.
+func TestRestsAreNotHeldAgainstAnInstance(t *testing.T) {
+	g := NewWithT(t)
+	l := newLimitedBoxes(t, 1, 2)
+	l.instances[0].Set(standin.Faults{Rest: "0.05"})
+	_, refused := l.ask(t, 40, 4*time.Second)
+	g.Expect(refused).To(BeEmpty())
+	turned := len(l.instances[0].Came())
+	g.Expect(turned).To(BeNumerically(">", 10))
+	l.instances[0].Set(standin.Faults{})
+	l.ask(t, 40, 1500*time.Millisecond)
+	g.Expect(len(l.instances[0].Came())-turned).To(BeNumerically(">", 15), "half of what comes is its own")
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -286,7 +286,7 @@
 mutant rests-not-kept pushback/pushback.go 's/if until <= rec.restsUntil \{/if rest > 0 {/' pushback 'TestOfTwoRests'
 mutant rests-asked-once gateway/exchange.go 's/if o.sendable != nil && !o.sendable\(\)/if false/' gateway 'TestARestThatBegins'
 mutant rests-at-once pushback/pushback.go 's/at := rec.restsUntil \+ rec.spread \+/at := rec.restsUntil +/; s/\tif rec.probedAt > 0 \{/\tif false {/' pushback 'TestTheEndOfARest|TestABoxComes'
-mutant rests-blamed entry/serve.go 's/failure != nil && !j.rested && /failure != nil \&\& /' entry 'TestAnInstanceThatAsks'
+mutant rests-blamed entry/serve.go 's/failure != nil && !j.rested && /failure != nil \&\& /' entry 'TestRestsAreNotHeld'
 mutant rests-of-orders platform/engine.go 's/engine.Heed\(engine.Guarded\(allowed\), said, &Dialect\)/engine.Guarded(allowed)/; s/engine.Heed\(reports, said, &Dialect\)/reports/' box 'TestAServerThatAsksForRestGetsNoOrders'
 mutant drains-not-told box/drains.go 's/\tcase d.servers <- server:\n/\tcase d.servers <- "nobody":\n/' box 'TestAServerThatSays'
 mutant drains-not-kept box/drains.go 's/\td.parts.gateway.Drains\(server\)\n//' box 'TestABoxKeepsTo'
