--- a/box/platform.go
+++ b/box/platform.go
@@ -14,6 +14,7 @@
 	"leverdrum/fleet"
 	"leverdrum/gateway"
 	"leverdrum/internal/wait"
+	"leverdrum/level"
 	"leverdrum/meter"
 	"leverdrum/platform"
 	"leverdrum/reason"
@@ -86,6 +87,9 @@
 // tellRests has the leader hear of servers' long rests until the context ends.
 func (p *parts) tellRests(ctx context.Context) {
 	for wait.For(ctx, restsEvery) {
+		if p.replica.View().Level < level.ServerRests {
+			continue
+		}
 		for server, left := range p.pushback.LongRests() {
 			select {
 			case p.notices <- gateway.Notice{Resting: server, Rests: left}:
--- a/level/level.go
+++ b/level/level.go
@@ -30,6 +30,8 @@
 	Workspaces
 	// ServerLimits: what backend servers name as their limits is agreed.
 	ServerLimits
+	// ServerRests: boxes tell the leader of long rests that backend servers ask for.
+	ServerRests
 	// end is behind the newest.
 	end
 )
@@ -42,6 +44,7 @@
 	First:        "the agreed state of the first builds",
 	Workspaces:   "workspaces in fleet files",
 	ServerLimits: "limits that backend servers name",
+	ServerRests:  "long rests that backend servers ask for",
 }
 
 func (l Level) String() string {
