--- a/box/crasher_test.go
+++ b/box/crasher_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	"leverdrum/admin"
 	"leverdrum/box"
@@ -72,7 +71,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	b, err := box.Start(parsed, peer.Plain{}, zap.NewNop())
+	b, err := box.Start(parsed, peer.Plain{}, s.log)
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/box/platform_test.go
+++ b/box/platform_test.go
@@ -16,6 +16,7 @@
 
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"leverdrum/box"
 	"leverdrum/peer"
@@ -33,6 +34,7 @@
 	servers               []*standin.Server
 	settings              *settings.Settings
 	box                   *box.Box
+	log                   *zap.Logger
 }
 
 // ownIP is a loopback number of this process: no other process, and no outgoing
@@ -75,7 +77,7 @@
 
 // startOne starts the box in this process.
 func startOne(t *testing.T) *one {
-	o := &one{t: t, entry: address(t), control: address(t), ready: address(t)}
+	o := &one{t: t, entry: address(t), control: address(t), ready: address(t), log: keptLog(t)}
 	p := address(t)
 	text := settingsOf(t, ownIP, p, p, o.entry, o.ready, o.control, "control,entry") + fmt.Sprintf(`[data]
 folder = %s
@@ -96,13 +98,30 @@
 }
 
 func (o *one) start() {
-	b, err := box.Start(o.settings, peer.Plain{}, zap.NewNop())
+	b, err := box.Start(o.settings, peer.Plain{}, o.log)
 	if err != nil {
 		o.t.Fatal(err)
 	}
 	o.box = b
 }
 
+// keptLog keeps what boxes log, in a file that stays where the test fails.
+func keptLog(t *testing.T) *zap.Logger {
+	file, err := os.CreateTemp("", "leverdrum-box-*.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		file.Close()
+		if t.Failed() {
+			t.Log("what the boxes logged is in ", file.Name())
+			return
+		}
+		os.Remove(file.Name())
+	})
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.Lock(file), zapcore.InfoLevel))
+}
+
 // restart ends the box at once and starts it again: it leads in another term and
 // inherits the orders that are open.
 func (o *one) restart() {
