--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -71,7 +71,7 @@
 		e.answerStanding(w, j, answer)
 		return
 	}
-	res := e.tryBorne(ctx, j)
+	res := e.tryWithinQuota(ctx, j)
 	if res.why != nil {
 		e.keepFailure(j, attempt, digest, res.why)
 		e.giveUp(w, j, res)
--- a/entry/patience.go
+++ b/entry/patience.go
@@ -17,8 +17,8 @@
 	// patienceDeviations how many of the usual deviations beyond it.
 	patienceFactor     = 4
 	patienceDeviations = 8
-	// patienceLeast keeps short answers from being given up for a hiccup.
-	patienceLeast = 50 * time.Millisecond
+	// minPatience keeps short answers from being given up for a hiccup.
+	minPatience = 50 * time.Millisecond
 	// patienceWeight is the weight of the newest answer in the usual time.
 	patienceWeight = 0.05
 )
@@ -67,7 +67,7 @@
 	if u == nil {
 		return 0
 	}
-	return max(patienceFactor*u.mean, u.mean+patienceDeviations*u.deviation, patienceLeast)
+	return max(patienceFactor*u.mean, u.mean+patienceDeviations*u.deviation, minPatience)
 }
 
 func (p *patience) learn(k kindOfCall, took time.Duration) {
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -23,8 +23,9 @@
 	return workspace.UsageOf(told.Tokens, float64(most))
 }
 
-// tryBorne makes the attempts of a request that its workspace's quota bears. What did not run is given back.
-func (e *Entry) tryBorne(ctx context.Context, j *job) result {
+// tryWithinQuota makes the attempts of a request that its workspace's quota admits. The weight of one that did not run is
+// given back.
+func (e *Entry) tryWithinQuota(ctx context.Context, j *job) result {
 	if j.owner == nil || e.opts.Quotas == nil {
 		return e.try(ctx, j)
 	}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -83,7 +83,7 @@
 		e.serveKeyed(w, r, j)
 		return
 	}
-	res := e.tryBorne(ctx, j)
+	res := e.tryWithinQuota(ctx, j)
 	if res.why == nil {
 		e.pass(ctx, w, j, res)
 		return
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -38,8 +38,8 @@
 //     take the first.
 
 const (
-	// fetchLeast is how many tokens a server must lack to fetch them from another.
-	fetchLeast = 512
+	// minFetch is how many tokens a server must lack to fetch them from another.
+	minFetch = 512
 	// fetchSetup is the time in milliseconds that a fetch takes beside its tokens.
 	fetchSetup = 4.0
 	// fullPenalty is the cost in milliseconds of a server whose slots are taken.
@@ -197,7 +197,7 @@
 		s := list[i]
 		c := choice{server: s, waits: d.waiting(s, now)}
 		read := kept[i]
-		if lack := kept[source] - read; w.fetch > 0 && lack >= fetchLeast {
+		if lack := kept[source] - read; w.fetch > 0 && lack >= minFetch {
 			c.from = list[source]
 			c.work = fetchSetup + float64(lack)*w.fetch
 			read = kept[source]
--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -18,12 +18,12 @@
 	newSpan    = time.Second
 	oldSpan    = 3 * time.Second
 	trendShare = 1.0
-	// demandLeast is the rate, in requests a second, below which nothing is told.
-	demandLeast = 0.02
+	// minDemand is the rate, in requests a second, below which nothing is told.
+	minDemand = 0.02
 	// noticeEvery is the least time between two notices of the same thing.
 	noticeEvery = 300 * time.Millisecond
-	// noticesMost bounds the notices that are remembered.
-	noticesMost = 4096
+	// maxNotices bounds the notices that are remembered.
+	maxNotices = 4096
 )
 
 // demand keeps fading rates of what is asked for, by model and by adapter.
@@ -92,7 +92,7 @@
 	defer d.mu.Unlock()
 	var list []*wire.Demand
 	for name, r := range d.rows {
-		if r.fade(now); r.requests.older < demandLeast {
+		if r.fade(now); r.requests.older < minDemand {
 			delete(d.rows, name)
 			continue
 		}
@@ -142,7 +142,7 @@
 	w.mu.Lock()
 	due := now.Sub(w.told[n]) >= noticeEvery
 	if due {
-		if len(w.told) >= noticesMost {
+		if len(w.told) >= maxNotices {
 			clear(w.told)
 		}
 		w.told[n] = now
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -16,11 +16,11 @@
 )
 
 const (
-	// surplusMost is how many answers that belong to no request are passed over on
+	// maxSurplus is how many answers that belong to no request are passed over on
 	// a connection.
-	surplusMost = 2
-	// surplusBytes bounds such an answer.
-	surplusBytes = 1 << 20
+	maxSurplus = 2
+	// maxSurplusBytes bounds such an answer.
+	maxSurplusBytes = 1 << 20
 	// smallBody is the size in bytes up to which a request is written before its
 	// answer is read; a larger one is written beside.
 	smallBody = 4 << 10
@@ -199,7 +199,7 @@
 // answers that name another: they are late or surplus, and the connection is not
 // used again.
 func (a *answer) read(o *outgoing, idHeader string) error {
-	for range surplusMost + 1 {
+	for range maxSurplus + 1 {
 		resp, err := http.ReadResponse(a.conn.in, &http.Request{Method: o.method})
 		if err != nil {
 			return err
@@ -215,7 +215,7 @@
 			return nil
 		}
 		a.spoilt = true
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, surplusBytes)); err != nil {
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSurplusBytes)); err != nil {
 			return err
 		}
 	}
--- a/gateway/failed.go
+++ b/gateway/failed.go
@@ -140,7 +140,7 @@
 // mayRepeat is rules 2 and 8.
 func (j *job) mayRepeat(f *failure) bool {
 	switch {
-	case j.left() < leastLeft:
+	case j.left() < minLeft:
 		return false
 	case j.prompt.Model != "" && f.unsent():
 		return true // the model may soon be elsewhere
--- a/gateway/find.go
+++ b/gateway/find.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// leastForModel is the time that a request for a model needs at least: with
+	// minLeftForModel is the time that a request for a model needs at least: with
 	// less left it is not waited for any longer.
-	leastForModel = 150 * time.Millisecond
+	minLeftForModel = 150 * time.Millisecond
 	// againPause is the wait before a server is asked again that was full.
 	againPause = 40 * time.Millisecond
 	// waitLook is the time between two looks for a server while none came.
@@ -105,7 +105,7 @@
 	if j.prompt.Model == "" && !triedAll {
 		return reason.NoServer
 	}
-	if j.left() < leastForModel {
+	if j.left() < minLeftForModel {
 		return reason.NotResident
 	}
 	pause, hopeless := j.hopeless(time.Now())
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -39,7 +39,7 @@
 	}
 	if j.runs > 0 && why.Outcome == reason.NotRun {
 		why = reason.BackendBroke
-		if j.left() < leastLeft {
+		if j.left() < minLeft {
 			why = reason.BackendLate
 		}
 	}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -18,8 +18,8 @@
 	"leverdrum/workspace"
 )
 
-// leastLeft is the time below which nothing is sent any more.
-const leastLeft = 15 * time.Millisecond
+// minLeft is the time below which nothing is sent any more.
+const minLeft = 15 * time.Millisecond
 
 // job is one request on its way.
 type job struct {
@@ -89,12 +89,12 @@
 		j.giveUp(reason.CrashesServers)
 		return
 	}
-	charge, why := j.bear(ctx)
+	charge, why := j.chargeQuota(ctx)
 	if why != nil {
 		j.giveUp(why)
 		return
 	}
-	defer j.unbear(charge)
+	defer j.refundQuota(charge)
 	j.g.budgets.first(j.poolName)
 	j.noteDemand()
 	for {
@@ -152,7 +152,7 @@
 
 // attempt sends the request to one server, and reports whether it was answered.
 func (j *job) attempt(ctx context.Context, c choice) (answered bool) {
-	if j.left() < leastLeft {
+	if j.left() < minLeft {
 		j.releasePermit()
 		j.giveUp(reason.BackendLate)
 		return true
--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -9,8 +9,8 @@
 	"leverdrum/dialect"
 )
 
-// keptMost bounds the parts that are remembered of one server.
-const keptMost = 512
+// maxKept bounds the parts that are remembered of one server.
+const maxKept = 512
 
 // kept remembers which prompt parts a server was lately sent by this box, the
 // newest first. A part counts with all that stand before it, and for one model
@@ -30,7 +30,7 @@
 		return
 	}
 	k.where[key] = k.order.PushFront(key)
-	if k.order.Len() > keptMost {
+	if k.order.Len() > maxKept {
 		last := k.order.Back()
 		k.order.Remove(last)
 		delete(k.where, last.Value.(uint64))
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -77,7 +77,7 @@
 // its caller has.
 func (j *job) waitForServer(ctx context.Context, first pushback.Block) *reason.Reason {
 	j.after = first.After
-	if !j.headed || j.left() < leastForModel || first.After > j.left() {
+	if !j.headed || j.left() < minLeftForModel || first.After > j.left() {
 		return first.Why
 	}
 	if !wait.For(ctx, min(first.After, resumeLook)) {
--- a/gateway/pass.go
+++ b/gateway/pass.go
@@ -18,8 +18,8 @@
 	// answerBuffer is how much of a plain answer is held back until it is whole, in
 	// bytes; a larger one is passed on as it comes, and broken off if it breaks.
 	answerBuffer = 1 << 20
-	// discardMost bounds what is read of an answer that is not passed on.
-	discardMost = 64 << 10
+	// maxDiscard bounds what is read of an answer that is not passed on.
+	maxDiscard = 64 << 10
 )
 
 func isStream(a *answer) bool {
@@ -29,8 +29,8 @@
 // discard reads the rest of an answer that is not passed on, so that its
 // connection can be used again.
 func (a *answer) discard() {
-	n, err := io.Copy(io.Discard, io.LimitReader(a.Body, discardMost))
-	a.done(err == nil && n < discardMost)
+	n, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxDiscard))
+	a.done(err == nil && n < maxDiscard)
 }
 
 // framed reports whether the answer tells where it ends. One that ends with its connection may have been cut short.
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -16,8 +16,8 @@
 // comeBackSpread is the part, added by chance, by which callers of one limit come back apart from each other.
 const comeBackSpread = 1.0
 
-// bear has the request borne by its workspace's quota; else it says why not, and when to come back.
-func (j *job) bear(ctx context.Context) (rate.Charge, *reason.Reason) {
+// chargeQuota asks the workspace's quota to admit the request; otherwise it says why not, and when to come back.
+func (j *job) chargeQuota(ctx context.Context) (rate.Charge, *reason.Reason) {
 	if j.owner == nil || j.g.opts.Quotas == nil {
 		return rate.Charge{}, nil
 	}
@@ -54,8 +54,8 @@
 	return time.Duration(float64(after) * (1 + comeBackSpread*rand.Float64()))
 }
 
-// unbear gives the weight back of a request that no server can have run.
-func (j *job) unbear(charge rate.Charge) {
+// refundQuota gives back the weight of a request that no server can have run.
+func (j *job) refundQuota(charge rate.Charge) {
 	if j.runs == 0 && !j.headed {
 		charge.Release()
 	}
--- a/gateway/reading.go
+++ b/gateway/reading.go
@@ -26,9 +26,9 @@
 	// logarithm, of a step at the quantile 1.
 	readQuantile = 0.15
 	readStep     = 0.15
-	// readLeast and readMost bound the estimate, in milliseconds a token.
-	readLeast = 0.0005
-	readMost  = 1.0
+	// minRead and maxRead bound the estimate, in milliseconds a token.
+	minRead = 0.0005
+	maxRead = 1.0
 	// firstBase is the time in milliseconds to the first event without any reading.
 	firstBase = 14.0
 	// leastTold is how many unread tokens a prompt must have to tell anything.
@@ -70,5 +70,5 @@
 	if seen < v {
 		step = -readStep * (1 - readQuantile)
 	}
-	r.token[model] = min(readMost, max(readLeast, v*math.Exp(step)))
+	r.token[model] = min(maxRead, max(minRead, v*math.Exp(step)))
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -60,10 +60,10 @@
 
 const (
 	// outAfter is how many failures in a row take a server out, outFirst and
-	// outMost for how long.
+	// maxOut for how long.
 	outAfter = 2
 	outFirst = 400 * time.Millisecond
-	outMost  = 4 * time.Second
+	maxOut   = 4 * time.Second
 	// outSilent is how long a silent server is out the first time.
 	outSilent = time.Second
 	// lackFor is how long a server is passed over for a model that it said it lacks,
@@ -149,7 +149,7 @@
 	s.failures++
 	if s.failures >= outAfter {
 		out := outFirst << min(s.failures-outAfter, 4)
-		s.outUntil = now.Add(min(out, outMost))
+		s.outUntil = now.Add(min(out, maxOut))
 	}
 }
 
@@ -159,13 +159,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failures = max(s.failures+1, outAfter)
-	s.outUntil = now.Add(min(outSilent<<min(s.failures-outAfter, 2), outMost))
+	s.outUntil = now.Add(min(outSilent<<min(s.failures-outAfter, 2), maxOut))
 }
 
 const (
-	// downMost is how long a server that no connection could be opened to is taken to
+	// maxDown is how long a server that no connection could be opened to is taken to
 	// be down, unless one was opened since.
-	downMost = 5 * time.Second
+	maxDown = 5 * time.Second
 	// probeEvery is the time between two requests that try such a server.
 	probeEvery = 500 * time.Millisecond
 )
@@ -202,7 +202,7 @@
 func (s *server) down(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.failedAt) < downMost && !s.conns.heardSince(s.failedAt)
+	return now.Sub(s.failedAt) < maxDown && !s.conns.heardSince(s.failedAt)
 }
 
 // probe reports whether a request may try a server that is down: one at a time.
--- a/rate/allocator.go
+++ b/rate/allocator.go
@@ -15,9 +15,9 @@
 	firstLevel = 0.05
 	// scarce is the level, as a share of the burst, below which nothing is leased ahead of need.
 	scarce = 0.25
-	// bucketsMost bounds the buckets of an allocator; those that were not asked for in forgetBucket
+	// maxBuckets bounds the buckets of an allocator; those that were not asked for in forgetBucket
 	// are dropped then.
-	bucketsMost  = 1 << 16
+	maxBuckets   = 1 << 16
 	forgetBucket = time.Minute
 )
 
@@ -119,7 +119,7 @@
 	if b != nil {
 		return b
 	}
-	if len(a.buckets) >= bucketsMost {
+	if len(a.buckets) >= maxBuckets {
 		a.forget(now)
 	}
 	b = &bucket{level: min(firstLevel*l.PerSecond, l.most()), at: now, refused: map[int]*refused{}}
--- a/rate/asking.go
+++ b/rate/asking.go
@@ -48,7 +48,7 @@
 }
 
 // setAlone notes whether a box answered. What the own part saved up while others allocated is theirs: each box
-// would begin its next moment alone with it. One that asked nobody since does not know (ownLasts).
+// would begin its next moment alone with it. One that asked nobody since does not know (ownShareTTL).
 func (l *Limiter) setAlone(alone bool) {
 	if l.alone && !alone {
 		l.own = newAllocator()
@@ -59,7 +59,7 @@
 // answerAlone is the end of rule 4.
 func (l *Limiter) answerAlone(asks []Asked) Answer {
 	now := l.opts.Now()
-	if now-l.ownAt > ownLasts {
+	if now-l.ownAt > ownShareTTL {
 		l.own = newAllocator()
 	}
 	l.ownAt = now
@@ -101,7 +101,7 @@
 	}
 	ask.Unused = r.unused
 	ahead, balance := r.ahead(now), r.balance(now)
-	if balance < lowAt*ahead && now >= r.spentUntil {
+	if balance < lowWatermark*ahead && now >= r.spentUntil {
 		ask.Ahead = ahead - balance
 	}
 	return ask, ask.Need > 0 || ask.Ahead >= 1
@@ -134,11 +134,11 @@
 }
 
 func (r *row) take(g Grant, need float64, x lease, now time.Duration) {
-	after := min(max(g.After, 0), afterMost)
+	after := min(max(g.After, 0), maxRetryAfter)
 	switch {
 	case x.left > 0:
 		r.leases = append(r.leases, x)
-	case need > 0 && after > holdMost:
+	case need > 0 && after > maxWait:
 		r.spentAt, r.spentUntil = now, now+max(after, spentPause)
 	case need > 0:
 		r.spentAt, r.spentUntil = now, now+max(after, askPause)
--- a/rate/fuzz_test.go
+++ b/rate/fuzz_test.go
@@ -37,7 +37,7 @@
 		l.mu.Lock()
 		l.takeOver(Answer{Rows: []Granted{{key, Grant{Leased: leased, After: time.Duration(afterMs) * time.Millisecond}}}}, asks, now)
 		l.mu.Unlock()
-		if after, spent := l.Spent(key); spent && (after <= 0 || after > afterMost) {
+		if after, spent := l.Spent(key); spent && (after <= 0 || after > maxRetryAfter) {
 			t.Fatalf("spent for %v", after)
 		}
 		if s, _ := l.Standing(key); math.IsNaN(s.Balance) || math.IsInf(s.Balance, 0) {
--- a/rate/lessor.go
+++ b/rate/lessor.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// askerLasts is how long a box counts as one of those that ask an allocator that does not lead (4). A
+// askerTTL is how long a box counts as one of those that ask an allocator that does not lead (4). A
 // box with callers asks several times in it.
-const askerLasts = time.Second
+const askerTTL = time.Second
 
 // Lead is what a box knows of leading when it is asked.
 type Lead struct {
@@ -44,7 +44,7 @@
 	defer l.mu.Unlock()
 	now := l.now()
 	changed := lead.Leads != l.lead.Leads || lead.Term != l.lead.Term
-	rested := !lead.Leads && now-l.askedAt > ownLasts // what a part saved up meanwhile was another's to give
+	rested := !lead.Leads && now-l.askedAt > ownShareTTL // what a part saved up meanwhile was another's to give
 	if changed || rested {
 		l.allocator = newAllocator()
 	}
@@ -78,7 +78,7 @@
 	}
 	l.askers[box] = now
 	for name, at := range l.askers {
-		if now-at > askerLasts {
+		if now-at > askerTTL {
 			delete(l.askers, name)
 		}
 	}
--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// aheadOf is how much expected demand a box leases, in seconds of it, and lowAt the part of this
+	// prefetchWindow is how much expected demand a box leases, in seconds of it, and lowWatermark the part of this
 	// below which it asks for more.
-	aheadOf = 400 * time.Millisecond
-	lowAt   = 0.5
+	prefetchWindow = 400 * time.Millisecond
+	lowWatermark   = 0.5
 	// answerTimeout bounds an ask: an answer takes some milliseconds, so what takes longer has no
 	// leader to come from.
 	answerTimeout = 150 * time.Millisecond
@@ -22,17 +22,17 @@
 	// spentPause is the least time for which a limit whose bucket is empty is not asked for
 	// again: with 65 boxes some 260 asks a second.
 	spentPause = 250 * time.Millisecond
-	// afterMost bounds that time, whatever an allocator says.
-	afterMost = time.Minute
-	// holdMost is how long a request may wait until its limit's bucket bears it. That is less
+	// maxRetryAfter bounds that time, whatever an allocator says.
+	maxRetryAfter = time.Minute
+	// maxWait is how long a request may wait until its limit's bucket bears it. That is less
 	// than the way back to the caller and here again costs it.
-	holdMost = 60 * time.Millisecond
+	maxWait = 60 * time.Millisecond
 	// demandSpan is the time over which a box averages what is asked for.
 	demandSpan = time.Second
 	// idleRow is how long nothing was asked of a workspace when what is known of it is dropped.
 	idleRow = 30 * time.Second
-	// ownLasts is for how long a box's own part saves up without being asked for.
-	ownLasts = 2 * time.Second
+	// ownShareTTL is for how long a box's own part saves up without being asked for.
+	ownShareTTL = 2 * time.Second
 	// againPause is the time between two asks without an answer.
 	againPause = 100 * time.Millisecond
 )
@@ -155,7 +155,7 @@
 	for first := true; ; first = false {
 		waits, refusal := l.try(key, limit, weight, first)
 		switch {
-		case refusal != nil && refusal.Spent && l.opts.Now()-began+refusal.After <= holdMost:
+		case refusal != nil && refusal.Spent && l.opts.Now()-began+refusal.After <= maxWait:
 			if !wait.For(ctx, refusal.After) {
 				return Charge{}, &Refusal{}
 			}
@@ -185,7 +185,7 @@
 		r.usedAt = now
 	}
 	if r.spend(now, weight) {
-		if r.balance(now) < lowAt*r.ahead(now) {
+		if r.balance(now) < lowWatermark*r.ahead(now) {
 			l.wake()
 		}
 		return nil, nil
@@ -286,7 +286,7 @@
 
 // ahead is what is to be leased beyond what waits.
 func (r *row) ahead(now time.Duration) float64 {
-	return r.demand.rate(now, demandSpan) * aheadOf.Seconds()
+	return r.demand.rate(now, demandSpan) * prefetchWindow.Seconds()
 }
 
 // fading is a sum of what came, fading over a span.
--- a/rate/turns.go
+++ b/rate/turns.go
@@ -3,13 +3,13 @@
 import "time"
 
 const (
-	// refusedLasts is how long a rank that was refused is reckoned to come back: some of its callers do.
-	refusedLasts = 2 * time.Second
-	// passedMost is how many leases go to more urgent ranks before it is the turn of one that was refused: it gets
+	// refusalTTL is how long a rank that was refused is reckoned to come back: some of its callers do.
+	refusalTTL = 2 * time.Second
+	// maxSkipped is how many leases go to more urgent ranks before it is the turn of one that was refused: it gets
 	// one in five.
-	passedMost = 4
-	// ranksMost bounds the ranks that a bucket tells apart.
-	ranksMost = 16
+	maxSkipped = 4
+	// maxRanks bounds the ranks that a bucket tells apart.
+	maxRanks = 16
 )
 
 // refused is a rank that could not be borne.
@@ -20,7 +20,7 @@
 }
 
 // clampRank keeps what another box says within bounds.
-func clampRank(rank int) int { return min(max(rank, 0), ranksMost-1) }
+func clampRank(rank int) int { return min(max(rank, 0), maxRanks-1) }
 
 // reserve is what a request of a rank must leave in the bucket: enough for each rank that was refused lately and goes
 // before it (6).
@@ -28,7 +28,7 @@
 	rank = clampRank(rank)
 	own := b.refused[rank]
 	for other, r := range b.refused {
-		if other != rank && now-r.at < refusedLasts && goesBefore(other, r, rank, own) {
+		if other != rank && now-r.at < refusalTTL && goesBefore(other, r, rank, own) {
 			reserve = max(reserve, r.least)
 		}
 	}
@@ -38,7 +38,7 @@
 // goesBefore reports whether a rank that was refused goes before another, which may have been refused, too: one whose turn it
 // is, else the more urgent.
 func goesBefore(a int, refusedA *refused, b int, refusedB *refused) bool {
-	turnA, turnB := refusedA.passed >= passedMost, refusedB != nil && refusedB.passed >= passedMost
+	turnA, turnB := refusedA.passed >= maxSkipped, refusedB != nil && refusedB.passed >= maxSkipped
 	if turnA != turnB {
 		return turnA
 	}
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -3,14 +3,14 @@
 //
 // Rules:
 //
-//  1. Of what an answer said to this box and what is agreed the newer word holds. A box that was told something else than
+//  1. Of what an answer reported to this box and what is agreed, the newer holds. A box that was told another limit than
 //     is agreed tells the leader, which has it agreed for all.
-//  2. Each sending to a server with a limit, whichever it is of its request, is borne by that limit first: by a lease
-//     of it, as package rate gives them. What did not leave is given back.
-//  3. A server whose limit is used up is passed over until more of it is to be had; the request goes to another, or is
-//     refused with that time.
-//  4. Work goes to servers without a limit first. But once in a while a request goes to one with a limit all the
-//     same: else nobody would learn that it has ended. All boxes together do that less often than the limit allows.
+//  2. Each attempt at a server with a limit, first or not, needs a lease of it (package rate). The lease of an attempt that
+//     was never sent is released.
+//  3. A server whose limit is exhausted is skipped until it admits more; the request goes to another, or is refused with
+//     that time.
+//  4. Servers without a limit are preferred. Now and then a request goes to one with a limit all the same: otherwise nobody
+//     would learn that the limit has ended. All boxes together do so less often than the limit allows.
 package throttle
 
 import (
@@ -29,24 +29,24 @@
 )
 
 const (
-	// burstLeast, in requests, and burstSpan, in seconds of the limit, are what a server may get beyond its limit: room for
+	// minBurst, in requests, and burstSpan, in seconds of the limit, are what a server may get beyond its limit: room for
 	// two that come at once, of which a more urgent one may take the second.
-	burstLeast = 2.0
-	burstSpan  = 0.5
-	// tellEvery is the least time in which the leader is told the same of a server again.
-	tellEvery = 300 * time.Millisecond
-	// tellShare is the change of a limit, as a share of it, from which the leader is told: some servers name
+	minBurst  = 2.0
+	burstSpan = 0.5
+	// reportInterval is the least time in which the leader is told the same of a server again.
+	reportInterval = 300 * time.Millisecond
+	// minChange is the change of a limit, as a share of it, from which the leader is told: some servers name
 	// another with each answer.
-	tellShare = 0.05
-	// tryLeast is the mean time between a box's tries of a server (4) at the least, tryShare the part of the limit that
+	minChange = 0.05
+	// minTryInterval is the mean time between a box's tries of a server (4) at the least, tryShare the part of the limit that
 	// such tries of all boxes take.
-	tryLeast = 2 * time.Second
-	tryShare = 0.5
-	// tryMost bounds the time between two tries, in mean times.
-	tryMost = 5
-	// wordsMost bounds the servers whose own words are remembered; those older than wordsFor go then.
-	wordsMost = 4096
-	wordsFor  = time.Minute
+	minTryInterval = 2 * time.Second
+	tryShare       = 0.5
+	// maxTryIntervals bounds the time between two tries, in mean times.
+	maxTryIntervals = 5
+	// maxReports bounds the servers whose own reports are remembered; those older than keepReportsFor go then.
+	maxReports     = 4096
+	keepReportsFor = time.Minute
 )
 
 // Options make a Throttle.
@@ -60,28 +60,28 @@
 	Log    *zap.Logger
 }
 
-// Throttle is what one box knows of servers' limits.
+// Throttle holds what one box knows of servers' limits.
 type Throttle struct {
 	opts Options
 
-	mu    sync.Mutex
-	words map[string]*word // by server
+	mu      sync.Mutex
+	reports map[string]*report // by server
 }
 
-// word is what a server said to this box, or what is agreed since.
-type word struct {
-	limit  dialect.Limit
-	agreed dialect.Limit // when limit was taken over
-	at     time.Time     // of its newest answer here
-	tryAt  time.Time     // when it is to be tried though others go before it
-	told   dialect.Limit // to the leader
-	toldAt time.Time
-	faulty bool // a value that cannot be read was logged
+// report is what a server said to this box, or what is agreed since.
+type report struct {
+	limit        dialect.Limit
+	agreed       dialect.Limit // when limit was recorded
+	at           time.Time     // of the server's newest answer here
+	tryAt        time.Time     // when it is to be tried though others are preferred
+	lastReported dialect.Limit // to the leader
+	reportedAt   time.Time
+	faulty       bool // a value that cannot be read was logged
 }
 
 // New returns a Throttle.
 func New(opts Options) *Throttle {
-	return &Throttle{opts: opts, words: map[string]*word{}}
+	return &Throttle{opts: opts, reports: map[string]*report{}}
 }
 
 // Note records what an answer of a server says of its limit. One that names none ends it, if it is surely the server's.
@@ -95,7 +95,7 @@
 	agreed := t.opts.View().LimitOf(server)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.wordOf(server, agreed, now)
+	w := t.reportOf(server, agreed, now)
 	w.at = now
 	if !said {
 		limit = w.limit
@@ -108,8 +108,8 @@
 		event.ServerLimited.Log(t.opts.Log, zap.String("server", server), zap.Float64("limit", limit.PerSecond()), zap.Float64("before", w.limit.PerSecond()))
 		w.limit = limit
 	}
-	if said && differ(limit, agreed) && (w.told != limit || now.Sub(w.toldAt) >= tellEvery) {
-		w.told, w.toldAt = limit, now
+	if said && differ(limit, agreed) && (w.lastReported != limit || now.Sub(w.reportedAt) >= reportInterval) {
+		w.lastReported, w.reportedAt = limit, now
 		t.opts.Tell(server, limit)
 	}
 }
@@ -120,28 +120,28 @@
 		return limit != agreed
 	}
 	change := limit.PerSecond() - agreed.PerSecond()
-	return max(change, -change) > tellShare*agreed.PerSecond()
+	return max(change, -change) > minChange*agreed.PerSecond()
 }
 
-// knows reports whether some word of a server stands.
+// knows reports whether some report of a server stands.
 func (t *Throttle) knows(server string) bool {
 	if t.opts.View().LimitOf(server) != 0 {
 		return true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.words[server] != nil
+	return t.reports[server] != nil
 }
 
-// wordOf is rule 1. The caller holds the lock.
-func (t *Throttle) wordOf(server string, agreed dialect.Limit, now time.Time) *word {
-	w := t.words[server]
+// reportOf is rule 1. The caller holds the lock.
+func (t *Throttle) reportOf(server string, agreed dialect.Limit, now time.Time) *report {
+	w := t.reports[server]
 	if w == nil {
-		if len(t.words) >= wordsMost {
+		if len(t.reports) >= maxReports {
 			t.forget(now)
 		}
-		w = &word{limit: agreed, agreed: agreed, at: now}
-		t.words[server] = w
+		w = &report{limit: agreed, agreed: agreed, at: now}
+		t.reports[server] = w
 	}
 	if w.agreed != agreed {
 		w.agreed, w.limit = agreed, agreed
@@ -150,9 +150,9 @@
 }
 
 func (t *Throttle) forget(now time.Time) {
-	for server, w := range t.words {
-		if now.Sub(w.at) > wordsFor {
-			delete(t.words, server)
+	for server, w := range t.reports {
+		if now.Sub(w.at) > keepReportsFor {
+			delete(t.reports, server)
 		}
 	}
 }
@@ -167,7 +167,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.words) > 0
+	return len(t.reports) > 0
 }
 
 // Limit returns a server's limit, 0 for none.
@@ -178,12 +178,12 @@
 	agreed := t.opts.View().LimitOf(server)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.words[server] == nil && agreed == 0 {
+	if t.reports[server] == nil && agreed == 0 {
 		return 0
 	}
-	w := t.wordOf(server, agreed, time.Now())
+	w := t.reportOf(server, agreed, time.Now())
 	if w.limit == 0 && agreed == 0 { // it has ended for all
-		delete(t.words, server)
+		delete(t.reports, server)
 	}
 	return w.limit
 }
@@ -194,10 +194,10 @@
 		return rate.Limit{}
 	}
 	perSecond := l.PerSecond()
-	return rate.Limit{PerSecond: perSecond, Burst: burstLeast + burstSpan*perSecond}
+	return rate.Limit{PerSecond: perSecond, Burst: minBurst + burstSpan*perSecond}
 }
 
-// Full returns for how long yet a server is to be passed over by requests of a rank (3); false where it may be tried.
+// Full returns for how long yet a server's limit admits no request of a rank (3); false where it admits one.
 func (t *Throttle) Full(server string, rank int) (time.Duration, bool) {
 	if t.Limit(server) == 0 {
 		return 0, false
@@ -205,7 +205,7 @@
 	return t.opts.Limiter.Spent(rate.Key{Name: server, Rank: rank})
 }
 
-// Take has a sending of a rank borne by the server's limit (2). The refusal is nil where there is none, or it bore it.
+// Take asks the server's limit to admit an attempt of a rank (2). The refusal is nil where it does, or there is no limit.
 func (t *Throttle) Take(ctx context.Context, server string, rank int) (rate.Charge, *rate.Refusal) {
 	limit := t.Limit(server)
 	if limit == 0 {
@@ -220,12 +220,12 @@
 	return charge, refusal
 }
 
-// DueForTry reports whether a server with a limit is to be tried now though others go before it (4).
+// DueForTry reports whether a server with a limit is to be tried now though others are preferred (4).
 func (t *Throttle) DueForTry(server string) bool {
 	now, boxes := time.Now(), len(t.opts.View().Members)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.words[server]
+	w := t.reports[server]
 	if w == nil || w.limit == 0 {
 		return false
 	}
@@ -234,7 +234,7 @@
 	}
 	due := !w.tryAt.IsZero()
 	// Drawn, so that boxes that were told of the limit together do not try the server together.
-	mean := max(tryLeast.Seconds(), float64(boxes)/(tryShare*w.limit.PerSecond()))
-	w.tryAt = now.Add(time.Duration(min(rand.ExpFloat64(), tryMost) * mean * float64(time.Second)))
+	mean := max(minTryInterval.Seconds(), float64(boxes)/(tryShare*w.limit.PerSecond()))
+	w.tryAt = now.Add(time.Duration(min(rand.ExpFloat64(), maxTryIntervals) * mean * float64(time.Second)))
 	return due
 }
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -128,11 +128,11 @@
 	g := NewWithT(t)
 	x, _, _ := newThrottle(t, state.New())
 	long := time.Now().Add(-time.Hour)
-	for i := range wordsMost {
-		x.words[string(rune(i))+"old"] = &word{at: long}
+	for i := range maxReports {
+		x.reports[string(rune(i))+"old"] = &report{at: long}
 	}
 	x.Note("s", answer(true, "1"))
-	g.Expect(len(x.words)).To(Equal(1))
+	g.Expect(len(x.reports)).To(Equal(1))
 }
 
 var errNobody = errors.New("no box answers")
