--- a/pushback/pushback_test.go
+++ b/pushback/pushback_test.go
@@ -105,6 +105,24 @@
 	}
 }
 
+// Rests in a row count as one; those with a long time between them do not, though no answer came meanwhile.
+func TestRestsInARowAreLong(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(1)
+	for range 4 {
+		w.turnedAway("s", "3")
+		w.now += 3200 * time.Millisecond
+	}
+	g.Expect(w.LongRests()).To(BeEmpty(), "it is over")
+	w.turnedAway("s", "3")
+	g.Expect(w.LongRests()).To(HaveKeyWithValue("s", 3*time.Second))
+	w.now += time.Hour
+	w.turnedAway("s", "3")
+	g.Expect(w.LongRests()).To(BeEmpty())
+	w.turnedAway("s", "11")
+	g.Expect(w.LongRests()).To(HaveKey("s"))
+}
+
 func TestDrainingHoldsForALifeOrATime(t *testing.T) {
 	g := NewWithT(t)
 	w := newWorld(1)
