--- a/box/draining_test.go
+++ b/box/draining_test.go
@@ -41,18 +41,13 @@
 	return late
 }
 
-// A server says in its answers that it is about to end, and nowhere else. The boxes that passed such an answer on must
-// send it nothing more after the time that it goes on serving, and what one box was told must reach the others, so
-// that the model is loaded elsewhere.
-func TestAServerThatSaysInItsAnswersThatItDrainsGetsNoMore(t *testing.T) {
-	s := startSeveral(t, 4)
-	g := NewWithT(t)
-	s.up(1)
-	s.server("", "") // holds nothing
-	s.leave("i-1")
+// checkDrained sends requests for some seconds and wants all of them served, and none at a server that says that it is about to
+// end after the time that it goes on.
+func (s *several) checkDrained(server string) {
+	g := NewWithT(s.t)
 	stop := s.load(30)
 	time.Sleep(3 * drainTime)
-	arrived := s.limited("i-1").Arrived()
+	arrived := s.limited(server).Arrived()
 	answers := stop()
 	served := 0
 	for _, a := range answers {
@@ -61,33 +56,31 @@
 		}
 	}
 	late := lateAfter(arrived, toldLeaving(arrived), drainTime)
-	t.Logf("%d requests came too late; %d of %d served", late, served, len(answers))
+	s.t.Logf("%d requests came too late; %d of %d served", late, served, len(answers))
 	g.Expect(late).To(BeZero())
-	g.Expect(s.limited("i-2").Holds("m1")).To(BeTrue(), "the last copy gets a place elsewhere")
 	g.Expect(served).To(BeNumerically(">=", len(answers)*98/100))
 }
 
+// A server says in its answers that it is about to end, and nowhere else. The boxes that passed such an answer on must
+// send it nothing more after the time that it goes on serving, and what one box was told must reach the others, so
+// that the model is loaded elsewhere.
+func TestAServerThatSaysInItsAnswersThatItDrainsGetsNoMore(t *testing.T) {
+	s := startSeveral(t, 4)
+	g := NewWithT(t)
+	s.up(1)
+	s.server("", "") // holds nothing
+	s.leave("i-1")
+	s.checkDrained("i-1")
+	g.Expect(s.limited("i-2").Holds("m1")).To(BeTrue(), "the last copy gets a place elsewhere")
+}
+
 // The same where no leader is left that could spread it, while all that is agreed says that the server stays: each box keeps to
 // what it was told by itself.
 func TestABoxKeepsToADrainingServersWordWithoutALeader(t *testing.T) {
 	s := startSeveral(t, 3)
-	g := NewWithT(t)
 	s.up(2)
 	s.box.Kill() // the only one that can lead
 	s.entries = s.entries[1:]
 	s.leave("i-1")
-	stop := s.load(30)
-	time.Sleep(3 * drainTime)
-	arrived := s.limited("i-1").Arrived()
-	answers := stop()
-	served := 0
-	for _, a := range answers {
-		if a.whole {
-			served++
-		}
-	}
-	late := lateAfter(arrived, toldLeaving(arrived), drainTime)
-	t.Logf("%d requests came too late; %d of %d served", late, served, len(answers))
-	g.Expect(late).To(BeZero())
-	g.Expect(served).To(BeNumerically(">=", len(answers)*98/100))
+	s.checkDrained("i-1")
 }
--- a/placement/limits_move_test.go
+++ b/placement/limits_move_test.go
@@ -153,6 +153,32 @@
 	return next
 }
 
+// issue has a plan's orders agreed in a second, notes in open when each is done, and returns how many loads there are.
+func (f *fullFleet) issue(plan Plan, open map[uint64]int, now int) (loads int) {
+	for _, d := range plan.Decisions {
+		order := f.agree(&wire.Command{Kind: &wire.Command_Issue{Issue: &wire.IssueOrder{Order: d.Order}}}).Order
+		switch {
+		case order == nil:
+		case order.Action == wire.OrderAction_ORDER_LOAD:
+			loads++
+			open[order.Id] = now + 4
+		default:
+			open[order.Id] = now + 1
+		}
+	}
+	return loads
+}
+
+// closeDue closes the orders that are done by a second.
+func (f *fullFleet) closeDue(open map[uint64]int, now int) {
+	for id, at := range open {
+		if at <= now {
+			f.agree(&wire.Command{Kind: &wire.Command_Close{Close: &wire.CloseOrder{Id: id, Outcome: wire.OrderOutcome_OUTCOME_DONE}}})
+			delete(open, id)
+		}
+	}
+}
+
 // The same for 90 s with demand as it is told, which goes up and down: a copy that was loaded for models of limited servers
 // looked spare as soon as its model was asked for less, went for the next such copy, and was missed again: 19 to 26 loads for
 // four limited servers, and up to one request a second refused.
@@ -170,24 +196,9 @@
 			loads, refused := 0, 0.0
 			open := map[uint64]int{} // orders, and when they are done
 			for now := range span {
-				for id, at := range open {
-					if at <= now {
-						f.agree(&wire.Command{Kind: &wire.Command_Close{Close: &wire.CloseOrder{Id: id, Outcome: wire.OrderOutcome_OUTCOME_DONE}}})
-						delete(open, id)
-					}
-				}
+				f.closeDue(open, now)
 				f.demand = f.estimated(r, f.demand, truth)
-				for _, d := range Decide(Input{State: f.State, Demand: f.demand, Since: time.Hour}).Decisions {
-					order := f.agree(&wire.Command{Kind: &wire.Command_Issue{Issue: &wire.IssueOrder{Order: d.Order}}}).Order
-					switch {
-					case order == nil:
-					case order.Action == wire.OrderAction_ORDER_LOAD:
-						loads++
-						open[order.Id] = now + 4
-					default:
-						open[order.Id] = now + 1
-					}
-				}
+				loads += f.issue(Decide(Input{State: f.State, Demand: f.demand, Since: time.Hour}), open, now)
 				estimates := f.demand
 				f.demand = truth
 				refused += f.refused()
--- a/placement/resting_test.go
+++ b/placement/resting_test.go
@@ -43,12 +43,7 @@
 		if now == began+lasts {
 			clear(resting)
 		}
-		for id, at := range open {
-			if at <= now {
-				f.agree(&wire.Command{Kind: &wire.Command_Close{Close: &wire.CloseOrder{Id: id, Outcome: wire.OrderOutcome_OUTCOME_DONE}}})
-				delete(open, id)
-			}
-		}
+		f.closeDue(open, now)
 		f.demand = f.estimated(r, f.demand, truth)
 		in := Input{State: f.State, Demand: f.demand, Since: time.Hour, Held: map[string]bool{}}
 		for s := range resting {
@@ -57,17 +52,7 @@
 		if len(resting) > 0 && now-began >= known {
 			in.Resting = resting
 		}
-		for _, d := range Decide(in).Decisions {
-			order := f.agree(&wire.Command{Kind: &wire.Command_Issue{Issue: &wire.IssueOrder{Order: d.Order}}}).Order
-			switch {
-			case order == nil:
-			case order.Action == wire.OrderAction_ORDER_LOAD:
-				loads++
-				open[order.Id] = now + 4
-			default:
-				open[order.Id] = now + 1
-			}
-		}
+		loads += f.issue(Decide(in), open, now)
 		estimates := f.demand
 		f.demand = truth
 		refused += f.refusedBy(resting)
