--- a/entry/serve.go
+++ b/entry/serve.go
@@ -245,7 +245,7 @@
 	return answer, failure
 }
 
-// attemptHeaders are those of one sending. What a caller names as of its own connection
+// attemptHeaders are those of one attempt. What a caller names as of its own connection
 // is taken off first, so that it cannot take the deadline off.
 func attemptHeaders(from http.Header, left time.Duration) http.Header {
 	h := http.Header{}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -18,7 +18,7 @@
 //  1. A model's request goes to a server where the model, and the adapter, are
 //     ready. Of these, the one with the least cost is taken: the time to read
 //     what it has not kept of the prompt, and the time that others wait there.
-//  2. What a server has kept is known from this box's own sendings. Where nothing
+//  2. What a server has kept is known from this box's own attempts. Where nothing
 //     is known, the prompt's shared parts are taken to be kept at their home: the
 //     server with the highest hash of both, which all boxes find alike.
 //  3. A plain request goes to the one of two servers drawn at random that has
--- a/gateway/crashers.go
+++ b/gateway/crashers.go
@@ -41,13 +41,13 @@
 
 func (s *server) named() crasher.Server { return crasher.Server{ID: s.id, Version: s.version} }
 
-// suspected reports whether the request, with the sending that has just broken, is as good as held: it is not sent
+// suspected reports whether the request, with the attempt that has just broken, is as good as held: it is not sent
 // on while the word of that end is on its way. That saves one server in four.
 func (j *job) suspected(s *server) bool {
 	return j.g.opts.View().Crashers.OneSignShort(j.print(), s.version, j.breaks-1)
 }
 
-// noteBroken has a broken sending watched: its server may have ended under it. One that leaves may
+// noteBroken has a broken attempt watched: its server may have ended under it. One that leaves may
 // end at any time. Where nothing broke, but the time ran out or the caller left, the server may have gone dark: that is
 // left to what is agreed of it.
 func (j *job) noteBroken(s *server, f *failure) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// maxSurplus is how many answers that belong to no request are passed over on
+	// maxSurplus is how many answers that belong to no request are skipped on
 	// a connection.
 	maxSurplus = 2
 	// maxSurplusBytes bounds such an answer.
@@ -195,7 +195,7 @@
 	return unknown(reason.BackendBroke, Error.Wrap(err))
 }
 
-// read reads the head of the answer that names the request, and passes over
+// read reads the head of the answer that names the request, and skips
 // answers that name another: they are late or surplus, and the connection is not
 // used again.
 func (a *answer) read(o *outgoing, idHeader string) error {
--- a/gateway/failed.go
+++ b/gateway/failed.go
@@ -15,7 +15,7 @@
 	"leverdrum/reason"
 )
 
-// notRunExtra is how many more sendings a request may have that no server ran.
+// notRunExtra is how many more attempts a request may have that no server ran.
 const notRunExtra = 2
 
 // judge returns a failure for an answer that is none.
@@ -59,7 +59,7 @@
 	return true
 }
 
-// failed decides what follows a failure: another sending, or the end.
+// failed decides what follows a failure: another attempt, or the end.
 func (j *job) failed(ctx context.Context, s *server, f *failure) (answered bool) {
 	j.last = f
 	j.noteBroken(s, f)
@@ -110,8 +110,8 @@
 // silenceMayEnd reports, whenever it is asked, whether an exchange with a silent server may
 // be ended now. What may not be repeated is not ended: it is nil then. Where part of the
 // answer was passed on, by this exchange or one before, the stream must be able to go on at
-// another server, by a further sending; else the caller would lose what the silent one may
-// yet send. The sending that is to follow is taken off the budget before the exchange is
+// another server, by a further attempt; otherwise the caller would lose what the silent one may
+// yet send. The attempt that is to follow is taken off the budget before the exchange is
 // ended: without it, the silent server is better than none.
 func (j *job) silenceMayEnd(at *server) func() bool {
 	if !j.route.Repeatable() {
@@ -184,7 +184,7 @@
 		zap.Int("sends", j.sends), zap.Int("runs", j.runs), zap.String("server", j.tried[len(j.tried)-1].id), event.Cause(f.cause), zap.Duration("left", j.left()), j.printField(f))
 }
 
-// printField names the request in lines on sendings that may have run, so that the attempts of one
+// printField names the request in lines on attempts that may have run, so that the attempts of one
 // request can be told from those of others.
 func (j *job) printField(f *failure) zap.Field {
 	if f == nil || f.outcome == reason.NotRun {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,10 +15,10 @@
 //     by event; one that may be resumed goes on at another server behind the last
 //     event that was passed; any other is broken off visibly.
 //  6. What is left of the caller's time, and of the route's time-out, bounds each
-//     sending and is told to the server. A caller that leaves ends it.
-//  7. Headers by which only the system speaks to a server are taken off every sending
+//     attempt and is told to the server. A caller that leaves ends it.
+//  7. Headers by which only the system speaks to a server are taken off every attempt
 //     of a caller's request, on whatever route, resumed streams included.
-//  8. Repeats are kept to a share of first sendings, summed over all boxes, since
+//  8. Repeats are kept to a share of first attempts, summed over all boxes, since
 //     each keeps its own part of the budget.
 //  9. A request under which servers ended, one after another, goes to none of their
 //     version any more (package crasher), and is refused at once.
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -41,20 +41,20 @@
 
 	tried  []*server
 	sends  int
-	runs   int // sendings that may have run
+	runs   int // attempts that may have run
 	stream events
 	headed bool        // the head of the answer was passed on
 	whole  bool        // and all of it, to an end that it told
 	begun  atomic.Bool // the same, for other goroutines
-	// granted tells that the next sending was taken off the budget already.
+	// granted tells that the next attempt was taken off the budget already.
 	granted atomic.Bool
 	permit  pushback.Permit // of the newest attempt
 	after   time.Duration   // until a server takes it, where limits or rests refused it
-	breaks  int             // sendings at whose end their servers may have ended
-	// waited is the time to the first sending, sent that to the last one, first that to
+	breaks  int             // attempts at whose end their servers may have ended
+	// waited is the time to the first attempt, sent that to the last one, first that to
 	// the first event, and longest the longest pause between two events.
 	waited, sent, first, longest time.Duration
-	// firstAt is when the first event of the last sending came; zero: none has.
+	// firstAt is when the first event of the last attempt came; zero: none has.
 	firstAt time.Time
 
 	behind   float64 // milliseconds that the best server was behind
--- a/gateway/lasting.go
+++ b/gateway/lasting.go
@@ -31,7 +31,7 @@
 	return lastsFirst
 }
 
-// note takes in how long a request took from its sending to its end.
+// note takes in how long a request took from its last attempt to its end.
 func (l *lasting) note(model string, took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/gateway/reading.go
+++ b/gateway/reading.go
@@ -53,7 +53,7 @@
 	return readFirst
 }
 
-// note takes in the time to a first event, in milliseconds from the sending, of a prompt
+// note takes in the time to a first event, in milliseconds from the attempt, of a prompt
 // of which a server had so many tokens to read.
 func (r *reading) note(model string, unread int, first float64) {
 	if unread < leastTold { // (3)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -66,13 +66,13 @@
 	maxOut   = 4 * time.Second
 	// outSilent is how long a silent server is out the first time.
 	outSilent = time.Second
-	// lackFor is how long a server is passed over for a model that it said it lacks,
+	// lackFor is how long a server is skipped for a model that it said it lacks,
 	// though it is agreed that it has it: it may be about to have it, or the word of
 	// that is about to be corrected.
 	lackFor = 150 * time.Millisecond
 )
 
-// begin notes a sending, and returns how many of this box were there before.
+// begin records an attempt, and returns how many of this box were there before.
 func (s *server) begin(now time.Time, work float64) (beside int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -47,7 +47,7 @@
 	bufferLimit = 1 << 20
 )
 
-// Attempt is one sending of a request.
+// Attempt is one attempt at a request.
 type Attempt struct {
 	ID      string
 	Method  string
--- a/pushback/pushback.go
+++ b/pushback/pushback.go
@@ -3,7 +3,7 @@
 //
 // Rules:
 //
-//  1. A rest holds between one server and this box. It begins with a 503 that bears Retry-After; of two the later end
+//  1. A rest holds between one server and this box. It begins with a 503 that has Retry-After; of two the later end
 //     holds, whatever an answer in between says.
 //  2. While it lasts no request of any kind is sent to that server. That is asked when a server is chosen, and again right
 //     before the bytes leave: opening a connection takes time.
--- a/rate/allocator.go
+++ b/rate/allocator.go
@@ -43,7 +43,7 @@
 // Grant answers an Ask.
 type Grant struct {
 	Leased float64
-	// After is when the smallest request that waits can be borne, where nothing was leased.
+	// After is when the smallest request that waits can be admitted, where nothing was leased.
 	After time.Duration
 }
 
@@ -51,7 +51,7 @@
 type bucket struct {
 	level float64
 	at    time.Duration // when the level was so high, by the allocator's clock
-	// refused are the ranks that could not be borne lately (6).
+	// refused are the ranks that were refused lately (6).
 	refused map[int]*refused
 }
 
@@ -75,7 +75,7 @@
 	if b.level < scarce*l.most() {
 		ahead = 0
 	}
-	// A request that is larger than a full bucket is borne by a full one, which it leaves in debt:
+	// A request that is larger than a full bucket is admitted by a full one, which it leaves in debt:
 	// it is within the limit of a longer span.
 	reserve := b.reserve(now, key.Rank)
 	if bearable := min(least+reserve, l.most()); need > 0 && b.level < bearable {
--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -24,7 +24,7 @@
 	spentPause = 250 * time.Millisecond
 	// maxRetryAfter bounds that time, whatever an allocator says.
 	maxRetryAfter = time.Minute
-	// maxWait is how long a request may wait until its limit's bucket bears it. That is less
+	// maxWait is how long a request may wait until its limit's bucket admits it. That is less
 	// than the way back to the caller and here again costs it.
 	maxWait = 60 * time.Millisecond
 	// demandSpan is the time over which a box averages what is asked for.
@@ -142,7 +142,7 @@
 	}
 }
 
-// Take has a request borne by the limit of a key, or says why not. It waits for the allocator's
+// Take asks the limit of a key to admit a request, or says why not. It waits for the allocator's
 // answer, and a moment where the bucket is about to bear it.
 func (l *Limiter) Take(ctx context.Context, key Key, limit Limit, weight float64) (Charge, *Refusal) {
 	if !limit.Bounded() || weight <= 0 {
--- a/rate/refusal.go
+++ b/rate/refusal.go
@@ -2,13 +2,13 @@
 
 import "time"
 
-// Refusal says that a request cannot be borne now.
+// Refusal says that a limit does not admit a request now.
 type Refusal struct {
 	// After is when it had best come back.
 	After time.Duration
 	// Spent tells that the limit is used up; else no allocator could be asked.
 	Spent bool
-	// TooLarge tells that the request alone is beyond what the limit bears in a window.
+	// TooLarge tells that the request alone is beyond what the limit admits in a window.
 	TooLarge bool
 	// Balance is what the box might have spent, Age how old the answer is that this rests on.
 	Balance float64
--- a/rate/turns.go
+++ b/rate/turns.go
@@ -12,7 +12,7 @@
 	maxRanks = 16
 )
 
-// refused is a rank that could not be borne.
+// refused is a rank that was refused.
 type refused struct {
 	at     time.Duration // when last
 	least  float64       // by the smallest of its requests then
