gateway: a request waits for a copy that comes before the rest of its only server ends

Where the only server with a model rested or was at its limit, requests were refused though a copy was on its way that would be ready sooner, and while the caller waits; without such a server they wait for it. gateway TestRequestsWaitForACopyThatComesBeforeTheRestEnds failed before (refused with servers-resting). dialect: a method that nothing uses is gone.

--- a/dialect/report.go
+++ b/dialect/report.go
@@ -24,11 +24,6 @@
 	DrainingErr error
 }
 
-// Says reports whether the answer says anything that is to be remembered.
-func (r *Report) Says() bool {
-	return r.HasLimit || r.Rest > 0 || r.Draining || r.LimitErr != nil || r.RestErr != nil || r.DrainingErr != nil
-}
-
 // OfAnother reports whether an answer is of another server than the one that was meant; "" where none was.
 func (d *Dialect) OfAnother(h http.Header, meant string) bool {
 	id := h.Get(d.ServerID)
--- a/dialect/report_test.go
+++ b/dialect/report_test.go
@@ -68,13 +68,10 @@
 	h := http.Header{"Retry-After": {"2"}, "X-Server-Draining": {"1"}, "X-Server-Limit": {"3"}, "X-Server-Stamp": {"s"}}
 	r := Own.ReadReport(http.StatusServiceUnavailable, h, answeredAt)
 	g.Expect(r).To(Equal(Report{Own: true, HasLimit: true, Limit: 3000, Rest: 2 * time.Second, Draining: true, DrainTTL: Own.DrainTTL}))
-	g.Expect(r.Says()).To(BeTrue())
 	for _, status := range []int{http.StatusOK, http.StatusTooManyRequests, http.StatusMovedPermanently, http.StatusMisdirectedRequest} {
 		g.Expect(Own.ReadReport(status, h, answeredAt).Rest).To(BeZero(), http.StatusText(status))
 	}
-	silent := Own.ReadReport(http.StatusServiceUnavailable, http.Header{}, answeredAt)
-	g.Expect(silent).To(Equal(Report{}))
-	g.Expect(silent.Says()).To(BeFalse())
+	g.Expect(Own.ReadReport(http.StatusServiceUnavailable, http.Header{}, answeredAt)).To(Equal(Report{}))
 }
 
 // An answer that says nothing of its server costs no allocation.
--- a/gateway/find.go
+++ b/gateway/find.go
@@ -43,7 +43,7 @@
 			}
 			continue
 		}
-		if first, all := j.allBlocked(list); all {
+		if first, all := j.allBlocked(list); all && !j.comesWithin(first.After) {
 			if why := j.waitForServer(ctx, first); why != nil {
 				return choice{}, why
 			}
--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -69,6 +69,12 @@
 	return min(waitLook, left), left <= 0 // (2)
 }
 
+// comesWithin reports whether what the request needs is to be ready somewhere within a time, and while the caller waits.
+func (j *job) comesWithin(d time.Duration) bool {
+	at, coming := j.comesAt()
+	return coming && time.Until(at) < d && at.Before(j.arrived.Add(j.has()))
+}
+
 // comeBackFor is rule 3.
 func (j *job) comeBackFor(why *reason.Reason, soon time.Duration) time.Duration {
 	if at, coming := j.comesAt(); coming && why == reason.NotResident {
