--- a/box/platform_test.go
+++ b/box/platform_test.go
@@ -35,6 +35,8 @@
 	settings              *settings.Settings
 	box                   *box.Box
 	log                   *zap.Logger
+	// turnCallsAway is that of the servers that are started from then on.
+	turnCallsAway func() string
 }
 
 // ownIP is a loopback number of this process: no other process, and no outgoing
@@ -143,7 +145,7 @@
 func (o *one) server(id string, models ...string) *standin.Server {
 	s := &standin.Server{
 		ID: id, Service: "s", Hall: "h", Room: 220, AdapterSlots: 3, LoadTime: 100 * time.Millisecond, Beat: 100 * time.Millisecond,
-		Control: []string{o.control}, Events: 3, Weights: map[string]int{},
+		Control: []string{o.control}, Events: 3, Weights: map[string]int{}, TurnCallsAway: o.turnCallsAway,
 	}
 	for i := range 9 {
 		s.Weights[fmt.Sprint("m", i)] = 70
--- a/box/rest_test.go
+++ b/box/rest_test.go
@@ -32,15 +32,15 @@
 	o := startOne(t)
 	g := NewWithT(t)
 	g.Eventually(func() int { return o.apply(config(1, "m1", "m2")) }, within).Should(Equal(http.StatusOK))
-	first := o.server("i-1", "m1")
-	g.Eventually(func() int { s, _ := o.ask("first", "m1"); return s }, within).Should(Equal(http.StatusOK))
 	var rests atomic.Bool
-	first.TurnCallsAway = func() string {
+	o.turnCallsAway = func() string {
 		if rests.Load() {
 			return "2"
 		}
 		return ""
 	}
+	first := o.server("i-1", "m1")
+	g.Eventually(func() int { s, _ := o.ask("first", "m1"); return s }, within).Should(Equal(http.StatusOK))
 	rests.Store(true)
 	status, body := o.ask("adapter", "m1/a1")
 	g.Expect(status).To(Equal(http.StatusServiceUnavailable), body)
