--- a/entry/rest_test.go
+++ b/entry/rest_test.go
@@ -87,7 +87,7 @@
 	g := NewWithT(t)
 	l := newLimitedBoxes(t, 1, 2)
 	l.instances[0].Set(standin.Faults{Rest: "0.05"})
-	_, refused := l.ask(t, 40, 4*time.Second)
+	_, refused := l.ask(t, 40, 8*time.Second)
 	g.Expect(refused).To(BeEmpty())
 	turned := len(l.instances[0].Came())
 	g.Expect(turned).To(BeNumerically(">", 10))
