spread, event: a line says what shows a box that its state is current

e2e TestKeysOfWorkspaces fails now and then: after a start of all boxes one serves a key that the newest file has taken away. Three rules may call a box current, and no log or metric told them apart: news of a leader, a majority of boxes that answer, the reports of the voters. current-by is logged when the one that counts changes, with the file in force and the newest that own log and probes know of.

--- a/event/event.go
+++ b/event/event.go
@@ -46,6 +46,7 @@
 	BoxForgotten       = add(Event{"box-forgotten", zapcore.InfoLevel, "A silent box was taken off the list.", "Nothing; it is listed again when it comes back."})
 	NewsLost           = add(Event{"news-lost", zapcore.WarnLevel, "The box that this one has the agreed state from gave no news.", "Nothing, unless news-regained does not follow: see that the box named in parent runs and can be reached."})
 	NewsRegained       = add(Event{"news-regained", zapcore.InfoLevel, "The box has news of the agreed state again.", "Nothing; after tells for how long it had none."})
+	CurrentBy          = add(Event{"current-by", zapcore.InfoLevel, "What shows the box that its state is current has changed.", "Nothing, unless by stays none: the box rejects requests then. known is the newest fleet file that it has heard of; one above file is not in force here."})
 	FileInForce        = add(Event{"file-in-force", zapcore.InfoLevel, "Another fleet file is in force on the box.", "Nothing; agreed is when a leader took it, by that box's clock, held how long this box had it before it served by it, bytes its size."})
 	OrderUnanswered    = add(Event{"order-unanswered", zapcore.WarnLevel, "An order to a model server got no answer.", "Nothing: its room stays counted until the server's state settles it."})
 )
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -32,6 +32,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -112,6 +113,8 @@
 	demandAt time.Duration // when the own subtree's demand was sent last
 	reportAt time.Duration // when the own subtree's holdings were sent last
 	lostAt   time.Time     // since when no parent has given news; zero: one does
+
+	shown atomic.Int32 // the evidence that was logged last
 }
 
 // demandOf is what a child reported of itself and its subtree.
@@ -177,10 +180,11 @@
 
 // Current is rule 5.
 func (s *Spreader) Current() bool {
-	if age, fresh := s.Age(); fresh && age <= s.opts.ConfigLease {
-		return true
+	e := s.evidence()
+	if old := evidence(s.shown.Swap(int32(e))); old != e {
+		s.logEvidence(old, e)
 	}
-	return s.majorityAgrees() || s.votersAgree()
+	return e != byNone
 }
 
 func (s *Spreader) majorityAgrees() bool {
