replica: a leader holds no lease before an entry of its own term is agreed

Looked for while TestKeysOfWorkspaces was traced: what else goes by the applied state of boxes that have just started. A new leader held its lease as soon as a majority had answered a round, before its own first entry was agreed. Until then its applied state may lack files, keys that were taken away and lowered quotas that an earlier leader had agreed. By that lease it counted as current, said to its children that its state is fresh, and with them down the whole tree, and gave leases of quotas. Orders were not affected (control asks for Established besides).

Now the lease that a replica shows asks for Established; the agreement itself goes on as it was. replica TestALeaderThatIsNotEstablishedHoldsNoLease failed before (lease held, nothing agreed) and passes 20 times; the tests of replica, control and spread pass.

--- a/replica/loop.go
+++ b/replica/loop.go
@@ -261,7 +261,7 @@
 		Word: r.core.Word(), NewestFile: r.newestFile(),
 	}
 	s.Voters, s.Settled = r.core.NeededVoters()
-	if age, held := r.core.LeaseAge(now); held {
+	if age, held := r.core.LeaseAge(now); held && s.Established {
 		s.LeaseFrom, s.LeaseHeld = now-age, true
 	}
 	if s.Role == consensus.Leader {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -108,7 +108,8 @@
 	Voters  []string
 	Settled bool
 	// LeaseFrom is when the leader's last answered round was sent, on the
-	// replica's own clock (Now); LeaseHeld is false for others.
+	// replica's own clock (Now); LeaseHeld is false for others, and for a leader that is not
+	// Established: its applied state may lack what an earlier one had agreed.
 	LeaseFrom time.Duration
 	LeaseHeld bool
 	// Established leaders have an agreed entry of their own term.
@@ -199,8 +200,8 @@
 // Changed returns a channel that is closed at the next change of View.
 func (r *Replica) Changed() <-chan struct{} { return *r.changed.Load() }
 
-// Lease returns how long ago this box was last certain to lead, and whether
-// it still is. It is to be asked last thing before an act that only a leader
+// Lease returns how long ago this box was last certain to lead from a state that holds all
+// that was agreed before, and whether it still is. It is to be asked last thing before an act that only a leader
 // may do.
 func (r *Replica) Lease() (time.Duration, bool) {
 	s := r.Status()
