spread: a box that has just started vouches for no state

Callers saw a key open again that the acknowledged file had taken away, for milliseconds after all boxes had been killed and started again (e2e TestKeysOfWorkspaces, KNOWN-RED). Cause: a majority of boxes that answer and of which none is ahead made each other current. A box that starts again applies what its disk knew to be agreed when it last wrote, one file behind right after an acknowledgement, so a majority that had just started agreed on the file before. Evidence: in 6 of 6 failing runs the box was current by that majority with file 1, while its own log or a probe knew file 2.

Now only witnesses count: boxes that have heard of a leader that led since their own process began. An accepted file is in force on a majority; one of any majority of witnesses was among it and has either run on, or heard of a leader since, which had applied the file. A probe's answer says so in a field that earlier builds lack; they do not count. For the same reason news from before the process began does not make a box fresh: a box that had been cut off handed its old state to one that had just started, which took it for current for a whole configuration lease, one hour on the platform.

Weighed: the newest file in force written to the disk before it counts as acknowledged (a write at each box and file, and nothing for boxes without a disk); no majority at all (boxes would stop without voters: TestBoxesServeOnWithoutVoters).

--- a/box/box.go
+++ b/box/box.go
@@ -60,6 +60,7 @@
 	log      *zap.Logger
 	meters   *meter.Meters
 	records  *record.Book
+	clock    *clock.Clock // begins with the process
 	store    *wal.Store
 	id       *identity
 	pool     *peer.Pool
@@ -111,7 +112,7 @@
 func Start(s *settings.Settings, tls peer.TLS, log *zap.Logger) (*Box, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &Box{
-		settings: s, log: log, meters: meter.New(), records: record.NewBook(recordLimit),
+		settings: s, log: log, meters: meter.New(), records: record.NewBook(recordLimit), clock: clock.New(),
 		fatal: make(chan error, 1), cancel: cancel,
 	}
 	b.meters.Gauge(meter.Build, build.Name(), strconv.Itoa(int(level.Newest))).Set(1)
@@ -294,7 +295,7 @@
 		Core: consensus.Options{
 			ID: self.Box + "/" + self.Incarnation, ElectionMin: s.Election, Heartbeat: s.Heartbeat, Lease: s.Lease, Seed: uint64(time.Now().UnixNano()),
 		},
-		Storage: storage, Send: b.pool.Send, CompactAfter: s.CompactAfter, Clock: clock.New().Now, Fatal: b.fail, Log: b.log,
+		Storage: storage, Send: b.pool.Send, CompactAfter: s.CompactAfter, Clock: b.clock.Now, Fatal: b.fail, Log: b.log,
 	})
 	if err != nil {
 		return nil, Error.Wrap(err)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -44,7 +44,8 @@
 	Send func(*wire.Message)
 	// CompactAfter is the count of log entries that a snapshot is taken at.
 	CompactAfter int
-	// Clock is steady and goes on while the machine is suspended; nil for the runtime's, which does not.
+	// Clock is steady, goes on while the machine is suspended, and shows 0 no later than Storage was
+	// read; nil for the runtime's, which stands still while the machine is suspended.
 	Clock func() time.Duration
 	// Fatal is called once when the process must not go on.
 	Fatal func(error)
--- a/spread/evidence.go
+++ b/spread/evidence.go
@@ -13,7 +13,7 @@
 const (
 	byNone     evidence = iota
 	byLeader            // recent news from a leader
-	byMajority          // most boxes answer and none is ahead
+	byMajority          // most boxes are witnesses that answer, and none is ahead
 	byVoters            // most voters answer and none knows a newer file
 )
 
--- a/spread/follow.go
+++ b/spread/follow.go
@@ -188,7 +188,11 @@
 	complete := s.opts.Replica.View().Index >= u.Index
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if complete && u.Fresh && (!s.fresh || at > s.freshAt) {
+	if !s.fresh {
+		s.leader = u.Leader
+	}
+	// The replica's clock begins with the process, so older news has a negative time (5).
+	if complete && u.Fresh && at >= 0 && (!s.fresh || at > s.freshAt) {
 		s.fresh, s.freshAt, s.path = true, at, u.Path
 		s.leader = u.Leader
 		close(s.fresher)
@@ -296,7 +300,7 @@
 	}
 	a := response.GetProbe()
 	s.mu.Lock()
-	s.probes[a.Member] = probe{a.Index, sent, wordOf(a)}
+	s.probes[a.Member] = probe{a.Index, sent, a.Witness, wordOf(a)}
 	if a.Leader {
 		s.leader = a.Member
 	}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -18,11 +18,15 @@
 //     one of those comes to hold the newest file, the asker reports it without
 //     waiting for its own question to come back; else it repeats the list once a second. The list
 //     names boxes by their places in the roster.
-//  5. A box is current while its news is younger than the configuration lease.
-//     Without such news it is current only while it hears from a majority of
-//     all boxes and none of them is ahead of it. A file counts as accepted once
-//     a majority has it, so one of that majority would know of a newer one.
-//     After a start of all boxes it is current by the voters' word (start.go).
+//  5. A box is current while a leader led within the configuration lease, and since the
+//     box's process began.
+//     5.1 Without such news it is current while a majority of all boxes are witnesses that
+//     answer, and no box that answers is ahead. A file counts as accepted once a majority
+//     has it in force, so one of the witnesses would have it.
+//     5.2 A witness is a box that has heard of a leader that led since the box's process
+//     began. A box that has just started has applied what its disk held at some time, or
+//     nothing: it may have forgotten an accepted file.
+//     5.3 After a start of all boxes it is current by the reports of the voters (start.go).
 //  6. A file is acknowledged once all boxes that were heard lately have it in force
 //     (inforce.go).
 package spread
@@ -129,9 +133,10 @@
 }
 
 type probe struct {
-	index uint64
-	at    time.Duration
-	word  word
+	index   uint64
+	at      time.Duration
+	witness bool // (5.2)
+	word    word
 }
 
 // word is what a voter says of its log, and where the newest fleet file stands there.
@@ -166,7 +171,7 @@
 }
 
 // Age returns how long ago a leader was certain to lead when it sent what this
-// box has; false when the box has never heard of one.
+// box has; false when the box has heard of none that led since its process began.
 func (s *Spreader) Age() (time.Duration, bool) {
 	age, held := s.opts.Replica.Lease()
 	now := s.opts.Replica.Now()
@@ -187,19 +192,19 @@
 	return e != byNone
 }
 
+// majorityAgrees is rule 5.1.
 func (s *Spreader) majorityAgrees() bool {
 	view := s.opts.Replica.View()
-	if len(view.Members) == 0 {
-		return false
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.opts.Replica.Now()
-	count := 0
+	witnesses := 0
 	for _, m := range view.Members {
 		id := state.MemberID(m)
 		if id == s.opts.Replica.ID() {
-			count++
+			if s.fresh {
+				witnesses++
+			}
 			continue
 		}
 		p, ok := s.probes[id]
@@ -209,9 +214,11 @@
 		if p.index > view.Index {
 			return false
 		}
-		count++
+		if p.witness { // (5.2)
+			witnesses++
+		}
 	}
-	return count > len(view.Members)/2
+	return witnesses > len(view.Members)/2
 }
 
 // Answer answers a child (1, 3).
@@ -348,11 +355,11 @@
 
 // AnswerProbe tells another box where this one stands (5).
 func (s *Spreader) AnswerProbe() *wire.ProbeAnswer {
+	age, fresh := s.Age() // before the index: what a leader vouched for is applied first
 	a := &wire.ProbeAnswer{
-		Member: s.opts.Replica.ID(), Index: s.opts.Replica.View().Index,
+		Member: s.opts.Replica.ID(), Index: s.opts.Replica.View().Index, Witness: fresh,
 		Leader: s.opts.Replica.Status().Role == consensus.Leader, LeaderMember: s.Leader(), Current: s.Current(),
 	}
-	age, fresh := s.Age()
 	if fresh {
 		a.AgeMs = uint32(age.Milliseconds())
 	}
