gateway: routes are taken after the state was found to be current

Looked for beside the keys that opened again: a request took the table of routes first and asked then whether the box is current. Where it was held up between the two, the file that made the box current was newer than the routes that the request went by. package entry had the right order. By reading; no run is known in which it did harm.

TestRoutesAreAtLeastAsNewAsWhatShowsThemCurrent failed before (200 by a key that the newer file lacks) and passes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -156,8 +156,9 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	current := g.opts.Current() // before the table, which is at least as new then
 	t := g.dir.table()
-	why, route := g.routeOf(t, r)
+	why, route := g.routeOf(t, r, current)
 	if why != nil {
 		g.refuseUnsent(w, r, t, why)
 		return
@@ -177,13 +178,13 @@
 	j.serve()
 }
 
-func (g *Gateway) routeOf(t *table, r *http.Request) (*reason.Reason, *fleet.Route) {
+func (g *Gateway) routeOf(t *table, r *http.Request, current bool) (*reason.Reason, *fleet.Route) {
 	switch {
 	case g.stopped():
 		return reason.Stopping, nil
 	case t.routes == nil:
 		return reason.NoFleet, nil
-	case !g.opts.Current():
+	case !current:
 		return reason.NotCurrent, nil
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -115,6 +115,7 @@
 	gate   *gateway.Gateway
 	view   *state.State
 	at     string
+	asked  func() // called where the gateway asks whether its state is current
 }
 
 func newSetup(t *testing.T, timeout time.Duration, backends ...*backend) *setup {
@@ -136,7 +137,7 @@
 			Timeout: timeout, Aim: timeout / 4, MaxAttempts: 2, Split: []fleet.Share{{Pool: "s", Weight: 1}},
 		})
 	}
-	s := &setup{t: t, view: state.New()}
+	s := &setup{t: t, view: state.New(), asked: func() {}}
 	s.view.Fleet, s.view.Version = f, &wire.FleetVersion{Number: 1, Index: 1}
 	for _, b := range backends {
 		s.view.Announced[b.id] = &wire.Announcement{Id: b.id, Service: "s", Address: b.address, Hall: "h", Slots: 8}
@@ -146,7 +147,7 @@
 	own := dialect.Own
 	own.Fetch, own.Reserved = "X-Fetch", []string{"X-Reserved"}
 	s.gate = gateway.New(gateway.Options{
-		Dialect: own, View: func() *state.State { return s.view }, Current: func() bool { return true }, Hall: "h",
+		Dialect: own, View: func() *state.State { return s.view }, Current: func() bool { s.asked(); return true }, Hall: "h",
 		Budget: gateway.Budget{Ratio: 1, Slack: 100, Window: 10 * time.Second}, Quotas: quotas, Meters: meter.New(), Log: zap.New(lines),
 	})
 	s.gate.Changed()
--- a/gateway/workspaces_test.go
+++ b/gateway/workspaces_test.go
@@ -105,6 +105,19 @@
 	g.Expect(header(came[1], "X-Workspace")).To(Equal("atelier"), "the key was passed on")
 }
 
+// A request was judged by routes that were older than what showed them to be current: a box that had just started
+// could open a key by the file before the one with which it became current.
+func TestRoutesAreAtLeastAsNewAsWhatShowsThemCurrent(t *testing.T) {
+	g := NewWithT(t)
+	b := newBackend(t, "i1", ok)
+	s := newSetup(t, 5*time.Second, b)
+	s.withWorkspaces()
+	s.asked = func() {
+		s.withWorkspaces(&workspace.Workspace{Name: "atelier", Keys: []workspace.Digest{workspace.DigestOf(keyOfAtelier)}})
+	}
+	g.Expect(s.send(request("/unsafe/x", "X-Api-Key: "+keyOfLibrary+"\r\n"))).To(HavePrefix("HTTP/1.1 401 "))
+}
+
 func TestAPublicRouteNeedsNoKey(t *testing.T) {
 	g := NewWithT(t)
 	b := newBackend(t, "i1", ok)
