box: a box without a disk finds the others while no box with a disk runs

It knew its seeds only, which were down. The others call it, since they look at all boxes then; but only callers with a disk were remembered, and the address of a box that is neither a seed nor in the state, which it does not have, was not known. Ruled out: that it was not called (it joined its cluster by such a call), that no majority of witnesses answers (five of nine do).

With many boxes that start at once nothing changes but that: once there is a state only callers with a disk are asked.

--- a/box/box.go
+++ b/box/box.go
@@ -75,7 +75,8 @@
 	entryHTTP    *http.Server
 	// others serve what only some boxes have.
 	others []*http.Server
-	met    met
+	// callers are asked where the settings name nobody that runs.
+	callers callers
 	// strange paces lines on words that name no server.
 	strange pace
 	// boxes are the newest addresses by the settings, nil before a reload.
@@ -214,7 +215,8 @@
 	http.Error(w, "the box has not found its cluster yet", http.StatusServiceUnavailable)
 }
 
-// lookup returns the box-to-box address of a box: as agreed, else as set.
+// lookup returns the box-to-box address of a box: as agreed, else as set, else as the box told when
+// it called.
 func (b *Box) lookup(box string) string {
 	if p := b.parts.Load(); p != nil {
 		if m := p.replica.View().Members[box]; m != nil {
@@ -224,7 +226,10 @@
 	if address := b.known()[box]; address != "" {
 		return address
 	}
-	return b.settings.AddressOf(box)
+	if address := b.settings.AddressOf(box); address != "" {
+		return address
+	}
+	return b.callers.address(box)
 }
 
 // meet calls on a box, so that one which lost its state with its last process
@@ -305,7 +310,12 @@
 	p.crashes = newCrashes(state.ProcessID(self), b.log, b.meters)
 	p.spread = spread.New(spread.Options{
 		Replica: r, Caller: b.pool, Self: self, Seeds: slices.Sorted(maps.Keys(s.Boxes)), ConfigLease: s.ConfigLease,
-		Met:    b.met.list,
+		Callers: func() []string {
+			if len(r.View().Members) == 0 {
+				return b.callers.all()
+			}
+			return b.callers.withDisk()
+		},
 		Demand: func() []*wire.Demand { return append(p.entry.Demand(), p.gateway.Demand()...) },
 		Log:    b.log,
 	})
@@ -377,8 +387,8 @@
 		err := b.id.Adopt(f.ClusterId)
 		return &wire.Response{Kind: &wire.Response_Form{Form: &wire.FormAnswer{Formed: err == nil}}}
 	}
-	if from.GetDisk() {
-		b.met.note(from.Box)
+	if from.GetBox() != "" {
+		b.callers.record(from)
 	}
 	p := b.parts.Load()
 	if p == nil {
--- a/e2e/outage_test.go
+++ b/e2e/outage_test.go
@@ -77,6 +77,26 @@
 	eventually(t, "a minority stops serving", 8*time.Second, func() bool { return !c.boxes[4].serves() })
 }
 
+// A box without a disk that came back while no box with one ran knew nobody to ask, and rejected all requests for as
+// long as that lasted, beside five that served.
+func TestABoxThatComesBackWithoutControlBoxesServes(t *testing.T) {
+	c := newCluster(t, 3, 6)
+	defer c.dumpLogs()
+	c.withShop()
+	c.up()
+	for _, b := range c.boxes[:3] {
+		b.kill()
+	}
+	time.Sleep(4 * time.Second) // longer than a configuration lease
+	back := c.boxes[8]
+	back.kill()
+	back.start()
+	eventually(t, "the box serves again", 12*time.Second, back.serves)
+	for _, b := range c.boxes[3:] {
+		NewWithT(t).Expect(b.serves()).To(BeTrue(), b.name)
+	}
+}
+
 func TestAllBoxesStoppedAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	c := newCluster(t, 3, 2)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -103,6 +103,7 @@
 mutant demand-stays-in-the-box spread/demand.go 's/\t\taddDemand\(sum, d.list\)\n//' e2e 'TestDemandReaches'
 mutant no-quarantine state/state.go 's/next.Quarantined = !s.Fleet.Servers\[seen.Server\].Kind.ChecksFences/next.Quarantined = false/' control 'TestMemory'
 mutant leaderless-serving spread/evidence.go 's/case s.majorityAgrees\(\):/case false:/' spread 'TestBoxesServeOnWithoutVoters'
+mutant callers-with-a-disk-only box/box.go 's/return b.callers.all\(\)/return b.callers.withDisk()/' e2e 'TestABoxThatComesBack'
 mutant cut-off-serves-on spread/evidence.go 's/case s.majorityAgrees\(\):/case true:/' e2e 'TestCutOff'
 mutant starters-are-witnesses spread/spread.go 's/if p.witness \{/if true {/; s/if s.fresh \{\n\t\t\t\twitnesses/if true {\n\t\t\t\twitnesses/' spread 'TestABoxThatIsCurrent'
 mutant news-from-before-the-start spread/follow.go 's/u.Fresh && at >= 0 &&/u.Fresh \&\&/' spread 'TestStateOfABoxThatWasCutOff'
--- a/spread/cluster_test.go
+++ b/spread/cluster_test.go
@@ -224,7 +224,7 @@
 		}
 	}
 	p.spread = spread.New(spread.Options{
-		Replica: r, Caller: link{c, p}, Self: self, Seeds: seeds, ConfigLease: c.lease, Met: func() []string { return nil },
+		Replica: r, Caller: link{c, p}, Self: self, Seeds: seeds, ConfigLease: c.lease, Callers: func() []string { return nil },
 		Demand: func() []*wire.Demand { return nil }, Log: zap.NewNop(),
 	})
 	c.mu.Lock()
--- a/spread/follow.go
+++ b/spread/follow.go
@@ -89,8 +89,8 @@
 	for _, seed := range s.opts.Seeds {
 		list = s.appendOther(list, seed)
 	}
-	if s.opts.Met != nil {
-		for _, box := range s.opts.Met() {
+	if s.opts.Callers != nil {
+		for _, box := range s.opts.Callers() {
 			list = s.appendOther(list, box)
 		}
 	}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -88,8 +88,8 @@
 	Self    *wire.Member
 	// Seeds are the names of boxes known from the settings.
 	Seeds []string
-	// Met returns boxes that called on this one lately; nil for none.
-	Met         func() []string
+	// Callers returns boxes that called this one lately and may know the cluster; nil for none.
+	Callers     func() []string
 	ConfigLease time.Duration
 	// Demand returns what this box was asked for lately.
 	Demand func() []*wire.Demand
