control: only an order without an answer holds back a server that started again

Cause: a server that starts again while an order is open got no order for 13 s, since an order without an answer may be carried out for 12 s. An order stays open until its load is done, though, and also where the server took no connection: a server that ended in a load was always held back.

Ruled out: late heartbeats, blame (none was held), limits.

Now the leader records attempts by server name; one that was answered, or that found no connection (orders go over connections of their own), cannot arrive. A new leader counts from when it first saw the new life. Orders of unknown outcome hold back as before, and now also where they were closed by a report meanwhile.

--- a/box/crasher_test.go
+++ b/box/crasher_test.go
@@ -316,6 +316,19 @@
 	g.Expect(len(lives)).To(BeNumerically("<", len(s.servers)), "some server was born again")
 }
 
+// Servers that ended while they carried out an order got none for 13 s after their start, as if that order could still arrive,
+// although they had answered it: where all of them had, nothing was served.
+func TestServersThatEndInALoadServeSoonAfterTheirStart(t *testing.T) {
+	s := startSeveral(t, 0)
+	s.reborn, s.deadlyModel = true, "m2"
+	g := NewWithT(t)
+	s.up(3)
+	s.model = "m2"
+	g.Eventually(func() int { s.send(0, "deadly", "/a/x", "body"); return s.endedSoFar() }, within).Should(BeNumerically(">=", 3))
+	s.model = ""
+	g.Eventually(func() bool { return s.send(0, "later", "/a/later", "body").whole }, 8*time.Second).Should(BeTrue())
+}
+
 // A model under whose load each server ends was loaded on one server after another, for as long as requests asked for it:
 // an order that ended its server was given again, to the next one.
 func TestAModelThatCrashesServersIsStopped(t *testing.T) {
--- a/control/beliefs_test.go
+++ b/control/beliefs_test.go
@@ -117,3 +117,37 @@
 	g.Expect(late.Patient["unasked"]).To(BeFalse())
 	g.Expect(late.Idle).To(And(HaveKeyWithValue("there", true), HaveKeyWithValue("asked", false)))
 }
+
+// An order that its server answered cannot arrive later: the next life is ordered to at once. One without an answer can.
+func TestOnlyAnOrderWithoutAnAnswerHoldsTheNextLifeBack(t *testing.T) {
+	g := NewWithT(t)
+	c := newLeader(t)
+	st := state.New()
+	st.Announced["i~2"] = &wire.Announcement{Id: "i~2", Name: "i", Heir: true}
+	c.looked = true // it leads since the life before
+	to := &wire.Order{Server: "i"}
+
+	answered := c.attempt(to)
+	g.Expect(c.held(st, time.Now())["i~2"]).To(BeTrue(), "it is on its way")
+	answered(false)
+	g.Expect(c.held(st, time.Now())["i~2"]).To(BeFalse())
+
+	unanswered := c.attempt(to)
+	unanswered(true)
+	g.Expect(c.held(st, time.Now())["i~2"]).To(BeTrue())
+	g.Expect(c.held(st, time.Now().Add(lateFor-time.Second))["i~2"]).To(BeTrue())
+	g.Expect(c.held(st, time.Now().Add(lateFor))["i~2"]).To(BeFalse())
+}
+
+// A new leader that has seen a life begin counts from then, not from its first look.
+func TestANewLeaderCountsFromWhenItSawTheLifeBegin(t *testing.T) {
+	g := NewWithT(t)
+	c := New(Options{OrderPause: 3 * time.Second})
+	now := time.Now()
+	st := state.New()
+	st.Announced["i~2"] = &wire.Announcement{Id: "i~2", Name: "i", Heir: true}
+	c.watchOrders(st, now)
+	c.ledSince = now.Add(10 * time.Second)
+	g.Expect(c.held(st, now.Add(lateFor-time.Second))["i~2"]).To(BeTrue())
+	g.Expect(c.held(st, now.Add(lateFor))["i~2"]).To(BeFalse())
+}
--- a/control/control.go
+++ b/control/control.go
@@ -138,7 +138,9 @@
 	boxesAt   time.Time     // when the boxes were looked at last
 	waited    time.Duration // for agreement, in the step under way
 
-	heirs      map[string]time.Time   // since when servers are known that orders to their life before may reach
+	arrivals   arrivals               // orders that may still arrive at servers, see arrivals.go
+	lives      map[string]time.Time   // when this box first saw each life of a server
+	looked     bool                   // arrivals hold what earlier leaders may have sent
 	knownSince time.Time              // since when all listed boxes know the next level
 	loads      map[uint64]*openLoad   // by order, see loads.go
 	loaded     map[crasher.Print]bool // items that this leader saw loaded
@@ -156,7 +158,7 @@
 	return &Controller{
 		opts: opts, reports: map[string]report{}, reading: map[string]bool{}, quarantine: map[string]time.Time{},
 		sending: map[uint64]bool{}, short: map[string]string{},
-		heard: map[string]*heard{}, lacking: map[string]time.Time{}, askedAt: map[string]time.Time{}, doubts: map[string]*doubt{}, limitedAt: map[string]time.Time{}, resting: map[string]map[string]time.Time{}, counts: map[string]uint64{}, wanted: map[string]time.Time{}, heirs: map[string]time.Time{}, loads: map[uint64]*openLoad{}, loaded: map[crasher.Print]bool{}, kick: make(chan struct{}, 1),
+		heard: map[string]*heard{}, lacking: map[string]time.Time{}, askedAt: map[string]time.Time{}, doubts: map[string]*doubt{}, limitedAt: map[string]time.Time{}, resting: map[string]map[string]time.Time{}, counts: map[string]uint64{}, wanted: map[string]time.Time{}, lives: map[string]time.Time{}, loads: map[uint64]*openLoad{}, loaded: map[crasher.Print]bool{}, kick: make(chan struct{}, 1),
 	}
 }
 
@@ -247,8 +249,9 @@
 		c.counts = map[string]uint64{}
 		c.wanted = map[string]time.Time{}
 		c.loaded = map[crasher.Print]bool{}
+		c.looked = false
 		c.mu.Unlock()
-		c.suspects, c.heirs, c.loads = nil, map[string]time.Time{}, map[uint64]*openLoad{}
+		c.suspects, c.loads = nil, map[uint64]*openLoad{}
 		c.steady.forget()
 		c.opts.Meters.Count(meter.Elections).Inc()
 	}
--- a/control/counted.go
+++ b/control/counted.go
@@ -125,7 +125,9 @@
 		}
 		x.count, x.known = r.Count, true
 	}
+	answered := x.c.attempt(x.order)
 	verdict, err := x.give(ctx)
+	answered(mayArriveLate(err))
 	if errors.Is(err, engine.ErrResting) && !x.unsure {
 		return engine.Outcome{Detail: "the server rests; nothing was sent"}, true
 	}
@@ -154,6 +156,11 @@
 	return engine.Outcome{Detail: string(verdict)}, true
 }
 
+// mayArriveLate reports whether an order may be carried out later for all that its attempt shows.
+func mayArriveLate(err error) bool {
+	return err != nil && !errors.Is(err, engine.ErrResting) && !errors.Is(err, engine.ErrUnreached)
+}
+
 func (x *counted) report(ctx context.Context) (*engine.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, countedTimeout)
 	defer cancel()
--- a/control/orders.go
+++ b/control/orders.go
@@ -107,10 +107,12 @@
 func (c *Controller) send(ctx context.Context, o *wire.Order, s *fleet.Server) (engine.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	answered := c.attempt(o)
 	out, err := c.opts.Engines(s.Name, s.Address).Order(ctx, &engine.Order{
 		ID: o.Id, Incarnation: o.ServerIncarnation, Action: actionName(o.Action), Accelerator: o.Accelerator,
 		Model: o.Item.Model, Adapter: o.Item.Adapter, Version: o.Item.Version, Memory: o.Memory,
 	})
+	answered(mayArriveLate(err))
 	c.opts.Meters.Count(meter.Orders, actionName(o.Action), outcomeName(out, err)).Inc()
 	return out, err
 }
--- a/control/pause.go
+++ b/control/pause.go
@@ -18,13 +18,9 @@
 //     as made then.
 //  3. A server may be given orders once that is the pause ago. Where an order of an
 //     earlier leader is still open, the pause counts from the leadership's begin.
-//  4. A server that began another life while an order was open gets none for heirFor: that order may still
-//     arrive, and would be taken where the new life's count of orders is the one that it names.
+//  4. A server that has started again gets none while an order to a life before may still arrive (arrivals.go).
 //  5. A server that asked this box for a rest gets none while it lasts.
 
-// heirFor is how long an order without an answer may still arrive: 12 s by the servers' own word.
-const heirFor = 13 * time.Second
-
 // ordered is when a box first saw the entry that was about a server last.
 type ordered struct {
 	entry uint64
@@ -33,6 +29,7 @@
 
 // watchOrders is rule 2. It is called whether the box leads or not.
 func (c *Controller) watchOrders(view *state.State, now time.Time) {
+	c.watchLives(view, now)
 	first := c.ordered == nil
 	if first {
 		c.ordered = map[string]ordered{}
@@ -58,7 +55,7 @@
 // held returns the servers that must not be given orders yet (3, 4, 5).
 func (c *Controller) held(view *state.State, now time.Time) map[string]bool {
 	held := map[string]bool{}
-	c.holdHeirs(view, now, held)
+	c.holdNextLives(view, now, held)
 	for name := range view.Servers {
 		if c.rests(name) {
 			held[name] = true
@@ -78,24 +75,6 @@
 	return held
 }
 
-// holdHeirs is rule 4; a new leader counts from its first look.
-func (c *Controller) holdHeirs(view *state.State, now time.Time, held map[string]bool) {
-	for id, a := range view.Announced {
-		if !a.Heir {
-			continue
-		}
-		if _, seen := c.heirs[id]; !seen {
-			c.heirs[id] = now
-		}
-		held[id] = now.Sub(c.heirs[id]) < heirFor
-	}
-	for id := range c.heirs {
-		if view.Announced[id] == nil {
-			delete(c.heirs, id)
-		}
-	}
-}
-
 func (c *Controller) rests(server string) bool { return c.opts.Rests != nil && c.opts.Rests(server) }
 
 // inherited reports whether an order was given by an earlier leader.
--- a/engine/guard.go
+++ b/engine/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -11,6 +12,9 @@
 // ErrNotAllowed: the box does not lead any more; nothing was written.
 var ErrNotAllowed = errors.New("this box may not give orders any more")
 
+// ErrUnreached: no connection to the server came about; nothing was written.
+var ErrUnreached = errors.New("the server takes no connection")
+
 // guardedTransport sends requests whose bytes leave only while allowed says so; it is asked last thing before each write.
 // Connections are not kept.
 type guardedTransport struct{ *http.Transport }
@@ -20,7 +24,7 @@
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
-			return nil, err
+			return nil, fmt.Errorf("%w: %w", ErrUnreached, err)
 		}
 		sent, _ := ctx.Value(sendingKey{}).(*sending)
 		return &guardedConn{Conn: c, allowed: allowed, sending: sent}, nil
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -107,6 +107,8 @@
 mutant cut-off-serves-on spread/evidence.go 's/case s.majorityAgrees\(\):/case true:/' e2e 'TestCutOff'
 mutant starters-are-witnesses spread/spread.go 's/if p.witness \{/if true {/; s/if s.fresh \{\n\t\t\t\twitnesses/if true {\n\t\t\t\twitnesses/' spread 'TestABoxThatIsCurrent'
 mutant news-from-before-the-start spread/follow.go 's/u.Fresh && at >= 0 &&/u.Fresh \&\&/' spread 'TestStateOfABoxThatWasCutOff'
+mutant answered-orders-arrive-late control/counted.go 's/return err != nil && .*/return true/' box 'TestServersThatEndInALoad'
+mutant unanswered-orders-forgotten control/arrivals.go 's/if mayArrive \{/if false {/' control 'TestOnlyAnOrder'
 mutant lease-before-established replica/loop.go 's/held && s.Established/held/' replica 'TestALeaderThatIsNotEstablished'
 mutant leaving-ignored route/route.go 's/if b.leaving.Load\(\) \|\| /if /; s/return !view.Servers\[p.Server\].GetLeaving\(\) && !d.gone\[p.Server\]/return true/; s/s == nil \|\| s.Leaving/s == nil/' e2e 'TestLeaving'
 mutant second-file-wins state/file.go 's/if first := s.accepted\(a.Number\); first != nil \{/if first := s.accepted(a.Number); first != nil \&\& first.Digest == a.Digest {/' e2e 'TestRacing'
