--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -246,7 +246,7 @@
 mutant lives-alike platform/beat.go 's/if bornMs == 0 \{/if true {/' platform 'TestLivesOfOneServer'
 mutant lives-alike-served platform/beat.go 's/if bornMs == 0 \{/if true {/' box 'TestServersBornAgain'
 mutant late-lives state/announce.go 's/if s.Outlived\(a\) \{/if false {/' state 'TestTheLifeBeforeEnds'
-mutant heirs-ordered control/pause.go 's/\tc.holdHeirs\(view, now, held\)\n//' control 'TestAnHeir'
+mutant heirs-ordered control/pause.go 's/\tc.holdNextLives\(view, now, held\)\n//' control 'TestAnHeir'
 mutant strange-states platform/beat.go 's/case state != stateReady && state != stateDraining:/case false:/' platform 'TestWordsOfOtherWriters'
 mutant loads-not-held control/decide.go 's/heldLoad\(view, d.Order\) \|\| //' box 'TestAModelThatCrashes'
 mutant lease-asleep replica/replica.go 's/func \(r \*Replica\) Now\(\) time.Duration \{ return r.opts.Clock\(\) \}/var began = time.Now()\n\nfunc (r *Replica) Now() time.Duration { return time.Since(began) }/' replica 'TestALeaseIsOver'
