entry: a server that was only slow is tried again where no other is left

entry TestEntry, a new spec (one server fails, the other takes 300 ms for each third request): 500 for 200 in 3 of 3 runs before, 30 of 30 callers served in 3 of 3 runs after.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -204,6 +204,17 @@
 		Entry("it takes far longer than usual", standin.Faults{DelayMs: 60_000, Every: 3}, reason.RetrySlow),
 	)
 
+	It("goes back to a server that was only slow where the other one fails", func() {
+		for range 30 { // how long an answer takes is learned
+			Expect(b.chat(ask).status).To(Equal(http.StatusOK))
+		}
+		b.engines[0].Set(standin.Faults{Status: 500})
+		b.engines[1].Set(standin.Faults{DelayMs: 300, Every: 3})
+		for range 30 {
+			Expect(b.chat(ask).status).To(Equal(http.StatusOK))
+		}
+	})
+
 	DescribeTable("says what is known when all servers fail",
 		func(f standin.Faults, why *reason.Reason) {
 			b.both(f)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -54,6 +55,8 @@
 	firstAt    time.Time       // of its first event; zero: none has come
 	// suspects are backends whose failed answers are not yet held against them.
 	suspects []*route.Backend
+	// slow is the backend whose attempt was given up as slow; nil: none, or it may be tried again.
+	slow *route.Backend
 }
 
 func (j *job) class() string { return j.target.Class.Name }
@@ -123,6 +126,9 @@
 			return result{why: reason.CrashesServers}
 		}
 		b, why := e.enter(ctx, j)
+		if why != nil && j.retrySlow() {
+			continue
+		}
 		if why != nil && j.tries > 0 {
 			return last // the failure of the attempt before tells more
 		}
@@ -131,6 +137,11 @@
 		}
 		answer, failure := e.attempt(ctx, j, b)
 		j.ticket.Tried = append(j.ticket.Tried, b)
+		if failure != nil && errors.Is(failure.Cause, errSlow) {
+			j.slow = b
+		} else if len(j.ticket.Tried) >= len(j.target.Backends) {
+			j.retrySlow()
+		}
 		if failure == nil && (!failed(answer) || !e.mayRetry(ctx, j, failedAnswer(answer))) {
 			e.settle(j, b, answer)
 			return result{answer: answer, backend: b}
@@ -151,6 +162,17 @@
 	return last
 }
 
+// retrySlow lets a backend that was only slow be tried again, once, where no other is left. It reports whether
+// there is one.
+func (j *job) retrySlow() bool {
+	if j.slow == nil {
+		return false
+	}
+	j.ticket.Tried = slices.DeleteFunc(j.ticket.Tried, func(b *route.Backend) bool { return b == j.slow })
+	j.slow = nil
+	return true
+}
+
 // and returns what is to be said after one more attempt: that it did not run
 // says nothing of an earlier one that did or may have.
 func (r result) and(next result) result {
