spread: a parent without news names no leader

A leader that probes had found was forgotten again, and each change of it begins the round of questions anew (chooser, rule 4), so that boxes asked the first of their list again and again.

Now only a parent that has heard of a leader names one, as before, and also where its news is from before the box's start. TestAParentWithoutNewsNamesNoLeader failed before by construction of the old line (mutant any-parent-names-the-leader).

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -109,6 +109,7 @@
 mutant news-from-before-the-start spread/follow.go 's/u.Fresh && at >= 0 &&/u.Fresh \&\&/' spread 'TestStateOfABoxThatWasCutOff'
 mutant answered-orders-arrive-late control/counted.go 's/return err != nil && .*/return true/' box 'TestServersThatEndInALoad'
 mutant unanswered-orders-forgotten control/arrivals.go 's/if mayArrive \{/if false {/' control 'TestOnlyAnOrder'
+mutant any-parent-names-the-leader spread/follow.go 's/if complete && u.Fresh && at < 0 && !s.fresh \{/if !s.fresh {/' spread 'TestAParentWithoutNews'
 mutant lease-before-established replica/loop.go 's/held && s.Established/held/' replica 'TestALeaderThatIsNotEstablished'
 mutant leaving-ignored route/route.go 's/if b.leaving.Load\(\) \|\| /if /; s/return !view.Servers\[p.Server\].GetLeaving\(\) && !d.gone\[p.Server\]/return true/; s/s == nil \|\| s.Leaving/s == nil/' e2e 'TestLeaving'
 mutant second-file-wins state/file.go 's/if first := s.accepted\(a.Number\); first != nil \{/if first := s.accepted(a.Number); first != nil \&\& first.Digest == a.Digest {/' e2e 'TestRacing'
--- a/spread/follow.go
+++ b/spread/follow.go
@@ -188,10 +188,11 @@
 	complete := s.opts.Replica.View().Index >= u.Index
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.fresh {
+	// The replica's clock begins with the process, so older news has a negative time (5). It
+	// names a leader to ask all the same.
+	if complete && u.Fresh && at < 0 && !s.fresh {
 		s.leader = u.Leader
 	}
-	// The replica's clock begins with the process, so older news has a negative time (5).
 	if complete && u.Fresh && at >= 0 && (!s.fresh || at > s.freshAt) {
 		s.fresh, s.freshAt, s.path = true, at, u.Path
 		s.leader = u.Leader
