state, gateway, throttle: evacuated data halls, servers that warm up, and regions

The gateway and route leave such servers out where candidates are listed, so that no path (retry, resume, second try) can reach them; the ledger counts their copies as gone, so that placement loads what was served there elsewhere and keeps last copies outside. - Warming up is a second source of the limit that throttle shares over all boxes, not a second mechanism: a heartbeat says it, the configuration names the rate. A server that is silent, or that this box could not reach for 3 s, counts as warming up: what came back was served before its heartbeat told of it. - Regions of a route and of its workspace bind where candidates are listed. Ruled out: handing the request to a box of the region; the rule lets the box that the client chose send on by itself, which costs one way less.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -29,6 +29,8 @@
 	FleetPath   = "/v1/fleet"
 	StatusPath  = "/v1/status"
 	ExplainPath = "/v1/explain/"
+	// EvacuationsPath, with a data hall behind it, takes PUT and DELETE.
+	EvacuationsPath = "/v1/evacuations/"
 )
 
 // HeaderOperator names who applies a file.
@@ -68,6 +70,8 @@
 	r.Get(FleetPath, a.show)
 	r.Get(StatusPath, a.status)
 	r.Get(ExplainPath+"{name}", a.explain)
+	r.Put(EvacuationsPath+"{hall}", func(w http.ResponseWriter, r *http.Request) { a.evacuate(w, r, false) })
+	r.Delete(EvacuationsPath+"{hall}", func(w http.ResponseWriter, r *http.Request) { a.evacuate(w, r, true) })
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	r.Get("/readyz", a.ready)
 	r.Handle("/metrics", opts.Meters.Handler())
@@ -242,6 +246,8 @@
 	Held []HeldRow `json:"held,omitempty"`
 	// Limits are the backend servers that name one.
 	Limits []LimitRow `json:"limits,omitempty"`
+	// Evacuations are the data halls whose servers get nothing.
+	Evacuations []EvacuationRow `json:"evacuations,omitempty"`
 	// Asked is the box that was asked, and Said what backend servers said to it of their rest or end.
 	Asked string         `json:"asked,omitempty"`
 	Said  []pushback.Row `json:"said,omitempty"`
@@ -304,7 +310,7 @@
 	}
 	s := &Status{
 		Fleet: version(st.Version), Index: result.Index, Term: result.Term, Leader: result.Leader, Voters: result.Voters,
-		Orders: len(st.Orders), Moves: st.Moves, Boxes: boxRows(st, result), Models: modelRows(st), Held: heldRows(st), Limits: limitRows(st),
+		Orders: len(st.Orders), Moves: st.Moves, Boxes: boxRows(st, result), Models: modelRows(st), Held: heldRows(st), Limits: limitRows(st), Evacuations: evacuationRows(st),
 		Level: st.Level, Waits: levelWaits(st),
 	}
 	return s, nil
--- /dev/null
+++ b/admin/evacuations.go
@@ -0,0 +1,53 @@
+package admin
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+// EvacuationRow is a data hall whose backend servers get nothing.
+type EvacuationRow struct {
+	Hall  string    `json:"hall"`
+	Since time.Time `json:"since"`
+}
+
+func evacuationRows(st *state.State) (rows []EvacuationRow) {
+	for _, hall := range slices.Sorted(maps.Keys(st.Evacuations)) {
+		rows = append(rows, EvacuationRow{hall, time.UnixMilli(st.Evacuations[hall].UnixMs).UTC()})
+	}
+	return rows
+}
+
+// EvacuationAnswer is the answer to an evacuation, or to its end.
+type EvacuationAnswer struct {
+	Hall      string `json:"hall"`
+	Evacuated bool   `json:"evacuated"`
+	// Reason and Text are set when nothing was changed, or when that is not known.
+	Reason string `json:"reason,omitempty"`
+	Text   string `json:"text,omitempty"`
+}
+
+func (a *Admin) evacuate(w http.ResponseWriter, r *http.Request, undo bool) {
+	hall := chi.URLParam(r, "hall")
+	ctx, cancel := context.WithTimeout(r.Context(), applyTimeout)
+	defer cancel()
+	_, why := a.opts.Cluster.Forward(ctx, &wire.Forward{
+		Kind: wire.ForwardKind_FORWARD_EVACUATE, DeadlineMs: uint32(applyTimeout.Milliseconds()), Evacuate: &wire.EvacuateHall{Hall: hall, Undo: undo},
+	})
+	answer := &EvacuationAnswer{Hall: hall, Evacuated: !undo}
+	if why == nil {
+		a.reply(w, http.StatusOK, answer)
+		return
+	}
+	a.opts.Meters.Refuse(why)
+	answer.Reason, answer.Text = why.Code, why.Title+" "+why.Text
+	a.reply(w, why.Status, answer)
+}
--- a/box/box.go
+++ b/box/box.go
@@ -88,6 +88,7 @@
 
 // parts are what works once the box belongs to a cluster.
 type parts struct {
+	regions   map[string]string // of data halls, by the settings
 	replica   *replica.Replica
 	spread    *spread.Spreader
 	directory *route.Directory
@@ -305,7 +306,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	p := &parts{replica: r, directory: route.NewDirectory(s.Hall), accept: spread.Patience{All: s.AcceptWait, Most: s.AcceptMost}, notices: make(chan gateway.Notice, noticesLength)}
+	p := &parts{replica: r, regions: s.Regions, directory: route.NewDirectory(s.Hall), accept: spread.Patience{All: s.AcceptWait, Most: s.AcceptMost}, notices: make(chan gateway.Notice, noticesLength)}
 	b.id.follow(func() level.Level { return r.View().Level })
 	p.crashes = newCrashes(state.ProcessID(self), b.log, b.meters)
 	p.spread = spread.New(spread.Options{
--- a/box/lead.go
+++ b/box/lead.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"leverdrum/control"
 	"leverdrum/reason"
 	"leverdrum/replica"
 	"leverdrum/state"
@@ -30,6 +31,10 @@
 		return reason.DiskFull
 	case errors.Is(err, replica.ErrBusy):
 		return reason.Busy
+	case errors.Is(err, control.ErrLevel):
+		return reason.LevelLow
+	case errors.Is(err, errUnknownHall):
+		return reason.UnknownHall
 	}
 	return reason.ApplyUnknown
 }
@@ -46,6 +51,8 @@
 		return &wire.ForwardAnswer{}, p.control.Notice(ctx, f)
 	case wire.ForwardKind_FORWARD_CRASHES:
 		return &wire.ForwardAnswer{}, p.control.TakeCrashes(ctx, f.Crashes)
+	case wire.ForwardKind_FORWARD_EVACUATE:
+		return leadEvacuate(ctx, p, f.Evacuate)
 	case wire.ForwardKind_FORWARD_READ:
 		return leadRead(ctx, p, f.FileOnly)
 	case wire.ForwardKind_FORWARD_JOIN:
@@ -91,6 +98,18 @@
 	return &wire.ForwardAnswer{Apply: answer}, nil
 }
 
+// errUnknownHall: nothing that the box knows of stands in the data hall.
+var errUnknownHall = errors.New("the data hall is not known")
+
+// leadEvacuate has an evacuation agreed, or taken back.
+func leadEvacuate(ctx context.Context, p *parts, e *wire.EvacuateHall) (*wire.ForwardAnswer, error) {
+	hall := e.GetHall()
+	if view := p.replica.View(); !view.KnowsHall(hall) && !view.Evacuated(hall) && p.regions[hall] == "" {
+		return nil, errUnknownHall
+	}
+	return &wire.ForwardAnswer{}, p.control.Evacuate(ctx, e)
+}
+
 // leadRead reads what is agreed, or the fleet file alone: the rest of the state is several times
 // as large as the packed file, and goes over the slow link of the box that asks.
 func leadRead(ctx context.Context, p *parts, fileOnly bool) (*wire.ForwardAnswer, error) {
--- a/box/platform.go
+++ b/box/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"net/http"
 	"slices"
@@ -47,7 +48,7 @@
 			}
 		},
 		Crashes: p.crashes.add, Quotas: p.quotas.limiter, Pushback: p.pushback,
-		Hall: s.Hall, Parting: s.Parting,
+		Hall: s.Hall, Parting: s.Parting, RegionOf: func(hall string) string { return regionOf(p.replica.View(), s, hall) },
 		Budget: gateway.Budget{Ratio: s.BudgetRatio, Slack: s.BudgetSlack, Window: s.BudgetWindow},
 		Meters: b.meters, Log: b.log,
 	})
@@ -73,6 +74,14 @@
 	}
 }
 
+// regionOf tells the region of a data hall by the fleet file, else by the settings.
+func regionOf(view *state.State, s *settings.Settings, hall string) string {
+	if view.Fleet != nil && view.Fleet.Halls[hall] != nil {
+		return view.Fleet.Halls[hall].Region
+	}
+	return s.Regions[hall]
+}
+
 // tellLimit has the leader hear what a server named as its limit.
 func (p *parts) tellLimit(server string, limit dialect.Limit) {
 	select {
@@ -201,7 +210,7 @@
 // acknowledged without a leader, too.
 func (c *platformCluster) Announce(ctx context.Context, a *wire.Announcement) error {
 	known := c.parts.replica.View().Announced[a.Id]
-	nothingNew := known != nil && (known.Leaving || !a.Leaving) && known.Address == a.Address && known.Service == a.Service
+	nothingNew := known != nil && (known.Leaving || !a.Leaving) && known.Address == a.Address && known.Service == a.Service && (known.Cold || !a.Cold)
 	if nothingNew {
 		short, cancel := context.WithTimeout(ctx, knownTimeout)
 		defer cancel()
@@ -220,6 +229,16 @@
 	return err
 }
 
+// Evacuate has a data hall evacuated, or that taken back.
+func (c *platformCluster) Evacuate(ctx context.Context, hall string, undo bool) error {
+	_, err := c.forward(ctx, &wire.Forward{Kind: wire.ForwardKind_FORWARD_EVACUATE, Evacuate: &wire.EvacuateHall{Hall: hall, Undo: undo}})
+	var refused *refusedError
+	if errors.As(err, &refused) && refused.why == reason.UnknownHall {
+		return platform.ErrUnknownHall
+	}
+	return err
+}
+
 // Observer returns where the leader hears announcements.
 func (c *platformCluster) Observer() string {
 	leader := c.parts.spread.Leader()
--- a/box/quotas.go
+++ b/box/quotas.go
@@ -114,8 +114,8 @@
 // serverLimits tells what servers are bounded by: as agreed, else as the box that asks was told.
 func serverLimits(view *state.State) func(rate.Asked) (rate.Limit, bool) {
 	return func(a rate.Asked) (rate.Limit, bool) {
-		if agreed := view.LimitOf(a.Name); agreed != 0 {
-			return throttle.LimitOf(agreed), true
+		if agreed := throttle.Both(view.LimitOf(a.Name), view.WarmUpLimit(a.Name)); agreed.Bounded() {
+			return agreed, true
 		}
 		told := throttle.LimitOf(dialect.LimitOf(a.PerSecond))
 		return told, told.Bounded()
--- a/command/command.go
+++ b/command/command.go
@@ -72,7 +72,7 @@
 	commander.Output, commander.Error = out, errOut
 	commander.Register(commander.HelpCommand(), "")
 	for _, cmd := range []subcommands.Command{
-		&checkCommand{p}, &applyCommand{p: p, c: c}, &showCommand{p, c}, &statusCommand{p, c}, &explainCommand{p, c}, &storyCommand{p, os.Stdin}, &dayCommand{storyCommand: storyCommand{p, os.Stdin}}, &keyCommand{p}, &docsCommand{p},
+		&checkCommand{p}, &applyCommand{p: p, c: c}, &showCommand{p, c}, &statusCommand{p, c}, &explainCommand{p, c}, &storyCommand{p, os.Stdin}, &dayCommand{storyCommand: storyCommand{p, os.Stdin}}, &evacuateCommand{p: p, c: c}, &keyCommand{p}, &docsCommand{p},
 	} {
 		commander.Register(cmd, "")
 	}
--- a/command/read.go
+++ b/command/read.go
@@ -94,6 +94,9 @@
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t\t\t\n", m.Name, m.Version, strings.Join(m.Ready, " "), strings.Join(m.Coming, " "))
 	}
 	t.Flush()
+	for _, e := range r.Evacuations {
+		fmt.Fprintf(w, "\ndata hall %s is evacuated since %s: nothing goes to its backend servers\n", e.Hall, e.Since.Format("15:04:05Z07:00"))
+	}
 	if len(r.Limits) > 0 {
 		fmt.Fprintln(w, "\nservers that take no more than they name, in requests a second over all boxes:")
 	}
--- a/control/announce.go
+++ b/control/announce.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"leverdrum/event"
+	"leverdrum/level"
 	"leverdrum/replica"
 	"leverdrum/state"
 	"leverdrum/wire"
@@ -59,6 +60,7 @@
 		return replica.ErrNotLeader
 	}
 	view := c.opts.Replica.View()
+	a.Cold = a.Cold && view.Level >= level.Evacuations
 	known := view.Announced[a.Id]
 	if view.Outlived(a) || known == nil && strange(a, view) {
 		return nil
@@ -108,7 +110,7 @@
 		return false, false
 	case contested && !h.insisted(time.Now()):
 		return false, false
-	case known == nil, known.Silent, known.Address != a.Address, known.Service != a.Service, known.Hall != a.Hall:
+	case known == nil, known.Silent, known.Address != a.Address, known.Service != a.Service, known.Hall != a.Hall, known.Cold != a.Cold:
 		news = true
 	default:
 		news = !slices.Equal(known.AtHand, a.AtHand)
--- /dev/null
+++ b/control/evacuate.go
@@ -0,0 +1,32 @@
+package control
+
+import (
+	"context"
+	"errors"
+
+	"go.uber.org/zap"
+
+	"leverdrum/event"
+	"leverdrum/level"
+	"leverdrum/replica"
+	"leverdrum/wire"
+)
+
+// ErrLevel: some box's build does not know what was asked for yet.
+var ErrLevel = errors.New("not all boxes know this call yet")
+
+// Evacuate has agreed that nothing goes to the servers of a data hall, or that this ends. It may be repeated.
+func (c *Controller) Evacuate(ctx context.Context, e *wire.EvacuateHall) error {
+	if !c.leads() {
+		return replica.ErrNotLeader
+	}
+	if c.opts.Replica.View().Level < level.Evacuations {
+		return ErrLevel
+	}
+	cmd := &wire.EvacuateHall{Hall: e.Hall, Undo: e.Undo}
+	if _, err := c.opts.Replica.Propose(ctx, &wire.Command{Kind: &wire.Command_Evacuate{Evacuate: cmd}}); err != nil {
+		return err
+	}
+	event.HallEvacuated.Log(c.opts.Log, zap.String("hall", e.Hall), zap.Bool("undo", e.Undo))
+	return nil
+}
--- a/event/event.go
+++ b/event/event.go
@@ -68,6 +68,7 @@
 	ServerRested      = add(Event{"server-rested", zapcore.InfoLevel, "A backend server takes requests of this box again after its rest.", "Nothing; rested is how long it asked for in all, late how much later it was tried."})
 	ServerDraining    = add(Event{"server-draining", zapcore.InfoLevel, "A backend server said in an answer that it is about to end.", "Nothing."})
 	PushbackMalformed = add(Event{"pushback-malformed", zapcore.WarnLevel, "A backend server's answer names a rest, or tells of its end, in a way that cannot be read or is out of range.", "Fix the server; what cannot be read is ignored."})
+	HallEvacuated     = add(Event{"hall-evacuated", zapcore.InfoLevel, "Operators had a data hall evacuated, or took that back.", "Nothing; while it holds nothing goes to the hall's backend servers."})
 	ServerSilent      = add(Event{"server-silent", zapcore.InfoLevel, "A backend server was not heard for a time.", "See whether it runs and reaches a box."})
 )
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -40,8 +40,10 @@
 	// Routes, by host and path, lead to pools.
 	Routes []*Route
 	// Pools are the services whose backend servers announce themselves.
-	Pools  map[string]*Pool
-	Limits Limits
+	Pools map[string]*Pool
+	// WarmsUp tells that servers of some pool take less while they warm up.
+	WarmsUp bool
+	Limits  Limits
 	// Workspaces are whom requests belong to, nil where nobody needs a key.
 	Workspaces *workspace.Book
 	kinds      map[string]*Kind
--- a/fleet/routes.go
+++ b/fleet/routes.go
@@ -46,7 +46,9 @@
 	Affinity bool
 	// Public routes need no key.
 	Public bool
-	Split  []Share
+	// Regions are those in which its requests may be served, none: any.
+	Regions []string
+	Split   []Share
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -67,6 +69,8 @@
 	MaxConnections int
 	// Kind is what its servers are, nil for plain services.
 	Kind *Kind
+	// WarmUpRate is how many requests a second one of its servers takes while it warms up, 0: as many as ever.
+	WarmUpRate float64
 }
 
 // Limits bound what a caller may send.
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -22,6 +22,8 @@
 	limits fleet.Limits
 	pools  map[string]*pool
 	fleet  *fleet.Fleet
+	// evacuates tells that some data hall is evacuated.
+	evacuates bool
 }
 
 // pool is one service with its servers.
@@ -39,7 +41,8 @@
 // directory makes tables from the agreed state and keeps the servers between
 // them.
 type directory struct {
-	hall string
+	hall     string
+	regionOf func(hall string) string
 	// parting is how long a server that leaves is a last resort.
 	parting  time.Duration
 	pushback *pushback.Registry // nil: no server says anything of itself
@@ -54,7 +57,7 @@
 }
 
 func newDirectory(hall string, parting time.Duration, said *pushback.Registry) *directory {
-	d := &directory{hall: hall, parting: parting, pushback: said, servers: map[string]*server{}, loading: map[ledger.Place]time.Time{}, making: map[string]*making{}}
+	d := &directory{hall: hall, regionOf: func(string) string { return "" }, parting: parting, pushback: said, servers: map[string]*server{}, loading: map[ledger.Place]time.Time{}, making: map[string]*making{}}
 	d.current.Store(&table{})
 	first := make(chan struct{})
 	d.changed.Store(&first)
@@ -79,7 +82,7 @@
 	}
 	t := &table{
 		number: view.Version.GetNumber(), index: view.Version.GetIndex(), limits: view.Fleet.Limits,
-		pools: map[string]*pool{}, fleet: view.Fleet,
+		pools: map[string]*pool{}, fleet: view.Fleet, evacuates: len(view.Evacuations) > 0,
 	}
 	// Servers come and go far more often than routes change.
 	if old := d.current.Load(); old.routes != nil && old.index == t.index {
@@ -118,9 +121,11 @@
 		s := d.servers[id]
 		if s == nil {
 			s = newServer(a)
+			s.region = d.regionOf(a.Hall)
 			d.servers[id] = s
 		}
 		s.silent.Store(a.Silent)
+		s.evacuated.Store(view.Evacuated(a.Hall))
 		if since, drains := d.pushback.Drains(id); drains {
 			d.part(s, time.Now().Add(-since))
 		}
@@ -218,7 +223,7 @@
 	}
 	for _, place := range loading {
 		a := view.Announced[place.Server]
-		if a == nil || t.pools[a.Service] == nil {
+		if a == nil || t.pools[a.Service] == nil || view.Evacuated(a.Hall) {
 			continue
 		}
 		if _, seen := d.loading[place]; !seen {
--- a/gateway/find.go
+++ b/gateway/find.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"leverdrum/fleet"
@@ -88,16 +89,35 @@
 	if p == nil {
 		return nil, reason.NoServer
 	}
+	if j.regions.bounded() && !slices.ContainsFunc(p.servers, j.regions.allow) {
+		return nil, reason.NoRegion
+	}
 	if j.prompt.Model == "" || p.Kind == nil {
-		if len(p.servers) == 0 {
+		list := j.admissible(t, p.servers)
+		if len(list) == 0 {
 			return nil, reason.NoServer
 		}
-		return p.servers, nil
+		return list, nil
 	}
 	if t.fleet.Models[j.prompt.Model] == nil {
 		return nil, reason.UnknownModel
 	}
-	return p.holding[wantedOf(j.prompt)], nil
+	return j.admissible(t, p.holding[wantedOf(j.prompt)]), nil
+}
+
+// admissible returns the servers of a list that the request may be sent to: none in an evacuated data hall, nor outside of
+// the regions in which it may be served (12).
+func (j *job) admissible(t *table, list []*server) []*server {
+	if !t.evacuates && !j.regions.bounded() {
+		return list
+	}
+	var out []*server
+	for _, s := range list {
+		if !s.evacuated.Load() && j.regions.allow(s) {
+			out = append(out, s)
+		}
+	}
+	return out
 }
 
 // wait waits for news, or a moment where servers are there that were all tried.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,8 @@
 //  11. A server gets no more than it says that it takes (package pushback): its limit over all boxes, nothing while it rests.
 //     Where no other server is left the request is refused at once, with the time at which one takes it. What it says is
 //     read from every answer that comes from it, whatever request that is for.
+//  12. Nothing goes to a server of an evacuated data hall, nor to one outside of the regions in which the request's route and
+//     its workspace allow it to be served. Where no server stands in such a region the request is refused at once.
 package gateway
 
 import (
@@ -69,6 +71,8 @@
 	// Pushback keeps to what servers say of themselves; nil where none does.
 	Pushback *pushback.Registry
 	Hall     string
+	// RegionOf tells the region of a data hall, "" where that is not known; nil: of none.
+	RegionOf func(hall string) string
 	// Parting is how long a server that leaves is a last resort.
 	Parting time.Duration
 	Budget  Budget
@@ -103,6 +107,9 @@
 		opts.Crashes = func(*wire.CrashReport) {}
 	}
 	g := &Gateway{opts: opts, dir: newDirectory(opts.Hall, opts.Parting*partingShare/100, opts.Pushback), demand: newDemand(), reading: newReading(), lasting: newLasting(), notices: newNotices(opts.Notice), stopping: make(chan struct{})}
+	if opts.RegionOf != nil {
+		g.dir.regionOf = opts.RegionOf
+	}
 	g.budgets = newBudgets(opts.Budget, g.dir.boxes)
 	g.broken = crasher.NewWatch(opts.Crashes)
 	return g
@@ -175,6 +182,7 @@
 	}
 	j := g.newJob(w, r, t, route, body, arrived)
 	j.owner, j.keyed = owner, t.fleet.Workspaces != nil
+	j.regions = regionsOf(route, owner)
 	j.serve()
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -148,7 +148,7 @@
 	own.Fetch, own.Reserved = "X-Fetch", []string{"X-Reserved"}
 	s.gate = gateway.New(gateway.Options{
 		Dialect: own, View: func() *state.State { return s.view }, Current: func() bool { s.asked(); return true }, Hall: "h",
-		Budget: gateway.Budget{Ratio: 1, Slack: 100, Window: 10 * time.Second}, Quotas: quotas, Meters: meter.New(), Log: zap.New(lines),
+		Budget: gateway.Budget{Ratio: 1, Slack: 100, Window: 10 * time.Second}, Quotas: quotas, Meters: meter.New(), Log: zap.New(lines), RegionOf: func(hall string) string { return "region-of-" + hall },
 	})
 	s.gate.Changed()
 	server := httptest.NewServer(s.gate)
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -30,6 +30,7 @@
 	owner    *workspace.Workspace // whose request it is; nil: nobody's
 	refusal  *rate.Refusal        // by the quota; nil: it bore the request
 	keyed    bool                 // the fleet has workspaces, so that the caller's key is for the system
+	regions  regions              // in which it may be served
 	poolName string
 	number   uint64 // of the configuration that routed it
 	id       string
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -20,11 +20,14 @@
 	version string // of its software
 	address string
 	hall    string
+	region  string
 	slots   int
 	hash    uint64
 	conns   *conns
 	leaving atomic.Int64 // since when, in unix nanoseconds; 0: it stays
 	silent  atomic.Bool
+	// evacuated tells that nothing goes to its data hall.
+	evacuated atomic.Bool
 
 	mu               sync.Mutex
 	inFlight         int
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -19,6 +19,7 @@
 //     none from before can arrive any more.
 //  7. An accelerator holds no more adapters than it has slots, those that are
 //     coming or going included.
+//  8. A server in a data hall that is evacuated gets no load, and its copies do not count as ready elsewhere.
 package ledger
 
 import (
@@ -59,6 +60,8 @@
 	Servers   map[string]*wire.ServerState
 	Residents map[Place]*wire.Resident
 	Orders    map[uint64]*wire.Order
+	// Evacuations are the data halls whose servers get nothing, by name.
+	Evacuations map[string]*wire.Evacuation
 }
 
 // Used returns the bytes counted on an accelerator (1).
@@ -117,10 +120,16 @@
 	return nil
 }
 
+// Evacuated reports whether the servers of a data hall get nothing.
+func (b *Book) Evacuated(hall string) bool { return b.Evacuations[hall] != nil }
+
 func (b *Book) checkLoad(s *fleet.Server, o *wire.Order) error {
 	if s.Leaving || b.Servers[o.Server].Leaving {
 		return Error.New("server %s is leaving", o.Server)
 	}
+	if b.Evacuated(s.Hall) { // (8)
+		return Error.New("data hall %s of server %s is evacuated", s.Hall, o.Server)
+	}
 	if b.Residents[PlaceOf(o)] != nil {
 		return Error.New("%s is resident there already", Describe(o.Item))
 	}
@@ -232,7 +241,7 @@
 		if p.Version != b.version(place) {
 			continue
 		}
-		if s := b.server(p.Server); s != nil && !s.Leaving && !b.Servers[p.Server].GetLeaving() {
+		if s := b.server(p.Server); s != nil && !s.Leaving && !b.Servers[p.Server].GetLeaving() && !b.Evacuated(s.Hall) {
 			return true
 		}
 	}
--- a/level/level.go
+++ b/level/level.go
@@ -32,6 +32,8 @@
 	ServerLimits
 	// ServerRests: boxes tell the leader of long rests that backend servers ask for.
 	ServerRests
+	// Evacuations: data halls whose backend servers get nothing are agreed, and so is which servers warm up.
+	Evacuations
 	// end is behind the newest.
 	end
 )
@@ -45,6 +47,7 @@
 	Workspaces:   "workspaces in fleet files",
 	ServerLimits: "limits that backend servers name",
 	ServerRests:  "long rests that backend servers ask for",
+	Evacuations:  "evacuations of data halls, and servers that warm up",
 }
 
 func (l Level) String() string {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -222,7 +222,7 @@
 
 func (p *planner) unusable(s *fleet.Server) bool {
 	seen := p.in.State.Servers[s.Name]
-	return s.Leaving || seen.GetIncarnation() == "" || seen.GetLeaving() || p.in.Down[s.Name]
+	return s.Leaving || seen.GetIncarnation() == "" || seen.GetLeaving() || p.in.Down[s.Name] || p.in.State.Evacuated(s.Hall)
 }
 
 func (p *planner) countOrders() {
--- a/pushback/pushback.go
+++ b/pushback/pushback.go
@@ -342,5 +342,12 @@
 	return r.opts.Throttle.Limit(server)
 }
 
+// NoteUnreached records that no connection to a server could be opened: it may be starting again.
+func (r *Registry) NoteUnreached(server string) {
+	if r != nil {
+		r.opts.Throttle.NoteUnreached(server)
+	}
+}
+
 // DueForTry reports whether a server with a limit is to be tried now though others are preferred.
 func (r *Registry) DueForTry(server string) bool { return r.opts.Throttle.DueForTry(server) }
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -70,6 +70,7 @@
 	QuotaUnsure    = add(Reason{"quota-unsure", Callers, "What the workspace may still use is not known: no other box can be asked.", "Come back.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	NotResident    = add(Reason{"not-resident", Callers, "The model is not loaded anywhere yet.", "Come back; `leverdrum explain` says why.", http.StatusServiceUnavailable, NotRun, 2 * second})
 	NoServer       = add(Reason{"no-server", Callers, "No backend server can take the request now.", "Come back.", http.StatusServiceUnavailable, NotRun, 1 * second})
+	NoRegion       = add(Reason{"no-region", Callers, "No backend server stands in a region in which the request may be served.", "See the regions that the route and the workspace allow.", http.StatusServiceUnavailable, NotRun, 5 * second})
 	ServersLimited = add(Reason{"servers-limited", Callers, "The servers that could run the request take no more requests a second than they are sent.", "Come back when the answer says; `leverdrum status` lists servers with a limit.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	ServersResting = add(Reason{"servers-resting", Callers, "The servers that could run the request turned others away and want none for a time.", "Come back when the answer says; `leverdrum status` lists servers that rest.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	Overloaded     = add(Reason{"overloaded", Callers, "The request would not be answered within its deadline.", "Come back, or ask for fewer at once.", http.StatusServiceUnavailable, NotRun, 1 * second})
@@ -98,6 +99,8 @@
 	ApplyUnknown = add(Reason{"apply-unknown", Operators, "Whether the file was accepted is not known.", "Send the same file again; that settles it.", http.StatusGatewayTimeout, Unknown, 1 * second})
 	DiskFull     = add(Reason{"disk-full", Operators, "The leader's data folder has no room.", "Free some space or raise [data] limit.", http.StatusInsufficientStorage, NotRun, 0})
 	Busy         = add(Reason{"busy", Operators, "Too much waits on the leader.", "Come back.", http.StatusServiceUnavailable, NotRun, 1 * second})
+	UnknownHall  = add(Reason{"unknown-hall", Operators, "No box and no backend server stands in this data hall.", "Check its name; `leverdrum status` names the halls of the boxes.", http.StatusNotFound, NotRun, 0})
+	LevelLow     = add(Reason{"level-low", Operators, "Some box's build does not know this call yet.", "Come back once `leverdrum status` shows the newest level.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	NotFound     = add(Reason{"not-found", Operators, "There is no record of it.", "Records are bounded; look at another box or later.", http.StatusNotFound, NotRun, 0})
 )
 
--- a/route/route.go
+++ b/route/route.go
@@ -159,7 +159,7 @@
 		t.Models[name] = &Target{Name: name, Class: view.Fleet.Models[a.Model].Class, AffinitySlack: view.Fleet.AffinitySlack}
 	}
 	for name, s := range view.Fleet.Services {
-		t.Services[name] = d.serviceTarget(name, s)
+		t.Services[name] = d.serviceTarget(view, name, s)
 	}
 	d.placeResidents(t, view)
 	d.table.Store(t)
@@ -206,10 +206,10 @@
 	return next
 }
 
-func (d *Directory) serviceTarget(name string, s *fleet.Service) *Target {
+func (d *Directory) serviceTarget(view *state.State, name string, s *fleet.Service) *Target {
 	t := &Target{Name: name, Class: s.Class, Service: s}
 	for _, i := range s.Instances {
-		if !i.Leaving && !d.gone[i.Name] {
+		if !i.Leaving && !d.gone[i.Name] && !view.Evacuated(i.Hall) {
 			t.Backends = append(t.Backends, d.backends[i.Name])
 		}
 	}
@@ -263,7 +263,7 @@
 	if r.Phase != wire.Phase_PHASE_READY || s == nil || s.Leaving { // (1)
 		return false
 	}
-	return !view.Servers[p.Server].GetLeaving() && !d.gone[p.Server]
+	return !view.Servers[p.Server].GetLeaving() && !d.gone[p.Server] && !view.Evacuated(s.Hall)
 }
 
 // base is where a model is ready, in whatever version.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -26,6 +26,7 @@
 	{Kind: "box", Required: true, Text: "Who this box is.", Keys: []conf.Key{
 		{Name: "name", Type: conf.Name, Required: true, Text: "The box's name, unlike that of all others."},
 		{Name: "hall", Type: conf.Name, Required: true, Text: "The data hall that it stands in."},
+		{Name: "regions", Type: conf.Lines, Default: "", Text: "HALL=REGION of each data hall, where the fleet file does not tell."},
 		{Name: "roles", Type: conf.Choices, Choices: []string{RoleControl, RoleEntry}, Default: "entry", Text: "What it does. `control` needs a data folder."},
 	}},
 	{Kind: "cluster", Required: true, Text: "Whom it belongs to.", Keys: []conf.Key{
@@ -115,6 +116,8 @@
 	Box   string
 	Hall  string
 	Roles []string
+	// Regions are those of data halls, by hall.
+	Regions map[string]string
 
 	Cluster      string
 	FirstMembers []string
@@ -210,8 +213,8 @@
 	entry, data, tls := d.Part("entry"), d.Part("data"), d.Part("tls")
 	timing, platform, operator, budget := d.Part("timing"), d.Part("platform"), d.Part("operator"), d.Part("budget")
 	s := &Settings{
-		Box: box.String("name"), Hall: box.String("hall"), Roles: box.List("roles"),
-		Cluster: cluster.String("name"), FirstMembers: cluster.List("first-members"), Boxes: addresses(cluster.List("boxes")),
+		Box: box.String("name"), Hall: box.String("hall"), Regions: pairs(box.List("regions")), Roles: box.List("roles"),
+		Cluster: cluster.String("name"), FirstMembers: cluster.List("first-members"), Boxes: pairs(cluster.List("boxes")),
 		PeerListen: peer.String("listen"), PeerAdvertise: cmp.Or(peer.String("advertise"), peer.String("listen")), PlainAnywhere: peer.String("plain-text") == "anywhere",
 		EntryListen: entry.String("listen"), MaxBody: int64(entry.Bytes("max-body")),
 		HeaderTimeout: entry.Duration("header-timeout"), BodyTimeout: entry.Duration("body-timeout"), BalancerLag: entry.Duration("balancer-lag"), StopTimeout: entry.Duration("stop-timeout"),
@@ -273,7 +276,7 @@
 	return netip.AddrPortFrom(ip, own.Port()).String()
 }
 
-func addresses(list []string) map[string]string {
+func pairs(list []string) map[string]string {
 	m := map[string]string{}
 	for _, item := range list {
 		name, address, _ := strings.Cut(item, "=")
@@ -290,6 +293,11 @@
 	if s.Entry() && s.EntryListen == "" {
 		d.Part("entry").Fault("listen", "the role entry needs an address for callers", "IP number:port")
 	}
+	for hall, region := range s.Regions {
+		if !conf.ValidName(hall) || region == "" {
+			d.Part("box").Fault("regions", "holds something other than HALL=REGION", "HALL=REGION, separated by commas")
+		}
+	}
 	if s.Lease >= s.Election {
 		d.Part("timing").Fault("lease", "is not below election", "less than "+s.Election.String())
 	}
--- a/state/announce.go
+++ b/state/announce.go
@@ -8,6 +8,7 @@
 
 	"leverdrum/fleet"
 	"leverdrum/ledger"
+	"leverdrum/level"
 	"leverdrum/wire"
 )
 
@@ -37,6 +38,7 @@
 	next.Sequence, next.RemainingMs, next.Residents, next.TakeResidents = 0, 0, nil, false
 	next.Leaving = a.Leaving || old.GetLeaving() // (2)
 	next.Heir = heir || old.GetHeir()
+	next.Cold = a.Cold && s.Level >= level.Evacuations
 	s.Announced[a.Id] = next
 	if old == nil {
 		s.silenceOthers(next) // (3)
--- /dev/null
+++ b/state/evacuation.go
@@ -0,0 +1,54 @@
+package state
+
+import (
+	"leverdrum/dialect"
+	"leverdrum/level"
+	"leverdrum/wire"
+)
+
+// evacuate marks a data hall, or clears the mark. Both may be repeated.
+func (s *State) evacuate(e *wire.EvacuateHall, unixMs int64) {
+	if s.Level < level.Evacuations {
+		return
+	}
+	switch {
+	case e.Undo:
+		delete(s.Evacuations, e.Hall)
+	case s.Evacuations[e.Hall] == nil:
+		s.Evacuations[e.Hall] = &wire.Evacuation{Hall: e.Hall, UnixMs: unixMs}
+	}
+}
+
+// KnowsHall reports whether a box or a backend server stands in a data hall, or the fleet file names it.
+func (s *State) KnowsHall(hall string) bool {
+	for _, m := range s.Members {
+		if m.Hall == hall {
+			return true
+		}
+	}
+	for _, a := range s.Announced {
+		if a.Hall == hall {
+			return true
+		}
+	}
+	return s.Fleet != nil && s.Fleet.Halls[hall] != nil
+}
+
+// WarmUpLimit returns what a backend server takes while it warms up, 0 for no limit. One that is silent may be starting
+// again, and the first request would reach it before its next heartbeat.
+func (s *State) WarmUpLimit(server string) dialect.Limit {
+	a := s.Announced[server]
+	if a == nil || !a.Cold && !a.Silent {
+		return 0
+	}
+	return s.WarmUpRate(server)
+}
+
+// WarmUpRate returns what a backend server takes whenever it warms up, 0 for no limit.
+func (s *State) WarmUpRate(server string) dialect.Limit {
+	a := s.Announced[server]
+	if a == nil || s.Fleet == nil || s.Fleet.Pools[a.Service] == nil {
+		return 0
+	}
+	return dialect.LimitOf(s.Fleet.Pools[a.Service].WarmUpRate)
+}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -35,6 +35,9 @@
 	for _, k := range slices.Sorted(maps.Keys(s.Limits)) {
 		w.Limits = append(w.Limits, s.Limits[k])
 	}
+	for _, k := range slices.Sorted(maps.Keys(s.Evacuations)) {
+		w.Evacuations = append(w.Evacuations, s.Evacuations[k])
+	}
 	return w
 }
 
@@ -82,6 +85,9 @@
 	for _, l := range w.GetLimits() {
 		s.Limits[l.Server] = l
 	}
+	for _, e := range w.GetEvacuations() {
+		s.Evacuations[e.Hall] = e
+	}
 	for _, o := range w.GetOrders() {
 		s.Orders[o.Id] = o
 	}
--- a/state/state.go
+++ b/state/state.go
@@ -111,6 +111,8 @@
 			Servers:   map[string]*wire.ServerState{},
 			Residents: map[ledger.Place]*wire.Resident{},
 			Orders:    map[uint64]*wire.Order{},
+
+			Evacuations: map[string]*wire.Evacuation{},
 		},
 	}
 }
@@ -125,6 +127,7 @@
 	c.Most = maps.Clone(s.Most)
 	c.Announced = maps.Clone(s.Announced)
 	c.Limits = maps.Clone(s.Limits)
+	c.Evacuations = maps.Clone(s.Evacuations)
 	c.History = slices.Clone(s.History)
 	return &c
 }
@@ -165,6 +168,8 @@
 		return s.raise(level.Level(k.Raise.Level))
 	case *wire.Command_Limit:
 		s.limitServer(k.Limit, c.UnixMs)
+	case *wire.Command_Evacuate:
+		s.evacuate(k.Evacuate, c.UnixMs)
 	case *wire.Command_Release:
 		return Result{Released: s.Crashers.Release(k.Release, crasher.At{Index: e.Index, Term: e.Term, UnixMs: c.UnixMs})}
 	default:
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -11,6 +11,8 @@
 //     that time.
 //  4. Servers without a limit are preferred. Now and then a request goes to one with a limit all the same: otherwise nobody
 //     would learn that the limit has ended. All boxes together do so less often than the limit allows.
+//  5. A server that warms up, by its heartbeats, has a limit like one that names it. So has one that is not heard, or that
+//     this box lately could not reach: it may be starting, and has not said so yet.
 package throttle
 
 import (
@@ -44,6 +46,9 @@
 	tryShare       = 0.5
 	// maxTryIntervals bounds the time between two tries, in mean times.
 	maxTryIntervals = 5
+	// unreachedFor is how long a server that could not be reached counts as one that may warm up (5): until its next heartbeat
+	// has come to all boxes.
+	unreachedFor = 3 * time.Second
 	// maxReports bounds the servers whose own reports are remembered; those older than keepReportsFor go then.
 	maxReports     = 4096
 	keepReportsFor = time.Minute
@@ -66,6 +71,8 @@
 
 	mu      sync.Mutex
 	reports map[string]*report // by server
+	// unreached is when servers that may warm up could not be reached last (5).
+	unreached map[string]time.Time
 }
 
 // report is what a server said to this box, or what is agreed since.
@@ -81,7 +88,7 @@
 
 // New returns a Throttle.
 func New(opts Options) *Throttle {
-	return &Throttle{opts: opts, reports: map[string]*report{}}
+	return &Throttle{opts: opts, reports: map[string]*report{}, unreached: map[string]time.Time{}}
 }
 
 // Note records what an answer of a server says of its limit. One that names none ends it, if it is surely the server's.
@@ -162,7 +169,8 @@
 	if t == nil {
 		return false
 	}
-	if len(t.opts.View().Limits) > 0 {
+	view := t.opts.View()
+	if len(view.Limits) > 0 || view.Fleet != nil && view.Fleet.WarmsUp {
 		return true
 	}
 	t.mu.Lock()
@@ -170,11 +178,59 @@
 	return len(t.reports) > 0
 }
 
-// Limit returns a server's limit, 0 for none.
+// Limit returns a server's limit, 0 for none: the one that it names, or the lower one that it has while it warms up.
 func (t *Throttle) Limit(server string) dialect.Limit {
 	if t == nil {
 		return 0
 	}
+	return lower(t.named(server), t.warmUp(server))
+}
+
+// lower returns the lower of two limits, of which either may be none.
+func lower(a, b dialect.Limit) dialect.Limit {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
+// NoteUnreached records that no connection to a server could be opened (5).
+func (t *Throttle) NoteUnreached(server string) {
+	if t == nil || t.opts.View().WarmUpRate(server) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.unreached) >= maxReports {
+		clear(t.unreached)
+	}
+	t.unreached[server] = time.Now()
+}
+
+// warmUp is rule 5.
+func (t *Throttle) warmUp(server string) dialect.Limit {
+	view := t.opts.View()
+	if view.Fleet == nil || !view.Fleet.WarmsUp {
+		return 0
+	}
+	if limit := view.WarmUpLimit(server); limit != 0 {
+		return limit
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, noted := t.unreached[server]
+	switch {
+	case !noted:
+		return 0
+	case time.Since(at) > unreachedFor:
+		delete(t.unreached, server)
+		return 0
+	}
+	return view.WarmUpRate(server)
+}
+
+// named returns the limit that a server names, 0 for none.
+func (t *Throttle) named(server string) dialect.Limit {
 	agreed := t.opts.View().LimitOf(server)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -197,6 +253,15 @@
 	return rate.Limit{PerSecond: perSecond, Burst: minBurst + burstSpan*perSecond}
 }
 
+// Both is what all boxes together keep to for a server that names a limit and warms up, of which either may be none. A
+// server that warms up fails at little more than its rate: its limit has no burst that grows with it.
+func Both(named, warmUp dialect.Limit) rate.Limit {
+	if warmUp == 0 || lower(named, warmUp) != warmUp {
+		return LimitOf(named)
+	}
+	return rate.Limit{PerSecond: warmUp.PerSecond(), Burst: minBurst}
+}
+
 // Full returns for how long yet a server's limit admits no request of a rank (3); false where it admits one.
 func (t *Throttle) Full(server string, rank int) (time.Duration, bool) {
 	if t.Limit(server) == 0 {
@@ -207,11 +272,14 @@
 
 // Take asks the server's limit to admit an attempt of a rank (2). The refusal is nil where it does, or there is no limit.
 func (t *Throttle) Take(ctx context.Context, server string, rank int) (rate.Charge, *rate.Refusal) {
-	limit := t.Limit(server)
-	if limit == 0 {
+	if t == nil {
+		return rate.Charge{}, nil
+	}
+	limit := Both(t.named(server), t.warmUp(server))
+	if !limit.Bounded() {
 		return rate.Charge{}, nil
 	}
-	charge, refusal := t.opts.Limiter.Take(ctx, rate.Key{Name: server, Rank: rank}, LimitOf(limit), 1)
+	charge, refusal := t.opts.Limiter.Take(ctx, rate.Key{Name: server, Rank: rank}, limit, 1)
 	outcome := meter.Borne
 	if refusal != nil {
 		outcome = meter.NotBorne
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -14,6 +14,7 @@
 
 	"leverdrum/dialect"
 	"leverdrum/event"
+	"leverdrum/fleet"
 	"leverdrum/internal/clock"
 	"leverdrum/meter"
 	"leverdrum/rate"
@@ -158,3 +159,30 @@
 	}
 	g.Expect(borne).To(BeNumerically("<=", 4), "a tenth of 20, and what a full bucket holds")
 }
+
+// A server that warms up has a limit without a burst that grows with it, of its own word the lower holds; one that could
+// not be reached counts as such until its next heartbeat has come to all.
+func TestServersThatWarmUpAreLimited(t *testing.T) {
+	g := NewWithT(t)
+	view := state.New()
+	view.Fleet = fleet.New()
+	view.Fleet.Pools["p"] = &fleet.Pool{Name: "p", WarmUpRate: 8}
+	view.Fleet.WarmsUp = true
+	view.Announced["s"] = &wire.Announcement{Id: "s", Service: "p"}
+	x, _, _ := newThrottle(t, view)
+	g.Expect(x.Any()).To(BeTrue())
+	g.Expect(x.Limit("s")).To(BeZero())
+	view.Announced["s"] = &wire.Announcement{Id: "s", Service: "p", Cold: true}
+	g.Expect(x.Limit("s").PerSecond()).To(BeEquivalentTo(8))
+	x.Note("s", answer(true, "2"))
+	g.Expect(x.Limit("s").PerSecond()).To(BeEquivalentTo(2))
+	x.Note("s", answer(true))
+	g.Expect(x.Limit("s").PerSecond()).To(BeEquivalentTo(8), "an answer without a limit says nothing of warming up")
+	view.Announced["s"] = &wire.Announcement{Id: "s", Service: "p"}
+	g.Expect(x.Limit("s")).To(BeZero())
+	x.NoteUnreached("s")
+	g.Expect(x.Limit("s").PerSecond()).To(BeEquivalentTo(8))
+	g.Expect(Both(0, 8000)).To(Equal(rate.Limit{PerSecond: 8, Burst: minBurst}))
+	g.Expect(Both(2000, 8000)).To(Equal(LimitOf(2000)))
+	g.Expect(Both(0, 0).Bounded()).To(BeFalse())
+}
--- a/workspace/workspace.go
+++ b/workspace/workspace.go
@@ -37,6 +37,8 @@
 	// Urgency goes before that of the request, 0 the highest (5).
 	Urgency int
 	Quota   Quota
+	// Regions are those in which its requests may be served, none: any.
+	Regions []string
 }
 
 // Book finds the workspaces of a fleet. A nil Book is that of a fleet without workspaces, where
