--- a/admin/admin.go
+++ b/admin/admin.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"google.golang.org/protobuf/proto"
 
 	"leverdrum/fleet"
 	"leverdrum/internal/conf"
@@ -304,13 +305,13 @@
 }
 
 func summarize(result *wire.ReadResult) (*Status, error) {
-	st, err := state.Decode(result.State)
+	st, err := state.Decode(proto.CloneOf(result.State)) // this box's own state, where it leads
 	if err != nil {
 		return nil, err
 	}
 	s := &Status{
 		Fleet: version(st.Version), Index: result.Index, Term: result.Term, Leader: result.Leader, Voters: result.Voters,
-		Orders: len(st.Orders), Moves: st.Moves, Boxes: boxRows(st, result), Models: modelRows(st), Held: heldRows(st), Limits: limitRows(st), Evacuations: evacuationRows(st),
+		Orders: st.Orders.Len(), Moves: st.Moves, Boxes: boxRows(st, result), Models: modelRows(st), Held: heldRows(st), Limits: limitRows(st), Evacuations: evacuationRows(st),
 		Level: st.Level, Waits: levelWaits(st),
 	}
 	return s, nil
--- a/bench/day_test.go
+++ b/bench/day_test.go
@@ -233,7 +233,7 @@
 // servers are used alike, as far as they can be.
 func (o *outcome) add(st *state.State, d *day, step int, down map[string]bool) {
 	copies := map[string][]string{}
-	for p, r := range st.Residents {
+	for p, r := range st.Residents.All() {
 		if p.Adapter == "" && r.Phase == wire.Phase_PHASE_READY && !down[p.Server] {
 			copies[p.Model] = append(copies[p.Model], p.Server)
 		}
--- a/bench/large_test.go
+++ b/bench/large_test.go
@@ -23,11 +23,17 @@
 	_ "leverdrum/platform" // the codec of its files
 )
 
-// The large fleet of the users: boxes, model servers, models, models on each server,
-// adapters of a model, data halls.
+// size is how large a fleet is.
+type size struct{ boxes, servers int }
+
+// The large fleet of the users, and the whole one; the tests of growth go to twice its servers.
+var (
+	large = size{300, 240}
+	whole = size{997, 3900}
+)
+
+// What all of them have: models, models on each server, adapters of a model, data halls.
 const (
-	largeBoxes    = 300
-	largeServers  = 240
 	largeModels   = 399
 	largeEach     = 3
 	largeAdapters = 3
@@ -66,7 +72,7 @@
 
 // largeBox is a box of the fleet.
 func largeBox(i int) *wire.Member {
-	ip := fmt.Sprintf("10.%d.0.%d", i%largeHalls, i)
+	ip := fmt.Sprintf("10.%d.%d.%d", i%largeHalls, i/250, i%250)
 	return &wire.Member{
 		Box: ip, Incarnation: fmt.Sprintf("incarnation-of-26-letters-%d", i), Process: fmt.Sprintf("process-of-some-26-letters-%d", i),
 		Hall: fmt.Sprint("hall", i%largeHalls), PeerAddress: ip + ":7380", EntryAddress: ip + ":8149", AnnounceAddress: ip + ":8144", Disk: i < largeHalls,
@@ -75,7 +81,7 @@
 
 // largeServer is a model server's word.
 func largeServer(i int) *wire.Announcement {
-	a := &wire.Announcement{Id: fmt.Sprintf("i-%010d", i), Service: "s", Address: fmt.Sprintf("10.9.%d.1:80", i), Hall: fmt.Sprint("hall", i%largeHalls), Slots: 48, Engine: true}
+	a := &wire.Announcement{Id: fmt.Sprintf("i-%010d", i), Service: "s", Address: fmt.Sprintf("10.9.%d.%d:80", i/250, i%250), Hall: fmt.Sprint("hall", i%largeHalls), Slots: 48, Engine: true}
 	for k := range largeEach {
 		name := fmt.Sprintf("model%d", (i*largeEach+k)%largeModels)
 		a.Residents = append(a.Residents, &wire.Item{Model: name, Version: "newest"})
@@ -84,8 +90,11 @@
 	return a
 }
 
-// largeEntries are the entries by which the fleet comes to be.
-func largeEntries(t testing.TB) []*wire.Entry {
+// largeEntries are those of the large fleet.
+func largeEntries(t testing.TB) []*wire.Entry { return entriesOf(t, large) }
+
+// entriesOf are the entries by which a fleet of a size comes to be.
+func entriesOf(t testing.TB, n size) []*wire.Entry {
 	var list []*wire.Entry
 	add := func(c *wire.Command) {
 		data, err := proto.Marshal(c)
@@ -94,12 +103,12 @@
 		}
 		list = append(list, &wire.Entry{Index: uint64(len(list) + 1), Term: 1, Kind: wire.EntryKind_ENTRY_COMMAND, Data: data})
 	}
-	for i := range largeBoxes {
+	for i := range n.boxes {
 		add(&wire.Command{Kind: &wire.Command_Join{Join: largeBox(i)}})
 	}
 	text := largeFile(1)
 	add(&wire.Command{Kind: &wire.Command_Apply{Apply: &wire.ApplyFleet{Number: 1, Digest: fleet.Digest([]byte(text)), Text: text, Format: "platform"}}})
-	for i := range largeServers {
+	for i := range n.servers {
 		add(&wire.Command{Kind: &wire.Command_Announce{Announce: largeServer(i)}})
 	}
 	return list
@@ -191,22 +200,27 @@
 }
 
 // adapterOrder is an entry that loads an adapter beside a model, or ends the order before it.
-func adapterOrder(b *testing.B, st *state.State, i int) *wire.Entry {
+func adapterOrder(b testing.TB, st *state.State, i int) *wire.Entry {
 	c := &wire.Command{}
-	for id := range st.Orders {
+	for id := range st.Orders.All() {
 		c.Kind = &wire.Command_Close{Close: &wire.CloseOrder{Id: id, Outcome: wire.OrderOutcome_OUTCOME_NOT_RUN}}
 	}
 	if c.Kind == nil {
-		a := largeServer(i % largeServers)
+		a := largeServer(i % large.servers)
 		model := a.Residents[0].Model
 		c.Kind = &wire.Command_Issue{Issue: &wire.IssueOrder{Order: &wire.Order{
 			Action: wire.OrderAction_ORDER_LOAD, Server: a.Id, ServerIncarnation: a.Id, Memory: 66_000_000,
 			Item: &wire.Item{Model: model, Adapter: fleet.AdapterName(model, "a1"), Version: "newest"},
 		}}}
 	}
+	return entryOf(b, st, c)
+}
+
+// entryOf is the next entry of a state.
+func entryOf(t testing.TB, st *state.State, c *wire.Command) *wire.Entry {
 	data, err := proto.Marshal(c)
 	if err != nil {
-		b.Fatal(err)
+		t.Fatal(err)
 	}
 	return &wire.Entry{Index: st.Index + 1, Term: 1, Kind: wire.EntryKind_ENTRY_COMMAND, Data: data}
 }
@@ -234,20 +248,20 @@
 	for i := range largeModels {
 		demand[fmt.Sprint("model", i)] = placement.Demand{Requests: 800 / float64(i+1), Places: 800 / float64(i+1), Reading: 20 / float64(i+1)}
 	}
-	for place, r := range st.Residents {
+	for place, r := range st.Residents.All() {
 		for lost := range 30 {
 			if place.Model == fmt.Sprint("model", 10*lost+5) {
 				other := fmt.Sprint("model", 10*lost+6)
-				delete(st.Residents, place)
+				st.Residents.Delete(place)
 				r = &wire.Resident{Server: r.Server, Item: &wire.Item{Model: other, Version: "newest"}, Phase: wire.Phase_PHASE_READY, Memory: r.Memory}
-				st.Residents[ledger.PlaceOfResident(r)] = r
+				st.Residents.Set(ledger.PlaceOfResident(r), r)
 			}
 		}
 	}
-	for id, s := range st.Servers { // nothing is at hand: all of them are needs
+	for id, s := range st.Servers.All() { // nothing is at hand: all of them are needs
 		c := proto.CloneOf(s)
 		c.AtHand = nil
-		st.Servers[id] = c
+		st.Servers.Set(id, c)
 	}
 	b.ReportAllocs()
 	within(b, "a decision", mostLargeNeeds, func() {
@@ -260,11 +274,11 @@
 func BenchmarkLargeDayAdapters(b *testing.B) {
 	st := state.New()
 	applyAll(b, st, largeEntries(b))
-	for i := range largeServers {
+	for i := range large.servers {
 		for k := range largeEach - 1 {
 			model := largeServer(i).Residents[k].Model
 			r := &wire.Resident{Server: largeServer(i).Id, Item: &wire.Item{Model: model, Adapter: fleet.AdapterName(model, "a1"), Version: "newest"}, Phase: wire.Phase_PHASE_READY, Memory: 66_000_000}
-			st.Residents[ledger.PlaceOfResident(r)] = r
+			st.Residents.Set(ledger.PlaceOfResident(r), r)
 		}
 	}
 	wanted := map[string]bool{}
--- a/control/announce.go
+++ b/control/announce.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -61,7 +62,7 @@
 	}
 	view := c.opts.Replica.View()
 	a.Cold = a.Cold && view.Level >= level.Evacuations
-	known := view.Announced[a.Id]
+	known := view.Announced.Get(a.Id)
 	if view.Outlived(a) || known == nil && strange(a, view) {
 		return nil
 	}
@@ -121,8 +122,8 @@
 // contested reports whether another id that was heard lately has a server's address: one of
 // the two has ended, and its last words were late.
 func (c *Controller) contested(a *wire.Announcement, view *state.State) bool {
-	for id, other := range view.Announced {
-		if h := c.heard[id]; id != a.Id && other.Address == a.Address && !other.Silent && h != nil && time.Since(h.at) < silentAfter {
+	for _, id := range view.Announced.At(a.Address) {
+		if h := c.heard[id]; id != a.Id && !view.Announced.Get(id).Silent && h != nil && time.Since(h.at) < silentAfter {
 			return true
 		}
 	}
@@ -140,11 +141,9 @@
 // differs reports whether a server's word on its residents has long enough been
 // another than what is agreed.
 func (c *Controller) differs(h *heard, a *wire.Announcement, view *state.State) bool {
-	for _, o := range view.Orders {
-		if o.Server == a.Id {
-			h.differs = time.Time{}
-			return false
-		}
+	if view.Orders.Any(a.Id) {
+		h.differs = time.Time{}
+		return false
 	}
 	if sameModels(a, view) || time.Since(h.ordered) < differFor {
 		h.differs = time.Time{}
@@ -165,8 +164,8 @@
 		}
 	}
 	agreed := map[string]bool{}
-	for p := range view.Residents {
-		if p.Server == a.Id && p.Adapter == "" {
+	for p := range view.Residents.On(a.Id) {
+		if p.Adapter == "" {
 			agreed[p.Model] = true
 		}
 	}
@@ -178,8 +177,10 @@
 	if !c.leads() {
 		return replica.ErrNotLeader
 	}
-	for _, a := range c.opts.Replica.View().Announced {
-		if !meant(w, a) || a.Leaving {
+	view := c.opts.Replica.View()
+	for _, id := range livesOf(view, cmp.Or(w.Name, w.Id)) {
+		a := view.Announced.Get(id)
+		if a == nil || !meant(w, a) || a.Leaving {
 			continue
 		}
 		if _, err := c.opts.Replica.Propose(ctx, &wire.Command{Kind: &wire.Command_Withdraw{Withdraw: &wire.Withdraw{Id: a.Id}}}); err != nil {
@@ -236,7 +237,7 @@
 
 // unheard reports whether an announced server must not be reckoned with.
 func (c *Controller) unheard(view *state.State, id string) bool {
-	if a := view.Announced[id]; a == nil || a.Silent || a.Leaving {
+	if a := view.Announced.Get(id); a == nil || a.Silent || a.Leaving {
 		return true
 	}
 	return false
@@ -245,8 +246,12 @@
 // expire notes which announced servers are silent, and forgets those that are
 // long gone.
 func (c *Controller) expire(ctx context.Context, view *state.State) {
+	if time.Since(c.expiredAt) < round {
+		return
+	}
+	c.expiredAt = time.Now()
 	led := time.Since(c.ledSince)
-	for id, a := range view.Announced {
+	for id, a := range view.Announced.All() {
 		silence, silent := c.silent(id, led)
 		switch {
 		case silence > forgetAfter:
--- a/control/arrivals.go
+++ b/control/arrivals.go
@@ -38,25 +38,30 @@
 
 // serverName is what all lives of a server have in common.
 func serverName(view *state.State, life string) string {
-	if a := view.Announced[life]; a != nil && a.Name != "" {
+	if a := view.Announced.Get(life); a != nil && a.Name != "" {
 		return a.Name
 	}
 	return life
 }
 
+// livesOf returns the ids of the lives of a server; an id stands for itself.
+func livesOf(view *state.State, name string) []string {
+	if ids := view.Announced.Lives(name); len(ids) > 0 {
+		return ids
+	}
+	return []string{name}
+}
+
 // firstLook is rule 3; the lock is held.
 func (c *Controller) firstLook(view *state.State, now time.Time) {
 	c.arrivals = arrivals{}
-	for _, o := range view.Orders {
+	for _, o := range view.Orders.All() {
 		if c.inherited(o) {
 			a := c.arrivals.of(serverName(view, o.Server))
 			a.life, a.until = o.Server, now.Add(lateFor)
 		}
 	}
-	for id, server := range view.Announced {
-		if !server.Heir {
-			continue
-		}
+	for _, id := range view.Announced.Heirs() {
 		seen, ok := c.lives[id]
 		if !ok {
 			seen = now
@@ -66,15 +71,15 @@
 	}
 }
 
-// watchLives notes when this box first saw each life of a server (3). It is called whether the box leads or not.
+// watchLives notes when this box first saw each life of a server that began while an order was open (3). It is called whether the box leads or not.
 func (c *Controller) watchLives(view *state.State, now time.Time) {
-	for id := range view.Announced {
+	for _, id := range view.Announced.Heirs() {
 		if _, seen := c.lives[id]; !seen {
 			c.lives[id] = now
 		}
 	}
 	for id := range c.lives {
-		if view.Announced[id] == nil {
+		if view.Announced.Get(id) == nil {
 			delete(c.lives, id)
 		}
 	}
@@ -109,13 +114,12 @@
 		c.looked = true
 		c.firstLook(view, now)
 	}
-	for id := range view.Announced {
-		a := c.arrivals[serverName(view, id)]
-		if a != nil && a.life != id && (a.open > 0 || now.Before(a.until)) {
-			held[id] = true
-		}
-	}
 	for name, a := range c.arrivals {
+		for _, id := range livesOf(view, name) {
+			if view.Announced.Get(id) != nil && a.life != id && (a.open > 0 || now.Before(a.until)) {
+				held[id] = true
+			}
+		}
 		if a.open == 0 && !now.Before(a.until) {
 			delete(c.arrivals, name)
 		}
--- a/control/beliefs_test.go
+++ b/control/beliefs_test.go
@@ -17,7 +17,7 @@
 func agreedServers(ordered map[string]uint64) *state.State {
 	st := state.New()
 	for name, entry := range ordered {
-		st.Servers[name] = &wire.ServerState{Name: name, Ordered: entry}
+		st.Servers.Set(name, &wire.ServerState{Name: name, Ordered: entry})
 	}
 	return st
 }
@@ -33,7 +33,7 @@
 	c.ledSince, c.term = at(11), 2
 
 	st := agreedServers(map[string]uint64{"old": 5, "never": 0, "new": 0, "lately": 9, "open": 3})
-	st.Orders[3] = &wire.Order{Id: 3, Term: 1, Server: "open"}
+	st.Orders.Set(3, &wire.Order{Id: 3, Term: 1, Server: "open"})
 	c.watchOrders(st, at(11))
 	held := c.held(st, at(11))
 	g.Expect(held["old"]).To(BeFalse(), "its last order is 11 s ago")
@@ -52,8 +52,8 @@
 	now := time.Now()
 	c.ledSince = now.Add(-time.Hour)
 	st := state.New()
-	st.Announced["i~2"] = &wire.Announcement{Id: "i~2", Heir: true}
-	st.Announced["j~2"] = &wire.Announcement{Id: "j~2"}
+	st.Announced.Set("i~2", &wire.Announcement{Id: "i~2", Heir: true})
+	st.Announced.Set("j~2", &wire.Announcement{Id: "j~2"})
 	g.Expect(c.held(st, now)["i~2"]).To(BeTrue())
 	g.Expect(c.held(st, now)["j~2"]).To(BeFalse())
 	g.Expect(c.held(st, now.Add(12*time.Second))["i~2"]).To(BeTrue())
@@ -99,7 +99,7 @@
 	for _, m := range []string{"asked", "unasked", "there"} {
 		st.Fleet.Models[m] = &fleet.Model{Name: m}
 	}
-	st.Residents[ledger.Place{Server: "s", Model: "there"}] = &wire.Resident{Phase: wire.Phase_PHASE_READY}
+	st.Residents.Set(ledger.Place{Server: "s", Model: "there"}, &wire.Resident{Phase: wire.Phase_PHASE_READY})
 	c := New(Options{})
 	start := time.Now()
 	in := func(after time.Duration) *placement.Input {
@@ -123,7 +123,7 @@
 	g := NewWithT(t)
 	c := newLeader(t)
 	st := state.New()
-	st.Announced["i~2"] = &wire.Announcement{Id: "i~2", Name: "i", Heir: true}
+	st.Announced.Set("i~2", &wire.Announcement{Id: "i~2", Name: "i", Heir: true})
 	c.looked = true // it leads since the life before
 	to := &wire.Order{Server: "i"}
 
@@ -145,7 +145,7 @@
 	c := New(Options{OrderPause: 3 * time.Second})
 	now := time.Now()
 	st := state.New()
-	st.Announced["i~2"] = &wire.Announcement{Id: "i~2", Name: "i", Heir: true}
+	st.Announced.Set("i~2", &wire.Announcement{Id: "i~2", Name: "i", Heir: true})
 	c.watchOrders(st, now)
 	c.ledSince = now.Add(10 * time.Second)
 	g.Expect(c.held(st, now.Add(lateFor-time.Second))["i~2"]).To(BeTrue())
--- a/control/control.go
+++ b/control/control.go
@@ -92,7 +92,9 @@
 	DemandSettles time.Duration
 	// DisksOnly keeps boxes without a disk from voting.
 	DisksOnly bool
-	Gone      func() map[string]bool
+	// NeverLeads: this box does not vote, so that there is nothing that it would have to know when it leads.
+	NeverLeads bool
+	Gone       func() map[string]bool
 	// Meet opens a session to a box; nil where boxes find the cluster by themselves.
 	Meet        func(ctx context.Context, box string)
 	Wanted      int // voters
@@ -136,10 +138,12 @@
 	kick      chan struct{}
 	metAt     time.Time     // when silent boxes were called on last
 	boxesAt   time.Time     // when the boxes were looked at last
+	expiredAt time.Time     // when silent servers were looked for last
+	watchedAt time.Time     // when orders were watched last
 	waited    time.Duration // for agreement, in the step under way
 
 	arrivals   arrivals               // orders that may still arrive at servers, see arrivals.go
-	lives      map[string]time.Time   // when this box first saw each life of a server
+	lives      map[string]time.Time   // when this box first saw each life that began while an order was open
 	looked     bool                   // arrivals hold what earlier leaders may have sent
 	knownSince time.Time              // since when all listed boxes know the next level
 	loads      map[uint64]*openLoad   // by order, see loads.go
@@ -164,6 +168,10 @@
 
 // Run acts whenever the box leads, until the context ends.
 func (c *Controller) Run(ctx context.Context) {
+	if c.opts.NeverLeads {
+		<-ctx.Done()
+		return
+	}
 	ticker := time.NewTicker(round)
 	defer ticker.Stop()
 	for {
@@ -198,8 +206,8 @@
 		c.term = status.Term
 		c.turn(leads)
 	}
-	c.watchOrders(c.opts.Replica.View(), time.Now())
 	if !leads {
+		c.watchOrdersNow(c.opts.Replica.View(), round)
 		return
 	}
 	c.lookAtBoxes(ctx)
@@ -214,11 +222,26 @@
 	c.readStates(ctx, view)
 	c.noteServers(ctx, c.opts.Replica.View())
 	// Again, with what was agreed meanwhile: it is decided on the newest state.
-	c.watchOrders(c.opts.Replica.View(), time.Now())
+	every := time.Duration(0)
+	if time.Since(c.ledSince) > c.opts.OrderPause { // only boxes that lead later need it
+		every = round
+	}
+	c.watchOrdersNow(c.opts.Replica.View(), every)
 	c.decide(ctx, c.opts.Replica.View())
 	c.drive(ctx, c.opts.Replica.View())
 }
 
+// watchOrdersNow watches orders unless that was done lately. It goes over all servers; what it sees late counts as made
+// late, which only holds orders back for longer.
+func (c *Controller) watchOrdersNow(view *state.State, every time.Duration) {
+	now := time.Now()
+	if c.ordered != nil && now.Sub(c.watchedAt) < every {
+		return
+	}
+	c.watchedAt = now
+	c.watchOrders(view, now)
+}
+
 // lookAtBoxes keeps voters and the list of boxes. That goes over all boxes, and what it sees
 // changes in seconds: it is not done for each order that sets off a step.
 func (c *Controller) lookAtBoxes(ctx context.Context) {
@@ -274,8 +297,8 @@
 
 // drive sees to it that each open order comes to its end.
 func (c *Controller) drive(ctx context.Context, view *state.State) {
-	for id, o := range view.Orders {
-		s := view.Fleet.Servers[o.Server]
+	for id, o := range view.Orders.All() {
+		s := view.Server(o.Server)
 		if c.inherited(o) && time.Since(c.ledSince) < c.opts.OrderPause && !(s != nil && s.Kind.CountsOrders) { // (5)
 			continue
 		}
--- a/control/decide.go
+++ b/control/decide.go
@@ -19,7 +19,8 @@
 func (c *Controller) down(view *state.State) map[string]bool {
 	down := map[string]bool{}
 	gone := c.opts.Gone()
-	for name, s := range view.Fleet.Servers {
+	for _, s := range view.AllServers() {
+		name := s.Name
 		if s.Pool != "" {
 			down[name] = c.unheard(view, name)
 			continue
--- a/control/orders.go
+++ b/control/orders.go
@@ -101,7 +101,7 @@
 // mayGoOn reports whether the box still leads and the order is still open.
 func (c *Controller) mayGoOn(ctx context.Context, o *wire.Order) bool {
 	_, held := c.opts.Replica.Lease()
-	return ctx.Err() == nil && held && c.opts.Replica.View().Orders[o.Id] != nil
+	return ctx.Err() == nil && held && c.opts.Replica.View().Orders.Get(o.Id) != nil
 }
 
 func (c *Controller) send(ctx context.Context, o *wire.Order, s *fleet.Server) (engine.Outcome, error) {
--- a/control/orders_test.go
+++ b/control/orders_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"os"
 	"slices"
 	"testing"
@@ -180,7 +179,7 @@
 		return
 	}
 	w.reports[f.name] = readState{f.report(), w.now}
-	known := w.st.Servers[f.name]
+	known := w.st.Servers.Get(f.name)
 	settled := false
 	if known.GetIncarnation() == f.id() {
 		if !known.Quarantined {
@@ -226,14 +225,14 @@
 	if rapid.IntRange(0, 3).Draw(w.t, "adapter") == 0 {
 		item.Adapter, memory = fmt.Sprint("x", n), 500<<20
 	}
-	w.issue(&wire.Order{Action: wire.OrderAction_ORDER_LOAD, Server: f.name, ServerIncarnation: w.st.Servers[f.name].GetIncarnation(), Item: item, Memory: memory})
+	w.issue(&wire.Order{Action: wire.OrderAction_ORDER_LOAD, Server: f.name, ServerIncarnation: w.st.Servers.Get(f.name).GetIncarnation(), Item: item, Memory: memory})
 }
 
 // whimAway orders something away that may well be needed.
 func (w *world) whimAway() {
 	var keys []string
 	places := map[string]*wire.Resident{}
-	for p, r := range w.st.Residents {
+	for p, r := range w.st.Residents.All() {
 		k := fmt.Sprint(p)
 		keys, places[k] = append(keys, k), r
 	}
@@ -242,7 +241,7 @@
 	}
 	slices.Sort(keys)
 	r := places[rapid.SampledFrom(keys).Draw(w.t, "away")]
-	w.issue(&wire.Order{Action: wire.OrderAction_ORDER_UNLOAD, Server: r.Server, ServerIncarnation: w.st.Servers[r.Server].GetIncarnation(), Item: r.Item})
+	w.issue(&wire.Order{Action: wire.OrderAction_ORDER_UNLOAD, Server: r.Server, ServerIncarnation: w.st.Servers.Get(r.Server).GetIncarnation(), Item: r.Item})
 }
 
 func (w *world) issue(o *wire.Order) {
@@ -255,8 +254,7 @@
 
 // drive does for each open order what Controller.finish does.
 func (w *world) drive() {
-	for _, id := range slices.Sorted(maps.Keys(w.st.Orders)) {
-		o := w.st.Orders[id]
+	for id, o := range w.st.Clone().Orders.All() {
 		f := w.servers[o.Server]
 		if out, answered := w.answers[id]; answered && (f.fences || control.ClosesAtOnce(o, out)) {
 			w.close(id, out)
@@ -339,11 +337,11 @@
 	if sum > capacity {
 		w.t.Fatalf("server %s holds %d of %d bytes: %v", f.name, sum, capacity, f.residents)
 	}
-	if known := w.st.Servers[f.name]; known.GetIncarnation() != f.id() || known.Quarantined {
+	if known := w.st.Servers.Get(f.name); known.GetIncarnation() != f.id() || known.Quarantined {
 		return // its restart is not known yet, or it gets no orders
 	}
 	for p := range f.residents {
-		if w.st.Residents[p] == nil {
+		if w.st.Residents.Get(p) == nil {
 			w.t.Fatalf("server %s holds %v, which is not counted", f.name, p)
 		}
 	}
@@ -429,10 +427,10 @@
 // checkAll wants every model and adapter of the file resident by the servers'
 // own account, and the agreed state equal to it.
 func (w *world) checkAll() {
-	if len(w.st.Orders) > 0 {
+	if w.st.Orders.Len() > 0 {
 		w.t.Fatalf("orders are open for ever: %v", w.st.Orders)
 	}
-	for p, r := range w.st.Residents {
+	for p, r := range w.st.Residents.All() {
 		if _, held := w.servers[p.Server].residents[p]; !held || r.Phase != wire.Phase_PHASE_READY {
 			w.t.Fatalf("%v is agreed as %v, but the server holds %v", p, r.Phase, w.servers[p.Server].residents)
 		}
--- a/control/patience.go
+++ b/control/patience.go
@@ -38,7 +38,7 @@
 // noteLacking remembers since when models have had no copy.
 func (c *Controller) noteLacking(in *placement.Input, now time.Time) {
 	have := map[string]bool{}
-	for place, r := range in.State.Residents {
+	for place, r := range in.State.Residents.All() {
 		if place.Adapter == "" && r.Phase != wire.Phase_PHASE_UNLOADING && !in.Down[place.Server] {
 			have[place.Model] = true
 		}
--- a/control/pause.go
+++ b/control/pause.go
@@ -34,7 +34,7 @@
 	if first {
 		c.ordered = map[string]ordered{}
 	}
-	for name, s := range view.Servers {
+	for name, s := range view.Servers.All() {
 		known, ok := c.ordered[name]
 		switch {
 		case first:
@@ -46,7 +46,7 @@
 		}
 	}
 	for name := range c.ordered {
-		if view.Servers[name] == nil {
+		if view.Servers.Get(name) == nil {
 			delete(c.ordered, name)
 		}
 	}
@@ -56,7 +56,7 @@
 func (c *Controller) held(view *state.State, now time.Time) map[string]bool {
 	held := map[string]bool{}
 	c.holdNextLives(view, now, held)
-	for name := range view.Servers {
+	for name := range view.Servers.All() {
 		if c.rests(name) {
 			held[name] = true
 		}
@@ -67,7 +67,7 @@
 	for name, o := range c.ordered {
 		held[name] = held[name] || now.Sub(o.seen) < c.opts.OrderPause
 	}
-	for _, o := range view.Orders {
+	for _, o := range view.Orders.All() {
 		if c.inherited(o) {
 			held[o.Server] = true
 		}
--- a/control/rests.go
+++ b/control/rests.go
@@ -44,7 +44,7 @@
 				delete(reports, box)
 			}
 		}
-		if len(reports) == 0 || view.Servers[server] == nil {
+		if len(reports) == 0 || view.Servers.Get(server) == nil {
 			delete(c.resting, server)
 			continue
 		}
--- a/control/states.go
+++ b/control/states.go
@@ -59,7 +59,7 @@
 		if !ok {
 			continue
 		}
-		known := view.Servers[s.Name]
+		known := view.Servers.Get(s.Name)
 		settled := c.settled(s, known, r)
 		if known.GetIncarnation() == r.state.Incarnation && known.GetLeaving() == r.state.Leaving && !settled {
 			continue
--- a/entry/crashers.go
+++ b/entry/crashers.go
@@ -55,7 +55,7 @@
 
 // lifeOf names a server's present incarnation; instances of services have none that is known.
 func lifeOf(view *state.State, name string) string {
-	if s := view.Servers[name]; s != nil {
+	if s := view.Servers.Get(name); s != nil {
 		return name + "/" + s.Incarnation
 	}
 	return name
@@ -82,7 +82,7 @@
 		return
 	}
 	lives := map[string]bool{}
-	for name := range view.Servers {
+	for name := range view.Servers.All() {
 		lives[lifeOf(view, name)] = true
 	}
 	for name := range view.Fleet.Instances {
--- a/fleet/routes.go
+++ b/fleet/routes.go
@@ -111,20 +111,3 @@
 
 // MayRunOn reports whether a copy may stand on the server.
 func (m *Model) MayRunOn(s *Server) bool { return m.Pool == s.Pool && m.MayRunIn(s.Hall) }
-
-// WithServers returns the fleet with announced model servers added; the original
-// stays as it is.
-func (f *Fleet) WithServers(list []*Server) *Fleet {
-	if len(list) == 0 {
-		return f
-	}
-	c := *f
-	c.Servers = make(map[string]*Server, len(f.Servers)+len(list))
-	for name, s := range f.Servers {
-		c.Servers[name] = s
-	}
-	for _, s := range list {
-		c.Servers[s.Name] = s
-	}
-	return &c
-}
--- a/gateway/crashers.go
+++ b/gateway/crashers.go
@@ -20,10 +20,11 @@
 		return false
 	}
 	p := j.g.dir.table().pools[j.poolName]
-	if p == nil || len(p.servers) == 0 {
+	if p == nil {
 		return false
 	}
-	return len(j.spared(p.servers)) == 0
+	all := p.servers()
+	return len(all) > 0 && len(j.spared(all)) == 0
 }
 
 // spared returns those servers of a list that the request may go to.
@@ -86,7 +87,7 @@
 func (g *Gateway) noteEnded(view *state.State) {
 	g.broken.Agreed(&view.Crashers)
 	for _, s := range g.broken.Waiting() {
-		switch a := view.Announced[s.ID]; {
+		switch a := view.Announced.Get(s.ID); {
 		case a.GetLeaving():
 			g.broken.Left(s)
 		case a == nil, a.Silent: // it has begun another life, or is not heard
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,20 +25,11 @@
 	evacuates bool
 }
 
-// pool is one service with its servers.
-type pool struct {
-	*fleet.Pool
-	servers []*server
-	// holding lists the servers where a model, or an adapter beside its model, is
-	// ready.
-	holding map[string][]*server
-	// coming tells when a model or adapter that is being loaded is to be ready, by
-	// this box's clock, at the first place of several.
-	coming map[string]time.Time
-}
-
 // directory makes tables from the agreed state and keeps the servers between
 // them.
+//
+// A change of the agreed state costs what changed, and what this box uses: the state finds the servers of a service or of a
+// model by itself, a list is made when a request first asks for it, and only servers that stood in a list are kept here.
 type directory struct {
 	hall     string
 	regionOf func(hall string) string
@@ -48,16 +38,19 @@
 	pushback *pushback.Registry // nil: no server says anything of itself
 
 	mu      sync.Mutex
-	servers map[string]*server         // by id
-	loading map[ledger.Place]time.Time // since when, as this box saw it
+	view    *state.State               // the newest
+	servers map[string]*server         // by id, that this box met
+	leaving map[string]time.Time       // since when servers leave, met or not, as this box saw it
+	loading map[ledger.Place]time.Time // the same
 	making  map[string]*making         // room, by model
+	pruned  time.Time                  // when servers that are not used were last dropped
 	count   atomic.Int64               // of boxes
 	current atomic.Pointer[table]
 	changed atomic.Pointer[chan struct{}]
 }
 
 func newDirectory(hall string, parting time.Duration, said *pushback.Registry) *directory {
-	d := &directory{hall: hall, regionOf: func(string) string { return "" }, parting: parting, pushback: said, servers: map[string]*server{}, loading: map[ledger.Place]time.Time{}, making: map[string]*making{}}
+	d := &directory{hall: hall, regionOf: func(string) string { return "" }, parting: parting, pushback: said, servers: map[string]*server{}, leaving: map[string]time.Time{}, loading: map[ledger.Place]time.Time{}, making: map[string]*making{}}
 	d.current.Store(&table{})
 	first := make(chan struct{})
 	d.changed.Store(&first)
@@ -80,6 +73,7 @@
 	if view.Fleet == nil {
 		return
 	}
+	d.view = view
 	t := &table{
 		number: view.Version.GetNumber(), index: view.Version.GetIndex(), limits: view.Fleet.Limits,
 		pools: map[string]*pool{}, fleet: view.Fleet, evacuates: len(view.Evacuations) > 0,
@@ -91,50 +85,79 @@
 		t.routes = fleet.NewRouteTable(view.Fleet.Routes)
 	}
 	for name, p := range view.Fleet.Pools {
-		names := 0
-		if before := d.current.Load().pools[name]; before != nil {
-			names = len(before.holding)
-		}
-		t.pools[name] = &pool{Pool: p, holding: make(map[string][]*server, names), coming: map[string]time.Time{}}
+		t.pools[name] = newPool(p, d, view)
 	}
-	d.refresh(view)
-	loading := d.fill(t, view)
 	now := time.Now()
-	d.noteComing(t, view, loading, now)
+	d.noteLeaving(now)
+	d.refresh(now)
+	d.noteComing(t, view, now)
 	d.noteMaking(t, view, now)
 	d.current.Store(t)
 	next := make(chan struct{})
 	close(*d.changed.Swap(&next))
 }
 
-// refresh makes the servers match the announcements. One that left keeps its
+// noteLeaving remembers since when servers leave: the time for which they serve on counts from there, also at a box that
+// meets them later.
+func (d *directory) noteLeaving(now time.Time) {
+	for id := range d.leaving {
+		if a := d.view.Announced.Get(id); a == nil || !a.Leaving {
+			delete(d.leaving, id)
+		}
+	}
+	for _, id := range d.view.Announced.Leaving() {
+		if _, known := d.leaving[id]; !known {
+			d.leaving[id] = now
+		}
+	}
+}
+
+// refresh makes the servers that this box met match the announcements. One that left keeps its
 // requests; its idle connections are closed.
-func (d *directory) refresh(view *state.State) {
+func (d *directory) refresh(now time.Time) {
+	prune := now.Sub(d.pruned) >= pruneEvery
+	if prune {
+		d.pruned = now
+	}
 	for id, s := range d.servers {
-		a := view.Announced[id]
-		if a == nil || a.Address != s.address {
+		a := d.view.Announced.Get(id)
+		if a == nil || a.Address != s.address || prune && s.unused(now) {
 			s.conns.close()
 			delete(d.servers, id)
+			continue
 		}
+		d.sync(s, a)
 	}
-	for id, a := range view.Announced {
-		s := d.servers[id]
-		if s == nil {
-			s = newServer(a)
-			s.region = d.regionOf(a.Hall)
-			d.servers[id] = s
-		}
-		s.silent.Store(a.Silent)
-		s.evacuated.Store(view.Evacuated(a.Hall))
-		if since, drains := d.pushback.Drains(id); drains {
-			d.part(s, time.Now().Add(-since))
-		}
-		if a.Leaving {
-			d.part(s, time.Now())
-		}
-		if p := view.Fleet.Pools[a.Service]; p != nil && p.MaxConnections > 0 {
-			s.conns.limit(max(minConnections, p.MaxConnections*connectionShare/100/d.boxes()))
-		}
+}
+
+// serverOf returns the server of an announcement; nil where a newer state knows it no more.
+func (d *directory) serverOf(id string) *server {
+	if s := d.servers[id]; s != nil {
+		return s
+	}
+	a := d.view.Announced.Get(id)
+	if a == nil {
+		return nil
+	}
+	s := newServer(a)
+	s.region = d.regionOf(a.Hall)
+	d.servers[id] = s
+	d.sync(s, a)
+	return s
+}
+
+// sync takes over what is agreed of a server.
+func (d *directory) sync(s *server, a *wire.Announcement) {
+	s.silent.Store(a.Silent)
+	s.evacuated.Store(d.view.Evacuated(a.Hall))
+	if since, drains := d.pushback.Drains(a.Id); drains {
+		d.part(s, time.Now().Add(-since))
+	}
+	if since, leaves := d.leaving[a.Id]; leaves {
+		d.part(s, since)
+	}
+	if p := d.view.Fleet.Pools[a.Service]; p != nil && p.MaxConnections > 0 {
+		s.conns.limit(connectionsOf(p.MaxConnections, d.boxes()))
 	}
 }
 
@@ -155,75 +178,34 @@
 }
 
 const (
-	// minConnections is what a box may always open to one server.
+	// minConnections is what a box may open to one server, unless all boxes together would pass what the server takes.
 	minConnections = 4
 	// connectionShare is the part, in hundredths, of a server's connections that
 	// all boxes together use.
 	connectionShare = 90
+	// pruneEvery is the time between two looks for servers that this box does not use any more.
+	pruneEvery = 10 * time.Second
 )
 
-// fill lists servers and what is ready there, and returns the places that are loading. It goes
-// over all residents once: at 240 servers with 720 models a pass takes longer than all else that a
-// box does for an agreed order.
-func (d *directory) fill(t *table, view *state.State) (loading []ledger.Place) {
-	for id, a := range view.Announced {
-		if p := t.pools[a.Service]; p != nil {
-			p.servers = append(p.servers, d.servers[id])
-		}
-	}
-	var adapters []ledger.Place
-	for place, r := range view.Residents {
-		switch {
-		case r.Phase == wire.Phase_PHASE_LOADING:
-			loading = append(loading, place)
-		case r.Phase != wire.Phase_PHASE_READY:
-		case place.Adapter != "":
-			adapters = append(adapters, place)
-		default:
-			d.hold(t, view, place, place.Model)
-		}
-	}
-	for _, place := range adapters {
-		if d.holds(t, view, place) {
-			d.hold(t, view, place, place.Adapter)
-		}
+// connectionsOf is how many connections a box opens to a server that takes so many from all boxes.
+func connectionsOf(most, boxes int) int {
+	if share := most * connectionShare / 100 / boxes; share >= minConnections {
+		return share
 	}
-	for _, p := range t.pools {
-		slices.SortFunc(p.servers, byID)
-		for _, list := range p.holding {
-			slices.SortFunc(list, byID)
-		}
-	}
-	return loading
-}
-
-// hold lists a place's server under a name.
-func (d *directory) hold(t *table, view *state.State, place ledger.Place, name string) {
-	s, a := d.servers[place.Server], view.Announced[place.Server]
-	if s == nil || a == nil {
-		return
-	}
-	if p := t.pools[a.Service]; p != nil {
-		p.holding[name] = append(p.holding[name], s)
-	}
-}
-
-// holds reports whether the model of an adapter's place is listed under its server.
-func (d *directory) holds(t *table, view *state.State, place ledger.Place) bool {
-	p := t.pools[view.Announced[place.Server].GetService()]
-	return p != nil && slices.Contains(p.holding[place.Model], d.servers[place.Server])
+	return max(1, min(minConnections, most/boxes))
 }
 
 // noteComing fills in what is on its way.
-func (d *directory) noteComing(t *table, view *state.State, loading []ledger.Place, now time.Time) {
+func (d *directory) noteComing(t *table, view *state.State, now time.Time) {
 	for place := range d.loading {
-		if view.Residents[place].GetPhase() != wire.Phase_PHASE_LOADING {
+		if view.Residents.Get(place).GetPhase() != wire.Phase_PHASE_LOADING {
 			delete(d.loading, place)
 		}
 	}
-	for _, place := range loading {
-		a := view.Announced[place.Server]
-		if a == nil || t.pools[a.Service] == nil || view.Evacuated(a.Hall) {
+	for _, o := range view.Orders.All() {
+		place := ledger.PlaceOf(o)
+		a := view.Announced.Get(o.Server)
+		if o.Action != wire.OrderAction_ORDER_LOAD || a == nil || t.pools[a.Service] == nil || view.Evacuated(a.Hall) {
 			continue
 		}
 		if _, seen := d.loading[place]; !seen {
@@ -250,7 +232,7 @@
 
 // noteMaking counts models that room is being made for as coming, too.
 func (d *directory) noteMaking(t *table, view *state.State, now time.Time) {
-	for _, o := range view.Orders {
+	for _, o := range view.Orders.All() {
 		if o.RoomFor == "" {
 			continue
 		}
--- a/gateway/find.go
+++ b/gateway/find.go
@@ -89,11 +89,11 @@
 	if p == nil {
 		return nil, reason.NoServer
 	}
-	if j.regions.bounded() && !slices.ContainsFunc(p.servers, j.regions.allow) {
+	if j.regions.bounded() && !slices.ContainsFunc(p.servers(), j.regions.allow) {
 		return nil, reason.NoRegion
 	}
 	if j.prompt.Model == "" || p.Kind == nil {
-		list := j.admissible(t, p.servers)
+		list := j.admissible(t, p.servers())
 		if len(list) == 0 {
 			return nil, reason.NoServer
 		}
@@ -102,7 +102,7 @@
 	if t.fleet.Models[j.prompt.Model] == nil {
 		return nil, reason.UnknownModel
 	}
-	return j.admissible(t, p.holding[wantedOf(j.prompt)]), nil
+	return j.admissible(t, p.holding(wantedOf(j.prompt))), nil
 }
 
 // admissible returns the servers of a list that the request may be sent to: none in an evacuated data hall, nor outside of
--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -56,6 +56,9 @@
 func (s *server) keptTokens(p dialect.Prompt, keys []uint64) (tokens int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.kept == nil {
+		return 0
+	}
 	for i, key := range keys {
 		if !s.kept.has(key) {
 			break
@@ -68,6 +71,9 @@
 func (s *server) noteKept(keys []uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.kept == nil {
+		s.kept = newKept()
+	}
 	for _, key := range keys {
 		s.kept.note(key)
 	}
--- /dev/null
+++ b/gateway/lazy_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"leverdrum/fleet"
+	"leverdrum/state"
+	"leverdrum/wire"
+)
+
+// poolView is a state with servers of one service, each with the model m ready.
+func poolView(ids ...string) *state.State {
+	view := state.New()
+	view.Fleet, view.Version = fleet.New(), &wire.FleetVersion{Number: 1, Index: 1}
+	view.Fleet.Pools["p"] = &fleet.Pool{Name: "p", Kind: &fleet.Kind{}, MaxConnections: 100}
+	view.Fleet.Models["m"] = &fleet.Model{Name: "m", Pool: "p"}
+	for _, id := range ids {
+		view.Announced.Set(id, &wire.Announcement{Id: id, Service: "p", Address: "127.0.0.1:1", Slots: 4})
+		view.Residents.Put(&wire.Resident{Server: id, Item: &wire.Item{Model: "m"}, Phase: wire.Phase_PHASE_READY})
+	}
+	return view
+}
+
+// A box that first needs a server while it leaves counts the time from when it leaves, not from when it is needed.
+func TestAServerLeavesSinceItSaidSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		d := newDirectory("h", time.Second, nil)
+		view := poolView("i1")
+		view.Announced.Set("i1", &wire.Announcement{Id: "i1", Service: "p", Address: "127.0.0.1:1", Leaving: true})
+		d.update(view)
+		time.Sleep(2 * time.Second)
+		d.update(view.Clone())
+		list := d.table().pools["p"].holding("m")
+		g.Expect(list).To(HaveLen(1))
+		since, leaves := list[0].parted(time.Now())
+		g.Expect(leaves).To(BeTrue())
+		g.Expect(since).To(Equal(2 * time.Second))
+	})
+}
+
+// Only servers that a request asked for are kept, their state is that of the newest view, and those that are not used any
+// more are dropped.
+func TestOnlyServersThatAreAskedForAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		d := newDirectory("h", time.Second, nil)
+		view := poolView("i1", "i2", "i3")
+		view.Residents.Put(&wire.Resident{Server: "i2", Item: &wire.Item{Model: "n"}, Phase: wire.Phase_PHASE_READY})
+		d.update(view)
+		g.Expect(d.servers).To(BeEmpty())
+		table := d.table()
+		g.Expect(table.pools["p"].holding("n")).To(HaveLen(1))
+		g.Expect(d.servers).To(HaveLen(1))
+		next := view.Clone()
+		next.Announced.Set("i2", &wire.Announcement{Id: "i2", Service: "p", Address: "127.0.0.1:1", Silent: true})
+		next.Announced.Delete("i3")
+		d.update(next)
+		g.Expect(d.servers["i2"].silent.Load()).To(BeTrue())
+		g.Expect(table.pools["p"].servers()).To(HaveLen(2), "an older table lists none that is gone")
+		time.Sleep(2 * unusedFor)
+		d.update(next.Clone())
+		g.Expect(d.servers).To(BeEmpty())
+	})
+}
+
+// All boxes together open no more connections than a server takes, however many they are.
+func TestConnectionsOfAllBoxes(t *testing.T) {
+	g := NewWithT(t)
+	for _, boxes := range []int{1, 10, 85, 300, 997, 2000} {
+		for _, most := range []int{390, 820, 2100} {
+			if boxes <= most {
+				g.Expect(connectionsOf(most, boxes)*boxes).To(BeNumerically("<=", most), "%d of %d boxes", most, boxes)
+			}
+			g.Expect(connectionsOf(most, boxes)).To(BeNumerically(">=", 1))
+		}
+	}
+	g.Expect(connectionsOf(2100, 300)).To(Equal(6))
+}
--- a/gateway/patience_test.go
+++ b/gateway/patience_test.go
@@ -75,13 +75,13 @@
 			return ok
 		}
 		g.Expect(coming()).To(BeFalse())
-		view.Orders[1] = &wire.Order{Id: 1, Server: "s", Action: wire.OrderAction_ORDER_UNLOAD, Item: &wire.Item{Model: "n"}, RoomFor: "m"}
+		view.Orders.Set(1, &wire.Order{Id: 1, Server: "s", Action: wire.OrderAction_ORDER_UNLOAD, Item: &wire.Item{Model: "n"}, RoomFor: "m"})
 		g.Expect(coming()).To(BeTrue())
 		g.Expect(time.Until(d.table().pools["p"].coming["m"])).To(Equal(makingTime + time.Second))
 		time.Sleep(2 * time.Second)
 		g.Expect(coming()).To(BeTrue())
 		g.Expect(time.Until(d.table().pools["p"].coming["m"])).To(Equal(makingTime-time.Second), "since it was seen first")
-		delete(view.Orders, 1)
+		view.Orders.Delete(1)
 		time.Sleep(makingGap / 2)
 		g.Expect(coming()).To(BeTrue(), "the room is there, and the load is about to be ordered")
 		time.Sleep(makingGap)
@@ -115,7 +115,7 @@
 		gate := New(Options{Parting: time.Second, View: state.New, Notice: func(n Notice) { told <- n }})
 		left := newServer(&wire.Announcement{Id: "i1", Slots: 4, Address: "127.0.0.1:1"})
 		left.part(time.Now().Add(-2 * time.Second))
-		p := &pool{Pool: &fleet.Pool{Name: "p", Kind: &fleet.Kind{}}, coming: map[string]time.Time{}, holding: map[string][]*server{"m/a1": {left}}}
+		p := &pool{Pool: &fleet.Pool{Name: "p", Kind: &fleet.Kind{}}, coming: map[string]time.Time{}, ready: map[string][]*server{"m/a1": {left}}}
 		f := fleet.New()
 		f.Models["m"] = &fleet.Model{Name: "m"}
 		gate.dir.current.Store(&table{pools: map[string]*pool{"p": p}, fleet: f})
--- a/gateway/rest_test.go
+++ b/gateway/rest_test.go
@@ -70,7 +70,7 @@
 			f := fleet.New()
 			f.Models["m"] = &fleet.Model{Name: "m"}
 			set := func(holding ...*server) {
-				p := &pool{Pool: &fleet.Pool{Name: "p", Kind: &fleet.Kind{}}, coming: map[string]time.Time{}, holding: map[string][]*server{"m": holding}}
+				p := &pool{Pool: &fleet.Pool{Name: "p", Kind: &fleet.Kind{}}, coming: map[string]time.Time{}, ready: map[string][]*server{"m": holding}}
 				if row.coming > 0 {
 					p.coming["m"] = began.Add(row.coming)
 				}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -23,6 +23,7 @@
 	region  string
 	slots   int
 	hash    uint64
+	made    time.Time
 	conns   *conns
 	leaving atomic.Int64 // since when, in unix nanoseconds; 0: it stays
 	silent  atomic.Bool
@@ -34,9 +35,10 @@
 	reading          float64     // milliseconds of prompts that wait for their first event
 	pending          []time.Time // when those were sent, the oldest first
 	delay            decayed     // by how much first events came later than their reading takes
-	kept             *kept
-	heldUp           decayed // share of streams that were held up for too long
-	failures         int     // in a row
+	kept             *kept       // nil: nothing
+	used             time.Time   // when an attempt was begun here last
+	heldUp           decayed     // share of streams that were held up for too long
+	failures         int         // in a row
 	outUntil         time.Time
 	failedAt, probed time.Time            // when no connection could be opened last, and when one was tried
 	replaced         bool                 // another server has the address
@@ -46,7 +48,7 @@
 func newServer(a *wire.Announcement) *server {
 	return &server{
 		id: a.Id, name: cmp.Or(a.Name, a.Id), version: a.Version, address: a.Address, hall: a.Hall, slots: int(max(1, a.Slots)), hash: xxhash.Sum64String(a.Id),
-		conns: newConns(a.Address), kept: newKept(),
+		conns: newConns(a.Address), made: time.Now(),
 	}
 }
 
@@ -81,11 +83,22 @@
 	defer s.mu.Unlock()
 	beside = s.inFlight
 	s.inFlight++
+	s.used = now
 	s.reading += work
 	s.pending = append(s.pending, now)
 	return beside
 }
 
+// unusedFor is how long nothing was sent to a server until what is known of it is dropped.
+const unusedFor = time.Minute
+
+// unused reports whether nothing was sent to the server lately, and nothing is known of it that it should be spared for.
+func (s *server) unused(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inFlight == 0 && now.Sub(s.used) > unusedFor && now.Sub(s.made) > unusedFor && now.Sub(s.failedAt) > maxDown && now.After(s.outUntil) && !s.replaced
+}
+
 // settle forgets one that waited for its first event since a time.
 func (s *server) settle(began time.Time, work float64) {
 	s.reading = max(0, s.reading-work)
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -28,7 +28,7 @@
 	d := newDirectory("h", 0, nil)
 	list := newServers(2)
 	gate := &Gateway{dir: d, stopping: make(chan struct{}), budgets: newBudgets(Budget{Slack: 100, Window: time.Minute}, d.boxes)}
-	d.current.Store(&table{pools: map[string]*pool{"p": {Pool: &fleet.Pool{}, servers: list}}})
+	d.current.Store(&table{pools: map[string]*pool{"p": {Pool: &fleet.Pool{}, all: list, made: true}}})
 	for _, row := range []struct {
 		name          string
 		kind          fleet.RouteKind
@@ -61,7 +61,7 @@
 	d := newDirectory("h", 0, nil)
 	list := newServers(2)
 	gate := &Gateway{opts: Options{Meters: meter.New()}, dir: d, stopping: make(chan struct{}), budgets: newBudgets(Budget{Slack: 1 / budgetShare, Window: time.Hour}, d.boxes)}
-	d.current.Store(&table{pools: map[string]*pool{"p": {Pool: &fleet.Pool{}, servers: list}}})
+	d.current.Store(&table{pools: map[string]*pool{"p": {Pool: &fleet.Pool{}, all: list, made: true}}})
 	j := &job{g: gate, poolName: "p", route: &fleet.Route{Kind: fleet.Streaming, Resumable: true, MaxAttempts: 2}, deadline: time.Now().Add(time.Hour)}
 	j.begun.Store(true)
 	mayEnd := j.silenceMayEnd(list[0])
@@ -136,7 +136,7 @@
 	d := newDirectory("h", 0, nil)
 	list := newServers(2)
 	gate := &Gateway{dir: d, stopping: make(chan struct{}), budgets: newBudgets(Budget{Slack: 100, Window: time.Minute}, d.boxes)}
-	d.current.Store(&table{pools: map[string]*pool{"p": {Pool: &fleet.Pool{}, servers: list}}})
+	d.current.Store(&table{pools: map[string]*pool{"p": {Pool: &fleet.Pool{}, all: list, made: true}}})
 	j := &job{g: gate, poolName: "p", route: &fleet.Route{Kind: fleet.Streaming, Resumable: true, MaxAttempts: 2}}
 	mayEnd := j.silenceMayEnd(list[0])
 	g.Expect(mayEnd()).To(BeTrue(), "nothing was passed on")
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -24,11 +24,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/zeebo/errs"
 
 	"leverdrum/fleet"
+	"leverdrum/internal/cow"
 	"leverdrum/wire"
 )
 
@@ -56,19 +58,39 @@
 
 // Book is what an order is checked against.
 type Book struct {
-	Fleet     *fleet.Fleet
-	Servers   map[string]*wire.ServerState
-	Residents map[Place]*wire.Resident
-	Orders    map[uint64]*wire.Order
+	// Fleet is the file in force.
+	Fleet *fleet.Fleet
+	// Joined are the model servers that announced themselves for a pool of the file, by name.
+	Joined    *cow.Map[string, *fleet.Server]
+	Servers   *cow.Map[string, *wire.ServerState]
+	Residents *Residents
+	Orders    *Orders
 	// Evacuations are the data halls whose servers get nothing, by name.
 	Evacuations map[string]*wire.Evacuation
 }
 
+// NewBook returns an empty one.
+func NewBook() Book {
+	return Book{
+		Joined: cow.New[string, *fleet.Server](), Servers: cow.New[string, *wire.ServerState](), Residents: NewResidents(), Orders: NewOrders(),
+		Evacuations: map[string]*wire.Evacuation{},
+	}
+}
+
+// Clone returns a copy that does not change with the original.
+func (b *Book) Clone() Book {
+	c := *b
+	c.Joined, c.Servers = b.Joined.Clone(), b.Servers.Clone()
+	c.Residents, c.Orders = b.Residents.Clone(), b.Orders.Clone()
+	c.Evacuations = maps.Clone(b.Evacuations)
+	return c
+}
+
 // Used returns the bytes counted on an accelerator (1).
 func (b *Book) Used(server string, accelerator uint32) uint64 {
 	sum := uint64(0)
-	for p, r := range b.Residents {
-		if p.Server == server && p.Accelerator == accelerator {
+	for p, r := range b.Residents.On(server) {
+		if p.Accelerator == accelerator {
 			sum += r.Memory
 		}
 	}
@@ -77,14 +99,14 @@
 
 // Check says why an order must not be issued, nil when it may be (2).
 func (b *Book) Check(o *wire.Order) error {
-	s := b.server(o.Server)
+	s := b.Server(o.Server)
 	if s == nil {
 		return Error.New("server %s is not in the fleet", o.Server)
 	}
-	if seen := b.Servers[o.Server]; seen.GetIncarnation() == "" || seen.Incarnation != o.ServerIncarnation { // (5)
+	if seen := b.Servers.Get(o.Server); seen.GetIncarnation() == "" || seen.Incarnation != o.ServerIncarnation { // (5)
 		return Error.New("server %s is not known under incarnation %q", o.Server, o.ServerIncarnation)
 	}
-	if b.Servers[o.Server].Quarantined { // (6)
+	if b.Servers.Get(o.Server).Quarantined { // (6)
 		return Error.New("server %s may still run an order from before its restart", o.Server)
 	}
 	if int(o.Accelerator) >= s.Kind.Accelerators {
@@ -99,18 +121,40 @@
 	return b.checkUnload(o)
 }
 
-func (b *Book) server(name string) *fleet.Server {
+// Server returns a model server that the fleet file names or that announced itself, nil where there is none.
+func (b *Book) Server(name string) *fleet.Server {
+	if b.Fleet == nil {
+		return nil
+	}
+	if s := b.Fleet.Servers[name]; s != nil {
+		return s
+	}
+	return b.Joined.Get(name)
+}
+
+// AllServers returns the model servers by name.
+func (b *Book) AllServers() []*fleet.Server {
 	if b.Fleet == nil {
 		return nil
 	}
-	return b.Fleet.Servers[name]
+	named := b.Fleet.SortedServers()
+	list := make([]*fleet.Server, 0, len(named)+b.Joined.Len())
+	for name, s := range b.Joined.All() {
+		for len(named) > 0 && named[0].Name <= name {
+			list, named = append(list, named[0]), named[1:]
+		}
+		if len(list) == 0 || list[len(list)-1].Name != name { // the file's word goes before the server's own
+			list = append(list, s)
+		}
+	}
+	return append(list, named...)
 }
 
 // checkOpen is rule 3.
 func (b *Book) checkOpen(s *fleet.Server, o *wire.Order) error {
 	place := PlaceOf(o)
-	for _, open := range b.Orders {
-		if open.Server != o.Server || open.Accelerator != o.Accelerator {
+	for open := range b.Orders.On(o.Server) {
+		if open.Accelerator != o.Accelerator {
 			continue
 		}
 		if PlaceOf(open) == place || !s.Kind.ChecksFences {
@@ -124,13 +168,13 @@
 func (b *Book) Evacuated(hall string) bool { return b.Evacuations[hall] != nil }
 
 func (b *Book) checkLoad(s *fleet.Server, o *wire.Order) error {
-	if s.Leaving || b.Servers[o.Server].Leaving {
+	if s.Leaving || b.Servers.Get(o.Server).Leaving {
 		return Error.New("server %s is leaving", o.Server)
 	}
 	if b.Evacuated(s.Hall) { // (8)
 		return Error.New("data hall %s of server %s is evacuated", s.Hall, o.Server)
 	}
-	if b.Residents[PlaceOf(o)] != nil {
+	if b.Residents.Get(PlaceOf(o)) != nil {
 		return Error.New("%s is resident there already", Describe(o.Item))
 	}
 	if o.Memory == 0 {
@@ -159,8 +203,8 @@
 
 // Adapters counts the adapters on an accelerator, in whatever phase (7).
 func (b *Book) Adapters(server string, accelerator uint32) (n int) {
-	for p := range b.Residents {
-		if p.Server == server && p.Accelerator == accelerator && p.Adapter != "" {
+	for p := range b.Residents.On(server) {
+		if p.Accelerator == accelerator && p.Adapter != "" {
 			n++
 		}
 	}
@@ -172,8 +216,8 @@
 	if o.Item.Adapter == "" {
 		return nil
 	}
-	for p, r := range b.Residents {
-		if p.Server == o.Server && p.Accelerator == o.Accelerator && p.Model == o.Item.Model && p.Adapter == "" && r.Phase == wire.Phase_PHASE_READY {
+	for p, r := range b.Residents.On(o.Server) {
+		if p.Accelerator == o.Accelerator && p.Model == o.Item.Model && p.Adapter == "" && r.Phase == wire.Phase_PHASE_READY {
 			return nil
 		}
 	}
@@ -181,7 +225,7 @@
 }
 
 func (b *Book) checkUnload(o *wire.Order) error {
-	r := b.Residents[PlaceOf(o)]
+	r := b.Residents.Get(PlaceOf(o))
 	if r == nil {
 		return Error.New("%s is not resident there", Describe(o.Item))
 	}
@@ -202,7 +246,7 @@
 
 // AtHand reports whether a server can load a model from its own memory or disk.
 func (b *Book) AtHand(server, model string) bool {
-	return slices.Contains(b.Servers[server].GetAtHand(), model)
+	return slices.Contains(b.Servers.Get(server).GetAtHand(), model)
 }
 
 // Stranded returns an adapter that no ready copy would serve any more if the
@@ -214,7 +258,7 @@
 	}
 	for _, a := range m.Adapters {
 		beside := Place{place.Server, place.Accelerator, place.Model, a.Name, a.Version}
-		if b.Residents[beside].GetPhase() == wire.Phase_PHASE_READY && !b.ReadyElsewhere(beside) {
+		if b.Residents.Get(beside).GetPhase() == wire.Phase_PHASE_READY && !b.ReadyElsewhere(beside) {
 			return a.Name
 		}
 	}
@@ -234,14 +278,14 @@
 // that takes work. A copy of an old version is replaced by one of the wanted
 // version only.
 func (b *Book) ReadyElsewhere(place Place) bool {
-	for p, r := range b.Residents {
-		if p == place || r.Phase != wire.Phase_PHASE_READY || p.Model != place.Model || p.Adapter != place.Adapter {
+	for p, r := range b.Residents.Of(place.Model, place.Adapter) {
+		if p == place || r.Phase != wire.Phase_PHASE_READY {
 			continue
 		}
 		if p.Version != b.version(place) {
 			continue
 		}
-		if s := b.server(p.Server); s != nil && !s.Leaving && !b.Servers[p.Server].GetLeaving() && !b.Evacuated(s.Hall) {
+		if s := b.Server(p.Server); s != nil && !s.Leaving && !b.Servers.Get(p.Server).GetLeaving() && !b.Evacuated(s.Hall) {
 			return true
 		}
 	}
--- a/placement/kept_test.go
+++ b/placement/kept_test.go
@@ -79,7 +79,7 @@
 			for _, d := range plan.Decisions {
 				add(&wire.Command{Kind: &wire.Command_Issue{Issue: &wire.IssueOrder{Order: d.Order}}})
 			}
-			for id := range st.Orders {
+			for id := range st.Orders.All() {
 				if id%3 != 0 {
 					add(&wire.Command{Kind: &wire.Command_Close{Close: &wire.CloseOrder{Id: id, Outcome: wire.OrderOutcome_OUTCOME_DONE}}})
 				}
--- a/placement/limits_move_test.go
+++ b/placement/limits_move_test.go
@@ -97,7 +97,7 @@
 	for i := range fullModels {
 		var rooms []string
 		free := false
-		for p, r := range f.Residents {
+		for p, r := range f.Residents.All() {
 			if p.Model != modelName(i) || r.Phase != wire.Phase_PHASE_READY {
 				continue
 			}
--- a/placement/needs.go
+++ b/placement/needs.go
@@ -344,8 +344,8 @@
 
 // settled reports whether nothing of the model is being moved on an accelerator.
 func (p *planner) settled(m *fleet.Model, a *accelerator) bool {
-	for _, o := range p.in.State.Orders {
-		if o.Server == a.server.Name && o.Accelerator == a.number && o.Item.Model == m.Name {
+	for o := range p.in.State.Orders.On(a.server.Name) {
+		if o.Accelerator == a.number && o.Item.Model == m.Name {
 			return false
 		}
 	}
--- a/placement/ondemand.go
+++ b/placement/ondemand.go
@@ -25,7 +25,7 @@
 // works.
 func (p *planner) adapterServed(a *fleet.Adapter) bool {
 	return slices.ContainsFunc(p.copies[a.Model], func(c copyOf) bool {
-		r := p.in.State.Residents[adapterPlace(c.acc, a)]
+		r := p.in.State.Residents.Get(adapterPlace(c.acc, a))
 		return r != nil && r.Phase != wire.Phase_PHASE_UNLOADING && !c.acc.unusable
 	})
 }
@@ -60,7 +60,7 @@
 func (p *planner) evictAdapter(acc *accelerator, for_ string) {
 	var worst *wire.Resident
 	for _, place := range p.places {
-		r := p.in.State.Residents[place]
+		r := p.in.State.Residents.Get(place)
 		if !p.evictable(acc, place, r) {
 			continue
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -56,10 +56,7 @@
 package placement
 
 import (
-	"cmp"
-	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"leverdrum/fleet"
@@ -168,13 +165,15 @@
 	in     Input
 	fleet  *fleet.Fleet
 	models []*fleet.Model // sorted
-	places []ledger.Place // of residents, sorted
-	accs   []*accelerator
-	index  map[string][]*accelerator
-	copies map[string][]copyOf // by model, any version and phase
-	served map[string][]copyOf // what serving has found since a model's copies changed
-	round  int                 // counts what moves in this decision, from 1
-	loads  int
+	// places and residents are what is resident, in the order of places.
+	places    []ledger.Place
+	residents []*wire.Resident
+	accs      []*accelerator
+	index     map[string][]*accelerator
+	copies    map[string][]copyOf // by model, any version and phase
+	served    map[string][]copyOf // what serving has found since a model's copies changed
+	round     int                 // counts what moves in this decision, from 1
+	loads     int
 	// clearing are servers on which copies make room in this round.
 	clearing map[*load]bool
 	// asked counts the on-demand adapters of each model that are asked for; slots
@@ -200,14 +199,17 @@
 	p := &planner{in: in, fleet: in.State.Fleet, copies: map[string][]copyOf{}, served: map[string][]copyOf{}, found: map[string]*candidate{}, round: 1, clearing: map[*load]bool{}}
 	p.index = map[string][]*accelerator{}
 	p.models = p.fleet.SortedModels()
-	p.places = slices.SortedFunc(maps.Keys(in.State.Residents), comparePlaces)
-	for _, s := range p.fleet.SortedServers() {
+	for place, r := range in.State.Residents.All() {
+		p.places, p.residents = append(p.places, place), append(p.residents, r)
+	}
+	for _, s := range in.State.AllServers() {
 		l := &load{size: float64(s.Kind.Concurrency), good: p.fleet.GoodUse, limit: p.limitOf(s.Name)}
-		unusable := p.unusable(s)
+		seen := in.State.Servers.Get(s.Name)
+		unusable := p.unusable(s, seen)
 		for n := range s.Kind.Accelerators {
 			a := &accelerator{server: s, load: l, number: uint32(n), free: int64(s.Kind.Usable()), models: map[string]bool{}, unusable: unusable}
-			a.hand = p.in.State.Servers[s.Name].GetAtHand()
-			a.busy = unusable || in.Held[s.Name] || in.State.Servers[s.Name].Quarantined
+			a.hand = seen.GetAtHand()
+			a.busy = unusable || in.Held[s.Name] || seen.GetQuarantined()
 			p.index[s.Name] = append(p.index[s.Name], a)
 			p.accs = append(p.accs, a)
 		}
@@ -220,14 +222,13 @@
 	return p
 }
 
-func (p *planner) unusable(s *fleet.Server) bool {
-	seen := p.in.State.Servers[s.Name]
+func (p *planner) unusable(s *fleet.Server, seen *wire.ServerState) bool {
 	return s.Leaving || seen.GetIncarnation() == "" || seen.GetLeaving() || p.in.Down[s.Name] || p.in.State.Evacuated(s.Hall)
 }
 
 func (p *planner) countOrders() {
 	p.roomFor = map[string]bool{}
-	for _, o := range p.in.State.Orders {
+	for _, o := range p.in.State.Orders.All() {
 		if o.RoomFor != "" {
 			p.roomFor[o.RoomFor] = true
 		}
@@ -245,27 +246,15 @@
 	}
 }
 
-// comparePlaces compares no more than it must: it takes a good part of a decision
-// at the long-run size.
-func comparePlaces(a, b ledger.Place) int {
-	if c := strings.Compare(a.Server, b.Server); c != 0 {
-		return c
-	}
-	if c := cmp.Compare(a.Accelerator, b.Accelerator); c != 0 {
-		return c
-	}
-	return cmp.Or(strings.Compare(a.Model, b.Model), strings.Compare(a.Adapter, b.Adapter), strings.Compare(a.Version, b.Version))
-}
-
 // countResidents books what is resident, and the room of the adapters that each
 // copy still lacks.
 func (p *planner) countResidents() {
-	for _, place := range p.places {
+	for i, place := range p.places {
 		list := p.index[place.Server]
 		if int(place.Accelerator) >= len(list) {
 			continue
 		}
-		acc, r := list[place.Accelerator], p.in.State.Residents[place]
+		acc, r := list[place.Accelerator], p.residents[i]
 		acc.free -= int64(r.Memory)
 		if place.Adapter != "" {
 			acc.adapters++
@@ -287,7 +276,7 @@
 		return
 	}
 	for _, a := range m.Adapters {
-		if p.in.State.Residents[adapterPlace(acc, a)] == nil {
+		if p.in.State.Residents.Get(adapterPlace(acc, a)) == nil {
 			acc.free -= int64(a.Memory)
 		}
 	}
@@ -305,7 +294,7 @@
 func (p *planner) orderFor(acc *accelerator, action wire.OrderAction, item *wire.Item, memory uint64, roomFor, why string) {
 	p.best = nil // it reckoned without this
 	p.plan.Decisions = append(p.plan.Decisions, Decision{&wire.Order{
-		Action: action, Server: acc.server.Name, ServerIncarnation: p.in.State.Servers[acc.server.Name].GetIncarnation(),
+		Action: action, Server: acc.server.Name, ServerIncarnation: p.in.State.Servers.Get(acc.server.Name).GetIncarnation(),
 		Accelerator: acc.number, Item: item, Memory: memory, Reason: why, RoomFor: roomFor,
 	}, why})
 	if !acc.server.Kind.ChecksFences {
@@ -316,16 +305,15 @@
 // unloads is rule 4. Adapters go before the models that they stand beside.
 func (p *planner) unloads() {
 	for _, adapters := range []bool{true, false} {
-		for _, place := range p.places {
+		for i, place := range p.places {
 			if (place.Adapter != "") == adapters {
-				p.unloadUnwanted(place)
+				p.unloadUnwanted(place, p.residents[i])
 			}
 		}
 	}
 }
 
-func (p *planner) unloadUnwanted(place ledger.Place) {
-	r := p.in.State.Residents[place]
+func (p *planner) unloadUnwanted(place ledger.Place, r *wire.Resident) {
 	acc := p.acc(place)
 	if r.Phase != wire.Phase_PHASE_READY || acc == nil || acc.busy {
 		return
@@ -390,7 +378,7 @@
 
 func (p *planner) adaptersOf(m *fleet.Model, acc *accelerator) {
 	for _, a := range m.Adapters {
-		if acc.busy || p.in.State.Residents[adapterPlace(acc, a)] != nil || !p.mayLoad() {
+		if acc.busy || p.in.State.Residents.Get(adapterPlace(acc, a)) != nil || !p.mayLoad() {
 			continue
 		}
 		p.loads++
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -65,7 +65,7 @@
 
 // copies returns the servers on which a model, or an adapter, is ready.
 func copies(st *state.State, name, version string) (servers []string) {
-	for p, r := range st.Residents {
+	for p, r := range st.Residents.All() {
 		isIt := p.Adapter == name || p.Adapter == "" && p.Model == name
 		if isIt && p.Version == version && r.Phase == wire.Phase_PHASE_READY {
 			servers = append(servers, p.Server)
@@ -263,8 +263,8 @@
 
 	It("gives no orders to a server that leaves, is down or is not known yet", func() {
 		st := agreed(two + "[model m]\nversion = 1\nmemory = 4GiB\nclass = c\ncopies = 3\nmax-copies = 3\n")
-		st.Servers["s1"].Leaving = true
-		delete(st.Servers, "s2")
+		st.Servers.Get("s1").Leaving = true
+		st.Servers.Delete("s2")
 		plan := placement.Decide(placement.Input{State: st, Down: map[string]bool{"s3": true}})
 		Expect(plan.Decisions).To(BeEmpty())
 		Expect(plan.Shortages).To(HaveLen(1))
@@ -297,7 +297,7 @@
 			Idle: map[string]bool{"m": true}, Since: time.Hour,
 		}
 		Expect(placement.Decide(in).Decisions).To(BeEmpty(), "it would have to come from the weight store again")
-		st.Servers["s1"].AtHand = []string{"m"}
+		st.Servers.Get("s1").AtHand = []string{"m"}
 		Expect(placement.Decide(in).Decisions[0].Order.Item.Model).To(Equal("m"))
 		in.Idle = nil
 		Expect(placement.Decide(in).Decisions[0].Order.Item.Model).To(Equal("m"), "nor does one that nobody asked for yet stay (15)")
@@ -312,7 +312,7 @@
 			st = agreed(two + "[model hot]\nversion = 1\nmemory = 7GiB\nclass = c\n[model rare]\nversion = 1\nmemory = 7GiB\nclass = c\n")
 			st.Fleet.DemandLasts, st.Fleet.MoveWeight = 15*time.Second, 3
 			standin.Ready(st, "s1", 0, &wire.Item{Model: "hot", Version: "1"}, 7<<30)
-			st.Servers["s2"].AtHand = []string{"rare", "hot"}
+			st.Servers.Get("s2").AtHand = []string{"rare", "hot"}
 			in = placement.Input{State: st, Down: map[string]bool{"s3": true}, Since: time.Hour}
 		})
 		hot := placement.Demand{Requests: 40, Steady: 40, Reading: 0.9}
@@ -346,7 +346,7 @@
 			st = agreed(two + "[model hot]\nversion = 1\nmemory = 7GiB\nclass = c\n[model a]\nversion = 1\nmemory = 7GiB\nclass = c\n[model b]\nversion = 1\nmemory = 7GiB\nclass = c\n")
 			for server, model := range map[string]string{"s2": "a", "s3": "b"} {
 				standin.Ready(st, server, 0, &wire.Item{Model: model, Version: "1"}, 7<<30)
-				st.Servers[server].AtHand = []string{"a", "b", "hot"}
+				st.Servers.Get(server).AtHand = []string{"a", "b", "hot"}
 			}
 			in.State, in.Down = st, map[string]bool{"s1": true}
 			in.Demand = map[string]placement.Demand{"hot": {Requests: 50, Steady: 50, Reading: 0.5}}
@@ -363,7 +363,7 @@
 			Demand: map[string]placement.Demand{"hot": {Requests: 40, Reading: 0.8}, "rare": {Requests: 1, Steady: 0.3}},
 		}
 		Expect(placement.Decide(in).Decisions).NotTo(BeEmpty(), "nothing has it: it must stay reachable")
-		st.Servers["s2"].AtHand = []string{"rare"}
+		st.Servers.Get("s2").AtHand = []string{"rare"}
 		Expect(placement.Decide(in).Decisions).To(BeEmpty())
 		in.Demand["hot"] = placement.Demand{Requests: 1, Reading: 0.02}
 		Expect(placement.Decide(in).Decisions[0].Order.RoomFor).To(Equal("rare"), "where that costs little it has its place")
@@ -375,7 +375,7 @@
 		st := agreed(two + "[model hot]\nversion = 1\nmemory = 7GiB\nclass = c\n[model idle]\nversion = 1\nmemory = 7GiB\nclass = c\n")
 		standin.Ready(st, "s1", 0, &wire.Item{Model: "hot", Version: "1"}, 7<<30)
 		standin.Ready(st, "s2", 0, &wire.Item{Model: "idle", Version: "1"}, 7<<30)
-		st.Orders[9] = &wire.Order{Id: 9, Action: wire.OrderAction_ORDER_UNLOAD, Server: "s2", Item: &wire.Item{Model: "idle", Version: "1"}, RoomFor: "hot"}
+		st.Orders.Set(9, &wire.Order{Id: 9, Action: wire.OrderAction_ORDER_UNLOAD, Server: "s2", Item: &wire.Item{Model: "idle", Version: "1"}, RoomFor: "hot"})
 		plan := placement.Decide(placement.Input{State: st, Demand: map[string]placement.Demand{"hot": {Requests: 40, Reading: 0.9}}, Since: time.Hour})
 		Expect(plan.Decisions).To(ConsistOf(HaveField("Order.Server", "s3")))
 		standin.Ready(st, "s3", 0, &wire.Item{Model: "idle", Version: "1"}, 7<<30)
@@ -404,7 +404,7 @@
 	It("counts no loads on servers that are down (6)", func() {
 		st := agreed(two + more + "[model hot]\nversion = 1\nmemory = 7GiB\nclass = c\n")
 		st.Fleet.LoadsAtOnce = 1
-		st.Orders[9] = &wire.Order{Id: 9, Action: wire.OrderAction_ORDER_LOAD, Server: "s5", Item: &wire.Item{Model: "hot", Version: "1"}}
+		st.Orders.Set(9, &wire.Order{Id: 9, Action: wire.OrderAction_ORDER_LOAD, Server: "s5", Item: &wire.Item{Model: "hot", Version: "1"}})
 		in := placement.Input{State: st, Since: time.Hour, Demand: map[string]placement.Demand{"hot": {Requests: 1}}}
 		Expect(placement.Decide(in).Decisions).To(BeEmpty())
 		in.Down = map[string]bool{"s5": true}
--- a/placement/resting_test.go
+++ b/placement/resting_test.go
@@ -14,7 +14,7 @@
 func (f *fullFleet) refusedBy(resting map[string]bool) (sum float64) {
 	for i := range fullModels {
 		free := false
-		for p, r := range f.Residents {
+		for p, r := range f.Residents.All() {
 			free = free || p.Model == modelName(i) && r.Phase == wire.Phase_PHASE_READY && !resting[p.Server]
 		}
 		if !free {
--- a/route/route.go
+++ b/route/route.go
@@ -181,7 +181,7 @@
 // noteLives forgets what servers said that have begun another life since.
 func (d *Directory) noteLives(view *state.State) {
 	for name := range view.Fleet.Servers {
-		life := view.Servers[name].GetIncarnation()
+		life := view.Servers.Get(name).GetIncarnation()
 		if life == "" {
 			continue
 		}
@@ -221,12 +221,12 @@
 func (d *Directory) placeResidents(t *Table, view *state.State) {
 	bases := readyBases(view)
 	wanted := map[string]bool{}
-	for p, r := range view.Residents {
+	for p, r := range view.Residents.All() {
 		if d.serves(view, bases, p, r) && p.Version == wantedVersion(view.Fleet, p) {
 			wanted[nameOf(p)] = true
 		}
 	}
-	for p, r := range view.Residents {
+	for p, r := range view.Residents.All() {
 		target := t.Models[nameOf(p)]
 		if target == nil || !d.serves(view, bases, p, r) {
 			continue
@@ -263,7 +263,7 @@
 	if r.Phase != wire.Phase_PHASE_READY || s == nil || s.Leaving { // (1)
 		return false
 	}
-	return !view.Servers[p.Server].GetLeaving() && !d.gone[p.Server] && !view.Evacuated(s.Hall)
+	return !view.Servers.Get(p.Server).GetLeaving() && !d.gone[p.Server] && !view.Evacuated(s.Hall)
 }
 
 // base is where a model is ready, in whatever version.
@@ -275,7 +275,7 @@
 
 func readyBases(view *state.State) map[base]bool {
 	bases := map[base]bool{}
-	for p, r := range view.Residents {
+	for p, r := range view.Residents.All() {
 		if p.Adapter == "" && r.Phase == wire.Phase_PHASE_READY {
 			bases[base{p.Server, p.Accelerator, p.Model}] = true
 		}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -61,7 +61,7 @@
 		"the server's own": func(d *route.Directory, _ *state.State) { d.Backends()["s0"].SetLeaving(true) },
 		"the platform's":   func(d *route.Directory, _ *state.State) { d.SetGone(map[string]bool{"s0": true}) },
 		"the fleet file's": func(_ *route.Directory, st *state.State) { st.Fleet.Servers["s0"].Leaving = true },
-		"the agreed":       func(_ *route.Directory, st *state.State) { st.Servers["s0"].Leaving = true },
+		"the agreed":       func(_ *route.Directory, st *state.State) { st.Servers.Get("s0").Leaving = true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			d, st, _ := newDirectory(t)
--- a/state/announce.go
+++ b/state/announce.go
@@ -1,13 +1,11 @@
 package state
 
 import (
-	"maps"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
 
 	"leverdrum/fleet"
-	"leverdrum/ledger"
 	"leverdrum/level"
 	"leverdrum/wire"
 )
@@ -29,85 +27,77 @@
 
 // announce takes over what a server said of itself.
 func (s *State) announce(a *wire.Announcement) {
-	old := s.Announced[a.Id]
+	old := s.Announced.Get(a.Id)
 	if s.Outlived(a) {
 		return
 	}
 	ordered, heir := s.endLivesBefore(a)
-	next := proto.CloneOf(a)
+	next := s.shareTexts(proto.CloneOf(a))
 	next.Sequence, next.RemainingMs, next.Residents, next.TakeResidents = 0, 0, nil, false
 	next.Leaving = a.Leaving || old.GetLeaving() // (2)
 	next.Heir = heir || old.GetHeir()
 	next.Cold = a.Cold && s.Level >= level.Evacuations
-	s.Announced[a.Id] = next
+	s.Announced.Set(a.Id, next)
 	if old == nil {
 		s.silenceOthers(next) // (3)
 	}
-	if old == nil || old.Service != next.Service || old.Address != next.Address || old.Hall != next.Hall {
-		s.mergeAnnounced()
-	}
+	s.joinFleet(next)
 	if !a.Engine {
 		return
 	}
-	s.Servers[a.Id] = &wire.ServerState{Name: a.Id, Incarnation: a.Id, Leaving: next.Leaving, Ordered: max(ordered, s.Servers[a.Id].GetOrdered()), AtHand: a.AtHand}
-	if (old == nil || a.TakeResidents) && !s.hasOrders(a.Id) { // (4)
-		s.replaceResidents(a)
+	s.Servers.Set(a.Id, &wire.ServerState{Name: next.Id, Incarnation: next.Id, Leaving: next.Leaving, Ordered: max(ordered, s.Servers.Get(a.Id).GetOrdered()), AtHand: next.AtHand})
+	if (old == nil || a.TakeResidents) && !s.Orders.Any(a.Id) { // (4)
+		s.replaceResidents(next.Id, a.Residents)
 	}
 }
 
 // Outlived reports whether a later life of a server's name is known.
 func (s *State) Outlived(a *wire.Announcement) bool {
-	for _, other := range s.Announced {
-		if sameName(a, other) && other.BornMs > a.BornMs {
-			return true
-		}
+	if a.BornMs == 0 {
+		return false
 	}
-	return false
-}
-
-func sameName(a, b *wire.Announcement) bool {
-	return a.BornMs != 0 && b.BornMs != 0 && a.Name == b.Name && a.Id != b.Id
+	return slices.ContainsFunc(s.Announced.Lives(a.Name), func(id string) bool { return id != a.Id && s.Announced.Get(id).BornMs > a.BornMs })
 }
 
 // endLivesBefore is rule 5. It returns the entry that was about an order to the life before last, and whether one was open.
 func (s *State) endLivesBefore(a *wire.Announcement) (ordered uint64, heir bool) {
-	for id, other := range s.Announced {
-		if !sameName(a, other) {
+	if a.BornMs == 0 {
+		return 0, false
+	}
+	for _, id := range s.Announced.Lives(a.Name) {
+		if id == a.Id || s.Announced.Get(id).BornMs == 0 {
 			continue
 		}
-		ordered = max(ordered, s.Servers[id].GetOrdered())
-		heir = heir || other.Heir || s.hasOrders(id)
-		delete(s.Announced, id)
-		s.forgetServer(id)
+		ordered = max(ordered, s.Servers.Get(id).GetOrdered())
+		heir = heir || s.Announced.Get(id).Heir || s.Orders.Any(id)
+		s.forgetAnnounced(id)
 	}
 	return ordered, heir
 }
 
+func (s *State) forgetAnnounced(id string) {
+	s.Announced.Delete(id)
+	s.Joined.Delete(id)
+	s.forgetServer(id)
+}
+
 func (s *State) silenceOthers(a *wire.Announcement) {
-	for id, other := range s.Announced {
-		if id == a.Id || other.Address != a.Address || other.Silent {
+	for _, id := range s.Announced.At(a.Address) {
+		other := s.Announced.Get(id)
+		if id == a.Id || other.Silent {
 			continue
 		}
 		next := proto.CloneOf(other)
 		next.Silent = true
-		s.Announced[id] = next
-	}
-}
-
-func (s *State) hasOrders(server string) bool {
-	for _, o := range s.Orders {
-		if o.Server == server {
-			return true
-		}
+		s.Announced.Set(id, next)
 	}
-	return false
 }
 
-func (s *State) replaceResidents(a *wire.Announcement) {
-	maps.DeleteFunc(s.Residents, func(p ledger.Place, _ *wire.Resident) bool { return p.Server == a.Id })
-	for _, item := range a.Residents {
-		r := &wire.Resident{Server: a.Id, Item: item, Phase: wire.Phase_PHASE_READY, Memory: s.memoryOf(item)}
-		s.Residents[ledger.PlaceOfResident(r)] = r
+func (s *State) replaceResidents(server string, items []*wire.Item) {
+	s.Residents.Clear(server, nil)
+	for _, item := range items {
+		item = s.shareItem(item)
+		s.Residents.Put(&wire.Resident{Server: server, Item: item, Phase: wire.Phase_PHASE_READY, Memory: s.memoryOf(item)})
 	}
 }
 
@@ -130,52 +120,56 @@
 
 // withdraw is rule 1.
 func (s *State) withdraw(w *wire.Withdraw) {
-	old := s.Announced[w.Id]
+	old := s.Announced.Get(w.Id)
 	if old == nil {
 		return
 	}
 	if w.Forget {
-		delete(s.Announced, w.Id)
-		s.forgetServer(w.Id)
-		s.mergeAnnounced()
+		s.forgetAnnounced(w.Id)
 		return
 	}
 	next := proto.CloneOf(old)
 	next.Leaving = true
-	s.Announced[w.Id] = next
-	if seen := s.Servers[w.Id]; seen != nil {
-		s.Servers[w.Id] = &wire.ServerState{Name: w.Id, Incarnation: w.Id, Leaving: true, Ordered: seen.Ordered, AtHand: seen.AtHand}
+	s.Announced.Set(w.Id, next)
+	if seen := s.Servers.Get(w.Id); seen != nil {
+		s.Servers.Set(w.Id, &wire.ServerState{Name: w.Id, Incarnation: w.Id, Leaving: true, Ordered: seen.Ordered, AtHand: seen.AtHand})
 	}
 }
 
-// mergeAnnounced makes Fleet from what is described and who announced itself.
-func (s *State) mergeAnnounced() {
-	if s.described == nil {
+// joinFleet lists an announced server among the model servers, where the fleet file has a pool of them for it.
+func (s *State) joinFleet(a *wire.Announcement) {
+	if s.Fleet == nil {
 		return
 	}
-	var list []*fleet.Server
-	for _, id := range slices.Sorted(maps.Keys(s.Announced)) {
-		a := s.Announced[id]
-		pool := s.described.Pools[a.Service]
-		if pool == nil || pool.Kind == nil {
-			continue
-		}
-		list = append(list, &fleet.Server{Name: id, Address: a.Address, Hall: a.Hall, Kind: pool.Kind, Pool: pool.Name})
+	pool := s.Fleet.Pools[a.Service]
+	if pool == nil || pool.Kind == nil {
+		s.Joined.Delete(a.Id)
+		return
+	}
+	if old := s.Joined.Get(a.Id); old != nil && old.Address == a.Address && old.Hall == a.Hall && old.Kind == pool.Kind && old.Pool == pool.Name {
+		return
 	}
-	s.Fleet = s.described.WithServers(list)
-	s.sizeResidents()
+	s.Joined.Set(a.Id, &fleet.Server{Name: a.Id, Address: a.Address, Hall: a.Hall, Kind: pool.Kind, Pool: pool.Name})
 }
 
-// sizeResidents counts what was announced before its size was known.
-func (s *State) sizeResidents() {
-	for p, r := range s.Residents {
-		if r.Memory != 0 || s.Announced[p.Server] == nil {
+// enterFleet takes over another fleet file: who belongs to its pools, and what was announced before its size was known.
+func (s *State) enterFleet(f *fleet.Fleet) {
+	s.Fleet = f
+	for _, a := range s.Announced.All() {
+		s.joinFleet(a)
+	}
+	var sized []*wire.Resident
+	for p, r := range s.Residents.All() {
+		if r.Memory != 0 || s.Announced.Get(p.Server) == nil {
 			continue
 		}
 		if size := s.memoryOf(r.Item); size != 0 {
 			c := proto.CloneOf(r)
 			c.Memory = size
-			s.Residents[p] = c
+			sized = append(sized, c)
 		}
 	}
+	for _, r := range sized {
+		s.Residents.Put(r)
+	}
 }
--- a/state/announce_test.go
+++ b/state/announce_test.go
@@ -76,18 +76,18 @@
 	g := NewWithT(t)
 	l := newLog(t)
 	l.announce(server("i1", model()))
-	g.Expect(l.st.Fleet.Servers).To(HaveKey("i1"))
-	g.Expect(l.st.Fleet.Servers["i1"].Kind.CountsOrders).To(BeTrue())
+	g.Expect(l.st.Server("i1")).NotTo(BeNil())
+	g.Expect(l.st.Server("i1").Kind.CountsOrders).To(BeTrue())
 	g.Expect(l.st.Used("i1", 0)).To(BeEquivalentTo(60))
 
 	again, err := state.Decode(l.st.Encode())
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(again.Fleet.Servers).To(HaveKey("i1"), "a snapshot holds them")
+	g.Expect(again.Server("i1")).NotTo(BeNil(), "a snapshot holds them")
 	g.Expect(proto.Equal(again.Encode(), l.st.Encode())).To(BeTrue())
 
 	l.apply(&wire.Command{Kind: &wire.Command_Withdraw{Withdraw: &wire.Withdraw{Id: "i1", Forget: true}}})
-	g.Expect(l.st.Fleet.Servers).NotTo(HaveKey("i1"))
-	g.Expect(l.st.Residents).To(BeEmpty())
+	g.Expect(l.st.Server("i1")).To(BeNil())
+	g.Expect(l.st.Residents.Len()).To(BeZero())
 }
 
 func TestServersAnnouncedBeforeTheirServiceIsKnown(t *testing.T) {
@@ -95,7 +95,7 @@
 	l := &log{t, state.New()}
 	l.announce(server("i1", model()))
 	l.apply(&wire.Command{Kind: &wire.Command_Apply{Apply: &wire.ApplyFleet{Number: 1, Format: poolFormat, Text: "x", Digest: fleet.Digest([]byte("x"))}}})
-	g.Expect(l.st.Fleet.Servers).To(HaveKey("i1"))
+	g.Expect(l.st.Server("i1")).NotTo(BeNil())
 	g.Expect(l.st.Used("i1", 0)).To(BeEquivalentTo(60), "its size is counted once it is known")
 }
 
@@ -107,14 +107,14 @@
 	l.announce(server("i1", model()))
 	l.announce(leaving)
 	l.announce(server("i1", model()))
-	g.Expect(l.st.Announced["i1"].Leaving).To(BeTrue())
-	g.Expect(l.st.Servers["i1"].Leaving).To(BeTrue())
+	g.Expect(l.st.Announced.Get("i1").Leaving).To(BeTrue())
+	g.Expect(l.st.Servers.Get("i1").Leaving).To(BeTrue())
 	g.Expect(l.order(&wire.Order{Action: wire.OrderAction_ORDER_LOAD, Server: "i1", Item: adapter("a1"), Memory: 1}).Err).To(HaveOccurred())
 	l.apply(&wire.Command{Kind: &wire.Command_Withdraw{Withdraw: &wire.Withdraw{Id: "unknown"}}})
 	l.announce(server("i2"))
 	l.apply(&wire.Command{Kind: &wire.Command_Withdraw{Withdraw: &wire.Withdraw{Id: "i2"}}})
 	l.announce(server("i2"))
-	g.Expect(l.st.Announced["i2"].Leaving).To(BeTrue(), "gone stays gone")
+	g.Expect(l.st.Announced.Get("i2").Leaving).To(BeTrue(), "gone stays gone")
 }
 
 func TestANewIDSilencesTheOldOneAtItsAddress(t *testing.T) {
@@ -122,11 +122,11 @@
 	l := newLog(t)
 	l.announce(server("i1", model()))
 	l.announce(server("i2"))
-	g.Expect(l.st.Announced["i1"].Silent).To(BeTrue())
-	g.Expect(l.st.Announced["i2"].Silent).To(BeFalse())
+	g.Expect(l.st.Announced.Get("i1").Silent).To(BeTrue())
+	g.Expect(l.st.Announced.Get("i2").Silent).To(BeFalse())
 	l.announce(server("i1", model()))
-	g.Expect(l.st.Announced["i1"].Silent).To(BeFalse(), "it is heard again: words come late")
-	g.Expect(l.st.Announced["i2"].Silent).To(BeFalse())
+	g.Expect(l.st.Announced.Get("i1").Silent).To(BeFalse(), "it is heard again: words come late")
+	g.Expect(l.st.Announced.Get("i2").Silent).To(BeFalse())
 }
 
 func TestResidentsStandWhileAnOrderIsOpen(t *testing.T) {
@@ -180,7 +180,7 @@
 	r = l.order(&wire.Order{Action: wire.OrderAction_ORDER_UNLOAD, Server: "i1", Item: model()})
 	g.Expect(r.Err).NotTo(HaveOccurred())
 	l.closeDone(r.Order.Id)
-	for p := range l.st.Residents {
+	for p := range l.st.Residents.All() {
 		g.Expect(p).To(Equal(ledger.Place{Server: "i2", Model: "m", Version: "v"}), "adapters go with their model")
 	}
 }
@@ -189,13 +189,13 @@
 	g := NewWithT(t)
 	l := newLog(t)
 	l.announce(server("i1", model()))
-	g.Expect(l.st.Servers["i1"].Ordered).To(BeZero())
+	g.Expect(l.st.Servers.Get("i1").Ordered).To(BeZero())
 	r := l.order(&wire.Order{Action: wire.OrderAction_ORDER_LOAD, Server: "i1", Item: adapter("a1"), Memory: 1})
-	g.Expect(l.st.Servers["i1"].Ordered).To(Equal(r.Order.Id))
+	g.Expect(l.st.Servers.Get("i1").Ordered).To(Equal(r.Order.Id))
 	l.closeDone(r.Order.Id)
 	closed := l.st.Index
 	l.announce(server("i1", model()))
-	g.Expect(l.st.Servers["i1"].Ordered).To(Equal(closed), "also over its next word")
+	g.Expect(l.st.Servers.Get("i1").Ordered).To(Equal(closed), "also over its next word")
 	g.Expect(l.st.Clone().Encode().Servers[0].Ordered).To(Equal(closed), "and in snapshots")
 }
 
--- /dev/null
+++ b/state/announced.go
@@ -0,0 +1,137 @@
+package state
+
+import (
+	"cmp"
+	"iter"
+	"slices"
+	"strings"
+
+	"leverdrum/internal/cow"
+	"leverdrum/wire"
+)
+
+// Announced are the backend servers that announced themselves, found by id, by name, by address and by service.
+type Announced struct {
+	byID      *cow.Map[string, *wire.Announcement]
+	byName    *cow.Map[string, []string]
+	byAddress *cow.Map[string, []string]
+	heirs     *cow.Map[string, bool] // ids of those that are marked so
+	leaving   *cow.Map[string, bool] // the same
+	byService *cow.Map[serviceID, *wire.Announcement]
+}
+
+// serviceID names a server of a service.
+type serviceID struct{ service, id string }
+
+func compareServices(a, b serviceID) int {
+	return cmp.Or(strings.Compare(a.service, b.service), strings.Compare(a.id, b.id))
+}
+
+func newAnnounced() *Announced {
+	return &Announced{cow.New[string, *wire.Announcement](), cow.New[string, []string](), cow.New[string, []string](), cow.New[string, bool](), cow.New[string, bool](), cow.NewFunc[serviceID, *wire.Announcement](compareServices)}
+}
+
+// Get returns what is known of an id, nil for nothing.
+func (a *Announced) Get(id string) *wire.Announcement { return a.byID.Get(id) }
+
+// Len returns how many are known.
+func (a *Announced) Len() int { return a.byID.Len() }
+
+// All goes over them by id.
+func (a *Announced) All() iter.Seq2[string, *wire.Announcement] { return a.byID.All() }
+
+// Of goes over those of a service by id.
+func (a *Announced) Of(service string) iter.Seq2[string, *wire.Announcement] {
+	return func(yield func(string, *wire.Announcement) bool) {
+		for key, one := range a.byService.From(serviceID{service: service}) {
+			if key.service != service || !yield(key.id, one) {
+				return
+			}
+		}
+	}
+}
+
+// At returns the ids that have an address.
+func (a *Announced) At(address string) []string { return a.byAddress.Get(address) }
+
+// Lives returns the ids of the lives of a name.
+func (a *Announced) Lives(name string) []string { return a.byName.Get(name) }
+
+// Heirs returns the ids of those that began while an order to the life before was open.
+func (a *Announced) Heirs() []string { return marked(a.heirs) }
+
+// Leaving returns the ids of those that leave.
+func (a *Announced) Leaving() []string { return marked(a.leaving) }
+
+func marked(set *cow.Map[string, bool]) (ids []string) {
+	for id := range set.All() {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+func mark(set *cow.Map[string, bool], id string, marked bool) {
+	switch {
+	case marked:
+		set.Set(id, true)
+	case set.Get(id):
+		set.Delete(id)
+	}
+}
+
+// Set takes over what is known of an id.
+func (a *Announced) Set(id string, next *wire.Announcement) {
+	a.unlink(id, next)
+	a.byID.Set(id, next)
+	if next.Name != "" {
+		link(a.byName, next.Name, id)
+	}
+	link(a.byAddress, next.Address, id)
+	mark(a.heirs, id, next.Heir)
+	mark(a.leaving, id, next.Leaving)
+	a.byService.Set(serviceID{next.Service, id}, next)
+}
+
+// Delete forgets an id.
+func (a *Announced) Delete(id string) {
+	a.unlink(id, &wire.Announcement{})
+	a.byID.Delete(id)
+	mark(a.heirs, id, false)
+	mark(a.leaving, id, false)
+}
+
+// unlink takes an id out of where its next announcement does not stand.
+func (a *Announced) unlink(id string, next *wire.Announcement) {
+	old := a.byID.Get(id)
+	if old == nil {
+		return
+	}
+	if next.Name != old.Name {
+		drop(a.byName, old.Name, id)
+	}
+	if next.Address != old.Address {
+		drop(a.byAddress, old.Address, id)
+	}
+	if next.Service != old.Service {
+		a.byService.Delete(serviceID{old.Service, id})
+	}
+}
+
+func link(index *cow.Map[string, []string], key, id string) {
+	if ids := index.Get(key); !slices.Contains(ids, id) {
+		index.Set(key, append(slices.Clip(ids), id))
+	}
+}
+
+func drop(index *cow.Map[string, []string], key, id string) {
+	left := slices.DeleteFunc(slices.Clone(index.Get(key)), func(other string) bool { return other == id })
+	if len(left) == 0 {
+		index.Delete(key)
+		return
+	}
+	index.Set(key, left)
+}
+
+func (a *Announced) clone() *Announced {
+	return &Announced{a.byID.Clone(), a.byName.Clone(), a.byAddress.Clone(), a.heirs.Clone(), a.leaving.Clone(), a.byService.Clone()}
+}
--- a/state/file.go
+++ b/state/file.go
@@ -112,9 +112,8 @@
 		return Result{Apply: Invalid, Winner: s.Version, Err: err}
 	}
 	s.Version = &wire.FleetVersion{Number: a.Number, Digest: a.Digest, Operator: a.Operator, Index: s.Index, UnixMs: unixMs}
-	s.described = f
 	s.setText(text, a.Format)
-	s.mergeAnnounced()
+	s.enterFleet(f)
 	s.History = append(s.History, s.Version)
 	if len(s.History) > historyLength {
 		s.History = slices.Clone(s.History[len(s.History)-historyLength:])
--- a/state/lives_test.go
+++ b/state/lives_test.go
@@ -39,23 +39,23 @@
 	e := &entries{state.New(), t}
 	e.apply(life(1000, "i-1~1000", "m1"))
 	e.apply(&wire.Command{Kind: &wire.Command_Withdraw{Withdraw: &wire.Withdraw{Id: "i-1~1000"}}})
-	e.Orders[9] = &wire.Order{Id: 9, Server: "i-1~1000", Item: &wire.Item{Model: "m2"}}
-	e.Servers["i-1~1000"] = &wire.ServerState{Name: "i-1~1000", Ordered: 2}
+	e.Orders.Set(9, &wire.Order{Id: 9, Server: "i-1~1000", Item: &wire.Item{Model: "m2"}})
+	e.Servers.Set("i-1~1000", &wire.ServerState{Name: "i-1~1000", Ordered: 2})
 
 	e.apply(life(2000, "i-1~2000"))
-	g.Expect(e.Announced).To(HaveLen(1))
-	next := e.Announced["i-1~2000"]
+	g.Expect(e.Announced.Len()).To(Equal(1))
+	next := e.Announced.Get("i-1~2000")
 	g.Expect(next.Leaving).To(BeFalse(), "that was the life before")
 	g.Expect(next.Heir).To(BeTrue(), "an order to it was open and may still arrive")
-	g.Expect(e.Residents).To(BeEmpty())
-	g.Expect(e.Orders).To(BeEmpty())
-	g.Expect(e.Servers["i-1~2000"].Ordered).To(BeEquivalentTo(2), "two leaders still keep their pause")
-	g.Expect(e.Servers).To(HaveLen(1))
+	g.Expect(e.Residents.Len()).To(BeZero())
+	g.Expect(e.Orders.Len()).To(BeZero())
+	g.Expect(e.Servers.Get("i-1~2000").Ordered).To(BeEquivalentTo(2), "two leaders still keep their pause")
+	g.Expect(e.Servers.Len()).To(Equal(1))
 
 	e.apply(life(1000, "i-1~1000", "m1"))
-	g.Expect(e.Announced).To(HaveLen(1), "a late word of the life before")
-	g.Expect(e.Residents).To(BeEmpty())
+	g.Expect(e.Announced.Len()).To(Equal(1), "a late word of the life before")
+	g.Expect(e.Residents.Len()).To(BeZero())
 	back, err := state.Decode(e.Encode())
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(back.Announced["i-1~2000"].Heir).To(BeTrue())
+	g.Expect(back.Announced.Get("i-1~2000").Heir).To(BeTrue())
 }
--- a/state/members.go
+++ b/state/members.go
@@ -41,6 +41,7 @@
 	if proto.Equal(old, m) {
 		return
 	}
+	s.ownMembers()
 	s.Members[m.Box] = m
 	if old == nil || MemberID(old) != MemberID(m) || ProcessID(old) != ProcessID(m) {
 		s.clearPlace(old)
@@ -54,6 +55,7 @@
 	if m == nil || m.Incarnation != l.Incarnation {
 		return
 	}
+	s.ownMembers()
 	delete(s.Members, l.Box)
 	s.clearPlace(m)
 	s.enterEpoch()
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -1,13 +1,11 @@
 package state
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
 	"leverdrum/crasher"
 	"leverdrum/fleet"
-	"leverdrum/ledger"
 	"leverdrum/level"
 	"leverdrum/wire"
 )
@@ -17,20 +15,20 @@
 	w := s.EncodeFile()
 	w.History, w.Moves, w.Most, w.Epochs, w.Roster = s.History, s.Moves, s.Most, s.Epochs, s.Roster
 	w.Suspects, w.Level = s.Crashers.Encode(), uint32(s.Level)
-	for _, k := range slices.Sorted(maps.Keys(s.Announced)) {
-		w.Announced = append(w.Announced, s.Announced[k])
+	for _, a := range s.Announced.All() {
+		w.Announced = append(w.Announced, a)
 	}
 	for _, k := range slices.Sorted(maps.Keys(s.Members)) {
 		w.Members = append(w.Members, s.Members[k])
 	}
-	for _, k := range slices.Sorted(maps.Keys(s.Servers)) {
-		w.Servers = append(w.Servers, s.Servers[k])
+	for _, v := range s.Servers.All() {
+		w.Servers = append(w.Servers, v)
 	}
-	for _, k := range slices.SortedFunc(maps.Keys(s.Residents), comparePlaces) {
-		w.Residents = append(w.Residents, s.Residents[k])
+	for _, r := range s.Residents.All() {
+		w.Residents = append(w.Residents, r)
 	}
-	for _, k := range slices.Sorted(maps.Keys(s.Orders)) {
-		w.Orders = append(w.Orders, s.Orders[k])
+	for _, o := range s.Orders.All() {
+		w.Orders = append(w.Orders, o)
 	}
 	for _, k := range slices.Sorted(maps.Keys(s.Limits)) {
 		w.Limits = append(w.Limits, s.Limits[k])
@@ -41,12 +39,7 @@
 	return w
 }
 
-func comparePlaces(a, b ledger.Place) int {
-	return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Accelerator, b.Accelerator),
-		cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Version, b.Version))
-}
-
-// Decode returns the state that a snapshot holds.
+// Decode returns the state that a snapshot holds. It takes the snapshot over, which must not be used any more.
 func Decode(w *wire.State) (*State, error) {
 	s := New()
 	if s.Level = level.Level(w.GetLevel()); s.Level > level.Newest {
@@ -56,7 +49,7 @@
 	s.Moves, s.Epochs, s.Roster = w.GetMoves(), w.GetEpochs(), w.GetRoster()
 	s.Crashers = crasher.Decode(w.GetSuspects())
 	for _, a := range w.GetAnnounced() {
-		s.Announced[a.Id] = a
+		s.Announced.Set(a.Id, s.shareTexts(a))
 	}
 	if s.Version != nil {
 		text, err := FileText(w)
@@ -68,8 +61,7 @@
 		if err != nil {
 			return nil, Error.New("the fleet file of the snapshot at %d cannot be read: %v", s.Index, err)
 		}
-		s.described = f
-		s.mergeAnnounced()
+		s.enterFleet(f)
 	}
 	maps.Copy(s.Most, w.GetMost())
 	for _, m := range w.GetMembers() {
@@ -77,10 +69,14 @@
 	}
 	s.placeAll()
 	for _, v := range w.GetServers() {
-		s.Servers[v.Name] = v
+		s.Servers.Set(v.Name, s.shareServer(v))
 	}
 	for _, r := range w.GetResidents() {
-		s.Residents[ledger.PlaceOfResident(r)] = r
+		if a := s.Announced.Get(r.Server); a != nil {
+			r.Server = a.Id
+		}
+		r.Item = s.shareItem(r.Item)
+		s.Residents.Put(r)
 	}
 	for _, l := range w.GetLimits() {
 		s.Limits[l.Server] = l
@@ -89,7 +85,7 @@
 		s.Evacuations[e.Hall] = e
 	}
 	for _, o := range w.GetOrders() {
-		s.Orders[o.Id] = o
+		s.Orders.Set(o.Id, o)
 	}
 	return s, nil
 }
--- a/state/state.go
+++ b/state/state.go
@@ -8,13 +8,11 @@
 import (
 	"cmp"
 	"maps"
-	"slices"
 
 	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
 
 	"leverdrum/crasher"
-	"leverdrum/fleet"
 	"leverdrum/ledger"
 	"leverdrum/level"
 	"leverdrum/wire"
@@ -74,11 +72,9 @@
 	Format  string
 	packed  func() []byte // Text packed by itself; nil without one
 	History []*wire.FleetVersion
-	// Announced are the backend servers that announced themselves, by id, those
-	// that left included until nothing of them can arrive any more.
-	Announced map[string]*wire.Announcement
-	// described is the fleet as Text has it, without announced servers.
-	described *fleet.Fleet
+	// Announced are the backend servers that announced themselves, those that left included until nothing of them can
+	// arrive any more.
+	Announced *Announced
 
 	// Members by box.
 	Members map[string]*wire.Member
@@ -101,34 +97,50 @@
 	Most map[string]uint32
 
 	ledger.Book
+
+	texts *texts
+	// shared tells which maps a clone holds, too: they are copied before they are changed.
+	shared shared
+}
+
+// shared are the maps that a state may share with its clones.
+type shared struct{ members, most, limits bool }
+
+var allShared = shared{true, true, true}
+
+// ownMembers, ownMost and ownLimits make a map the state's own before it is changed.
+func (s *State) ownMembers() {
+	if s.shared.members {
+		s.Members, s.shared.members = maps.Clone(s.Members), false
+	}
+}
+
+func (s *State) ownMost() {
+	if s.shared.most {
+		s.Most, s.shared.most = maps.Clone(s.Most), false
+	}
+}
+
+func (s *State) ownLimits() {
+	if s.shared.limits {
+		s.Limits, s.shared.limits = maps.Clone(s.Limits), false
+	}
 }
 
 // New returns the state before the first entry.
 func New() *State {
 	return &State{
-		Members: map[string]*wire.Member{}, Most: map[string]uint32{}, Announced: map[string]*wire.Announcement{}, Limits: map[string]*wire.ServerLimit{}, Crashers: crasher.NewBook(),
-		Book: ledger.Book{
-			Servers:   map[string]*wire.ServerState{},
-			Residents: map[ledger.Place]*wire.Resident{},
-			Orders:    map[uint64]*wire.Order{},
-
-			Evacuations: map[string]*wire.Evacuation{},
-		},
+		Members: map[string]*wire.Member{}, Most: map[string]uint32{}, Announced: newAnnounced(), Limits: map[string]*wire.ServerLimit{}, Crashers: crasher.NewBook(),
+		Book: ledger.NewBook(), texts: newTexts(),
 	}
 }
 
-// Clone returns a copy that stays as it is.
+// Clone returns a copy that stays as it is. What goes by the count of servers is shared until it changes; the small maps are
+// copied by whoever changes them next.
 func (s *State) Clone() *State {
 	c := *s
-	c.Members = maps.Clone(s.Members)
-	c.Servers = maps.Clone(s.Servers)
-	c.Residents = maps.Clone(s.Residents)
-	c.Orders = maps.Clone(s.Orders)
-	c.Most = maps.Clone(s.Most)
-	c.Announced = maps.Clone(s.Announced)
-	c.Limits = maps.Clone(s.Limits)
-	c.Evacuations = maps.Clone(s.Evacuations)
-	c.History = slices.Clone(s.History)
+	c.Announced, c.Book = s.Announced.clone(), s.Book.Clone()
+	s.shared, c.shared = allShared, allShared
 	return &c
 }
 
@@ -189,19 +201,27 @@
 
 // dropStrangers forgets servers that the fleet file does not name any more.
 func (s *State) dropStrangers() {
-	for name := range s.Servers {
-		if s.Fleet.Servers[name] == nil && s.Announced[name] == nil {
-			s.forgetServer(name)
+	var strangers []string
+	for name := range s.Servers.All() {
+		if s.Fleet.Servers[name] == nil && s.Announced.Get(name) == nil {
+			strangers = append(strangers, name)
 		}
 	}
+	for _, name := range strangers {
+		s.forgetServer(name)
+	}
+	s.ownLimits()
 	maps.DeleteFunc(s.Limits, func(name string, _ *wire.ServerLimit) bool { return !s.Knows(name) })
 }
 
 func (s *State) forgetServer(name string) {
-	delete(s.Servers, name)
-	delete(s.Limits, name)
-	maps.DeleteFunc(s.Residents, func(p ledger.Place, _ *wire.Resident) bool { return p.Server == name })
-	maps.DeleteFunc(s.Orders, func(_ uint64, o *wire.Order) bool { return o.Server == name })
+	s.Servers.Delete(name)
+	if s.Limits[name] != nil {
+		s.ownLimits()
+		delete(s.Limits, name)
+	}
+	s.Residents.Clear(name, nil)
+	s.Orders.Clear(name)
 }
 
 func (s *State) issue(o *wire.Order, e *wire.Entry, unixMs int64) Result {
@@ -209,14 +229,14 @@
 		return Result{Err: err}
 	}
 	o.Id, o.Term, o.UnixMs = e.Index, e.Term, unixMs
-	s.Orders[o.Id] = o
+	s.Orders.Set(o.Id, o)
 	phase := wire.Phase_PHASE_LOADING
 	if o.Action == wire.OrderAction_ORDER_UNLOAD {
 		phase = wire.Phase_PHASE_UNLOADING
 	}
-	s.Residents[ledger.PlaceOf(o)] = &wire.Resident{
+	s.Residents.Put(&wire.Resident{
 		Server: o.Server, Accelerator: o.Accelerator, Item: o.Item, Memory: s.sizeOf(o), Phase: phase, Order: o.Id,
-	}
+	})
 	if o.Action == wire.OrderAction_ORDER_LOAD {
 		s.countMove(o.Item)
 	}
@@ -226,10 +246,10 @@
 
 // noteOrdered remembers the entry that was about an order to a server last.
 func (s *State) noteOrdered(server string) {
-	if old := s.Servers[server]; old != nil {
+	if old := s.Servers.Get(server); old != nil {
 		next := proto.CloneOf(old)
 		next.Ordered = s.Index
-		s.Servers[server] = next
+		s.Servers.Set(server, next)
 	}
 }
 
@@ -238,10 +258,8 @@
 func (s *State) countMove(item *wire.Item) {
 	name := cmp.Or(item.Adapter, item.Model)
 	have := uint32(0)
-	for p := range s.Residents {
-		if p.Model == item.Model && p.Adapter == item.Adapter {
-			have++
-		}
+	for range s.Residents.Of(item.Model, item.Adapter) {
+		have++
 	}
 	wanted := uint32(1)
 	if m := s.Fleet.Models[item.Model]; m != nil {
@@ -250,12 +268,15 @@
 	if have <= s.Most[name] || have > wanted {
 		s.Moves++
 	}
-	s.Most[name] = max(s.Most[name], have)
+	if have > s.Most[name] {
+		s.ownMost()
+		s.Most[name] = have
+	}
 }
 
 // sizeOf keeps the size that was counted when the item was loaded.
 func (s *State) sizeOf(o *wire.Order) uint64 {
-	if r := s.Residents[ledger.PlaceOf(o)]; r != nil {
+	if r := s.Residents.Get(ledger.PlaceOf(o)); r != nil {
 		return r.Memory
 	}
 	return o.Memory
@@ -267,31 +288,31 @@
 	if model.Adapter != "" {
 		return
 	}
-	maps.DeleteFunc(s.Residents, func(p ledger.Place, _ *wire.Resident) bool {
+	s.Residents.Clear(model.Server, func(p ledger.Place) bool {
 		a := s.Fleet.Adapters[p.Adapter]
-		return a != nil && a.OnDemand && p.Server == model.Server && p.Accelerator == model.Accelerator && p.Model == model.Model
+		return a != nil && a.OnDemand && p.Accelerator == model.Accelerator && p.Model == model.Model
 	})
 }
 
 func (s *State) closeOrder(c *wire.CloseOrder) Result {
-	o := s.Orders[c.Id]
+	o := s.Orders.Get(c.Id)
 	if o == nil {
 		return Result{Err: Error.New("order %d is not open", c.Id)}
 	}
-	delete(s.Orders, c.Id)
+	s.Orders.Delete(c.Id)
 	s.noteOrdered(o.Server)
 	place := ledger.PlaceOf(o)
 	done := c.Outcome == wire.OrderOutcome_OUTCOME_DONE
 	load := o.Action == wire.OrderAction_ORDER_LOAD
 	if done != load {
-		delete(s.Residents, place)
+		s.Residents.Delete(place)
 		s.dropAdapters(place)
 		return Result{}
 	}
-	if old := s.Residents[place]; old != nil {
+	if old := s.Residents.Get(place); old != nil {
 		r := proto.CloneOf(old)
 		r.Phase, r.Order = wire.Phase_PHASE_READY, 0
-		s.Residents[place] = r
+		s.Residents.Set(place, r)
 	}
 	return Result{}
 }
@@ -301,27 +322,28 @@
 // was given before, be it open or closed: it is quarantined, and gets nothing
 // until its state was read after none can arrive any more.
 func (s *State) serverSeen(seen *wire.ServerSeen) {
-	if s.Fleet == nil || s.Fleet.Servers[seen.Server] == nil {
+	server := s.Server(seen.Server)
+	if server == nil {
 		return
 	}
-	old := s.Servers[seen.Server]
+	old := s.Servers.Get(seen.Server)
 	next := &wire.ServerState{Name: seen.Server, Incarnation: seen.Incarnation, Leaving: seen.Leaving, Ordered: old.GetOrdered()}
 	if old.GetIncarnation() != seen.Incarnation {
 		s.takeResidents(seen)
-		next.Quarantined = !s.Fleet.Servers[seen.Server].Kind.ChecksFences
+		next.Quarantined = !server.Kind.ChecksFences
 	} else if old.Quarantined {
 		next.Quarantined = !seen.Settled
 		if seen.Settled {
 			s.takeResidents(seen)
 		}
 	}
-	s.Servers[seen.Server] = next
+	s.Servers.Set(seen.Server, next)
 }
 
 // takeResidents replaces all that was known of a server.
 func (s *State) takeResidents(seen *wire.ServerSeen) {
 	s.forgetServer(seen.Server)
 	for _, r := range seen.Residents {
-		s.Residents[ledger.PlaceOfResident(r)] = r
+		s.Residents.Put(r)
 	}
 }
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -168,17 +168,17 @@
 	view.Fleet = fleet.New()
 	view.Fleet.Pools["p"] = &fleet.Pool{Name: "p", WarmUpRate: 8}
 	view.Fleet.WarmsUp = true
-	view.Announced["s"] = &wire.Announcement{Id: "s", Service: "p"}
+	view.Announced.Set("s", &wire.Announcement{Id: "s", Service: "p"})
 	x, _, _ := newThrottle(t, view)
 	g.Expect(x.Any()).To(BeTrue())
 	g.Expect(x.Limit("s")).To(BeZero())
-	view.Announced["s"] = &wire.Announcement{Id: "s", Service: "p", Cold: true}
+	view.Announced.Set("s", &wire.Announcement{Id: "s", Service: "p", Cold: true})
 	g.Expect(x.Limit("s").PerSecond()).To(BeEquivalentTo(8))
 	x.Note("s", answer(true, "2"))
 	g.Expect(x.Limit("s").PerSecond()).To(BeEquivalentTo(2))
 	x.Note("s", answer(true))
 	g.Expect(x.Limit("s").PerSecond()).To(BeEquivalentTo(8), "an answer without a limit says nothing of warming up")
-	view.Announced["s"] = &wire.Announcement{Id: "s", Service: "p"}
+	view.Announced.Set("s", &wire.Announcement{Id: "s", Service: "p"})
 	g.Expect(x.Limit("s")).To(BeZero())
 	x.NoteUnreached("s")
 	g.Expect(x.Limit("s").PerSecond()).To(BeEquivalentTo(8))
