--- a/gateway/crashers_test.go
+++ b/gateway/crashers_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"leverdrum/crasher"
 	"leverdrum/dialect"
@@ -128,7 +129,9 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			view := viewOf(fleet.Unsafe, breaks(t, c.ends, nil))
-			view.Announced.Get("i0").Leaving = c.leaves
+			leaves := proto.CloneOf(view.Announced.Get("i0"))
+			leaves.Leaving = c.leaves
+			view.Announced.Set("i0", leaves)
 			seen := &told{}
 			g.Expect(serveOne(view, seen)).To(Equal(http.StatusBadGateway))
 			if c.signs > 0 {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
+	"google.golang.org/protobuf/proto"
 
 	"leverdrum/dialect"
 	"leverdrum/event"
@@ -414,7 +415,9 @@
 	g.Expect(line).To(HaveLen(1), "who answered 404, and by which configuration, must show")
 	g.Expect(line[0].ContextMap()).To(And(HaveKeyWithValue("outcome", "unknown-route"), HaveKeyWithValue("path", "/none/x"), HaveKey("number")))
 	g.Expect(s.send(request("/safe", ""))).To(HavePrefix("HTTP/1.1 404 "), "every prefix ends with a slash; no redirect")
-	s.view.Announced.Get("i1").Leaving = true
+	leaves := proto.CloneOf(s.view.Announced.Get("i1"))
+	leaves.Leaving = true
+	s.view.Announced.Set("i1", leaves)
 	s.gate.Changed()
 	answer := s.send(request("/safe/x", ""))
 	g.Expect(answer).To(HavePrefix("HTTP/1.1 503 "), "a server that leaves gets nothing")
