--- a/bench/large_test.go
+++ b/bench/large_test.go
@@ -14,7 +14,6 @@
 	"leverdrum/dialect"
 	"leverdrum/fleet"
 	"leverdrum/gateway"
-	"leverdrum/ledger"
 	"leverdrum/meter"
 	"leverdrum/placement"
 	"leverdrum/state"
@@ -254,7 +253,7 @@
 				other := fmt.Sprint("model", 10*lost+6)
 				st.Residents.Delete(place)
 				r = &wire.Resident{Server: r.Server, Item: &wire.Item{Model: other, Version: "newest"}, Phase: wire.Phase_PHASE_READY, Memory: r.Memory}
-				st.Residents.Set(ledger.PlaceOfResident(r), r)
+				st.Residents.Put(r)
 			}
 		}
 	}
@@ -278,7 +277,7 @@
 		for k := range largeEach - 1 {
 			model := largeServer(i).Residents[k].Model
 			r := &wire.Resident{Server: largeServer(i).Id, Item: &wire.Item{Model: model, Adapter: fleet.AdapterName(model, "a1"), Version: "newest"}, Phase: wire.Phase_PHASE_READY, Memory: 66_000_000}
-			st.Residents.Set(ledger.PlaceOfResident(r), r)
+			st.Residents.Put(r)
 		}
 	}
 	wanted := map[string]bool{}
--- a/control/beliefs_test.go
+++ b/control/beliefs_test.go
@@ -7,7 +7,6 @@
 	. "github.com/onsi/gomega"
 
 	"leverdrum/fleet"
-	"leverdrum/ledger"
 	"leverdrum/placement"
 	"leverdrum/state"
 	"leverdrum/wire"
@@ -99,7 +98,7 @@
 	for _, m := range []string{"asked", "unasked", "there"} {
 		st.Fleet.Models[m] = &fleet.Model{Name: m}
 	}
-	st.Residents.Set(ledger.Place{Server: "s", Model: "there"}, &wire.Resident{Phase: wire.Phase_PHASE_READY})
+	st.Residents.Put(&wire.Resident{Server: "s", Item: &wire.Item{Model: "there"}, Phase: wire.Phase_PHASE_READY})
 	c := New(Options{})
 	start := time.Now()
 	in := func(after time.Duration) *placement.Input {
--- a/control/loads_test.go
+++ b/control/loads_test.go
@@ -7,7 +7,6 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
-	"leverdrum/ledger"
 	"leverdrum/state"
 	"leverdrum/wire"
 )
@@ -30,7 +29,7 @@
 		"it was leaving":  {func(st *state.State) { st.Announced.Get("s").Silent, st.Announced.Get("s").Leaving = true, true }, 0, 0},
 		"ready elsewhere": {func(st *state.State) {
 			st.Announced.Get("s").Silent = true
-			st.Residents.Set(ledger.Place{Server: "u", Model: "m", Version: "v"}, &wire.Resident{Server: "u", Item: item, Phase: wire.Phase_PHASE_READY})
+			st.Residents.Put(&wire.Resident{Server: "u", Item: item, Phase: wire.Phase_PHASE_READY})
 		}, 0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/google/subcommands"
@@ -130,30 +129,15 @@
 	}
 }
 
-const (
-	// memoryShare is the part, in fifths, of the memory that the garbage collector
-	// keeps below.
-	memoryShare = 4
-	// garbagePercent is how much garbage may stand beside what is in use, in percent
-	// of it, as long as that limit is far: a fifth of a box's processor time went into
-	// collecting at 40 boxes, with 20 to 50 MB in use of 184.
-	garbagePercent = 300
-)
-
-func limitMemory(s *settings.Settings) {
-	if s.Memory > 0 {
-		debug.SetMemoryLimit(s.Memory / 5 * memoryShare)
-		debug.SetGCPercent(garbagePercent)
-	}
-}
-
 func (c *runCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	sent := catch()
 	s, ok := load(f, c.path(f))
 	if !ok {
 		return subcommands.ExitUsageError
 	}
-	limitMemory(s)
+	if s.Memory > 0 {
+		go keepMemory(s.Memory)
+	}
 	log := newLog(s)
 	defer func() { _ = log.Sync() }()
 	return run(s, c.path(f), sent, log)
--- a/ledger/residents.go
+++ b/ledger/residents.go
@@ -3,21 +3,41 @@
 import (
 	"cmp"
 	"iter"
+	"slices"
 	"strings"
 
 	"leverdrum/internal/cow"
 	"leverdrum/wire"
 )
 
-// Residents are what stands where, found by server and by item.
+// Residents are what stands where, found by server and by item. What stands at a place names it: there is no key beside it,
+// since a box of a large fleet holds tens of thousands.
 type Residents struct {
-	places *cow.Map[Place, *wire.Resident] // by server first
-	items  *cow.Map[Place, *wire.Resident] // by model and adapter first
+	// shelves are what stands on each server, in the order of places. They are replaced, not changed.
+	shelves *cow.Map[string, []*wire.Resident]
+	items   *cow.Map[itemKey, *cow.Map[copyKey, *wire.Resident]]
+	count   int
 }
 
-// NewResidents returns none.
-func NewResidents() *Residents {
-	return &Residents{cow.NewFunc[Place, *wire.Resident](ComparePlaces), cow.NewFunc[Place, *wire.Resident](compareItems)}
+// itemKey names a model, or an adapter of it, in whatever version.
+type itemKey struct{ model, adapter string }
+
+// copyKey names a copy of an item.
+type copyKey struct {
+	server      string
+	accelerator uint32
+	version     string
+}
+
+func compareItems(a, b itemKey) int {
+	return cmp.Or(strings.Compare(a.model, b.model), strings.Compare(a.adapter, b.adapter))
+}
+
+func compareCopies(a, b copyKey) int {
+	if c := strings.Compare(a.server, b.server); c != 0 {
+		return c
+	}
+	return cmp.Or(cmp.Compare(a.accelerator, b.accelerator), strings.Compare(a.version, b.version))
 }
 
 // ComparePlaces orders places by server first.
@@ -31,57 +51,104 @@
 	return cmp.Or(strings.Compare(a.Model, b.Model), strings.Compare(a.Adapter, b.Adapter), strings.Compare(a.Version, b.Version))
 }
 
-// compareItems orders places by model and adapter first.
-func compareItems(a, b Place) int {
-	if c := strings.Compare(a.Model, b.Model); c != 0 {
-		return c
-	}
-	if c := strings.Compare(a.Adapter, b.Adapter); c != 0 {
-		return c
-	}
-	return ComparePlaces(a, b)
+// NewResidents returns none.
+func NewResidents() *Residents {
+	return &Residents{shelves: cow.New[string, []*wire.Resident](), items: cow.NewFunc[itemKey, *cow.Map[copyKey, *wire.Resident]](compareItems)}
 }
 
-// Get returns what stands at a place, nil for nothing.
-func (r *Residents) Get(p Place) *wire.Resident { return r.places.Get(p) }
+// find returns where a place is, or would be, on a shelf.
+func find(shelf []*wire.Resident, p Place) (int, bool) {
+	return slices.BinarySearchFunc(shelf, p, func(r *wire.Resident, p Place) int { return ComparePlaces(PlaceOfResident(r), p) })
+}
 
-// Set puts an item at a place.
-func (r *Residents) Set(p Place, resident *wire.Resident) {
-	r.places.Set(p, resident)
-	r.items.Set(p, resident)
+// Get returns what stands at a place, nil for nothing.
+func (r *Residents) Get(p Place) *wire.Resident {
+	shelf := r.shelves.Get(p.Server)
+	if i, ok := find(shelf, p); ok {
+		return shelf[i]
+	}
+	return nil
 }
 
 // Put puts an item at its place.
-func (r *Residents) Put(resident *wire.Resident) { r.Set(PlaceOfResident(resident), resident) }
+func (r *Residents) Put(resident *wire.Resident) {
+	p := PlaceOfResident(resident)
+	shelf := slices.Clone(r.shelves.Get(p.Server))
+	if i, ok := find(shelf, p); ok {
+		shelf[i] = resident
+	} else {
+		shelf = slices.Insert(shelf, i, resident)
+		r.count++
+	}
+	r.shelves.Set(p.Server, slices.Clip(shelf))
+	key := itemKey{p.Model, p.Adapter}
+	copies := cow.NewFunc[copyKey, *wire.Resident](compareCopies)
+	if known := r.items.Get(key); known != nil {
+		copies = known.Clone()
+	}
+	copies.Set(copyKey{p.Server, p.Accelerator, p.Version}, resident)
+	r.items.Set(key, copies)
+}
 
 // Delete clears a place.
 func (r *Residents) Delete(p Place) {
-	r.places.Delete(p)
-	r.items.Delete(p)
+	shelf := r.shelves.Get(p.Server)
+	i, ok := find(shelf, p)
+	if !ok {
+		return
+	}
+	r.count--
+	if len(shelf) == 1 {
+		r.shelves.Delete(p.Server)
+	} else {
+		r.shelves.Set(p.Server, slices.Delete(slices.Clone(shelf), i, i+1))
+	}
+	key := itemKey{p.Model, p.Adapter}
+	copies := r.items.Get(key).Clone()
+	copies.Delete(copyKey{p.Server, p.Accelerator, p.Version})
+	if copies.Len() == 0 {
+		r.items.Delete(key)
+		return
+	}
+	r.items.Set(key, copies)
 }
 
 // Len returns how many there are.
-func (r *Residents) Len() int { return r.places.Len() }
+func (r *Residents) Len() int { return r.count }
 
 // All goes over them in the order of places.
-func (r *Residents) All() iter.Seq2[Place, *wire.Resident] { return r.places.All() }
+func (r *Residents) All() iter.Seq2[Place, *wire.Resident] {
+	return func(yield func(Place, *wire.Resident) bool) {
+		for _, shelf := range r.shelves.All() {
+			for _, resident := range shelf {
+				if !yield(PlaceOfResident(resident), resident) {
+					return
+				}
+			}
+		}
+	}
+}
 
 // On goes over what stands on a server.
 func (r *Residents) On(server string) iter.Seq2[Place, *wire.Resident] {
 	return func(yield func(Place, *wire.Resident) bool) {
-		for p, resident := range r.places.From(Place{Server: server}) {
-			if p.Server != server || !yield(p, resident) {
+		for _, resident := range r.shelves.Get(server) {
+			if !yield(PlaceOfResident(resident), resident) {
 				return
 			}
 		}
 	}
 }
 
-// Of goes over the places of a model, or of an adapter of it, in whatever version.
+// Of goes over the places of a model, or of an adapter of it, in whatever version, by server.
 func (r *Residents) Of(model, adapter string) iter.Seq2[Place, *wire.Resident] {
 	return func(yield func(Place, *wire.Resident) bool) {
-		for p, resident := range r.items.From(Place{Model: model, Adapter: adapter}) {
-			if p.Model != model || p.Adapter != adapter || !yield(p, resident) {
+		copies := r.items.Get(itemKey{model, adapter})
+		if copies == nil {
+			return
+		}
+		for _, resident := range copies.All() {
+			if !yield(PlaceOfResident(resident), resident) {
 				return
 			}
 		}
@@ -90,16 +157,14 @@
 
 // Clear clears the places of a server for which a condition holds; nil: all of them.
 func (r *Residents) Clear(server string, which func(Place) bool) {
-	var places []Place
-	for p := range r.On(server) {
-		if which == nil || which(p) {
-			places = append(places, p)
+	for _, resident := range r.shelves.Get(server) {
+		if p := PlaceOfResident(resident); which == nil || which(p) {
+			r.Delete(p)
 		}
 	}
-	for _, p := range places {
-		r.Delete(p)
-	}
 }
 
 // Clone returns a copy that does not change with the original.
-func (r *Residents) Clone() *Residents { return &Residents{r.places.Clone(), r.items.Clone()} }
+func (r *Residents) Clone() *Residents {
+	return &Residents{r.shelves.Clone(), r.items.Clone(), r.count}
+}
--- a/standin/agreed.go
+++ b/standin/agreed.go
@@ -8,7 +8,6 @@
 
 	"leverdrum/engine"
 	"leverdrum/fleet"
-	"leverdrum/ledger"
 	"leverdrum/state"
 	"leverdrum/wire"
 )
@@ -46,7 +45,7 @@
 // Ready puts a model, or an adapter when it is named, ready on a server.
 func Ready(st *state.State, server string, accelerator uint32, item *wire.Item, memory uint64) {
 	r := &wire.Resident{Server: server, Accelerator: accelerator, Item: item, Memory: memory, Phase: wire.Phase_PHASE_READY}
-	st.Residents.Set(ledger.PlaceOfResident(r), r)
+	st.Residents.Put(r)
 }
 
 // Hold makes a model server hold an item at once.
--- a/state/state.go
+++ b/state/state.go
@@ -312,7 +312,7 @@
 	if old := s.Residents.Get(place); old != nil {
 		r := proto.CloneOf(old)
 		r.Phase, r.Order = wire.Phase_PHASE_READY, 0
-		s.Residents.Set(place, r)
+		s.Residents.Put(r)
 	}
 	return Result{}
 }
