placement: where models are many times the places, what is asked for is resident

- Rule 17: last copies go only for models that are asked for; where most models have no room, copies that are asked for go for one that nobody asks for only at the price of a move.
Above half of all models each that fits beside last copies is placed as before (TestDecisionsComeToRest, unchanged, failed on a bound of 1).
- Rule 6: only loads from the weight store count against its limit, and room is made for no more loads than it takes.
- No room is made before the leader has heard of any request; a model that requests wait for, or that is asked for all the time now, is no spare copy; of models that are missed alike the one with the lower steady rate goes.
Ties by the rate of now and the steady one together: TestCopiesForLimitedServersStay failed (14 loads for 12).

--- a/control/control.go
+++ b/control/control.go
@@ -133,6 +133,7 @@
 	ordered   map[string]ordered              // by server, see pause.go; nil before the first look
 	lacking   map[string]time.Time            // since when models have no copy, see patience.go
 	askedAt   map[string]time.Time            // when models were asked for last
+	anyAsked  bool                            // this leader has heard of a request for a model
 	wanted    map[string]time.Time            // models and adapters that requests wait for
 	steady    steady
 	kick      chan struct{}
@@ -268,6 +269,7 @@
 		c.doubts = map[string]*doubt{}
 		c.limitedAt = map[string]time.Time{}
 		c.resting = map[string]map[string]time.Time{}
+		c.anyAsked = false
 		c.lacking, c.askedAt = map[string]time.Time{}, map[string]time.Time{}
 		c.counts = map[string]uint64{}
 		c.wanted = map[string]time.Time{}
--- a/control/patience.go
+++ b/control/patience.go
@@ -22,7 +22,8 @@
 func (c *Controller) weighModels(in *placement.Input, now time.Time) {
 	c.noteLacking(in, now)
 	in.Patient, in.Idle = map[string]bool{}, map[string]bool{}
-	known := in.Since >= in.Settles
+	c.anyAsked = c.anyAsked || len(in.Demand)+len(in.Wanted) > 0
+	known := in.Since >= in.Settles && c.anyAsked
 	for name := range in.State.Fleet.Models {
 		asked := in.Demand[name].Requests > 0 || in.Wanted[name]
 		if _, ok := c.askedAt[name]; asked || !ok {
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -67,9 +67,9 @@
 	if p.in.Since < cmp.Or(p.in.Settles, DemandSettles) {
 		return
 	}
-	for p.moves < movesAtOnce && p.mayLoad() {
+	for p.moves < movesAtOnce {
 		best := p.nextMove()
-		if best == nil || best.rate <= rate || p.disturbed(best) {
+		if best == nil || best.rate <= rate || p.disturbed(best) || !p.mayLoad() && !p.atHand(best.model, best.acc) {
 			return
 		}
 		p.best = nil
@@ -271,9 +271,14 @@
 // that went for it. Too high, it takes copies from models that are asked for all the time.
 const absentLeast = 1.5
 
-// absentRate is the rate at which requests miss a model without a copy (15).
+// absentRate is the rate at which requests miss a model without a copy (15). Of models that nobody asks for the more may be
+// asked for soon, the more of them there are places for.
 func (p *planner) absentRate(m *fleet.Model) float64 {
-	rate := max(absentLeast, p.steady(m))
+	least := absentLeast
+	if !p.isAsked(m) {
+		least *= min(1, p.roomShare)
+	}
+	rate := max(least, p.steady(m))
 	if now := p.in.Demand[m.Name].Requests; now >= rareBelow {
 		rate = max(rate, now)
 	}
@@ -362,7 +367,7 @@
 			if freeOnly {
 				continue
 			}
-			out, use, ok := p.spare(a, lack, false)
+			out, use, ok := p.spare(a, lack, p.sparing(m, false))
 			if !ok {
 				continue
 			}
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -101,7 +101,7 @@
 			if freeOnly {
 				continue
 			}
-			out, _, ok := p.spare(a, lack, false)
+			out, _, ok := p.spare(a, lack, p.sparing(m, false))
 			if !ok {
 				continue
 			}
--- a/placement/needs.go
+++ b/placement/needs.go
@@ -36,6 +36,21 @@
 	acc  *accelerator
 }
 
+// isAsked reports whether a model is asked for, now or now and then, or requests wait for it.
+func (p *planner) isAsked(m *fleet.Model) bool {
+	d := p.in.Demand[m.Name]
+	return d.Requests > 0 || d.Steady > 0 || p.in.Wanted[m.Name]
+}
+
+// mostWithoutRoom is the share of all models that there is room for below which models that nobody asks for do without a
+// copy (17): a fleet that has lost half of its servers still places each model that fits beside the last copies of others.
+const mostWithoutRoom = 0.5
+
+// anyAskedOf reports whether one of some copies is of a model that is asked for.
+func (p *planner) anyAskedOf(copies []copyOf) bool {
+	return slices.ContainsFunc(copies, func(c copyOf) bool { return p.isAsked(p.fleet.Models[c.resident.Item.Model]) })
+}
+
 func (p *planner) asksFor(m *fleet.Model) bool { return p.in.Demand[m.Name].Requests > 0 }
 
 // loadNeeds orders the loads of models that have their room: those that are asked
@@ -44,10 +59,7 @@
 func (p *planner) loadNeeds() {
 	for _, r := range p.reserved {
 		p.followAbove(p.in.Demand[r.need.model.Name].Requests)
-		if !p.mayLoad() {
-			return
-		}
-		if r.acc.busy {
+		if r.acc.busy || !p.mayLoad() && !p.atHand(r.need.model, r.acc) {
 			continue
 		}
 		r.acc.free += int64(r.need.model.Footprint())
@@ -68,11 +80,15 @@
 // fillNeeds keeps or makes room for what has no copy, and then for what has too few
 // (1).
 func (p *planner) fillNeeds() {
+	slots := p.fleet.LoadsAtOnce - p.loads
 	for _, n := range p.needs() {
-		if !p.mayLoad() {
-			return
-		}
 		best := p.bestPlace(n.model)
+		if best == nil || !p.atHand(n.model, best) {
+			if slots <= 0 { // room that no load uses soon is only missed
+				continue
+			}
+			slots--
+		}
 		if best == nil || p.fasterElsewhere(n, best) {
 			p.makeRoom(n)
 			continue
@@ -173,7 +189,9 @@
 
 // load orders one more copy and books its room and work.
 func (p *planner) load(m *fleet.Model, a *accelerator, why string) {
-	p.loads++
+	if !p.atHand(m, a) {
+		p.loads++
+	}
 	p.round++
 	if len(p.serving(m)) == 0 {
 		p.forgetAt(m, a)
@@ -203,6 +221,9 @@
 	if p.betterSoon(n, best) { // (16)
 		return
 	}
+	if p.roomShare < mostWithoutRoom && !p.isAsked(n.model) && best.worth <= p.fleet.MoveWeight && p.anyAskedOf(best.out) { // (17)
+		return
+	}
 	for _, c := range best.out {
 		p.evict(c, n.model.Name)
 	}
@@ -234,7 +255,7 @@
 		if !may(a) {
 			continue
 		}
-		out, _, ok := p.spare(a, int64(n.model.Footprint())-a.free, n.have == 0)
+		out, _, ok := p.spare(a, int64(n.model.Footprint())-a.free, p.sparing(n.model, n.have == 0))
 		if !ok {
 			continue
 		}
@@ -246,6 +267,27 @@
 	return best
 }
 
+// sparing says which copies may go for a copy of a model.
+type sparing int
+
+const (
+	// forFirst is for a model that has none: others keep one. Without it others keep their least number.
+	forFirst sparing = 1 << iota
+	// forAsked is for a model that is asked for: last copies may go that are had again within a moment (14, 15, 17).
+	forAsked
+	sparings
+)
+
+func (p *planner) sparing(m *fleet.Model, first bool) (s sparing) {
+	if first {
+		s |= forFirst
+	}
+	if p.isAsked(m) {
+		s |= forAsked
+	}
+	return s
+}
+
 // spares are the copies on an accelerator that can go, the least asked for first, as the
 // round stood at some time: each move weighs each of them for each model that has too few
 // copies.
@@ -261,8 +303,8 @@
 // become free: those whose models keep a ready copy elsewhere, and, unless the
 // room is for a model without any copy, their least number; the least asked for go
 // first. It returns the use that they make of their server, too.
-func (p *planner) spare(a *accelerator, bytes int64, forFirst bool) (out []copyOf, use float64, ok bool) {
-	s := p.sparesOf(a, forFirst)
+func (p *planner) spare(a *accelerator, bytes int64, which sparing) (out []copyOf, use float64, ok bool) {
+	s := p.sparesOf(a, which)
 	for i := range s.list {
 		bytes -= s.sizes[i]
 		use += s.uses[i]
@@ -274,22 +316,20 @@
 }
 
 // sparesOf returns what stands in the accelerator, or finds it anew if something moved since.
-func (p *planner) sparesOf(a *accelerator, forFirst bool) *spares {
-	s := &a.spares
-	if forFirst {
-		s = &a.sparesForFirst
-	}
+func (p *planner) sparesOf(a *accelerator, which sparing) *spares {
+	s := &a.spares[which]
 	if s.round == p.round && !p.in.afresh {
 		return s
 	}
 	s.round, s.list, s.sizes, s.uses = p.round, nil, nil, nil
 	for name := range a.models {
-		if c, ok := p.spareCopy(name, a, forFirst); ok {
+		if c, ok := p.spareCopy(name, a, which); ok {
 			s.list = append(s.list, c)
 		}
 	}
 	slices.SortFunc(s.list, func(x, y copyOf) int {
-		return cmp.Or(cmp.Compare(p.lacked(x), p.lacked(y)), cmp.Compare(x.resident.Item.Model, y.resident.Item.Model))
+		mx, my := p.fleet.Models[x.resident.Item.Model], p.fleet.Models[y.resident.Item.Model]
+		return cmp.Or(cmp.Compare(p.lacked(x), p.lacked(y)), cmp.Compare(p.steady(mx), p.steady(my)), cmp.Compare(mx.Name, my.Name))
 	})
 	for _, c := range s.list {
 		s.sizes = append(s.sizes, int64(p.fleet.Models[c.resident.Item.Model].Footprint()))
@@ -317,7 +357,7 @@
 }
 
 // spareCopy returns the model's copy on an accelerator if it can go.
-func (p *planner) spareCopy(name string, a *accelerator, forFirst bool) (copyOf, bool) {
+func (p *planner) spareCopy(name string, a *accelerator, which sparing) (copyOf, bool) {
 	m := p.fleet.Models[name]
 	if m == nil {
 		return copyOf{}, false
@@ -334,8 +374,8 @@
 		}
 	}
 	place := ledger.Place{Server: a.server.Name, Accelerator: a.number, Model: name, Version: m.Version}
-	enough := ready >= 1 && (forFirst || all > p.least(m))
-	spare := enough || all == 1 && p.atHand(m, a) && (p.in.Idle[name] || p.steady(m) < rareBelow) // (14, 15)
+	enough := ready >= 1 && (which&forFirst != 0 || all > p.least(m))
+	spare := enough || which&forAsked != 0 && all == 1 && p.atHand(m, a) && !p.in.Wanted[name] && p.in.Demand[name].Requests < rareBelow && (p.in.Idle[name] || p.steady(m) < rareBelow) // (14, 15)
 	return here, found && spare && p.settled(m, a) && p.in.State.Stranded(place) == ""
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -21,7 +21,8 @@
 //     can be spared on one accelerator make room for it: those beyond their
 //     model's least number, and for a model without any copy all but the last.
 //     Of several ways the one that costs the fewest requests is taken.
-//  6. At most as many loads are open at once as the weight store serves well.
+//  6. At most as many loads from the weight store are open at once as it serves well. What a server has at hand (12) does
+//     not wait for that.
 //  7. Demand moves a copy only when what it gains, in requests answered in time
 //     over the time that demand is taken to last, less what the copies that make
 //     room are missed until it is there, is worth more than the price of a move. A copy that is not needed any more stays until its room is:
@@ -53,6 +54,9 @@
 //  16. Room that is needed is not made by taking a copy that many requests need while a
 //     server that takes no order yet, such as one that another leader gave orders to,
 //     can spare one that few need.
+//  17. A copy that stands is worth more than one that nobody asks for: the last copy of a model goes only for a model that
+//     is asked for. Where most models have no room, no copy that is asked for goes for a model that nobody asks for, unless
+//     that is worth the price of a move: all that stand would otherwise go, one after another.
 package placement
 
 import (
@@ -152,8 +156,7 @@
 	busy     bool  // takes no further order now
 	models   map[string]bool
 	hand     []string // models that its server has at hand
-	// spares can go for another copy, sparesForFirst for a model that has none.
-	spares, sparesForFirst spares
+	spares   [sparings]spares
 }
 
 type copyOf struct {
@@ -173,7 +176,7 @@
 	copies    map[string][]copyOf // by model, any version and phase
 	served    map[string][]copyOf // what serving has found since a model's copies changed
 	round     int                 // counts what moves in this decision, from 1
-	loads     int
+	loads     int                 // from the weight store that are open
 	// clearing are servers on which copies make room in this round.
 	clearing map[*load]bool
 	// asked counts the on-demand adapters of each model that are asked for; slots
@@ -181,6 +184,8 @@
 	asked, slots map[string]int
 	// keptModels are at hand on some server that works (14).
 	keptModels map[string]bool
+	// roomShare is the part of all models that there is room for at once.
+	roomShare float64
 	// roomFor names the models that room is being made for (11).
 	roomFor map[string]bool
 	// moves counts what demand moved in this round; best is the next one, unless
@@ -215,6 +220,7 @@
 		}
 	}
 	p.noteKept()
+	p.roomShare = p.shareWithRoom()
 	p.countAsked()
 	p.countOrders()
 	p.countResidents()
@@ -222,6 +228,23 @@
 	return p
 }
 
+// shareWithRoom returns the part of all models that the servers that work have room for.
+func (p *planner) shareWithRoom() float64 {
+	room, all := 0.0, 0.0
+	for _, a := range p.accs {
+		if !a.unusable {
+			room += float64(a.server.Kind.Usable())
+		}
+	}
+	for _, m := range p.models {
+		all += float64(m.Footprint())
+	}
+	if all == 0 {
+		return 1
+	}
+	return room / all
+}
+
 func (p *planner) unusable(s *fleet.Server, seen *wire.ServerState) bool {
 	return s.Leaving || seen.GetIncarnation() == "" || seen.GetLeaving() || p.in.Down[s.Name] || p.in.State.Evacuated(s.Hall)
 }
@@ -237,7 +260,7 @@
 			continue
 		}
 		acc := list[o.Accelerator]
-		if o.Action == wire.OrderAction_ORDER_LOAD && !acc.unusable { // a server that is down loads nothing
+		if o.Action == wire.OrderAction_ORDER_LOAD && !acc.unusable && !slices.Contains(acc.hand, o.Item.Model) { // a server that is down loads nothing
 			p.loads++
 		}
 		if !acc.server.Kind.ChecksFences {
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -57,6 +57,9 @@
 	gather     = 8 * time.Millisecond
 	gatherBox  = 500 * time.Microsecond
 	gatherMost = 60 * time.Millisecond
+	// thick is how many entries must come while news is gathered for it to be gathered on, gathersMost times in all.
+	thick       = 16
+	gathersMost = 4
 	// askTimeout bounds the time of a question in which nothing comes, askMost that of
 	// one whose answer is on its way: a whole state of some MB over a share of a link
 	// of 10 Mbit/s.
@@ -269,7 +272,7 @@
 		}
 		select {
 		case <-changed:
-			wait.For(ctx, gatherFor(len(s.opts.Replica.View().Members)))
+			s.gather(ctx)
 		case <-fresher:
 			return s.opts.Replica.Since(index)
 		case <-timer.C:
@@ -280,6 +283,19 @@
 	}
 }
 
+// gather waits while news comes thick: a thousand boxes that take each of a thousand announcements by itself exchange a
+// million messages. A fleet file does not wait for what comes behind it.
+func (s *Spreader) gather(ctx context.Context) {
+	for range gathersMost {
+		before := s.opts.Replica.View()
+		wait.For(ctx, gatherFor(len(before.Members)))
+		now := s.opts.Replica.View()
+		if now.Index-before.Index < thick || now.Version.GetIndex() != before.Version.GetIndex() || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
 func gatherFor(boxes int) time.Duration {
 	return min(gatherMost, gather+time.Duration(boxes)*gatherBox)
 }
--- a/state/announced.go
+++ b/state/announced.go
@@ -17,6 +17,7 @@
 	byAddress *cow.Map[string, []string]
 	heirs     *cow.Map[string, bool] // ids of those that are marked so
 	leaving   *cow.Map[string, bool] // the same
+	atHand    *cow.Map[string, int]  // servers that have a model at hand, by model
 	byService *cow.Map[serviceID, *wire.Announcement]
 }
 
@@ -28,7 +29,7 @@
 }
 
 func newAnnounced() *Announced {
-	return &Announced{cow.New[string, *wire.Announcement](), cow.New[string, []string](), cow.New[string, []string](), cow.New[string, bool](), cow.New[string, bool](), cow.NewFunc[serviceID, *wire.Announcement](compareServices)}
+	return &Announced{cow.New[string, *wire.Announcement](), cow.New[string, []string](), cow.New[string, []string](), cow.New[string, bool](), cow.New[string, bool](), cow.New[string, int](), cow.NewFunc[serviceID, *wire.Announcement](compareServices)}
 }
 
 // Get returns what is known of an id, nil for nothing.
@@ -81,6 +82,7 @@
 
 // Set takes over what is known of an id.
 func (a *Announced) Set(id string, next *wire.Announcement) {
+	a.countHand(a.byID.Get(id), next)
 	a.unlink(id, next)
 	a.byID.Set(id, next)
 	if next.Name != "" {
@@ -94,12 +96,33 @@
 
 // Delete forgets an id.
 func (a *Announced) Delete(id string) {
+	a.countHand(a.byID.Get(id), nil)
 	a.unlink(id, &wire.Announcement{})
 	a.byID.Delete(id)
 	mark(a.heirs, id, false)
 	mark(a.leaving, id, false)
 }
 
+// AtHand returns how many servers have a model at hand.
+func (a *Announced) AtHand(model string) int { return a.atHand.Get(model) }
+
+// countHand counts what a server has at hand now in place of what it had before.
+func (a *Announced) countHand(old, next *wire.Announcement) {
+	if slices.Equal(old.GetAtHand(), next.GetAtHand()) {
+		return
+	}
+	for _, model := range old.GetAtHand() {
+		if n := a.atHand.Get(model); n > 1 {
+			a.atHand.Set(model, n-1)
+		} else {
+			a.atHand.Delete(model)
+		}
+	}
+	for _, model := range next.GetAtHand() {
+		a.atHand.Set(model, a.atHand.Get(model)+1)
+	}
+}
+
 // unlink takes an id out of where its next announcement does not stand.
 func (a *Announced) unlink(id string, next *wire.Announcement) {
 	old := a.byID.Get(id)
@@ -133,5 +156,5 @@
 }
 
 func (a *Announced) clone() *Announced {
-	return &Announced{a.byID.Clone(), a.byName.Clone(), a.byAddress.Clone(), a.heirs.Clone(), a.leaving.Clone(), a.byService.Clone()}
+	return &Announced{a.byID.Clone(), a.byName.Clone(), a.byAddress.Clone(), a.heirs.Clone(), a.leaving.Clone(), a.atHand.Clone(), a.byService.Clone()}
 }
