placement: a decision in a fleet of thousands weighs few ways, and looks again only at what moved

- Of the ways to make room only the 24 that are missed least are weighed, of servers that have the model at hand and of others each; below that many nothing changes.
- What can go from a server is found anew when something moved there, or of a model there, no longer after any move.
- A server that cannot be the best place is not looked at further: the same decisions.

--- a/bench/growth_test.go
+++ b/bench/growth_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"leverdrum/dialect"
 	"leverdrum/gateway"
@@ -143,3 +144,55 @@
 	}
 	return demand
 }
+
+// lostModels takes the copies of every tenth model of the first three hundred, and what is at hand anywhere, so that thirty
+// models are needed while all room is taken.
+func lostModels(st *state.State) {
+	for lost := range 30 {
+		other := fmt.Sprint("model", 10*lost+6)
+		for place, r := range st.Clone().Residents.Of(fmt.Sprint("model", 10*lost+5), "") {
+			st.Residents.Delete(place)
+			st.Residents.Put(&wire.Resident{Server: r.Server, Item: &wire.Item{Model: other, Version: "newest"}, Phase: wire.Phase_PHASE_READY, Memory: r.Memory})
+		}
+	}
+	for id, s := range st.Clone().Servers.All() {
+		c := proto.CloneOf(s)
+		c.AtHand = nil
+		st.Servers.Set(id, c)
+	}
+}
+
+// decision is the least time of a core that a decision takes.
+func decision(t testing.TB, n size, change func(*state.State)) time.Duration {
+	st := state.New()
+	applyAll(t, st, entriesOf(t, n))
+	change(st)
+	demand := largeDemand()
+	return processor(t, 5, func() {
+		placement.Decide(placement.Input{State: st, Since: time.Hour, Demand: demand})
+	})
+}
+
+// A decision grows with the servers, no faster: when thirty models had lost their copies all servers' spares were weighed for
+// each of them.
+func TestADecisionGrowsWithTheServers(t *testing.T) {
+	g := NewWithT(t)
+	for _, row := range []struct {
+		name   string
+		change func(*state.State)
+	}{{"little changed", func(*state.State) {}}, {"thirty models lost their copies", lostModels}} {
+		small, large := decision(t, smaller, row.change), decision(t, larger, row.change)
+		t.Logf("%s: %v and %v", row.name, small, large)
+		g.Expect(float64(large)/float64(small)).To(BeNumerically("<", 12), "%s: 8 times as many servers, to the power of 1.2", row.name)
+	}
+}
+
+// mostNeedsRatio is how many times as long a decision may take when many models have lost their copies as one when little has
+// changed: 130 ms beside 18 ms, as both were bounded on one machine.
+const mostNeedsRatio = 130.0 / 18
+
+func TestADecisionAfterALoss(t *testing.T) {
+	small, needs := decision(t, large, func(*state.State) {}), decision(t, large, lostModels)
+	t.Logf("%v and %v", small, needs)
+	NewWithT(t).Expect(float64(needs) / float64(small)).To(BeNumerically("<", mostNeedsRatio))
+}
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -358,26 +358,28 @@
 // work, less the work of copies that must go, on which the copy fits or can be made to
 // fit: of those that have the model at hand, and of the others.
 func (p *planner) placesForMore(m *fleet.Model, freeOnly bool) (atHand, others placeForMore) {
+	sparing := p.sparing(m, false)
 	for _, a := range p.accs {
-		if !p.mayHold(m, a) {
-			continue
+		best := &others
+		if p.atHand(m, a) {
+			best = &atHand
 		}
 		at := placeForMore{acc: a, room: a.load.room()}
+		// Copies that go only take from the room: where that is no more to begin with they need not be looked at.
+		if best.acc != nil && !betterForMore(at, *best) || !p.mayHold(m, a) {
+			continue
+		}
 		if lack := int64(m.Footprint()) - a.free; lack > 0 {
 			if freeOnly {
 				continue
 			}
-			out, use, ok := p.spare(a, lack, p.sparing(m, false))
+			out, use, ok := p.spare(a, lack, sparing)
 			if !ok {
 				continue
 			}
 			at.out = out
 			at.room -= use // what the copies in the way do must be done elsewhere
 		}
-		best := &others
-		if p.atHand(m, a) {
-			best = &atHand
-		}
 		if best.acc == nil || betterForMore(at, *best) {
 			*best = at
 		}
--- a/placement/needs.go
+++ b/placement/needs.go
@@ -71,7 +71,7 @@
 // reserve keeps room for a model.
 func (p *planner) reserve(n need, a *accelerator) {
 	p.best = nil // it reckoned with this room
-	p.round++
+	p.noteChange(n.model, a)
 	a.free -= int64(n.model.Footprint())
 	a.models[n.model.Name] = true
 	p.reserved = append(p.reserved, reservation{n, a})
@@ -192,7 +192,7 @@
 	if !p.atHand(m, a) {
 		p.loads++
 	}
-	p.round++
+	p.noteChange(m, a)
 	if len(p.serving(m)) == 0 {
 		p.forgetAt(m, a)
 	} else {
@@ -251,20 +251,61 @@
 
 func (p *planner) leastHarmOn(n need, may func(*accelerator) bool) *candidate {
 	var best *candidate
+	for _, w := range p.waysFor(n, may) {
+		c := p.weigh(n.model, w.acc, w.out)
+		if best == nil || cmp.Or(cmp.Compare(c.worth, best.worth), cmp.Compare(len(best.out), len(c.out))) > 0 {
+			best = &c
+		}
+	}
+	return best
+}
+
+// way is an accelerator with what would go there.
+type way struct {
+	acc  *accelerator
+	out  []copyOf
+	harm float64 // about how many requests a second go without
+	use  float64 // of its server once that has gone
+}
+
+// weighed is how many ways to make room are weighed at most of those on servers that have the model at hand, and of the
+// others: the ones that are missed least by a reckoning that looks at nothing but the copies that go. To weigh one costs as
+// much as to reckon a hundred, and in a fleet of thousands of servers most are alike.
+const weighed = 24
+
+// waysFor returns the ways to make room for a model that are worth weighing.
+func (p *planner) waysFor(n need, may func(*accelerator) bool) []way {
+	var atHand, others []way
+	sparing := p.sparing(n.model, n.have == 0)
 	for _, a := range p.accs {
 		if !may(a) {
 			continue
 		}
-		out, _, ok := p.spare(a, int64(n.model.Footprint())-a.free, p.sparing(n.model, n.have == 0))
+		out, use, ok := p.spare(a, int64(n.model.Footprint())-a.free, sparing)
 		if !ok {
 			continue
 		}
-		c := p.weigh(n.model, a, out)
-		if best == nil || cmp.Or(cmp.Compare(c.worth, best.worth), cmp.Compare(len(best.out), len(c.out))) > 0 {
-			best = &c
+		w := way{acc: a, out: out, use: a.load.use() - use}
+		for _, c := range out {
+			w.harm += p.lacked(c)
+		}
+		if p.atHand(n.model, a) {
+			atHand = append(atHand, w)
+		} else {
+			others = append(others, w)
 		}
 	}
-	return best
+	return append(leastHarmful(atHand), leastHarmful(others)...)
+}
+
+func leastHarmful(ways []way) []way {
+	if len(ways) <= weighed {
+		return ways
+	}
+	slices.SortStableFunc(ways, func(a, b way) int {
+		return cmp.Or(cmp.Compare(a.harm, b.harm), cmp.Compare(a.use, b.use), cmp.Compare(len(a.out), len(b.out)))
+	})
+	return ways[:weighed]
 }
 
 // sparing says which copies may go for a copy of a model.
@@ -288,11 +329,10 @@
 	return s
 }
 
-// spares are the copies on an accelerator that can go, the least asked for first, as the
-// round stood at some time: each move weighs each of them for each model that has too few
-// copies.
+// spares are the copies on an accelerator that can go, the least asked for first. They are kept until something moves there,
+// or of a model that stands there: each move looks at each of them for each model that has too few copies.
 type spares struct {
-	round int // planner.round
+	round int // planner.round when they were found; 0: they were not
 	list  []copyOf
 	// sizes are the bytes that each takes, uses the use that it makes of its server (load.use).
 	sizes []int64
@@ -318,7 +358,7 @@
 // sparesOf returns what stands in the accelerator, or finds it anew if something moved since.
 func (p *planner) sparesOf(a *accelerator, which sparing) *spares {
 	s := &a.spares[which]
-	if s.round == p.round && !p.in.afresh {
+	if s.round > 0 && !p.changedSince(a, s.round) && !p.in.afresh {
 		return s
 	}
 	s.round, s.list, s.sizes, s.uses = p.round, nil, nil, nil
@@ -338,6 +378,25 @@
 	return s
 }
 
+// changedSince reports whether something moved on an accelerator, or of the models there, after a round.
+func (p *planner) changedSince(a *accelerator, round int) bool {
+	if a.changed > round {
+		return true
+	}
+	for name := range a.models {
+		if p.changed[name] > round {
+			return true
+		}
+	}
+	return false
+}
+
+// noteChange begins another round, in which a model has changed on an accelerator.
+func (p *planner) noteChange(m *fleet.Model, a *accelerator) {
+	p.round++
+	p.changed[m.Name], a.changed = p.round, p.round
+}
+
 // useOf is the use that a copy makes of its server (load.use).
 func (p *planner) useOf(c copyOf) float64 {
 	m := p.fleet.Models[c.resident.Item.Model]
@@ -397,7 +456,7 @@
 	p.orderFor(c.acc, wire.OrderAction_ORDER_UNLOAD, c.resident.Item, c.resident.Memory, roomFor, "makes room for "+roomFor)
 	c.acc.busy = true // nothing else moves there in this round
 	p.roomFor[roomFor] = true
-	p.round++
+	p.noteChange(p.fleet.Models[c.resident.Item.Model], c.acc)
 	clear(p.found)
 	p.dropCopy(p.fleet.Models[c.resident.Item.Model], c)
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -157,6 +157,7 @@
 	models   map[string]bool
 	hand     []string // models that its server has at hand
 	spares   [sparings]spares
+	changed  int // planner.round in which something moved there last
 }
 
 type copyOf struct {
@@ -176,7 +177,9 @@
 	copies    map[string][]copyOf // by model, any version and phase
 	served    map[string][]copyOf // what serving has found since a model's copies changed
 	round     int                 // counts what moves in this decision, from 1
-	loads     int                 // from the weight store that are open
+	// changed is the round in which something of a model moved last.
+	changed map[string]int
+	loads   int // from the weight store that are open
 	// clearing are servers on which copies make room in this round.
 	clearing map[*load]bool
 	// asked counts the on-demand adapters of each model that are asked for; slots
@@ -201,7 +204,7 @@
 }
 
 func newPlanner(in Input) *planner {
-	p := &planner{in: in, fleet: in.State.Fleet, copies: map[string][]copyOf{}, served: map[string][]copyOf{}, found: map[string]*candidate{}, round: 1, clearing: map[*load]bool{}}
+	p := &planner{in: in, fleet: in.State.Fleet, copies: map[string][]copyOf{}, served: map[string][]copyOf{}, found: map[string]*candidate{}, changed: map[string]int{}, round: 1, clearing: map[*load]bool{}}
 	p.index = map[string][]*accelerator{}
 	p.models = p.fleet.SortedModels()
 	for place, r := range in.State.Residents.All() {
