gateway: bodies of requests take no more of a box than their part of its memory

A box of 144 MB read each body whole, up to 4 MB of each of thousands of connections, however slowly it came: nothing bounded their sum. They are counted now, a body of known length by that before it is read, others by what is held for them, against an eighth of the memory; what is beyond is refused at once with bodies-full, not run. A body that is cut off still ends in an error. Answers were bounded before, by a buffer for each: a caller that does not read stops the reading from its server. Not measured at the size of the issue (500 readers of 1 KB/s on 144 MB); test TestBodiesAreBounded.

box: tests were given the same port twice now and then, since the system hands a port out again once it is free: one of TestAServerThatAsksForRestGetsNoOrders ended so (bind: address already in use), in 1 of 4 runs of the package here.

--- a/box/platform.go
+++ b/box/platform.go
@@ -27,6 +27,8 @@
 const (
 	// noticesLength bounds the notices that wait to be told to the leader.
 	noticesLength = 256
+	// bodiesShare is the part of the process's memory that bodies of requests may take.
+	bodiesShare = 8
 	// noticeTimeout bounds the telling of some.
 	noticeTimeout = 400 * time.Millisecond
 	// knownTimeout bounds the passing on of an announcement that says nothing new.
@@ -48,7 +50,7 @@
 			}
 		},
 		Crashes: p.crashes.add, Quotas: p.quotas.limiter, Pushback: p.pushback,
-		Hall: s.Hall, Parting: s.Parting, RegionOf: func(hall string) string { return regionOf(p.replica.View(), s, hall) },
+		Hall: s.Hall, Parting: s.Parting, MaxBodies: s.Memory / bodiesShare, RegionOf: func(hall string) string { return regionOf(p.replica.View(), s, hall) },
 		Budget: gateway.Budget{Ratio: s.BudgetRatio, Slack: s.BudgetSlack, Window: s.BudgetWindow},
 		Meters: b.meters, Log: b.log,
 	})
--- a/box/platform_test.go
+++ b/box/platform_test.go
@@ -45,13 +45,21 @@
 
 func address(t *testing.T) string { return addressAt(t, ownIP) }
 
+// given are the addresses that tests of this process were given. The system may hand out a port again as soon as it is free.
+var given sync.Map
+
 func addressAt(t *testing.T, ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
+	for {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := l.Addr().String()
+		l.Close()
+		if _, again := given.LoadOrStore(address, true); !again {
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // settingsOf are the settings that all boxes have; form is set for those with a disk.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,8 @@
 //     read from every answer that comes from it, whatever request that is for.
 //  12. Nothing goes to a server of an evacuated data hall, nor to one outside of the regions in which the request's route and
 //     its workspace allow it to be served. Where no server stands in such a region the request is refused at once.
+//  13. A box holds no more bytes of bodies than its part of its memory. What comes beyond is refused while it is read, however
+//     slowly it comes. Of answers it holds a buffer each: it reads on when the caller has taken what came.
 package gateway
 
 import (
@@ -75,9 +77,11 @@
 	RegionOf func(hall string) string
 	// Parting is how long a server that leaves is a last resort.
 	Parting time.Duration
-	Budget  Budget
-	Meters  *meter.Meters
-	Log     *zap.Logger
+	// MaxBodies bounds the bytes of requests' bodies that the box holds at once; 0: no bound.
+	MaxBodies int64
+	Budget    Budget
+	Meters    *meter.Meters
+	Log       *zap.Logger
 }
 
 // Gateway is the callers' side of a box whose routes go by host and path.
@@ -89,6 +93,7 @@
 	reading  *reading
 	lasting  *lasting
 	notices  *notices
+	bodies   *bodies
 	broken   *crasher.Watch
 	draining atomic.Bool
 	// stopping is closed when no further request is taken and none waits any more.
@@ -106,7 +111,7 @@
 	if opts.Crashes == nil {
 		opts.Crashes = func(*wire.CrashReport) {}
 	}
-	g := &Gateway{opts: opts, dir: newDirectory(opts.Hall, opts.Parting*partingShare/100, opts.Pushback), demand: newDemand(), reading: newReading(), lasting: newLasting(), notices: newNotices(opts.Notice), stopping: make(chan struct{})}
+	g := &Gateway{opts: opts, dir: newDirectory(opts.Hall, opts.Parting*partingShare/100, opts.Pushback), demand: newDemand(), reading: newReading(), lasting: newLasting(), notices: newNotices(opts.Notice), bodies: &bodies{most: opts.MaxBodies}, stopping: make(chan struct{})}
 	if opts.RegionOf != nil {
 		g.dir.regionOf = opts.RegionOf
 	}
@@ -152,9 +157,6 @@
 	return t.fleet != nil && len(t.fleet.Routes) > 0
 }
 
-// maxBody bounds a body when the configuration does not, in bytes.
-const maxBody = 8 << 20
-
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
@@ -175,7 +177,9 @@
 		g.refuseUnsent(w, r, t, reason.NoAccess)
 		return
 	}
-	body, why := readBody(r, t.limits)
+	hold := g.bodies.hold()
+	defer hold.release()
+	body, why := readBody(r, t.limits, hold)
 	if why != nil {
 		g.refuseUnsent(w, r, t, why)
 		return
@@ -203,28 +207,6 @@
 	return nil, route
 }
 
-// readBody is rule 1.
-func readBody(r *http.Request, limits fleet.Limits) ([]byte, *reason.Reason) {
-	most := limits.MaxBody
-	if most == 0 {
-		most = maxBody
-	}
-	if r.ContentLength > most {
-		return nil, reason.BodyTooLarge
-	}
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
-	switch {
-	case err != nil:
-		return nil, reason.BadRequest
-	case int64(len(body)) > most:
-		return nil, reason.BodyTooLarge
-	}
-	return body, nil
-}
-
 // refuseUnsent refuses a request that no server was looked for.
 func (g *Gateway) refuseUnsent(w http.ResponseWriter, r *http.Request, t *table, why *reason.Reason) {
 	id := r.Header.Get(g.opts.Dialect.RequestID)
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -57,6 +57,7 @@
 var (
 	BadRequest     = add(Reason{"bad-request", Callers, "The request cannot be read.", "Send what docs/CALLERS.md describes.", http.StatusBadRequest, NotRun, 0})
 	BodyTooLarge   = add(Reason{"body-too-large", Callers, "The body exceeds the limit.", "Send less, or raise [entry] max-body.", http.StatusRequestEntityTooLarge, NotRun, 0})
+	BodiesFull     = add(Reason{"bodies-full", Callers, "The box holds as many bytes of requests as its memory bears.", "Come back, or ask another box.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	UnknownModel   = add(Reason{"unknown-model", Callers, "The fleet file names no such model or adapter.", "See GET /v1/models.", http.StatusNotFound, NotRun, 0})
 	UnknownService = add(Reason{"unknown-service", Callers, "The fleet file names no such service.", "Check the path under /services/.", http.StatusNotFound, NotRun, 0})
 	UnknownPath    = add(Reason{"unknown-path", Callers, "Nothing is served under this path.", "See docs/CALLERS.md.", http.StatusNotFound, NotRun, 0})
