gateway: a body of unknown length is held up to what is read of it at most

The commit before held twice what it had read, past the longest body: a body that is too long was told that the box is full (TestBodiesAreBounded failed there).

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -77,7 +77,7 @@
 func readUnknown(r *http.Request, most int64, hold *bodyHold) (body []byte, why *reason.Reason) {
 	for {
 		if len(body) == cap(body) {
-			step := max(bodyStep, len(body))
+			step := min(max(bodyStep, len(body)), int(most)+1-len(body))
 			if !hold.grow(int64(step)) {
 				return nil, reason.BodiesFull
 			}
