--- a/gateway/regions_test.go
+++ b/gateway/regions_test.go
@@ -50,6 +50,13 @@
 	}
 	g.Expect(near.came()).To(BeEmpty())
 	g.Expect(far.came()).To(HaveLen(8))
+	for _, r := range s.view.Fleet.Routes {
+		r.Regions = []string{"region-of-h"}
+	}
+	for range 8 {
+		g.Expect(s.send(request("/safe/x", ""))).To(HavePrefix("HTTP/1.1 200 "))
+	}
+	g.Expect(far.came()).To(HaveLen(8), "though a connection rests there")
 	for _, r := range s.view.Fleet.Routes {
 		r.Regions = []string{"region-of-none"}
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -298,4 +298,13 @@
 mutant drains-not-told box/drains.go 's/\tcase d.servers <- server:\n/\tcase d.servers <- "nobody":\n/' box 'TestAServerThatSays'
 mutant drains-not-kept box/drains.go 's/\td.parts.gateway.Drains\(server\)\n//' box 'TestABoxKeepsTo'
 mutant orders-unsent-stay-open control/counted.go 's/errors.Is\(err, engine.ErrResting\) && !x.unsure/false/' control 'TestAnOrderThatWasNotSent'
+mutant evacuated-asked gateway/find.go 's/!s.evacuated.Load\(\) && //' gateway 'TestNothingGoesToAnEvacuatedHall'
+mutant evacuated-counted ledger/ledger.go 's/ && !b.Evacuated\(s.Hall\) \{/ {/' state 'TestServersOfAnEvacuatedHall'
+mutant regions-crossed gateway/find.go 's/ && j.regions.allow\(s\)//' gateway 'TestRequestsStayInTheirRegions'
+mutant warm-up-unseen throttle/throttle.go 's/lower\(t.named\(server\), t.warmUp\(server\)\)/t.named(server)/' throttle 'TestServersThatWarmUp'
+mutant leaving-since-met gateway/directory.go 's/if _, known := d.leaving\[id\]; !known \{/if true {/' gateway 'TestAServerLeavesSince'
+mutant bodies-unbounded gateway/body.go 's/h.of.most > 0 \{/false {/' gateway 'TestBodiesAreBounded'
+mutant last-copies-for-unasked placement/needs.go 's/which&forAsked != 0 && //' placement 'TestWhatStandsDoesNotGo'
+mutant at-hand-waits placement/demand.go 's/ \|\| !p.mayLoad\(\) && !p.atHand\(best.model, best.acc\)/ || !p.mayLoad()/' placement 'TestWhatIsAtHandDoesNotWait'
+mutant room-for-all placement/needs.go 's/if slots <= 0 \{/if false {/' placement 'TestWhatIsAskedForComes'
 exit $missed
