--- a/bench/growth_test.go
+++ b/bench/growth_test.go
@@ -18,8 +18,8 @@
 	"leverdrum/wire"
 )
 
-// smaller and larger are a quarter of the whole fleet's servers, and twice as many, before as many boxes: what a step costs
-// at the larger is compared with what it costs at the smaller.
+// smaller and larger are a quarter of the 3,900 servers of the users' whole fleet, and twice as many, before as many boxes: what
+// a step costs at the larger is compared with what it costs at the smaller.
 var smaller, larger = size{300, 960}, size{300, 7800}
 
 // allocated is how many bytes a step allocates on average.
--- a/bench/large_test.go
+++ b/bench/large_test.go
@@ -25,11 +25,8 @@
 // size is how large a fleet is.
 type size struct{ boxes, servers int }
 
-// The large fleet of the users, and the whole one; the tests of growth go to twice its servers.
-var (
-	large = size{300, 240}
-	whole = size{997, 3900}
-)
+// large is the large fleet of the users.
+var large = size{300, 240}
 
 // What all of them have: models, models on each server, adapters of a model, data halls.
 const (
--- a/daemon/memory.go
+++ b/daemon/memory.go
@@ -13,7 +13,7 @@
 	// garbageBytes is how much garbage may stand beside what is in use, in bytes, within the bounds in percent of what is in
 	// use: a box that knows thousands of servers and serves few requests needs no more than a small one does, and collecting
 	// often is cheap where little is in use.
-	garbageBytes    = 8 << 20
+	garbageBytes    = 4 << 20
 	leastGarbage    = 50
 	mostGarbage     = 300
 	garbageInterval = 2 * time.Second
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -61,8 +61,6 @@
 	return time.Duration(now.UnixNano() - since), since != 0
 }
 
-func byID(a, b *server) int { return cmp.Compare(a.id, b.id) }
-
 const (
 	// outAfter is how many failures in a row take a server out, outFirst and
 	// maxOut for how long.
