box: tests are given no port twice, at whatever address

Boxes of one cluster use the port of the first at addresses of their own, where the system may have given the same number to another listener of the test. The addresses were kept apart since, the numbers were not.

--- a/box/platform_test.go
+++ b/box/platform_test.go
@@ -45,7 +45,8 @@
 
 func address(t *testing.T) string { return addressAt(t, ownIP) }
 
-// given are the addresses that tests of this process were given. The system may hand out a port again as soon as it is free.
+// given are the ports that tests of this process were given. The system may hand out one again as soon as it is free, and boxes of
+// one cluster use the same port at addresses of their own.
 var given sync.Map
 
 func addressAt(t *testing.T, ip string) string {
@@ -54,10 +55,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		address := l.Addr().String()
+		address := l.Addr().(*net.TCPAddr)
 		l.Close()
-		if _, again := given.LoadOrStore(address, true); !again {
-			return address
+		if _, again := given.LoadOrStore(address.Port, true); !again {
+			return address.String()
 		}
 	}
 }
