gateway: the opening of connections to servers can be replaced

Cause: no test could break the links between one box and all servers: boxes of one process dial from the same address, and a loopback connection is always accepted. Change: Options.Dial, by which tests simulate silent, reset and refused links. Nothing else changes: without it connections are opened over TCP as before.

--- a/box/export_test.go
+++ b/box/export_test.go
@@ -1,6 +1,20 @@
 package box
 
-import "leverdrum/gateway"
+import (
+	"leverdrum/gateway"
+	"leverdrum/settings"
+	"leverdrum/state"
+)
 
 // Notify queues a notice as the gateway does, for tests.
 func (b *Box) Notify(n gateway.Notice) { b.components.Load().notices <- n }
+
+// SetDialServers sets how boxes open connections to backend servers and returns a function that restores the default.
+func SetDialServers(dial func(box string) gateway.Dialer) (restore func()) {
+	before := dialServers
+	dialServers = func(s *settings.Settings) gateway.Dialer { return dial(s.Box) }
+	return func() { dialServers = before }
+}
+
+// View returns the replicated state as the box has it, for tests.
+func (b *Box) View() *state.State { return b.components.Load().replica.View() }
--- a/box/platform.go
+++ b/box/platform.go
@@ -35,6 +35,9 @@
 	redundantAnnounceTimeout = 300 * time.Millisecond
 )
 
+// dialServers returns how a box opens connections to backend servers; nil: over TCP. Tests replace it to simulate broken links.
+var dialServers = func(*settings.Settings) gateway.Dialer { return nil }
+
 func (b *Box) newGateway(p *components) *gateway.Gateway {
 	s := b.settings
 	own := dialect.Native
@@ -42,7 +45,7 @@
 		own = platform.Dialect
 	}
 	return gateway.New(gateway.Options{
-		Dialect: own, View: p.replica.View, Current: func() bool { return b.routesInitialized.Load() && p.spread.Current() },
+		Dial: dialServers(s), Dialect: own, View: p.replica.View, Current: func() bool { return b.routesInitialized.Load() && p.spread.Current() },
 		Notify: func(n gateway.Notice) {
 			select {
 			case p.notices <- n:
--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -48,6 +48,7 @@
 // connPool holds this box's connections to one server.
 type connPool struct {
 	address string
+	dialer  Dialer
 
 	mu      sync.Mutex
 	idle    []*conn // most recently used last
@@ -68,7 +69,18 @@
 	return n, err
 }
 
-func newConnPool(address string) *connPool { return &connPool{address: address, maxOpen: 64} }
+// Dialer opens a connection to an address within dialTimeout.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// dialTCP is the Dialer for servers that are reached over the network.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+func newConnPool(address string) *connPool {
+	return &connPool{address: address, dialer: dialTCP, maxOpen: 64}
+}
 
 func (c *connPool) setLimit(maxOpen int) {
 	c.mu.Lock()
@@ -102,8 +114,7 @@
 
 // dial opens a connection for which the caller has reserved a place in the pool.
 func (c *connPool) dial(ctx context.Context) (*conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", c.address)
+	raw, err := c.dialer(ctx, c.address)
 	if err != nil {
 		c.release()
 		return nil, Error.Wrap(err)
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -36,6 +36,7 @@
 	// drainingDuration is how long a draining server is used as a last resort.
 	drainingDuration time.Duration
 	pushback         *pushback.Registry // nil: servers report no limits or backoff
+	dialer           Dialer
 
 	mu            sync.Mutex
 	view          *state.State                  // the newest state
@@ -50,7 +51,7 @@
 }
 
 func newDirectory(hall string, drainingDuration time.Duration, registry *pushback.Registry) *directory {
-	d := &directory{hall: hall, regionOf: func(string) string { return "" }, drainingDuration: drainingDuration, pushback: registry, servers: map[string]*server{}, drainingSince: map[string]time.Time{}, loadingSince: map[ledger.Location]time.Time{}, evictions: map[string]*eviction{}}
+	d := &directory{hall: hall, regionOf: func(string) string { return "" }, drainingDuration: drainingDuration, pushback: registry, dialer: dialTCP, servers: map[string]*server{}, drainingSince: map[string]time.Time{}, loadingSince: map[ledger.Location]time.Time{}, evictions: map[string]*eviction{}}
 	d.current.Store(&table{})
 	first := make(chan struct{})
 	d.updated.Store(&first)
@@ -141,6 +142,7 @@
 	}
 	s := newServer(a)
 	s.region = d.regionOf(a.Hall)
+	s.pool.dialer = d.dialer
 	d.servers[id] = s
 	d.sync(s, a)
 	return s
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,8 +92,10 @@
 	// MaxBodies bounds the bytes of request bodies that the box holds in memory; 0: no limit.
 	MaxBodies int64
 	Budget    Budget
-	Meters    *meter.Meters
-	Log       *zap.Logger
+	// Dial opens connections to backend servers; nil: over TCP.
+	Dial   Dialer
+	Meters *meter.Meters
+	Log    *zap.Logger
 }
 
 // Gateway serves callers' requests at a box whose routes match by host and path.
@@ -134,6 +136,9 @@
 	if opts.RegionOf != nil {
 		g.dir.regionOf = opts.RegionOf
 	}
+	if opts.Dial != nil {
+		g.dir.dialer = opts.Dial
+	}
 	g.budgets = newBudgets(opts.Budget, g.dir.boxes)
 	g.admission = newAdmission(opts.Load, opts.MaxBodies)
 	g.startHold = &startHold{began: time.Now(), current: opts.Current, maxBytes: opts.MaxBodies / waitingBodiesDivisor, meters: opts.Meters}
