--- a/box/crasher_test.go
+++ b/box/crasher_test.go
@@ -30,6 +30,7 @@
 	mu         sync.Mutex
 	started    int
 	terminated int
+	sequence   int // of calls to firstAttempts
 	deadly     map[string]bool
 	servers    []*standin.Server
 	closed     bool
