peer, wire, level: streams on which one box relays a request of another

A box asks another one to send a request to a backend server (RelayRequest) and receives the response in frames as it arrives (RelayFrame). Level 6 gates it: a box of the build before is never asked. The frame stream that load streams had is shared.

--- a/level/level.go
+++ b/level/level.go
@@ -38,6 +38,8 @@
 	Evacuations
 	// SharedLoad: boxes exchange the load of backend servers (package loadshare).
 	SharedLoad
+	// Relays: boxes relay requests for others that cannot reach the backend servers.
+	Relays
 	// end is one above the newest level.
 	end
 )
@@ -53,6 +55,7 @@
 	ServerBackoffs: "long backoffs requested by backend servers",
 	Evacuations:    "evacuations of data halls, and warm-up of servers",
 	SharedLoad:     "load of backend servers exchanged between boxes",
+	Relays:         "requests relayed for boxes that cannot reach the backend servers",
 }
 
 func (l Level) String() string {
--- a/peer/server.go
+++ b/peer/server.go
@@ -165,6 +165,10 @@
 		s.load(ctx, from, load.Kind, stream, r)
 		return
 	}
+	if relay := request.GetRelay(); relay != nil {
+		s.relay(ctx, from, relay, stream, r)
+		return
+	}
 	response := s.handler.Answer(ctx, from, request)
 	if response == nil {
 		s.meters.CountRefusal(reason.PeerUnknownRequest)
