gateway, reach: other boxes relay the requests of a box that lost its links to the servers

Callers saw: while six of ten boxes were cut off from all servers, these served 7 of 134 first attempts, the other four 325 of 327.

Cause: a request could reach a server only on a connection of the box that its caller had chosen. That box tried server after server, each for 400 ms, and kept what it learned by server; nothing concluded that its own links were broken. The same class: a box took failures of its own links for faults of servers and reported them, so that running servers counted as unresponsive for all.

Change: package reach judges a box's own links. A failed or slow dial makes the box dial three other servers; if none answers, the box is isolated until two dials in a row succeed. While it is, requests are relayed, each by one other box that reaches the servers, event by event; the box itself chooses the server and does all counting. Boxes that relay are asked beforehand, a few chosen by rendezvous hashing; what none relays is rejected at once (no-path). What an isolated or suspected box observes of servers is not reported. A server that only this box cannot reach is relayed to, too, where no other server is left.

Ruled out: being not ready. It keeps new connections away after two checks, open ones stay, and the balancer uses all boxes of a hall where most are not ready.

--- a/box/platform.go
+++ b/box/platform.go
@@ -45,7 +45,7 @@
 		own = platform.Dialect
 	}
 	return gateway.New(gateway.Options{
-		Dial: dialServers(s), Dialect: own, View: p.replica.View, Current: func() bool { return b.routesInitialized.Load() && p.spread.Current() },
+		Dial: dialServers(s), OpenRelay: b.openRelay, Self: s.Box, Dialect: own, View: p.replica.View, Current: func() bool { return b.routesInitialized.Load() && p.spread.Current() },
 		Notify: func(n gateway.Notice) {
 			select {
 			case p.notices <- n:
--- a/crasher/watcher.go
+++ b/crasher/watcher.go
@@ -165,6 +165,16 @@
 	w.report(r)
 }
 
+// DropPending drops the attempts whose servers' state is not known yet, of all servers: the box found that its own links failed.
+func (w *Watcher) DropPending() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, waiting := range w.pending {
+		w.count -= len(waiting.attempts)
+		waiting.attempts = nil
+	}
+}
+
 // RecordDrained drops the attempts that failed at a server that had reported that it is draining (1).
 func (w *Watcher) RecordDrained(s Server) { w.removePending(s) }
 
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -117,11 +118,11 @@
 
 // usable returns the servers that may be chosen: those in good health, or else draining ones, or else
 // those that failed recently, are unresponsive or are judged failing (4), or one of the latter alone that is to be
-// probed. Servers that were replaced, are down, were tried before, lack the item, or are at their limit or in
+// probed, or else those that only other boxes may reach. Servers that were replaced, are down, were tried before, lack the item, or are at their limit or in
 // backoff (7) are left out.
 func (d *directory) usable(list []*server, now time.Time, w criteria) []*server {
 	p, tried := w.prompt, w.tried
-	var good, fallback, draining []*server
+	var good, fallback, draining, relayed []*server
 	blocks, probes := d.pushback.Active(), w.mayProbe()
 	for _, s := range list {
 		since, isDraining := s.drainingFor(now)
@@ -134,7 +135,15 @@
 				s.probeSkippedAt.Store(now.UnixNano())
 			}
 			good = append(good, s)
-		case s.isReplaced(), p.Model != "" && s.down(now) && !s.probe(now):
+		case s.isReplaced():
+		case p.Model != "" && s.down(now) && d.relays.enabled():
+			if s.probe(now) {
+				go s.pool.probe(context.Background()) // its result is observed by the pool
+			}
+			if s.relayable(now) && !slices.Contains(tried, s) && !(blocks && d.blocked(s, w.rank)) {
+				relayed = append(relayed, s)
+			}
+		case p.Model != "" && s.down(now) && !s.probe(now):
 		case isDraining:
 			if since < d.drainingDuration && !slices.Contains(tried, s) {
 				draining = append(draining, s)
@@ -161,8 +170,10 @@
 		return good
 	case len(draining) > 0:
 		return draining
+	case len(fallback) > 0:
+		return fallback
 	}
-	return fallback
+	return relayed
 }
 
 // blocked reports whether pushback keeps requests of a rank from a server now.
--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -49,6 +49,8 @@
 type connPool struct {
 	address string
 	dialer  Dialer
+	links   *links // nil: dials are not observed
+	server  string // ID
 
 	mu      sync.Mutex
 	idle    []*conn // most recently used last
@@ -114,7 +116,9 @@
 
 // dial opens a connection for which the caller has reserved a place in the pool.
 func (c *connPool) dial(ctx context.Context) (*conn, error) {
+	observed := c.links.observeDial(c.server)
 	raw, err := c.dialer(ctx, c.address)
+	observed(err, ctx.Err() != nil)
 	if err != nil {
 		c.release()
 		return nil, Error.Wrap(err)
@@ -127,11 +131,11 @@
 
 // probe returns nil if the server accepts a connection now. The connection is kept for a later
 // request.
-func (c *connPool) probe() error {
+func (c *connPool) probe(ctx context.Context) error {
 	if !c.reserve() {
 		return ErrConnectionLimit
 	}
-	x, err := c.dial(context.Background())
+	x, err := c.dial(ctx)
 	if err != nil {
 		return err
 	}
--- a/gateway/crashers.go
+++ b/gateway/crashers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"slices"
@@ -61,6 +62,9 @@
 	j.brokenAttempts++
 	b := crasher.FailedAttempt{Fingerprint: j.print(), SentAt: j.arrived.Add(j.sentAfter), FirstEventAt: j.firstEventAt, FailedAt: now, Unresponsive: f.unresponsive}
 	check := func() crasher.Liveness { return j.g.checkServer(s, now) }
+	if j.relayedBy != "" {
+		check = nil // this box does not reach the server
+	}
 	if f.reason == reason.BackendTimeout || j.r.Context().Err() != nil {
 		b.Unresponsive, check = true, nil
 	}
@@ -74,14 +78,14 @@
 	if s.pool.readSince(brokeAt.Add(time.Millisecond)) {
 		return crasher.Running
 	}
-	switch err := s.pool.probe(); {
+	switch err := s.pool.probe(context.Background()); {
 	case err == nil:
 		return crasher.Running
 	case !errors.Is(err, syscall.ECONNREFUSED):
 		return crasher.Unknown
 	}
 	if s.setDown(time.Now()) {
-		g.notices.send(Notice{RefusingServer: s.id})
+		g.links.vouch(func() { g.notices.send(Notice{RefusingServer: s.id}) })
 	}
 	return crasher.Terminated
 }
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -37,6 +37,8 @@
 	drainingDuration time.Duration
 	pushback         *pushback.Registry // nil: servers report no limits or backoff
 	dialer           Dialer
+	links            *links // set once the gateway has them
+	relays           *relays
 
 	mu            sync.Mutex
 	view          *state.State                  // the newest state
@@ -142,7 +144,7 @@
 	}
 	s := newServer(a)
 	s.region = d.regionOf(a.Hall)
-	s.pool.dialer = d.dialer
+	s.pool.dialer, s.pool.links, s.pool.server = d.dialer, d.links, s.id
 	d.servers[id] = s
 	d.sync(s, a)
 	return s
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -64,11 +64,16 @@
 	written <-chan error // set while the request body may still be being written
 	stop    func() bool
 	watch   *watch
-	tainted bool // the connection must not be reused
+	tainted bool           // the connection must not be reused
+	relay   *relayExchange // set if another box relays the exchange; it has no connection then
 }
 
 // finish ends the reading of a response. whole reports that its body was read to the end.
 func (a *response) finish(complete bool) {
+	if a.relay != nil {
+		a.relay.close()
+		return
+	}
 	stopped := a.stop()
 	if a.watch.stopAborted() {
 		complete = false
@@ -108,11 +113,15 @@
 	dialFailed   bool // no connection was established
 	unresponsive bool // the server sent nothing for too long
 	moved        bool // the exchange was aborted to move the request to another server
+	relayed      bool // another box that reaches the servers reports it
+	declined     bool // a box declined to relay the attempt
+	noPath       bool // this box does not reach the server, and no other box relays the attempt
+	relayLost    bool // the relaying box, or the connection to it, failed
 }
 
 // unsent reports whether the attempt was never sent.
 func (f *failure) unsent() bool {
-	return f.dialFailed || errors.Is(f.cause, ErrConnectionLimit) || errors.Is(f.cause, ErrInBackoff)
+	return f.dialFailed || f.noPath || errors.Is(f.cause, ErrConnectionLimit) || errors.Is(f.cause, ErrInBackoff)
 }
 
 func notRun(refusal *reason.Reason, cause error) *failure {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,8 @@
 //  14. Where boxes share the load of a pool, package overload decides which requests are sent when
 //     the pool is short of capacity. The others wait in the box, or are refused. Where the load is
 //     not known, a stream that would miss its target at every server is refused.
+//  15. A request that this box cannot send to its server, because of the box's own links (package reach), is relayed by
+//     another box (relays.go). Where none relays it, it is rejected at once.
 package gateway
 
 import (
@@ -93,9 +95,12 @@
 	MaxBodies int64
 	Budget    Budget
 	// Dial opens connections to backend servers; nil: over TCP.
-	Dial   Dialer
-	Meters *meter.Meters
-	Log    *zap.Logger
+	Dial Dialer
+	// OpenRelay asks other boxes to relay requests; nil: none does. Self is the name of this box.
+	OpenRelay OpenRelay
+	Self      string
+	Meters    *meter.Meters
+	Log       *zap.Logger
 }
 
 // Gateway serves callers' requests at a box whose routes match by host and path.
@@ -113,6 +118,10 @@
 	late         lateSampler
 	admission    *admission
 	startHold    *startHold
+	links        *links
+	relays       *relays
+	relayed      atomic.Int64 // requests of other boxes that this one relays
+	noPathLogged atomic.Int64 // when it was last logged that no box relays, in Unix nanoseconds
 	draining     atomic.Bool
 	// stopping is closed when no further request is accepted and waiting ones are refused.
 	stopping chan struct{}
@@ -143,6 +152,9 @@
 	g.admission = newAdmission(opts.Load, opts.MaxBodies)
 	g.startHold = &startHold{began: time.Now(), current: opts.Current, maxBytes: opts.MaxBodies / waitingBodiesDivisor, meters: opts.Meters}
 	g.crashWatch = crasher.NewWatcher(opts.ReportCrash)
+	g.relays = newRelays(opts.OpenRelay, opts.Self, opts.View)
+	g.links = newLinks(g)
+	g.dir.links, g.dir.relays = g.links, g.relays
 	return g
 }
 
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -94,7 +94,7 @@
 	if j.owner != nil {
 		fields = append(fields, zap.String("workspace", j.owner.Name))
 	}
-	return fields
+	return append(fields, j.relayFields()...)
 }
 
 // logFailure logs why a request was not answered.
@@ -113,6 +113,7 @@
 	if n := len(j.tried); n > 0 {
 		fields = append(fields, zap.String("server", j.tried[n-1].id))
 	}
+	fields = append(fields, j.relayFields()...)
 	if f != nil {
 		fields = append(fields, zap.String("last", f.reason.Code), event.ErrorField(f.cause), j.fingerprintField(f))
 	}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -53,6 +53,7 @@
 	load           *attemptLoad    // the latest attempt in a pool that shares its load, else nil
 	retryAfter     time.Duration   // time until a server takes the request, where limits or backoff refused it
 	brokenAttempts int             // attempts in which the server may have crashed
+	relayedBy      string          // the box that relayed the latest attempt; "": this box sent it
 	// queueTime is the time from arrival to the first attempt, sentAfter to the latest attempt,
 	// firstEventAfter to the first event. longestPause is the longest pause between two events.
 	queueTime, sentAfter, firstEventAfter, longestPause time.Duration
@@ -180,9 +181,9 @@
 	}()
 	o := j.outgoing(c)
 	o.sendable = func() bool { return j.g.opts.Pushback.Sendable(s.id) }
-	o.observe = func(resp *http.Response) { j.observe(s, resp) }
+	o.observe = func(resp *http.Response) { j.g.observe(s, j.id, resp) }
 	o.watching = j.load.setWatch
-	a, f := exchange(ctx, s.pool, o, j.g.opts.Dialect.RequestID, j.silenceTimeout(), j.abortCheck(s))
+	a, f := j.exchange(ctx, s, o)
 	if f != nil {
 		if f.unsent() {
 			j.releasePermit()
@@ -206,10 +207,14 @@
 	}
 	onFirstEvent := func() {
 		j.firstEventAt = time.Now()
-		if isStream(a) {
+		if isStream(a) && j.relayedBy == "" {
 			j.load.samplePrefill(j.firstEventAt.Sub(startedAt))
 		}
-		s.recordFirstEvent(j.firstEventAt, startedAt, c.work)
+		if j.relayedBy == "" {
+			s.recordFirstEvent(j.firstEventAt, startedAt, c.work)
+		} else {
+			s.recordRelayedFirstEvent(j.firstEventAt, startedAt, c.work)
+		}
 		pending = false
 		j.recordResponse(a, true)
 		j.load.firstEvent()
@@ -217,7 +222,9 @@
 		if !j.headSent { // a resumed stream keeps the time of the first event that reached its caller
 			j.firstEventAfter = firstEventAfter
 		}
-		j.recordPrefillTime(c, firstEventAfter-j.sentAfter)
+		if j.relayedBy == "" {
+			j.recordPrefillTime(c, firstEventAfter-j.sentAfter)
+		}
 		if a.StatusCode < http.StatusMultipleChoices {
 			j.recordPrefixes(c)
 		}
@@ -228,6 +235,20 @@
 	return j.relayWhole(ctx, s, a, onFirstEvent)
 }
 
+// exchange sends the request once, through another box where this one does not reach the server, and reads the head of the
+// response.
+func (j *job) exchange(ctx context.Context, s *server, o *outgoing) (*response, *failure) {
+	j.relayedBy = ""
+	if !j.g.relaysTo(s) {
+		return exchange(ctx, s.pool, o, j.g.opts.Dialect.RequestID, j.silenceTimeout(), j.abortCheck(s))
+	}
+	silence := time.Duration(0)
+	if j.route.Repeatable() {
+		silence = j.silenceTimeout()
+	}
+	return j.relayedExchange(ctx, s, o, silence)
+}
+
 // outgoing returns the request as it is sent to a server (6).
 func (j *job) outgoing(c choice) *outgoing {
 	d := &j.g.opts.Dialect
--- /dev/null
+++ b/gateway/links.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"leverdrum/event"
+	"leverdrum/meter"
+	"leverdrum/reach"
+)
+
+const (
+	// slowDial is the time after which a dial that has not ended counts as a sign of lost links. It is above the round-trip
+	// time between regions.
+	slowDial = 150 * time.Millisecond
+	// otherDials is the number of other servers that are dialed when a dial has failed, and otherDialTimeout bounds these.
+	otherDials       = 3
+	otherDialTimeout = 250 * time.Millisecond
+	// regainInterval is the time between two dials of an isolated box.
+	regainInterval = 150 * time.Millisecond
+	// cutOffSilence is the silence after which an isolated box gives up an exchange.
+	cutOffSilence = 300 * time.Millisecond
+)
+
+// links observes whether this box reaches the backend servers (package reach). Methods of nil do nothing and report that it
+// does.
+type links struct {
+	g       *Gateway
+	monitor *reach.Monitor
+	next    atomic.Uint32 // number of dials while isolated
+}
+
+func newLinks(g *Gateway) *links {
+	l := &links{g: g}
+	if g.opts.Meters != nil {
+		g.opts.Meters.Gauge(meter.ServerLinks).Set(1)
+	}
+	l.monitor = reach.NewMonitor(func(c reach.Change) {
+		if c.Isolated {
+			go l.lost(c)
+		} else {
+			go l.regained(c)
+		}
+	})
+	return l
+}
+
+// isolatedSince returns since when this box reaches no server; zero if it does.
+func (l *links) isolatedSince() time.Time {
+	if l == nil {
+		return time.Time{}
+	}
+	return l.monitor.IsolatedSince()
+}
+
+func (l *links) isolated() bool { return !l.isolatedSince().IsZero() }
+
+// silentSince reports whether an exchange that has been silent for a time is given up since the box is isolated.
+func (l *links) silentSince(silence time.Duration) bool {
+	since := l.isolatedSince()
+	return !since.IsZero() && silence >= cutOffSilence && silence >= time.Since(since)
+}
+
+// vouch runs f if what this box observes of servers is evidence about them.
+func (l *links) vouch(f func()) {
+	if l == nil {
+		f()
+		return
+	}
+	l.monitor.Vouch(f)
+}
+
+// observeDial observes a dial to a server that begins now. The function that it returns must be called when the dial has
+// ended, with its error and whether the caller ended it.
+func (l *links) observeDial(server string) func(err error, canceled bool) {
+	if l == nil {
+		return func(error, bool) {}
+	}
+	startedAt := time.Now()
+	slow := time.AfterFunc(slowDial, func() { l.suspect(server, startedAt) })
+	return func(err error, canceled bool) {
+		slow.Stop()
+		switch {
+		case err == nil:
+			l.monitor.DialSucceeded(time.Now(), startedAt)
+		case !canceled:
+			l.suspect(server, startedAt)
+		}
+	}
+}
+
+// suspect dials other servers to find out whether the dial to one server failed because of this box's links.
+func (l *links) suspect(server string, startedAt time.Time) {
+	if l.monitor.Suspect(server, time.Now(), startedAt) {
+		go func() {
+			dials, succeeded := l.dialOthers(server)
+			l.monitor.Conclude(time.Now(), dials, succeeded)
+		}()
+	}
+}
+
+// dialOthers dials up to otherDials servers and returns as soon as one dial succeeds or all have ended.
+func (l *links) dialOthers(except string) (dials, succeeded int) {
+	list := l.dialable()
+	list = slices.DeleteFunc(list, func(s *server) bool { return s.id == except })
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	list = list[:min(len(list), otherDials)]
+	results := make(chan bool, len(list))
+	for _, s := range list {
+		go func() { results <- l.dialOnce(s) }()
+	}
+	for range list {
+		dials++
+		if <-results {
+			return dials, 1
+		}
+	}
+	return dials, 0
+}
+
+func (l *links) dialOnce(s *server) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), otherDialTimeout)
+	defer cancel()
+	return s.pool.probe(ctx) == nil
+}
+
+// dialable returns the servers that should accept a connection.
+func (l *links) dialable() (list []*server) {
+	now := time.Now()
+	d := l.g.dir
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.servers {
+		if _, draining := s.drainingFor(now); !draining && !s.unresponsive.Load() && !s.isReplaced() {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// lost applies that the box has become isolated, and dials servers until it no longer is.
+func (l *links) lost(c reach.Change) {
+	event.ServerLinksLost.Log(l.g.opts.Log, zap.Int("dials", c.Dials), zap.Duration("after", c.After))
+	l.g.opts.Meters.Gauge(meter.ServerLinks).Set(0)
+	l.g.crashWatch.DropPending()
+	l.g.relays.refresh()
+	l.forgetFailures()
+	for l.isolated() && !l.g.stopped() {
+		if list := l.dialable(); len(list) > 0 {
+			slices.SortFunc(list, func(a, b *server) int { return int(a.hash>>33) - int(b.hash>>33) })
+			s := list[int(l.next.Add(1))%len(list)]
+			if !l.dialOnce(s) {
+				l.monitor.DialFailed()
+			}
+		}
+		time.Sleep(regainInterval)
+	}
+}
+
+// regained applies that the box reaches the servers again.
+func (l *links) regained(c reach.Change) {
+	event.ServerLinksRegained.Log(l.g.opts.Log, zap.Int("dials", c.Dials), zap.Duration("after", c.After))
+	l.g.opts.Meters.Gauge(meter.ServerLinks).Set(1)
+	l.forgetFailures()
+}
+
+// forgetFailures forgets failures of servers that were failures of this box's links.
+func (l *links) forgetFailures() {
+	l.g.dir.mu.Lock()
+	defer l.g.dir.mu.Unlock()
+	for _, s := range l.g.dir.servers {
+		s.forgetFailures()
+	}
+}
--- a/gateway/pushback.go
+++ b/gateway/pushback.go
@@ -14,12 +14,12 @@
 
 // observe records the report in a response about its server. A response of another server at the
 // same address is ignored.
-func (j *job) observe(s *server, resp *http.Response) {
-	d := &j.g.opts.Dialect
+func (g *Gateway) observe(s *server, request string, resp *http.Response) {
+	d := &g.opts.Dialect
 	if d.FromOtherServer(resp.Header, s.name) {
 		return
 	}
-	j.g.opts.Pushback.Observe(s.id, j.id, d.ReadReport(resp.StatusCode, resp.Header, time.Now()))
+	g.opts.Pushback.Observe(s.id, request, d.ReadReport(resp.StatusCode, resp.Header, time.Now()))
 }
 
 // acquirePermit reports whether the server takes an attempt now (11).
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -101,10 +101,12 @@
 	a.finish(err == nil)
 	j.complete = err == nil && a.framed()
 	if err != nil {
-		s.recordFailure(time.Now())
 		j.lastFailure = j.bodyFailure(ctx, err)
-		j.recordBroken(s, j.lastFailure)
-		j.recordBrokenOutcome(s, j.lastFailure)
+		if !j.failedOnOwnLinks(j.lastFailure) {
+			s.recordFailure(time.Now())
+			j.recordBroken(s, j.lastFailure)
+			j.recordBrokenOutcome(s, j.lastFailure)
+		}
 		j.giveUp(reason.BackendDisconnected)
 	}
 	return true
@@ -159,7 +161,7 @@
 		if err == io.EOF {
 			a.finish(true)
 			j.complete = a.framed()
-			if j.route.EventGapTarget > 0 {
+			if j.route.EventGapTarget > 0 && j.relayedBy == "" {
 				s.recordStream(time.Now(), j.longestPause > j.route.EventGapTarget)
 			}
 			return true
@@ -176,11 +178,14 @@
 func (j *job) handleBrokenStream(ctx context.Context, s *server, err error, unresponsive bool) (answered bool) {
 	f := j.bodyFailure(ctx, err)
 	f.unresponsive = unresponsive
+	ownLinks := j.failedOnOwnLinks(f)
 	if j.headSent && (!j.route.Resumable || j.stream.noIDs) {
-		s.recordFailure(time.Now())
 		j.lastFailure = f
-		j.recordBroken(s, f)
-		j.recordBrokenOutcome(s, f)
+		if !ownLinks {
+			s.recordFailure(time.Now())
+			j.recordBroken(s, f)
+			j.recordBrokenOutcome(s, f)
+		}
 		j.giveUp(reason.StreamInterrupted)
 		return true
 	}
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -66,7 +66,8 @@
 		f = j.load.failureOfMove()
 	}
 	j.lastFailure = f
-	if !f.moved {
+	ownLinks := j.failedOnOwnLinks(f)
+	if !f.moved && !ownLinks {
 		j.recordBroken(s, f)
 		j.recordBrokenOutcome(s, f)
 	}
@@ -78,10 +79,21 @@
 		return true
 	}
 	switch {
+	case f.noPath:
+		j.g.logNoPath()
+		j.giveUp(f.reason)
+		return true
+	case ownLinks:
+		j.tried = slices.DeleteFunc(j.tried, func(t *server) bool { return t == s }) // the next attempt takes another path
+		if f.unsent() {
+			j.attempts--
+		}
 	case f.unresponsive, f.dialFailed:
 		s.eject(time.Now())
-		if f.dialFailed {
-			j.reportDown(s, f)
+		if f.relayed {
+			s.setRelayFailed(time.Now())
+		} else if f.dialFailed {
+			j.g.reportDown(s, f)
 		}
 	case f.outcome != reason.NotRun && !f.moved:
 		s.recordFailure(time.Now())
@@ -104,17 +116,23 @@
 
 // reportDown notifies the leader of a server to which no connection can be opened, unless other
 // connections show that it is up.
-func (j *job) reportDown(s *server, f *failure) {
+func (g *Gateway) reportDown(s *server, f *failure) {
 	now := time.Now()
-	j.g.opts.Pushback.RecordUnreachable(s.id)
+	g.opts.Pushback.RecordUnreachable(s.id)
 	switch refused := errors.Is(f.cause, syscall.ECONNREFUSED); {
 	case refused && s.setDown(now):
-		j.g.notices.send(Notice{RefusingServer: s.id})
+		g.links.vouch(func() { g.notices.send(Notice{RefusingServer: s.id}) })
 	case !refused && s.setUnreachable(now):
-		j.g.notices.send(Notice{UnreachableServer: s.id})
+		g.links.vouch(func() { g.notices.send(Notice{UnreachableServer: s.id}) })
 	}
 }
 
+// failedOnOwnLinks reports whether an attempt failed because of this box's links, or a relaying box, so that it says nothing
+// about the server.
+func (j *job) failedOnOwnLinks(f *failure) bool {
+	return f.relayLost || f.noPath || errors.Is(f.cause, errRelayLost) || !f.relayed && j.relayedBy == "" && f.outcome != reason.Failed && j.g.links.isolated()
+}
+
 // abortCheck returns a function that reports whether an exchange with an unresponsive server may
 // be aborted now. It returns nil for a request that may not be repeated, whose exchange is never
 // aborted. Where part of the response was forwarded, by this exchange or an earlier one, the
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -43,6 +43,7 @@
 	failures                 int             // consecutive
 	ejectedUntil             time.Time
 	unreachableAt, lastProbe time.Time            // last failure to open a connection, last probe
+	relayFailedAt            time.Time            // last failure of a box that relays to open one
 	replaced                 bool                 // another server has the address
 	missingUntil             map[string]time.Time // until when it counts as missing a model or adapter that it reported missing
 }
@@ -125,12 +126,19 @@
 	}
 }
 
-// recordFirstEvent records the arrival of the first event, or of the response.
+// recordFirstEvent records the arrival of the first event, or of the response, on a connection of this box.
 func (s *server) recordFirstEvent(now, startedAt time.Time, work float64) {
+	s.recordRelayedFirstEvent(now, startedAt, work)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.removePending(startedAt, work)
 	s.unreachableAt = time.Time{}
+}
+
+// recordRelayedFirstEvent records the arrival of the first event, or of the response, through another box.
+func (s *server) recordRelayedFirstEvent(now, startedAt time.Time, work float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.removePending(startedAt, work)
 	s.delay.update(now, max(0, milliseconds(now.Sub(startedAt))-work), delayWeight, delayDecay)
 	s.failures = 0
 }
@@ -235,7 +243,28 @@
 func (s *server) down(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.unreachableAt) < maxDown && !s.pool.readSince(s.unreachableAt)
+	return now.Sub(s.unreachableAt) < maxDown && !s.pool.readSince(s.unreachableAt) && s.pool.lastDial.Load() <= s.unreachableAt.UnixNano()
+}
+
+// forgetFailures forgets failures that were failures of this box's links.
+func (s *server) forgetFailures() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failures, s.ejectedUntil, s.unreachableAt = 0, time.Time{}, time.Time{}
+}
+
+// setRelayFailed records that a box that relays did not reach the server either.
+func (s *server) setRelayFailed(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.relayFailedAt = now
+}
+
+// relayable reports whether a relayed attempt at the server may succeed, as far as is known.
+func (s *server) relayable(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.relayFailedAt) >= probeEvery
 }
 
 // probe reports whether a request may probe a server that is down, one request at a time.
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -35,6 +36,8 @@
 //     rule, of 20,000 requests on 240 servers, 469 were aborted at servers that were prefilling
 //     long prompts: one of 300 boxes has a single request at a server and no other stream there
 //     that would show that the server is working.
+//  4. A box that has lost its links to the servers gives up an exchange that has been silent since: the request goes on
+//     through another box.
 type watch struct {
 	conn           *conn
 	startedAt      time.Time
@@ -79,7 +82,10 @@
 	}
 	lastRead, lastDial := w.conn.pool.lastRead.Load(), w.conn.pool.lastDial.Load()
 	silence, noContact := w.sinceLatest(lastRead), w.sinceLatest(lastRead, lastDial)
+	cutOff := w.conn.pool.links.silentSince(silence)
 	switch {
+	case cutOff && !w.conn.hasUnread() && w.mayAbort(): // (4)
+		w.giveUp()
 	case noContact < probeAfter && silence < w.silenceTimeout:
 		w.probing = false
 		w.timer.Reset(min(probeAfter-noContact, w.silenceTimeout-silence))
@@ -92,15 +98,20 @@
 	case w.conn.hasUnread() || !w.mayAbort(): // (2), (1)
 		w.timer.Reset(recheckInterval)
 	default:
-		w.unresponsive = true
-		w.conn.SetDeadline(time.Unix(1, 0))
+		w.giveUp()
 	}
 }
 
+// giveUp aborts the exchange. The caller holds the lock.
+func (w *watch) giveUp() {
+	w.unresponsive = true
+	w.conn.SetDeadline(time.Unix(1, 0))
+}
+
 // probe opens another connection to the silent server. If the server accepts it, it is not
 // unresponsive, and may be probed again later (3).
 func (w *watch) probe() {
-	if w.conn.pool.probe() != nil {
+	if w.conn.pool.probe(context.Background()) != nil {
 		return
 	}
 	w.mu.Lock()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -65,6 +65,9 @@
 	LoadPrefixes       = Metric{"leverdrum_load_prefixes", Gauge, "At hubs: prefixes of prompts that are known to be cached, each counted once for each server.", nil}
 	LoadHubs           = Metric{"leverdrum_load_hub_changes_total", Counter, "Number of times that this box began to exchange load with a hub.", nil}
 	StartHolds         = Metric{"leverdrum_start_holds_total", Counter, "Requests that a box held after its start because it did not know yet that it was current, by outcome (released: it became current, expired: it did not in time, full: too many were held already). Expired and full are refused as not-current.", []string{"outcome"}}
+	ServerLinks        = Metric{"leverdrum_server_links", Gauge, "1 while the box reaches backend servers, 0 while other boxes relay its requests.", nil}
+	RelayedAttempts    = Metric{"leverdrum_relayed_total", Counter, "Attempts of this box that other boxes relayed, by result (answered, failed, no-box: none relays).", []string{"result"}}
+	RelaysServed       = Metric{"leverdrum_relays_served_total", Counter, "Attempts of other boxes that this box was asked to relay, by result (sent, declined).", []string{"result"}}
 	Claims             = Metric{"leverdrum_claims_total", Counter, "Claims on keyed calls by verdict.", []string{"verdict"}}
 )
 
@@ -72,7 +75,7 @@
 func All() []Metric {
 	return []Metric{
 		Refusals, Retries, RetriesDenied, Requests, RequestsInTime, RequestDuration, RequestsInFlight, StateIndex, FleetNumber,
-		IsLeader, Current, Elections, Orders, Ejections, PeerBytes, PeerMessages, PeerAbandonedBytes, CrashReports, CrashersBlocked, InvalidReports, BuildInfo, ActiveLevel, WorkspaceRequests, LimitedAttempts, ServerLimits, LateRequests, LateWorkspaces, ServerSlowness, LoadFrames, LoadIgnored, LoadPrefixes, LoadHubs, StartHolds, Claims,
+		IsLeader, Current, Elections, Orders, Ejections, PeerBytes, PeerMessages, PeerAbandonedBytes, CrashReports, CrashersBlocked, InvalidReports, BuildInfo, ActiveLevel, WorkspaceRequests, LimitedAttempts, ServerLimits, LateRequests, LateWorkspaces, ServerSlowness, LoadFrames, LoadIgnored, LoadPrefixes, LoadHubs, StartHolds, ServerLinks, RelayedAttempts, RelaysServed, Claims,
 	}
 }
 
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -76,6 +76,7 @@
 	ServersInBackoff    = add(Reason{"servers-resting", Callers, "The servers that could run the request rejected other requests and asked to back off.", "Retry after the time given in the response; `leverdrum status` lists servers in backoff.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	Overloaded          = add(Reason{"overloaded", Callers, "The request would miss its deadline.", "Retry later, or send fewer requests at once.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	OverFairShare       = add(Reason{"over-share", Callers, "The caller has more requests waiting than its fair share.", "Send fewer requests at once.", http.StatusTooManyRequests, NotRun, 1 * second})
+	NoPath              = add(Reason{"no-path", Callers, "The box reaches no backend server, and no other box relays the request.", "Retry later, or use another box.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	BackendUnreachable  = add(Reason{"not-reached", Callers, "No backend server could be reached.", "Retry later.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	BackendRefused      = add(Reason{"backend-refused", Callers, "The backend server reported that it did not run the request.", "Retry later.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	BackendDisconnected = add(Reason{"backend-broke", Callers, "The connection was lost before a response; the request may have run.", "Assume neither; retry with the same key if the call has one.", http.StatusBadGateway, Unknown, 0})
