gateway: a server to which dials failed is used again once it accepts connections

A sound server may be silent for a second and go on. Change: the ejection for a failed dial ends with a dial that succeeds; other ejections stay. Servers to which this box opens no connection are dialed in the background, not by requests, while other boxes relay.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -136,7 +136,7 @@
 			}
 			good = append(good, s)
 		case s.isReplaced():
-		case p.Model != "" && s.down(now) && d.relays.enabled():
+		case s.down(now) && d.relays.enabled():
 			if s.probe(now) {
 				go s.pool.probe(context.Background()) // its result is observed by the pool
 			}
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -88,13 +88,14 @@
 		if f.unsent() {
 			j.attempts--
 		}
-	case f.unresponsive, f.dialFailed:
+	case f.unresponsive:
 		s.eject(time.Now())
-		if f.relayed {
-			s.setRelayFailed(time.Now())
-		} else if f.dialFailed {
-			j.g.reportDown(s, f)
-		}
+	case f.dialFailed && f.relayed:
+		s.eject(time.Now())
+		s.setRelayFailed(time.Now())
+	case f.dialFailed:
+		s.ejectUnreachable(time.Now())
+		j.g.reportDown(s, f)
 	case f.outcome != reason.NotRun && !f.moved:
 		s.recordFailure(time.Now())
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -43,6 +43,7 @@
 	failures                 int             // consecutive
 	ejectedUntil             time.Time
 	unreachableAt, lastProbe time.Time            // last failure to open a connection, last probe
+	dialFailedAt             time.Time            // set if the ejection is for a failed dial, and ends with one that succeeds
 	relayFailedAt            time.Time            // last failure of a box that relays to open one
 	replaced                 bool                 // another server has the address
 	missingUntil             map[string]time.Time // until when it counts as missing a model or adapter that it reported missing
@@ -189,17 +190,31 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failures++
+	s.dialFailedAt = time.Time{}
 	if s.failures >= ejectAfter {
 		ejection := minEjection << min(s.failures-ejectAfter, 4)
 		s.ejectedUntil = now.Add(min(ejection, maxEjection))
 	}
 }
 
-// eject ejects a server at once that could not be reached or became unresponsive.
+// ejectUnreachable ejects a server to which no connection could be opened, until one is.
+func (s *server) ejectUnreachable(now time.Time) {
+	s.eject(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dialFailedAt = now
+}
+
+// isEjected reports whether the server is ejected. The caller holds the lock.
+func (s *server) isEjected(now time.Time) bool {
+	return now.Before(s.ejectedUntil) && (s.dialFailedAt.IsZero() || s.pool.lastDial.Load() <= s.dialFailedAt.UnixNano())
+}
+
+// eject ejects a server at once that became unresponsive.
 func (s *server) eject(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failures = max(s.failures+1, ejectAfter)
+	s.failures, s.dialFailedAt = max(s.failures+1, ejectAfter), time.Time{}
 	s.ejectedUntil = now.Add(min(unresponsiveEjection<<min(s.failures-ejectAfter, 2), maxEjection))
 }
 
@@ -316,14 +331,14 @@
 func (s *server) ejected(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Before(s.ejectedUntil)
+	return s.isEjected(now)
 }
 
 // faultless reports whether nothing that happened at the server speaks against using it.
 func (s *server) faultless(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.replaced && !s.unresponsive.Load() && now.Sub(s.unreachableAt) >= maxDown && len(s.missingUntil) == 0 && !now.Before(s.ejectedUntil)
+	return !s.replaced && !s.unresponsive.Load() && now.Sub(s.unreachableAt) >= maxDown && len(s.missingUntil) == 0 && !s.isEjected(now)
 }
 
 // load returns the queue delay in milliseconds and the share of slots taken.
