gateway, box: relayed requests when the relaying box ends, or is full

Change: a stopping box waits for what it relays; the latest server has a field of its own; only a lost box counts as lost, and one at its limit is passed over for that request alone. A box that is asked to relay need not be current, since the one that chose the server is.

--- a/box/crasher_test.go
+++ b/box/crasher_test.go
@@ -26,6 +26,7 @@
 type multiBox struct {
 	*singleBox
 	entries []string
+	others  []*box.Box // without a disk
 
 	mu         sync.Mutex
 	started    int
@@ -76,6 +77,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	s.others = append(s.others, b)
 	s.t.Cleanup(b.Kill)
 	return entry
 }
--- a/box/paths_test.go
+++ b/box/paths_test.go
@@ -315,3 +315,36 @@
 	g.Expect(suspects).To(BeZero(), "requests suspected of crashing servers")
 	s.expectRunsOnce()
 }
+
+// Guards against requests that are cut off when the box that relays them is stopped as planned, or run twice when it is killed.
+func TestRelayingBoxEnds(t *testing.T) {
+	for name, end := range map[string]func(*box.Box){
+		"stopped": func(b *box.Box) { _ = b.Stop() }, // its error means that requests were in flight; their callers say so, too
+		"killed":  (*box.Box).Kill,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, l := startPathsCluster(t, 3, 3)
+			g := NewWithT(t)
+			for _, v := range s.servers {
+				v.SetSlowness(5) // responses take longer than the box serves on
+			}
+			isCutOff := func(n int) bool { return n == 0 || n == 1 }
+			for n := range s.entries {
+				if isCutOff(n) {
+					l.set(s.boxName(n), linksSilent)
+				}
+			}
+			s.firstAttempts(40, 2*time.Second, isCutOff)
+			s.entries = s.entries[:2] // callers use only those that are cut off
+			time.AfterFunc(time.Second, func() { end(s.others[1]) })
+			cutOff, _ := s.firstAttempts(80, 3*time.Second, isCutOff)
+			t.Logf("%d of %d served", cutOff.served, cutOff.sent)
+			if name == "stopped" {
+				g.Expect(cutOff.served).To(Equal(cutOff.sent))
+			} else {
+				g.Expect(cutOff.share()).To(BeNumerically(">=", 0.9))
+			}
+			s.expectRunsOnce()
+		})
+	}
+}
--- a/box/stop.go
+++ b/box/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"leverdrum/event"
@@ -18,7 +19,8 @@
 //     load balancer may lag. Keep-alive connections are closed after their next
 //     response, but idle ones not yet: a request may be in transit on them.
 //  2. The member list shows the box as draining, and leadership is transferred.
-//  3. Further requests are refused as not run; those in flight are completed.
+//  3. Further requests are refused as not run; those in flight are completed, also those that
+//     this box relays for others.
 //  4. Everything is closed.
 //
 // The error means that requests were still in flight when the stop timeout expired.
@@ -48,6 +50,13 @@
 		p.entry.Stop()
 		p.gateway.Stop()
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), b.settings.StopTimeout)
+	defer cancel()
+	if p != nil {
+		var relayed sync.WaitGroup
+		relayed.Go(func() { p.gateway.AwaitRelayed(ctx) })
+		defer relayed.Wait()
+	}
 	if err := shutdownHTTP(b.entryHTTP, b.settings.StopTimeout); err != nil {
 		event.RequestsCutOff.Log(b.log, event.ErrorField(err))
 		return Error.Wrap(err)
--- a/gateway/crashers.go
+++ b/gateway/crashers.go
@@ -109,5 +109,5 @@
 	if !j.complete || j.status >= http.StatusMultipleChoices {
 		return
 	}
-	j.g.crashWatch.RecordServed(j.print(), j.tried[len(j.tried)-1].version, &j.g.opts.View().Crashers)
+	j.g.crashWatch.RecordServed(j.print(), j.current.version, &j.g.opts.View().Crashers)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -57,6 +58,7 @@
 	"leverdrum/dialect"
 	"leverdrum/event"
 	"leverdrum/fleet"
+	"leverdrum/internal/wait"
 	"leverdrum/loadshare"
 	"leverdrum/meter"
 	"leverdrum/pushback"
@@ -183,6 +185,13 @@
 	}
 }
 
+// AwaitRelayed waits until no request of another box is being relayed, or the context ends.
+func (g *Gateway) AwaitRelayed(ctx context.Context) {
+	const poll = 10 * time.Millisecond
+	for g.relayed.Load() > 0 && wait.For(ctx, poll) {
+	}
+}
+
 // InFlight returns the number of requests being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -82,7 +82,7 @@
 
 // answerFields returns the log fields of a request that was answered.
 func (j *job) answerFields() []zap.Field {
-	s := j.tried[len(j.tried)-1]
+	s := j.current
 	fields := []zap.Field{
 		zap.String("request", j.id), zap.String("route", j.route.Name), zap.Int("sends", j.attempts), zap.String("server", s.id),
 		zap.String("model", j.prompt.Model), zap.String("adapter", j.prompt.Adapter), zap.Int("tokens", j.prompt.Tokens),
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -40,9 +40,10 @@
 	prompt        dialect.Prompt
 	keys          []uint64
 
-	tried           []*server
-	attempts        int // attempts sent
-	possibleRuns    int // attempts that may have run
+	tried           []*server // not chosen again while others are left
+	current         *server   // of the latest attempt
+	attempts        int       // attempts sent
+	possibleRuns    int       // attempts that may have run
 	stream          events
 	headSent        bool        // the head of the response was forwarded
 	complete        bool        // the response was forwarded in full, to an end that it states
@@ -168,6 +169,7 @@
 	j.estimatedPrefill, j.queueDelay = c.duration(), c.queueDelay
 	j.tried = append(j.tried, c.server)
 	s := c.server
+	j.current = s
 	startedAt := time.Now()
 	j.concurrent = s.beginAttempt(startedAt, c.work)
 	pending := true
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -33,6 +33,7 @@
 // relayedExchange is exchange through another box. silence is the time after which a silent server is given up; 0: never.
 func (j *job) relayedExchange(ctx context.Context, s *server, o *outgoing, silence time.Duration) (*response, *failure) {
 	var asked []string
+	var full *failure // of a box that would relay
 	for range maxRelayBoxes {
 		box, ok := j.g.relays.acquire(ctx, asked)
 		if !ok {
@@ -42,14 +43,20 @@
 			j.g.relays.release(box)
 			return nil, notRun(reason.ServersInBackoff, ErrInBackoff)
 		}
-		x := &relayExchange{relays: j.g.relays, box: box, idHeader: j.g.opts.Dialect.RequestID}
-		a, f := x.run(ctx, s, o, silence)
+		x := &relayExchange{ctx: ctx, relays: j.g.relays, box: box, idHeader: j.g.opts.Dialect.RequestID}
+		a, f := x.run(s, o, silence)
 		if f == nil || !f.declined {
 			j.relayedBy = box
 			j.countRelayed(f)
 			return a, f
 		}
 		asked = append(asked, box)
+		if errors.Is(f.cause, ErrConnectionLimit) {
+			full = f
+		}
+	}
+	if full != nil {
+		return nil, full
 	}
 	j.g.opts.Meters.Count(meter.RelayedAttempts, "no-box").Inc()
 	f := notRun(reason.NoPath, errNoRelay)
@@ -70,6 +77,7 @@
 	relays   *relays
 	box      string
 	idHeader string
+	ctx      context.Context // of the request
 	stream   RelayStream
 	stop     func() bool // of the context
 	silence  *time.Timer
@@ -78,7 +86,8 @@
 }
 
 // run sends the request and reads the head of the response.
-func (x *relayExchange) run(ctx context.Context, s *server, o *outgoing, silence time.Duration) (*response, *failure) {
+func (x *relayExchange) run(s *server, o *outgoing, silence time.Duration) (*response, *failure) {
+	ctx := x.ctx
 	deadline, _ := ctx.Deadline()
 	r := &wire.RelayRequest{
 		Server: s.id, Method: o.method, Target: o.target, Host: o.host, Headers: relayHeaders(o.header), Body: o.body, Id: o.id,
@@ -88,7 +97,7 @@
 	defer cancel()
 	stream, sent, err := x.relays.open(opening, x.box, r)
 	if err != nil {
-		x.relays.recordAnswer(x.box, false)
+		x.recordLost()
 		x.relays.release(x.box)
 		if sent {
 			return nil, relayLost(ctx, err)
@@ -102,7 +111,7 @@
 	switch {
 	case err != nil:
 		x.close()
-		x.relays.recordAnswer(x.box, false)
+		x.recordLost()
 		return nil, relayLost(ctx, err)
 	case f.Failure != nil:
 		x.close()
@@ -115,6 +124,13 @@
 	return x.response(f.Head, o)
 }
 
+// recordLost records that the relaying box was lost, unless it was this one that ended the exchange.
+func (x *relayExchange) recordLost() {
+	if x.ctx.Err() == nil {
+		x.relays.recordAnswer(x.box, false)
+	}
+}
+
 // relayLost returns the failure of an attempt whose relaying box was lost after it may have been sent.
 func relayLost(ctx context.Context, err error) *failure {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -146,6 +162,10 @@
 	switch r.Kind {
 	case wire.RelayFailure_DECLINED:
 		return &failure{outcome: reason.NotRun, reason: reason.NoPath, cause: cause, declined: true}
+	case wire.RelayFailure_FULL:
+		f := notRun(reason.BackendUnreachable, ErrConnectionLimit)
+		f.declined = true
+		return f
 	case wire.RelayFailure_UNREACHABLE:
 		f := notRun(reason.BackendUnreachable, cause)
 		f.dialFailed, f.relayed = true, true
@@ -190,7 +210,7 @@
 		f, err := x.nextFrame()
 		switch {
 		case err != nil:
-			x.relays.recordAnswer(x.box, false)
+			x.recordLost()
 			return 0, Error.Wrap(errors.Join(errRelayLost, err))
 		case f.Failure != nil:
 			return 0, Error.New("box %s: %s", x.box, f.Failure.Text)
--- a/gateway/relays.go
+++ b/gateway/relays.go
@@ -61,30 +61,41 @@
 	self string
 	view func() *state.State
 
-	mu         sync.Mutex
-	relaysFor  map[string]time.Time // boxes that relay, until when that counts
-	declined   map[string]time.Time // boxes that do not, until when they are not asked
-	inFlight   map[string]int       // requests of this box, by relaying box
-	refreshing chan struct{}        // closed when a box has offered to relay, or none has; nil: none is being asked
+	mu        sync.Mutex
+	relaysFor map[string]time.Time // boxes that relay, until when that counts
+	declined  map[string]time.Time // boxes that do not, until when they are not asked
+	inFlight  map[string]int       // requests of this box, by relaying box
+	asking    bool                 // boxes are being asked whether they relay
+	changed   chan struct{}        // closed when a box has offered to relay, or all were asked
 }
 
 func newRelays(open OpenRelay, self string, view func() *state.State) *relays {
-	return &relays{open: open, self: self, view: view, relaysFor: map[string]time.Time{}, declined: map[string]time.Time{}, inFlight: map[string]int{}}
+	return &relays{open: open, self: self, view: view, relaysFor: map[string]time.Time{}, declined: map[string]time.Time{}, inFlight: map[string]int{}, changed: make(chan struct{})}
 }
 
 // enabled reports whether boxes relay requests for each other.
 func (r *relays) enabled() bool { return r != nil && r.open != nil && r.view().Level >= level.Relays }
 
-// acquire returns a box that relays a request, other than the excluded ones, and waits until one has offered to. ok is false
-// if there is none. The caller must release the box.
+// acquire returns a box that relays a request, other than the excluded ones, and waits while boxes are asked whether they do. ok
+// is false if there is none. The caller must release the box.
 func (r *relays) acquire(ctx context.Context, exclude []string) (box string, ok bool) {
-	for asked := false; ; asked = true {
-		box, ok = r.least(exclude)
-		if ok || asked {
-			return box, ok
+	for asked := false; ; {
+		r.mu.Lock()
+		changed, asking := r.changed, r.asking
+		r.mu.Unlock()
+		if box, ok = r.least(exclude); ok {
+			return box, true
+		}
+		switch {
+		case asking:
+		case asked, !r.refresh():
+			return "", false
+		default:
+			asked = true
+			continue
 		}
 		select {
-		case <-r.refresh():
+		case <-changed:
 		case <-ctx.Done():
 			return "", false
 		}
@@ -127,34 +138,35 @@
 	if relays {
 		r.relaysFor[box] = now.Add(relayBoxTTL)
 		delete(r.declined, box)
+		r.notify()
 		return
 	}
 	delete(r.relaysFor, box)
 	r.declined[box] = now.Add(declinedTTL)
 }
 
-// refresh asks boxes whether they relay, unless it is under way, and returns a channel that is closed when one has offered
-// to, or none does.
-func (r *relays) refresh() <-chan struct{} {
+// refresh begins to ask boxes whether they relay, unless it is under way. It returns false if boxes do not relay.
+func (r *relays) refresh() bool {
+	if !r.enabled() {
+		return false
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.refreshing != nil {
-		return r.refreshing
+	if !r.asking {
+		r.asking = true
+		go r.askBoxes()
 	}
-	first := make(chan struct{})
-	if !r.enabled() {
-		close(first)
-		return first
-	}
-	r.refreshing = first
-	go r.askBoxes(first)
-	return first
+	return true
+}
+
+// notify wakes those that wait for a box. The caller holds the lock.
+func (r *relays) notify() {
+	close(r.changed)
+	r.changed = make(chan struct{})
 }
 
 // askBoxes asks candidates, offersAtOnce at a time, until wantedRelayBoxes have offered to relay or all were asked.
-func (r *relays) askBoxes(first chan struct{}) {
-	var once sync.Once
-	found := func() { once.Do(func() { close(first) }) }
+func (r *relays) askBoxes() {
 	offers := 0
 	for list := r.candidates(); len(list) > 0 && offers < wantedRelayBoxes; {
 		batch := list[:min(len(list), offersAtOnce)]
@@ -170,14 +182,13 @@
 		for range batch {
 			if <-results {
 				offers++
-				found()
 			}
 		}
 	}
 	r.mu.Lock()
-	r.refreshing = nil
-	r.mu.Unlock()
-	found()
+	defer r.mu.Unlock()
+	r.asking = false
+	r.notify()
 }
 
 // ask reports whether a box offers to relay.
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -180,7 +180,7 @@
 		}
 	case !j.route.Repeatable(), j.possibleRuns >= j.route.MaxAttempts:
 		return false
-	case j.brokenAttempts > 0 && j.likelyCrasher(j.tried[len(j.tried)-1]):
+	case j.brokenAttempts > 0 && j.likelyCrasher(j.current):
 		return false
 	}
 	if f.unsent() {
@@ -203,7 +203,7 @@
 		retryReason = reason.RetryInterrupted
 	case f.dialFailed:
 		retryReason = reason.RetryUnreachable
-	case !j.g.opts.Pushback.Sendable(j.tried[len(j.tried)-1].id):
+	case !j.g.opts.Pushback.Sendable(j.current.id):
 		retryReason = reason.RetryBackoff
 	case f.outcome == reason.NotRun:
 		retryReason = reason.RetryRefused
@@ -213,7 +213,7 @@
 	j.g.opts.Meters.CountRetry(retryReason)
 	event.RequestRetried.Log(j.g.opts.Log,
 		zap.String("request", j.id), zap.String("route", j.route.Name), zap.String("outcome", f.reason.Code), zap.String("why", retryReason.Code),
-		zap.Int("sends", j.attempts), zap.Int("runs", j.possibleRuns), zap.String("server", j.tried[len(j.tried)-1].id), event.ErrorField(f.cause), zap.Duration("left", j.remaining()), j.fingerprintField(f))
+		zap.Int("sends", j.attempts), zap.Int("runs", j.possibleRuns), zap.String("server", j.current.id), event.ErrorField(f.cause), zap.Duration("left", j.remaining()), j.fingerprintField(f))
 }
 
 // fingerprintField adds the request's fingerprint to log lines of attempts that may have run, so
--- a/gateway/serverelay.go
+++ b/gateway/serverelay.go
@@ -55,13 +55,12 @@
 	g.relay(ctx, r, out)
 }
 
-// declineRelay returns why this box does not relay a request now; "" if it does.
+// declineRelay returns why this box does not relay a request now; "" if it does. It need not be current: the box that chose the
+// server is.
 func (g *Gateway) declineRelay(r *wire.RelayRequest) string {
 	switch {
 	case g.stopped(), g.draining.Load():
 		return "the box is stopping"
-	case !g.opts.Current():
-		return "the box is not current"
 	case g.links.isolated():
 		return "the box does not reach the servers"
 	case g.relayed.Load() >= maxRelayed:
@@ -160,6 +159,8 @@
 		return wire.RelayFailure_UNREACHABLE
 	case errors.Is(f.cause, ErrInBackoff):
 		return wire.RelayFailure_BACKOFF
+	case errors.Is(f.cause, ErrConnectionLimit):
+		return wire.RelayFailure_FULL
 	case f.outcome == reason.NotRun:
 		return wire.RelayFailure_DECLINED
 	case f.unresponsive:
