--- a/gateway/links.go
+++ b/gateway/links.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,7 +31,6 @@
 type links struct {
 	g       *Gateway
 	monitor *reach.Monitor
-	next    atomic.Uint32 // number of dials while isolated
 }
 
 func newLinks(g *Gateway) *links {
@@ -150,14 +148,22 @@
 	l.g.crashWatch.DropPending()
 	l.g.relays.refresh()
 	l.forgetFailures()
+	l.dialUntilRegained()
+}
+
+// dialUntilRegained dials one server after another, and one that answers again, so that servers that are down do not hide it.
+func (l *links) dialUntilRegained() {
+	var s *server
 	for l.isolated() && !l.g.stopped() {
-		if list := l.dialable(); len(list) > 0 {
-			slices.SortFunc(list, func(a, b *server) int { return int(a.hash>>33) - int(b.hash>>33) })
-			s := list[int(l.next.Add(1))%len(list)]
-			if !l.dialOnce(s) {
-				l.monitor.DialFailed()
+		if s == nil {
+			if list := l.dialable(); len(list) > 0 {
+				s = list[rand.IntN(len(list))]
 			}
 		}
+		if s != nil && !l.dialOnce(s) {
+			l.monitor.DialFailed()
+			s = nil
+		}
 		time.Sleep(regainInterval)
 	}
 }
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -11,7 +11,7 @@
 //     connections may go on to work while new ones are refused.
 //  4. What the box observes of servers is no evidence against them while it is isolated, and is held back while a suspicion
 //     is unresolved.
-//  5. An isolated box dials the servers in turn. It is no longer isolated after regainDials successes in a row, or more, up to
+//  5. An isolated box dials one server at a time. It is no longer isolated after regainDials successes in a row, or more, up to
 //     maxRegainDials, if it was isolated before within flapWindow.
 package reach
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -362,4 +362,8 @@
 mutant crowded-notices-lost box/platform.go 's/if n.CrowdedAdapter != ""/if false/' box TestCrowdedAdapter
 mutant crowded-again-at-once control/crowded.go 's/ordered && now.Sub\(at\) < crowdedPause/false \&\& ordered \&\& at.IsZero()/' control TestNoticesOfCrowdedAdapters
 mutant crowded-everywhere gateway/crowded.go 's/&& slices.Min\(without\) <= inTimeUntil//' gateway 'TestCrowdedAdapter|TestNoticeOfCrowded'
+mutant no-relays gateway/relays.go 's/return r != nil && r.open != nil/return false \&\& r.open != nil/' box TestBoxesCutOffFromServersServe
+mutant isolated-boxes-report reach/reach.go 's/m.held = nil \/\/ \(4\)/m.acquit(now)/' reach TestIsolatedBoxIsNoWitness
+mutant relays-cut-off gateway/gateway.go 's/for g.relayed.Load\(\) > 0/for false/' box 'TestRelayingBoxEnds/stopped'
+mutant brittle-ignored pushback/brittle.go 's/return b.running >= b.window\n\}/return false\n}/' pushback TestBrittleServersDoNotFallOverAtAnySize
 exit $missed
