gateway: a box that reaches only some servers again relays to the others until a dial succeeds

Also, hung exchanges were given up 0.8 s after the links were lost, and a box without new connections noticed nothing. Change: after the links are regained each server counts as not reached until a dial to it has succeeded, which its first request begins. Exchanges in progress are given up when the loss is known. 300 ms without a byte from any server since a request was sent count as a sign, too.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -138,7 +137,7 @@
 		case s.isReplaced():
 		case s.down(now) && d.relays.enabled():
 			if s.probe(now) {
-				go s.pool.probe(context.Background()) // its result is observed by the pool
+				go s.dialAgain()
 			}
 			if s.relayable(now) && !slices.Contains(tried, s) && !(blocks && d.blocked(s, w.rank)) {
 				relayed = append(relayed, s)
--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -66,7 +66,9 @@
 func (x *conn) Read(b []byte) (int, error) {
 	n, err := x.Conn.Read(b)
 	if n > 0 {
-		x.pool.lastRead.Store(time.Now().UnixNano())
+		now := time.Now()
+		x.pool.lastRead.Store(now.UnixNano())
+		x.pool.links.recordRead(now)
 	}
 	return n, err
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -155,6 +155,8 @@
 			o.watching(a.watch)
 		}
 	}
+	stopSilence := to.links.awaitHead(to.server)
+	defer stopSilence()
 	if f := a.write(o); f != nil {
 		a.stop()
 		a.watch.stop()
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,6 +24,10 @@
 	otherDialTimeout = 250 * time.Millisecond
 	// regainInterval is the time between two dials of an isolated box.
 	regainInterval = 150 * time.Millisecond
+	// silentExchange is the time without a byte from any server, since a request was sent, that counts as a sign of lost links,
+	// and silenceInterval the time until the next such sign: a box with few requests may wait for a long prefill alone.
+	silentExchange  = 300 * time.Millisecond
+	silenceInterval = 2 * time.Second
 	// cutOffSilence is the silence after which an isolated box gives up an exchange.
 	cutOffSilence = 300 * time.Millisecond
 )
@@ -31,6 +37,10 @@
 type links struct {
 	g       *Gateway
 	monitor *reach.Monitor
+	// lastRead is when bytes last arrived from any server, and silentAt when silence was last a sign of lost links, in Unix
+	// nanoseconds.
+	lastRead, silentAt atomic.Int64
+	watches            sync.Map // *watch of the exchanges in progress
 }
 
 func newLinks(g *Gateway) *links {
@@ -92,6 +102,42 @@
 	}
 }
 
+func (l *links) recordRead(now time.Time) {
+	if l != nil {
+		l.lastRead.Store(now.UnixNano())
+	}
+}
+
+// awaitHead observes an exchange whose request is sent now. The function that it returns must be called when the head of the
+// response has arrived, or the exchange has ended.
+func (l *links) awaitHead(server string) (stop func()) {
+	if l == nil {
+		return func() {}
+	}
+	sentAt := time.Now()
+	t := time.AfterFunc(silentExchange, func() {
+		now := time.Now().UnixNano()
+		last := l.silentAt.Load()
+		if l.lastRead.Load() < sentAt.UnixNano() && now-last >= int64(silenceInterval) && l.silentAt.CompareAndSwap(last, now) {
+			l.suspect(server, sentAt)
+		}
+	})
+	return func() { t.Stop() }
+}
+
+// addWatch and removeWatch keep the exchanges that are given up when the box becomes isolated.
+func (l *links) addWatch(w *watch) {
+	if l != nil {
+		l.watches.Store(w, nil)
+	}
+}
+
+func (l *links) removeWatch(w *watch) {
+	if l != nil {
+		l.watches.Delete(w)
+	}
+}
+
 // suspect dials other servers to find out whether the dial to one server failed because of this box's links.
 func (l *links) suspect(server string, startedAt time.Time) {
 	if l.monitor.Suspect(server, time.Now(), startedAt) {
@@ -147,7 +193,11 @@
 	l.g.opts.Meters.Gauge(meter.ServerLinks).Set(0)
 	l.g.crashWatch.DropPending()
 	l.g.relays.refresh()
-	l.forgetFailures()
+	l.eachServer((*server).forgetFailures)
+	l.watches.Range(func(w, _ any) bool {
+		go w.(*watch).check()
+		return true
+	})
 	l.dialUntilRegained()
 }
 
@@ -172,14 +222,13 @@
 func (l *links) regained(c reach.Change) {
 	event.ServerLinksRegained.Log(l.g.opts.Log, zap.Int("dials", c.Dials), zap.Duration("after", c.After))
 	l.g.opts.Meters.Gauge(meter.ServerLinks).Set(1)
-	l.forgetFailures()
+	l.eachServer(func(s *server) { s.setUnverified(time.Now(), c.After) })
 }
 
-// forgetFailures forgets failures of servers that were failures of this box's links.
-func (l *links) forgetFailures() {
+func (l *links) eachServer(f func(*server)) {
 	l.g.dir.mu.Lock()
 	defer l.g.dir.mu.Unlock()
 	for _, s := range l.g.dir.servers {
-		s.forgetFailures()
+		f(s)
 	}
 }
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -137,7 +137,7 @@
 	j := gate.newJob(w, r, gate.dir.table(), gate.dir.table().fleet.Routes[0], nil, time.Now())
 	j.route.MaxAttempts, j.route.Timeout, j.deadline = 2, time.Minute, time.Now().Add(time.Minute)
 	s := gate.dir.serverByID("i0")
-	j.tried, j.attempts = []*server{s}, 1
+	j.tried, j.current, j.attempts = []*server{s}, s, 1
 	near, far := net.Pipe()
 	defer far.Close()
 	a := &response{
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"context"
+	"errors"
 	"math"
 	"slices"
 	"sync"
@@ -268,6 +270,27 @@
 	s.failures, s.ejectedUntil, s.unreachableAt = 0, time.Time{}, time.Time{}
 }
 
+// setUnverified records that the box reaches servers again, but not whether it reaches this one, after it reached none for a
+// time: requests go on through other boxes until a dial has succeeded, as it may reach only some servers.
+func (s *server) setUnverified(now time.Time, lostFor time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pool.lastDial.Load() < now.Add(-lostFor).UnixNano() {
+		s.unreachableAt, s.lastProbe = now, time.Time{}
+	}
+}
+
+// dialAgain dials a server that is down. Its pool observes a dial that succeeds.
+func (s *server) dialAgain() {
+	err := s.pool.probe(context.Background())
+	if err == nil || errors.Is(err, ErrConnectionLimit) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unreachableAt = time.Now()
+}
+
 // setRelayFailed records that a box that relays did not reach the server either.
 func (s *server) setRelayFailed(now time.Time) {
 	s.mu.Lock()
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -59,6 +59,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(probeAfter, w.check)
+	x.pool.links.addWatch(w)
 	return w
 }
 
@@ -82,10 +83,12 @@
 	}
 	lastRead, lastDial := w.conn.pool.lastRead.Load(), w.conn.pool.lastDial.Load()
 	silence, noContact := w.sinceLatest(lastRead), w.sinceLatest(lastRead, lastDial)
-	cutOff := w.conn.pool.links.silentSince(silence)
+	links := w.conn.pool.links
 	switch {
-	case cutOff && !w.conn.hasUnread() && w.mayAbort(): // (4)
+	case links.silentSince(silence) && !w.conn.hasUnread() && w.mayAbort(): // (4)
 		w.giveUp()
+	case links.isolated() && silence < cutOffSilence:
+		w.timer.Reset(cutOffSilence - silence)
 	case noContact < probeAfter && silence < w.silenceTimeout:
 		w.probing = false
 		w.timer.Reset(min(probeAfter-noContact, w.silenceTimeout-silence))
@@ -164,6 +167,7 @@
 	if w.timer != nil {
 		w.timer.Stop()
 		w.timer = nil
+		w.conn.pool.links.removeWatch(w)
 	}
 	return w.unresponsive
 }
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -225,7 +225,7 @@
 	r := httptest.NewRequest(http.MethodPost, "/x", nil)
 	j := gate.newJob(httptest.NewRecorder(), r, gate.dir.table(), route, nil, time.Now())
 	s := newServer(&wire.Announcement{Id: "i", Address: "127.0.0.1:1", Slots: 1})
-	j.tried, j.attempts = []*server{s}, 1
+	j.tried, j.current, j.attempts = []*server{s}, s, 1
 	near, far := net.Pipe()
 	defer far.Close()
 	a := &response{
