--- a/box/brittle_test.go
+++ b/box/brittle_test.go
@@ -12,7 +12,7 @@
 const brittleGrace = 3 * time.Second
 
 // Guards against boxes that make brittle servers fall over: at 1.5 times what two servers can run, with five boxes, each server
-// rejected more requests in a second than it reported that it bears, in most seconds.
+// rejected more requests in a second than it reported to tolerate, in most seconds.
 func TestBrittleServersDoNotFallOver(t *testing.T) {
 	s := startMultiBox(t, 4)
 	g := NewWithT(t)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -117,8 +117,9 @@
 
 // usable returns the servers that may be chosen: those in good health, or else draining ones, or else
 // those that failed recently, are unresponsive or are judged failing (4), or one of the latter alone that is to be
-// probed, or else those that only other boxes may reach. Servers that were replaced, are down, were tried before, lack the item, or are at their limit or in
-// backoff (7) are left out.
+// probed, or else those that only other boxes may reach. Servers that were replaced, are down, were
+// tried before, lack the item, are at their limit or in backoff (7), or are brittle and full are left
+// out.
 func (d *directory) usable(list []*server, now time.Time, w criteria) []*server {
 	p, tried := w.prompt, w.tried
 	var good, fallback, draining, relayed []*server
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -37,7 +37,8 @@
 	if _, draining := s.drainingFor(time.Now()); draining || !byServer || byBox || j.r.Context().Err() != nil || j.remaining() <= 0 {
 		return
 	}
-	j.load.recordOutcome(true)
+	load := j.load
+	j.g.links.vouch(func() { load.recordOutcome(true) })
 }
 
 // recordResponse records the status of a response: at its head if it is a failure, else at the first event. A 503 with a
--- a/pushback/brittle.go
+++ b/pushback/brittle.go
@@ -20,10 +20,10 @@
 //     next request when one of these has ended, so that it takes no more room than it had. The window grows again only after growInterval, and then by one in each such
 //     interval until settled intervals passed without a rejection. Each rejection follows from a box that grew, so that this
 //     bounds the rejections of all boxes.
-//  4. growInterval grows with the number of boxes and falls with the number of rejections that the server bears.
+//  4. growInterval is proportional to the number of boxes, and inversely to the rejections that the server tolerates.
 //  5. Where boxes share their load (package loadshare), a box also counts what the others have in progress. Since the figures
 //     lag, a share of the slots is kept free, and while few slots are free, only as many boxes as there are may use them, which
-//     are drawn anew in each drawInterval.
+//     are drawn again in each drawInterval.
 //  6. A window that was not used for unusedWindow falls to what is in progress and initialWindow: other boxes have taken the room.
 
 const (
@@ -35,8 +35,8 @@
 	fewShare  = 0.4
 	// drawInterval is the age that shared figures have at most, usually.
 	drawInterval = 100 * time.Millisecond
-	// bornShare is the mean share of the rejections that a server bears which the growth of all windows may cause.
-	bornShare = 0.2
+	// growthShare is the mean share of the rejections that a server tolerates which the growth of all windows may cause.
+	growthShare = 0.2
 	// settled is the number of intervals without a rejection after which the window grows with each response again.
 	settled = 2
 	// minGrowInterval bounds growInterval for few boxes and robust servers.
@@ -47,7 +47,7 @@
 
 // brittle is what this box knows of a brittle server.
 type brittle struct {
-	bears      dialect.Brittle
+	tolerates  dialect.Brittle // rejections in a second; 0: the server is no longer brittle
 	window     int
 	running    int           // requests of this box in progress
 	usedAt     time.Duration // when the window was last used up
@@ -66,7 +66,7 @@
 
 // full reports whether the window is used up.
 func (b *brittle) full(now time.Duration) bool {
-	if b == nil || b.bears == 0 {
+	if b == nil || b.tolerates == 0 {
 		return false
 	}
 	b.decay(now)
@@ -88,7 +88,7 @@
 
 // growInterval returns the mean time between two growths of the window after a rejection (4).
 func (b *brittle) growInterval(boxes int) time.Duration {
-	interval := time.Duration(float64(max(boxes, 1)) / (bornShare * float64(b.bears)) * float64(time.Second))
+	interval := time.Duration(float64(max(boxes, 1)) / (growthShare * float64(b.tolerates)) * float64(time.Second))
 	return max(interval, minGrowInterval)
 }
 
@@ -120,23 +120,23 @@
 		if rec.brittle == nil {
 			rec.brittle = &brittle{usedAt: now}
 		}
-		if rec.brittle.bears == 0 {
+		if rec.brittle.tolerates == 0 {
 			rec.brittle.window = max(rec.brittle.running, initialWindow)
 			rec.brittle.rejectedAt = 0
 			event.ServerBrittle.Log(r.opts.Log, zap.String("server", server), zap.Uint32("rejections", uint32(report.Brittle)))
 		}
-		rec.brittle.bears = report.Brittle
+		rec.brittle.tolerates = report.Brittle
 		rec.brittle.observe(now, report.Rejected, r.opts.Boxes(), r.opts.Random())
-	case rec.brittle != nil && rec.brittle.bears > 0 && report.FromServer:
+	case rec.brittle != nil && rec.brittle.tolerates > 0 && report.FromServer:
 		event.ServerNotBrittle.Log(r.opts.Log, zap.String("server", server), zap.Int("rejected", rec.brittle.rejections))
-		rec.brittle.bears, rec.brittle.rejections = 0, 0
+		rec.brittle.tolerates, rec.brittle.rejections = 0, 0
 	}
 }
 
 // enterBrittle counts a request that is about to be sent to a brittle server, or returns why it must not be. The caller holds
 // the lock.
 func (rec *record) enterBrittle(now time.Duration) (*use, *Block) {
-	if rec == nil || rec.brittle == nil || rec.brittle.bears == 0 {
+	if rec == nil || rec.brittle == nil || rec.brittle.tolerates == 0 {
 		return nil, nil
 	}
 	if rec.brittle.full(now) {
@@ -187,7 +187,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rec := r.records[server]
-	return rec != nil && rec.brittle != nil && rec.brittle.bears > 0 && rec.brittle.sharedRoomTaken(now, running, slots, boxes, seed)
+	return rec != nil && rec.brittle != nil && rec.brittle.tolerates > 0 && rec.brittle.sharedRoomTaken(now, running, slots, boxes, seed)
 }
 
 // Done records that a request that was sent has ended.
--- a/pushback/brittlesim_test.go
+++ b/pushback/brittlesim_test.go
@@ -15,7 +15,7 @@
 // brittleSim simulates boxes, each with its own windows, before servers that run room requests at a time.
 type brittleSim struct {
 	boxes, servers, room int
-	bears                dialect.Brittle
+	tolerates            dialect.Brittle
 	load                 float64 // demand as a multiple of what the servers can run
 	service              time.Duration
 	shares               bool // boxes know what the others have in progress, as it was at the last snapshot
@@ -42,7 +42,7 @@
 	s.windows = make([][]*brittle, s.boxes)
 	for b := range s.windows {
 		for range s.servers {
-			s.windows[b] = append(s.windows[b], &brittle{bears: s.bears, window: initialWindow})
+			s.windows[b] = append(s.windows[b], &brittle{tolerates: s.tolerates, window: initialWindow})
 		}
 	}
 	s.running, s.rejected = make([]int, s.servers), make([][]time.Duration, s.servers)
@@ -149,7 +149,7 @@
 	for list[0] < s.now-time.Second {
 		list = list[1:]
 	}
-	if len(list) > int(s.bears) && s.now >= s.startedAt {
+	if len(list) > int(s.tolerates) && s.now >= s.startedAt {
 		s.falls++
 		list = nil
 	}
@@ -179,7 +179,7 @@
 			const seeds = 3
 			falls, share := 0, 0.0
 			for seed := range uint64(seeds) {
-				s := &brittleSim{boxes: c.boxes, servers: c.servers, room: c.room, bears: 5, load: c.load, service: c.service, shares: c.shares, random: rand.New(rand.NewPCG(seed, 1))}
+				s := &brittleSim{boxes: c.boxes, servers: c.servers, room: c.room, tolerates: 5, load: c.load, service: c.service, shares: c.shares, random: rand.New(rand.NewPCG(seed, 1))}
 				f, servedShare := s.result()
 				falls, share = falls+f, share+servedShare/seeds
 			}
