gateway: requests wait for the model of a server that is down where no other box relays

Callers of a single box, or of one whose neighbours do not relay, were rejected at once (no-path) when the only server of their model had ended, though the model was being loaded elsewhere: 8 of 10 requests in the test, which fails without the change (box TestOnlyBoxWaitsForTheModelOfAServerThatIsDown). Cause: a server that is down was relayed to, and a request that nobody relays was always given up.

--- a/box/paths_test.go
+++ b/box/paths_test.go
@@ -348,3 +348,26 @@
 		})
 	}
 }
+
+// Guards against requests that are rejected at once, for want of a box that relays them, while their model is being loaded on
+// another server: the only box of a cluster found its server down.
+func TestOnlyBoxWaitsForTheModelOfAServerThatIsDown(t *testing.T) {
+	o := startSingleBox(t)
+	g := NewWithT(t)
+	g.Eventually(func() int { return o.apply(config(1, "m1")) }, testTimeout).Should(Equal(http.StatusOK))
+	first := o.server("i-1", "m1")
+	o.server("i-2")
+	g.Eventually(func() int { s, _ := o.sendModelRequest("first", "m1"); return s }, testTimeout).Should(Equal(http.StatusOK))
+	first.Stop()
+	var wg sync.WaitGroup
+	for n := range 10 {
+		wg.Go(func() {
+			status, body := o.sendModelRequest(fmt.Sprint("then-", n), "m1")
+			if status != http.StatusOK {
+				t.Error(status, body)
+			}
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+	wg.Wait()
+}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -136,7 +136,7 @@
 			}
 			good = append(good, s)
 		case s.isReplaced():
-		case s.down(now) && d.relays.enabled():
+		case s.down(now) && d.relays.enabled() && (p.Model != "" || s.relayable(now)):
 			if s.probe(now) {
 				go s.dialAgain()
 			}
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -27,7 +27,7 @@
 	if since := g.links.isolatedSince(); !since.IsZero() {
 		return !s.pool.readSince(since) || !s.pool.hasIdle(now)
 	}
-	return s.down(now)
+	return s.down(now) && s.relayable(now)
 }
 
 // relayedExchange is exchange through another box. silence is the time after which a silent server is given up; 0: never.
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -79,10 +79,12 @@
 		return true
 	}
 	switch {
-	case f.noPath:
+	case f.noPath && j.g.links.isolated():
 		j.g.logNoPath()
 		j.giveUp(f.reason)
 		return true
+	case f.noPath: // the server is down as far as this box knows, and its model may be loaded elsewhere
+		s.setRelayFailed(time.Now())
 	case ownLinks:
 		j.tried = slices.DeleteFunc(j.tried, func(t *server) bool { return t == s }) // the next attempt takes another path
 		if f.unsent() {
@@ -131,7 +133,7 @@
 // failedOnOwnLinks reports whether an attempt failed because of this box's links, or a relaying box, so that it says nothing
 // about the server.
 func (j *job) failedOnOwnLinks(f *failure) bool {
-	return f.relayLost || f.noPath || errors.Is(f.cause, errRelayLost) || !f.relayed && j.relayedBy == "" && f.outcome != reason.Failed && j.g.links.isolated()
+	return f.relayLost || f.noPath && j.g.links.isolated() || errors.Is(f.cause, errRelayLost) || !f.relayed && j.relayedBy == "" && f.outcome != reason.Failed && j.g.links.isolated()
 }
 
 // abortCheck returns a function that reports whether an exchange with an unresponsive server may
