gateway, framing: log and count how responses of servers end

Package framing names the four ends of a response. The gateway counts them (leverdrum_response_ends_total), request-done and request-late carry the end, and a response that ended with its connection, without a length or chunks, has a line response-end-unknown with its server, its events and the bytes after the last of them, at most five a second.

--- a/event/event.go
+++ b/event/event.go
@@ -96,11 +96,12 @@
 
 // Events of requests.
 var (
-	RequestDone    = add(Event{"request-done", zapcore.DebugLevel, "A request was answered by its server.", "Nothing; waited, first and longest show where the time was spent."})
-	RequestLate    = add(Event{"request-late", zapcore.InfoLevel, "A request was answered late.", "Look at cause, server, waited and behind; docs/OPERATIONS.md says what they mean. At most 5 lines a second; skipped is the number of late requests without a line since the last one. Not logged at level debug, where request-done has the same fields for each request."})
-	RequestRefused = add(Event{"request-refused", zapcore.InfoLevel, "A request was rejected before a server was selected.", "See its outcome in docs/REASONS.md; number is the configuration it was checked against."})
-	RequestRetried = add(Event{"request-retried", zapcore.InfoLevel, "An attempt of a request failed; the request is retried.", "Nothing; outcome is the result of the attempt, why the reason that permits a retry. print is the same for all attempts of a request."})
-	RequestFailed  = add(Event{"request-failed", zapcore.InfoLevel, "A request ended without a complete response from a server.", "See its outcome in docs/REASONS.md and the logs of its server. print is the same for all attempts of a request."})
+	RequestDone        = add(Event{"request-done", zapcore.DebugLevel, "A request was answered by its server.", "Nothing; waited, first and longest show where the time was spent."})
+	RequestLate        = add(Event{"request-late", zapcore.InfoLevel, "A request was answered late.", "Look at cause, server, waited and behind; docs/OPERATIONS.md says what they mean. At most 5 lines a second; skipped is the number of late requests without a line since the last one. Not logged at level debug, where request-done has the same fields for each request."})
+	ResponseEndUnknown = add(Event{"response-end-unknown", zapcore.InfoLevel, "A response ended with its connection, without a length or chunks; it may have been truncated.", "Nothing, unless its callers miss a part: then see the logs of server. events is the number of its events, unfinished the bytes after the last of them. At most 5 lines a second; skipped is the number of such responses without a line since the last one."})
+	RequestRefused     = add(Event{"request-refused", zapcore.InfoLevel, "A request was rejected before a server was selected.", "See its outcome in docs/REASONS.md; number is the configuration it was checked against."})
+	RequestRetried     = add(Event{"request-retried", zapcore.InfoLevel, "An attempt of a request failed; the request is retried.", "Nothing; outcome is the result of the attempt, why the reason that permits a retry. print is the same for all attempts of a request."})
+	RequestFailed      = add(Event{"request-failed", zapcore.InfoLevel, "A request ended without a complete response from a server.", "See its outcome in docs/REASONS.md and the logs of its server. print is the same for all attempts of a request."})
 )
 
 // Events of requests that crash backend servers.
--- a/gateway/crashers.go
+++ b/gateway/crashers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"leverdrum/crasher"
+	"leverdrum/internal/framing"
 	"leverdrum/reason"
 	"leverdrum/state"
 )
@@ -106,7 +107,7 @@
 
 // recordServed records that the request was answered in full.
 func (j *job) recordServed() {
-	if !j.complete || j.status >= http.StatusMultipleChoices {
+	if j.end != framing.Complete || j.status >= http.StatusMultipleChoices {
 		return
 	}
 	j.g.crashWatch.RecordServed(j.print(), j.current.version, &j.g.opts.View().Crashers)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"leverdrum/internal/framing"
 	"leverdrum/proxy"
 	"leverdrum/reason"
 )
@@ -64,8 +65,10 @@
 	written <-chan error // set while the request body may still be being written
 	stop    func() bool
 	watch   *watch
-	tainted bool           // the connection must not be reused
-	relay   *relayExchange // set if another box relays the exchange; it has no connection then
+	tainted bool // the connection must not be reused
+	// delimited is set if the head determines where the body ends.
+	delimited bool
+	relay     *relayExchange // set if another box relays the exchange; it has no connection then
 }
 
 // finish ends the reading of a response. whole reports that its body was read to the end.
@@ -227,7 +230,7 @@
 			o.observe(resp)
 		}
 		if id := resp.Header.Get(idHeader); id == "" || id == o.id {
-			a.Response = resp
+			a.Response, a.delimited = resp, framing.Delimited(o.method, resp)
 			return nil
 		}
 		a.tainted = true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,7 +117,8 @@
 	notices      *notices
 	bodies       *bodies
 	crashWatch   *crasher.Watcher
-	late         lateSampler
+	late         lineSampler
+	unknownEnds  lineSampler // of responses whose end is unknown
 	admission    *admission
 	startHold    *startHold
 	links        *links
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -89,7 +89,7 @@
 		zap.Duration("aim", j.route.LatencyTarget), zap.Duration("pause", j.route.EventGapTarget), zap.Int("status", j.status),
 		zap.Duration("waited", j.queueTime), zap.Duration("sent", j.sentAfter), zap.Duration("first", j.firstEventAfter), zap.Duration("longest", j.longestPause),
 		zap.Duration("after", time.Since(j.arrived)), zap.Float64("reckoned", j.estimatedPrefill), zap.Float64("behind", j.queueDelay), zap.Int("beside", j.concurrent),
-		zap.Int("rank", j.rank()),
+		zap.Int("rank", j.rank()), zap.Stringer("end", j.end),
 	}
 	if j.owner != nil {
 		fields = append(fields, zap.String("workspace", j.owner.Name))
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -11,6 +11,7 @@
 	"leverdrum/crasher"
 	"leverdrum/dialect"
 	"leverdrum/fleet"
+	"leverdrum/internal/framing"
 	"leverdrum/meter"
 	"leverdrum/pushback"
 	"leverdrum/rate"
@@ -46,7 +47,7 @@
 	possibleRuns    int       // attempts that may have run
 	stream          events
 	headSent        bool        // the head of the response was forwarded
-	complete        bool        // the response was forwarded in full, to an end that it states
+	end             framing.End // how the response ended at its server
 	responseStarted atomic.Bool // same as headSent, for other goroutines
 	// retryGranted is set if the next attempt was already charged to the retry budget.
 	retryGranted   atomic.Bool
--- a/gateway/late.go
+++ b/gateway/late.go
@@ -17,17 +17,17 @@
 	maxLateLines   = 5
 )
 
-// lateSampler decides which late requests are logged: at most maxLateLines in any lateLinePeriod.
-type lateSampler struct {
+// lineSampler decides which of many alike requests are logged: at most maxLateLines in any lateLinePeriod.
+type lineSampler struct {
 	mu      sync.Mutex
 	logged  [maxLateLines]time.Time // of the last lines, a ring
 	next    int                     // index in logged of the oldest line
-	skipped int                     // late requests since the last line
+	skipped int                     // requests since the last line
 }
 
-// admit reports whether a late request is logged, and how many were skipped since the last one that
+// admit reports whether a request is logged, and how many were skipped since the last one that
 // was.
-func (s *lateSampler) admit(now time.Time) (skipped int, ok bool) {
+func (s *lineSampler) admit(now time.Time) (skipped int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if oldest := s.logged[s.next]; !oldest.IsZero() && now.Sub(oldest) < lateLinePeriod {
--- a/gateway/late_test.go
+++ b/gateway/late_test.go
@@ -14,7 +14,7 @@
 // Guards against a flood of lines when many requests are late, and against a wrong count of those left out.
 func TestLateLinesAreBounded(t *testing.T) {
 	g := NewWithT(t)
-	s := &lateSampler{}
+	s := &lineSampler{}
 	start := time.Unix(1000, 0)
 	lines, skippedSum := 0, 0
 	for i := range 300 { // 100 a second
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -9,6 +9,11 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
+	"leverdrum/event"
+	"leverdrum/internal/framing"
+	"leverdrum/meter"
 	"leverdrum/reason"
 )
 
@@ -33,9 +38,18 @@
 	a.finish(err == nil && n < maxDiscard)
 }
 
-// framed reports whether the response states where it ends. One that ends with its connection may
-// have been truncated.
-func (a *response) framed() bool { return a.ContentLength >= 0 || len(a.TransferEncoding) > 0 }
+// recordEnd records how the response of a server ended.
+func (j *job) recordEnd(end framing.End) {
+	j.end = end
+	j.g.opts.Meters.Count(meter.ResponseEnds, end.String()).Inc()
+	if end != framing.Unknown {
+		return
+	}
+	if skipped, ok := j.g.unknownEnds.admit(time.Now()); ok {
+		event.ResponseEndUnknown.Log(j.g.opts.Log, zap.String("request", j.id), zap.String("route", j.route.Name), zap.String("server", j.current.id), zap.Int("status", j.status),
+			zap.Int("events", j.stream.count), zap.Int("unfinished", len(j.stream.partial)), zap.Int("skipped", skipped))
+	}
+}
 
 // writeHead forwards the status and headers of a response. length is the length of the body, -1
 // where it is not known.
@@ -71,6 +85,7 @@
 	body, err := io.ReadAll(io.LimitReader(a.Body, answerBuffer))
 	if err != nil {
 		a.finish(false)
+		j.recordEnd(framing.Truncated)
 		return j.handleFailure(ctx, s, j.bodyFailure(ctx, err))
 	}
 	onFirstEvent()
@@ -78,7 +93,7 @@
 		return j.relayLarge(ctx, s, a, body)
 	}
 	a.finish(true)
-	j.complete = a.framed()
+	j.recordEnd(framing.EndOf(a.delimited))
 	length := int64(len(body))
 	if j.r.Method == http.MethodHead {
 		length = a.ContentLength
@@ -99,8 +114,10 @@
 		_, err = io.Copy(j.w, a.Body)
 	}
 	a.finish(err == nil)
-	j.complete = err == nil && a.framed()
-	if err != nil {
+	if err == nil {
+		j.recordEnd(framing.EndOf(a.delimited))
+	} else {
+		j.recordEnd(framing.Truncated)
 		j.lastFailure = j.bodyFailure(ctx, err)
 		if !j.failedOnOwnLinks(j.lastFailure) {
 			s.recordFailure(time.Now())
@@ -160,7 +177,7 @@
 		}
 		if err == io.EOF {
 			a.finish(true)
-			j.complete = a.framed()
+			j.recordEnd(framing.EndOf(a.delimited))
 			if j.route.EventGapTarget > 0 && j.relayedBy == "" {
 				s.recordStream(time.Now(), j.longestPause > j.route.EventGapTarget)
 			}
@@ -176,6 +193,7 @@
 
 // handleBrokenStream resumes a stream at another server, or aborts it.
 func (j *job) handleBrokenStream(ctx context.Context, s *server, err error, unresponsive bool) (answered bool) {
+	j.recordEnd(framing.Truncated)
 	f := j.bodyFailure(ctx, err)
 	f.unresponsive = unresponsive
 	ownLinks := j.failedOnOwnLinks(f)
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -187,13 +187,10 @@
 	for _, h := range head.Headers {
 		resp.Header.Add(h.Name, h.Value)
 	}
-	if head.Framed && head.Length < 0 {
-		resp.TransferEncoding = []string{"chunked"}
-	}
 	if o.observe != nil {
 		o.observe(resp)
 	}
-	a := &response{Response: resp, relay: x}
+	a := &response{Response: resp, relay: x, delimited: head.Framed}
 	if id := resp.Header.Get(x.idHeader); id != "" && id != o.id {
 		a.finish(false)
 		return nil, unknown(reason.BackendDisconnected, Error.New("box %s relayed the response to another request", x.box))
--- a/gateway/serverelay.go
+++ b/gateway/serverelay.go
@@ -127,7 +127,7 @@
 
 // forwardRelayed forwards a response as it arrives.
 func (g *Gateway) forwardRelayed(a *response, out *relayAnswer) {
-	head := &wire.RelayHead{Status: uint32(a.StatusCode), Headers: relayHeaders(passHeaders(a.Header)), Length: a.ContentLength, Framed: a.framed()}
+	head := &wire.RelayHead{Status: uint32(a.StatusCode), Headers: relayHeaders(passHeaders(a.Header)), Length: a.ContentLength, Framed: a.delimited}
 	if !a.watch.passHead(func() { out.send(&wire.RelayFrame{Head: head}) }) {
 		a.finish(false)
 		out.fail(wire.RelayFailure_UNRESPONSIVE, "the server was given up")
