gateway: failing test, a truncated response that is framed as complete

A server sends the head of a response without a length or chunks and a part of its body, and closes the connection. All five cases fail on the current code: for its caller the response is complete, with a length or a last chunk that the server never gave.

--- /dev/null
+++ b/gateway/undelimited_test.go
@@ -0,0 +1,66 @@
+package gateway_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"leverdrum/internal/framing"
+)
+
+const (
+	undelimitedHead       = "HTTP/1.1 200 OK\r\nX-Server-Stamp: st\r\nX-Request-Id: r1\r\n\r\n"
+	undelimitedStreamHead = "HTTP/1.1 200 OK\r\nX-Server-Stamp: st\r\nX-Request-Id: r1\r\nContent-Type: text/event-stream\r\n\r\n"
+	twoEvents             = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+)
+
+// writeAndClose returns a script that writes a response and closes the connection.
+func writeAndClose(response string) script {
+	return func(c net.Conn, _ string) bool {
+		_, _ = io.WriteString(c, response)
+		return false
+	}
+}
+
+// asCaller returns the body of a raw response, and how it ended for its caller.
+func asCaller(t *testing.T, raw string) (body string, end framing.End) {
+	r, err := http.ReadResponse(bufio.NewReader(strings.NewReader(raw)), nil)
+	if err != nil {
+		t.Fatalf("%v: %.200q", err, raw)
+	}
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return string(b), framing.Truncated
+	}
+	return string(b), framing.EndOf(framing.Delimited(http.MethodPost, r))
+}
+
+// Guards against a response that its server broke off and whose caller takes it for complete: the gateway framed responses
+// that had neither a length nor chunks.
+func TestTruncatedResponseIsNotFramedAsComplete(t *testing.T) {
+	large := strings.Repeat("x", 2<<20)
+	for _, c := range []struct {
+		name, path, response, body string
+		end                        framing.End
+	}{
+		{"stream between events", "/stream/x", undelimitedStreamHead + twoEvents, twoEvents, framing.Unknown},
+		{"stream that cannot resume, between events", "/once/x", undelimitedStreamHead + twoEvents, twoEvents, framing.Unknown},
+		{"small response", "/unsafe/x", undelimitedHead + "par", "par", framing.Unknown},
+		{"small response that may be repeated", "/safe/x", undelimitedHead + "par", "par", framing.Unknown},
+		{"large response", "/unsafe/x", undelimitedHead + large, large, framing.Unknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSetup(t, 5*time.Second, newBackend(t, "i1", writeAndClose(c.response)))
+			body, end := asCaller(t, s.send(request(c.path, "")))
+			g.Expect(end.String()).To(Equal(c.end.String()))
+			g.Expect(body == c.body).To(BeTrue(), "%d bytes, want %d", len(body), len(c.body))
+		})
+	}
+}
