gateway: failing tests, streams that end inside an event

A stream whose body ends inside an event, with the last chunk or with its connection, is forwarded with the part of the event and framed as complete; it does not go on at another server where it may.

--- a/gateway/undelimited_test.go
+++ b/gateway/undelimited_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -64,3 +65,45 @@
 		})
 	}
 }
+
+// Guards against a stream that ends inside an event and does not go on at another server.
+func TestStreamEndingInsideAnEventResumes(t *testing.T) {
+	for name, first := range map[string]string{
+		"undelimited": undelimitedStreamHead + twoEvents + "id: 3\ndat",
+		"chunked":     fmt.Sprintf(streamHead, "st") + chunk(twoEvents+"id: 3\ndat") + "0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			serve := func(b **backend) script {
+				return func(c net.Conn, _ string) bool {
+					received := (*b).received()
+					if header(received[len(received)-1], "Last-Event-Id") != "2" {
+						return writeAndClose(first)(c, "")
+					}
+					fmt.Fprintf(c, streamHead, "st")
+					events(c, 3, 5, 5)
+					return true
+				}
+			}
+			var a, b *backend
+			a = newBackend(t, "i1", func(c net.Conn, id string) bool { return serve(&a)(c, id) })
+			b = newBackend(t, "i2", func(c net.Conn, id string) bool { return serve(&b)(c, id) })
+			s := newSetup(t, 5*time.Second, a, b)
+			body, end := asCaller(t, s.send(request("/stream/x", "")))
+			g.Expect(end).NotTo(Equal(framing.Truncated))
+			for n := 1; n <= 5; n++ {
+				g.Expect(strings.Count(body, fmt.Sprintf("id: %d\ndata: x\n\n", n))).To(Equal(1), "event %d", n)
+			}
+		})
+	}
+}
+
+// Guards against a stream that ends inside an event and that its caller takes for complete, with a part of an event at its end.
+func TestStreamEndingInsideAnEventIsTruncated(t *testing.T) {
+	g := NewWithT(t)
+	ending := fmt.Sprintf(streamHead, "st") + chunk(twoEvents+"id: 3\ndat") + "0\r\n\r\n"
+	s := newSetup(t, 5*time.Second, newBackend(t, "i1", writeAndClose(ending)))
+	body, end := asCaller(t, s.send(request("/once/x", "")))
+	g.Expect(end).To(Equal(framing.Truncated))
+	g.Expect(body).To(Equal(twoEvents))
+}
