gateway, framing: a response without a length or chunks is forwarded as one

Cause: a server may send a response without a length or chunks, which ends with its connection. The gateway read such a body to the end of the connection and handed it to net/http, which frames what has no length: a small body got a Content-Length, a stream and a large body chunks and a last chunk. A server that crashes closes its connections, too, so that a part of a response got an end that no server had given. The class of fault: an unknown end became a known one on the way.

Change: package framing says of each response whether its head determines its end. One whose head does not is forwarded the same way. While it lasts, its caller's connection is set to reset when it closes (SO_LINGER 0), so that an abort, also by the end of the process, does not look like the end of the response. Where the head promises an end and a continuation of the stream has none, the rest is asked of another server, or the response is aborted; the server is not blamed, nor is a request cleared as a crasher.

Ruled out: waiting for the server's next announcement or a dial before the end is forwarded (a second's delay for each sound response, and a guess); aborting every response of unknown end (most are whole).

HTTP/1.0, HEAD, 204 and 304, empty, small and large bodies, whole and aborted: internal/framing.

--- a/box/box.go
+++ b/box/box.go
@@ -26,6 +26,7 @@
 	"leverdrum/gateway"
 	"leverdrum/internal/build"
 	"leverdrum/internal/clock"
+	"leverdrum/internal/framing"
 	"leverdrum/keyed"
 	"leverdrum/level"
 	"leverdrum/loadshare"
@@ -171,6 +172,7 @@
 	}
 	b.entryHTTP = &http.Server{
 		Handler: http.HandlerFunc(b.serveEntry), ReadHeaderTimeout: b.settings.HeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: framing.ConnContext,
 	}
 	return b.serveHTTP(b.entryHTTP, b.settings.EntryListen)
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -119,6 +119,7 @@
 	relayed      bool // another box that reaches the servers reports it
 	declined     bool // a box declined to relay the attempt
 	noPath       bool // this box does not reach the server, and no other box relays the attempt
+	endUnknown   bool // the response may be complete
 	relayLost    bool // the relaying box, or the connection to it, failed
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"leverdrum/event"
 	"leverdrum/fleet"
 	"leverdrum/gateway"
+	"leverdrum/internal/framing"
 	"leverdrum/meter"
 	"leverdrum/rate"
 	"leverdrum/reason"
@@ -155,7 +156,9 @@
 		Budget:     gateway.Budget{Ratio: 1, Slack: 100, Window: 10 * time.Second}, Quotas: quotas, Meters: meter.New(), Log: zap.New(lines), RegionOf: func(hall string) string { return "region-of-" + hall },
 	})
 	s.gate.Refresh()
-	server := httptest.NewServer(s.gate)
+	server := httptest.NewUnstartedServer(s.gate)
+	server.Config.ConnContext = framing.ConnContext
+	server.Start()
 	t.Cleanup(server.Close)
 	s.address = server.Listener.Addr().String()
 	return s
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -46,9 +46,10 @@
 	attempts        int       // attempts sent
 	possibleRuns    int       // attempts that may have run
 	stream          events
-	headSent        bool        // the head of the response was forwarded
-	end             framing.End // how the response ended at its server
-	responseStarted atomic.Bool // same as headSent, for other goroutines
+	headSent        bool                 // the head of the response was forwarded
+	end             framing.End          // how the response ended at its server
+	undelimited     *framing.Undelimited // of the forwarded head; nil: it determines where the response ends
+	responseStarted atomic.Bool          // same as headSent, for other goroutines
 	// retryGranted is set if the next attempt was already charged to the retry budget.
 	retryGranted   atomic.Bool
 	permit         pushback.Permit // of the latest attempt
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -63,6 +63,9 @@
 		h.Set("Connection", closing)
 	}
 	h.Del("Content-Length")
+	if length < 0 && (!a.delimited || !j.r.ProtoAtLeast(1, 1)) {
+		j.undelimited = framing.BeginUndelimited(j.w, j.r, a.StatusCode)
+	}
 	if length >= 0 && a.StatusCode != http.StatusNoContent && a.StatusCode != http.StatusNotModified {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
@@ -95,12 +98,13 @@
 	a.finish(true)
 	j.recordEnd(framing.EndOf(a.delimited))
 	length := int64(len(body))
-	if j.r.Method == http.MethodHead {
+	if j.r.Method == http.MethodHead || !a.delimited {
 		length = a.ContentLength
 	}
 	j.writeHead(a, length)
 	// A disconnected caller is detected by its context.
 	_, _ = j.w.Write(body)
+	j.undelimited.Finish()
 	return true
 }
 
@@ -116,6 +120,7 @@
 	a.finish(err == nil)
 	if err == nil {
 		j.recordEnd(framing.EndOf(a.delimited))
+		j.undelimited.Finish()
 	} else {
 		j.recordEnd(framing.Truncated)
 		j.lastFailure = j.bodyFailure(ctx, err)
@@ -137,6 +142,14 @@
 	return unknown(reason.BackendDisconnected, Error.Wrap(err))
 }
 
+// endUnknown returns the failure of a continuation whose end is unknown, where the head that was forwarded promises a
+// known one. It does not count against the server, whose response may be complete.
+func endUnknown() *failure {
+	f := unknown(reason.StreamInterrupted, Error.New("the continuation ended with its connection, without a length or chunks"))
+	f.endUnknown = true
+	return f
+}
+
 // errGivenUp is returned where a response began after its exchange was aborted for silence.
 var errGivenUp = Error.New("the response began after the server was given up")
 
@@ -178,6 +191,10 @@
 		if err == io.EOF {
 			a.finish(true)
 			j.recordEnd(framing.EndOf(a.delimited))
+			if j.end == framing.Unknown && j.undelimited == nil {
+				return j.handleFailure(ctx, s, endUnknown())
+			}
+			j.undelimited.Finish()
 			if j.route.EventGapTarget > 0 && j.relayedBy == "" {
 				s.recordStream(time.Now(), j.longestPause > j.route.EventGapTarget)
 			}
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -67,7 +67,7 @@
 	}
 	j.lastFailure = f
 	ownLinks := j.failedOnOwnLinks(f)
-	if !f.moved && !ownLinks {
+	if !f.moved && !f.endUnknown && !ownLinks {
 		j.recordBroken(s, f)
 		j.recordBrokenOutcome(s, f)
 	}
@@ -98,7 +98,7 @@
 	case f.dialFailed:
 		s.ejectUnreachable(time.Now())
 		j.g.reportDown(s, f)
-	case f.outcome != reason.NotRun && !f.moved:
+	case f.outcome != reason.NotRun && !f.moved && !f.endUnknown:
 		s.recordFailure(time.Now())
 	}
 	if refusal, blocked := j.candidatesBlocked(); blocked && !j.headSent && f.outcome == reason.NotRun {
--- a/gateway/undelimited_test.go
+++ b/gateway/undelimited_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -107,3 +109,43 @@
 	g.Expect(end).To(Equal(framing.Truncated))
 	g.Expect(body).To(Equal(twoEvents))
 }
+
+// Guards against a stream without chunks that its server resets and whose caller sees it end: without chunks, only a reset
+// shows that the gateway aborted the response.
+func TestAbortedUndelimitedResponseIsReset(t *testing.T) {
+	g := NewWithT(t)
+	s := newSetup(t, 5*time.Second, newBackend(t, "i1", func(c net.Conn, _ string) bool {
+		_, _ = io.WriteString(c, undelimitedStreamHead+twoEvents)
+		time.Sleep(50 * time.Millisecond) // a reset discards what was not read yet
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	}))
+	c, err := net.Dial("tcp", s.address)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(within))
+	_, _ = io.WriteString(c, request("/once/x", ""))
+	all, err := io.ReadAll(c)
+	g.Expect(string(all)).To(HaveSuffix(twoEvents))
+	g.Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue(), "%v", err)
+}
+
+// Guards against a stream that began in chunks, goes on without, and is given a last chunk although its end is unknown.
+func TestContinuationOfUnknownEndIsNotFramedAsComplete(t *testing.T) {
+	g := NewWithT(t)
+	serve := func(b **backend) script {
+		return func(c net.Conn, _ string) bool {
+			received := (*b).received()
+			if header(received[len(received)-1], "Last-Event-Id") == "" {
+				return writeAndClose(fmt.Sprintf(streamHead, "st")+chunk(twoEvents))(c, "")
+			}
+			return writeAndClose(undelimitedStreamHead+"id: 3\ndata: x\n\n")(c, "")
+		}
+	}
+	var a, b *backend
+	a = newBackend(t, "i1", func(c net.Conn, id string) bool { return serve(&a)(c, id) })
+	b = newBackend(t, "i2", func(c net.Conn, id string) bool { return serve(&b)(c, id) })
+	body, end := asCaller(t, newSetup(t, 5*time.Second, a, b).send(request("/stream/x", "")))
+	g.Expect(body).To(Equal(twoEvents + "id: 3\ndata: x\n\n"))
+	g.Expect(end).To(Equal(framing.Truncated))
+}
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -1,4 +1,5 @@
-// Package framing determines where the body of an HTTP/1.x response ends.
+// Package framing determines where the body of an HTTP/1.x response ends, and keeps what is unknown about the end unknown
+// when the response is forwarded.
 //
 // Rules:
 //
@@ -6,9 +7,16 @@
 //     has no body. Any other response ends with its connection (RFC 9112, section 6.3).
 //  2. The body of a delimited response that was read to its end is complete. The end of an undelimited one is
 //     unknown: a server that crashes closes the connection, too.
+//  3. An undelimited response is forwarded undelimited, with neither a length nor chunks.
+//  4. Until the last byte of an undelimited response is written, closing its connection resets it, whoever closes it:
+//     without a reset, a response that was aborted would look like one that has ended.
 package framing
 
-import "net/http"
+import (
+	"context"
+	"net"
+	"net/http"
+)
 
 // End is how the body of a response ended.
 type End int
@@ -46,3 +54,48 @@
 func bodyAllowed(method string, status int) bool {
 	return method != http.MethodHead && status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
+
+type connKey struct{}
+
+// ConnContext is the ConnContext of a server whose handlers call BeginUndelimited.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// Undelimited is a response that is being forwarded undelimited; nil if the response is delimited.
+type Undelimited struct{ conn lingerer }
+
+type lingerer interface{ SetLinger(seconds int) error }
+
+// BeginUndelimited prepares the response to a request for a body whose end its head does not determine (3). It is called
+// right before the head is written, which must have no Content-Length. It returns nil if the response has no body.
+func BeginUndelimited(w http.ResponseWriter, r *http.Request, status int) *Undelimited {
+	if !bodyAllowed(r.Method, status) {
+		return nil
+	}
+	// net/http then writes neither chunks nor a length of its own, and closes the connection at the end.
+	w.Header().Set("Transfer-Encoding", "identity")
+	u := &Undelimited{}
+	if u.conn = connOf(r); u.conn != nil {
+		_ = u.conn.SetLinger(0) // (4); fails only on a closed connection
+	}
+	return u
+}
+
+// connOf returns the TCP connection of a request, nil if it is not known.
+func connOf(r *http.Request) lingerer {
+	c := r.Context().Value(connKey{})
+	if outer, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = outer.NetConn()
+	}
+	l, _ := c.(lingerer)
+	return l
+}
+
+// Finish lets the connection close without a reset. It is called once the body has been written, and not for a response that is
+// aborted.
+func (u *Undelimited) Finish() {
+	if u != nil && u.conn != nil {
+		_ = u.conn.SetLinger(-1) // fails only on a closed connection
+	}
+}
--- /dev/null
+++ b/internal/framing/framing_test.go
@@ -0,0 +1,103 @@
+package framing_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"leverdrum/internal/framing"
+)
+
+func TestDelimited(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct {
+		method, response string
+		delimited        bool
+	}{
+		{"POST", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", true},
+		{"POST", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true},
+		{"POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true},
+		{"POST", "HTTP/1.1 200 OK\r\n\r\nab", false},
+		{"POST", "HTTP/1.1 200 OK\r\n\r\n", false},
+		{"POST", "HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\n\r\nab", false},
+		{"POST", "HTTP/1.0 200 OK\r\n\r\nab", false},
+		{"HEAD", "HTTP/1.1 200 OK\r\n\r\n", true},
+		{"POST", "HTTP/1.1 204 No Content\r\n\r\n", true},
+		{"GET", "HTTP/1.1 304 Not Modified\r\n\r\n", true},
+	} {
+		r, err := http.ReadResponse(bufio.NewReader(strings.NewReader(c.response)), &http.Request{Method: c.method})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(framing.Delimited(c.method, r)).To(Equal(c.delimited), "%s %q", c.method, c.response)
+	}
+}
+
+// Guards against an aborted response that its caller takes for one that has ended, and against a whole one that is reset.
+func TestUndelimitedResponses(t *testing.T) {
+	for _, proto := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		for _, aborted := range []bool{false, true} {
+			for _, size := range []int{0, 3, 1 << 20} {
+				t.Run(fmt.Sprint(proto, " aborted ", aborted, " size ", size), func(t *testing.T) {
+					g := NewWithT(t)
+					raw, err := exchange(t, proto, "POST", func(w http.ResponseWriter, r *http.Request) {
+						u := framing.BeginUndelimited(w, r, http.StatusOK)
+						w.WriteHeader(http.StatusOK)
+						_, _ = io.WriteString(w, strings.Repeat("x", size))
+						if aborted {
+							_ = http.NewResponseController(w).Flush()
+							panic(http.ErrAbortHandler)
+						}
+						u.Finish()
+					})
+					if aborted {
+						g.Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue(), "%v", err)
+						return
+					}
+					g.Expect(err).NotTo(HaveOccurred())
+					r, err := http.ReadResponse(bufio.NewReader(strings.NewReader(raw)), nil)
+					g.Expect(err).NotTo(HaveOccurred())
+					g.Expect(framing.Delimited("POST", r)).To(BeFalse())
+					body, err := io.ReadAll(r.Body)
+					g.Expect(err).NotTo(HaveOccurred())
+					g.Expect(body).To(HaveLen(size))
+				})
+			}
+		}
+	}
+}
+
+func TestResponseWithoutBodyIsDelimited(t *testing.T) {
+	g := NewWithT(t)
+	for method, status := range map[string]int{"HEAD": http.StatusOK, "POST": http.StatusNoContent, "GET": http.StatusNotModified} {
+		raw, err := exchange(t, "HTTP/1.1", method, func(w http.ResponseWriter, r *http.Request) {
+			framing.BeginUndelimited(w, r, status).Finish()
+			w.WriteHeader(status)
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(raw).To(HaveSuffix("\r\n\r\n"), method)
+	}
+}
+
+// exchange sends a request to a handler and returns the bytes that arrive until the connection ends, and its error.
+func exchange(t *testing.T, proto, method string, h http.HandlerFunc) (string, error) {
+	s := httptest.NewUnstartedServer(h)
+	s.Config.ConnContext = framing.ConnContext
+	s.Start()
+	defer s.Close()
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "%s / %s\r\nHost: h\r\nConnection: close\r\n\r\n", method, proto)
+	all, err := io.ReadAll(c)
+	return string(all), err
+}
