gateway: the response to a caller who closed its sending side is not framed as complete

A caller that shuts down only its sending side ends the context of its request, and still reads. The gateway then stopped forwarding and returned from the handler, and net/http wrote the last chunk behind a part of a stream.

Change: once its head was forwarded, a response whose caller counts as gone is aborted. TestResponseToHalfClosedCallerIsNotFramedAsComplete: "complete" before, "truncated" now.

--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -32,7 +32,7 @@
 // giveUp ends the request without a server's response (3).
 func (j *job) giveUp(refusal *reason.Reason) {
 	if j.r.Context().Err() != nil {
-		j.logFailure("caller-gone", j.lastFailure)
+		j.abandon()
 		return
 	}
 	j.logFailure(refusal.Code, j.lastFailure)
@@ -51,6 +51,16 @@
 	j.g.refuse(j.w, j.id, refusal, j.retryAfterFor(refusal))
 }
 
+// abandon ends a request whose caller has disconnected. A response that has begun is aborted: a caller that closed only its
+// sending side still reads it.
+func (j *job) abandon() (answered bool) {
+	j.logFailure("caller-gone", j.lastFailure)
+	if j.headSent {
+		panic(http.ErrAbortHandler)
+	}
+	return true
+}
+
 // retryAfterFor returns when the caller should retry.
 func (j *job) retryAfterFor(refusal *reason.Reason) time.Duration {
 	soon := time.Duration(retryAfterShare * float64(j.route.LatencyTarget))
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -183,7 +183,7 @@
 			}
 			if _, werr := j.w.Write(out); werr != nil {
 				a.finish(false)
-				return true // the caller disconnected
+				return j.abandon()
 			}
 			_ = flush.Flush() // a disconnected caller is detected at the next write
 			j.load.forwarded(time.Now())
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -75,8 +75,7 @@
 		j.possibleRuns++
 	}
 	if j.r.Context().Err() != nil {
-		j.logFailure("caller-gone", f)
-		return true
+		return j.abandon()
 	}
 	switch {
 	case f.noPath && j.g.links.isolated():
--- a/gateway/undelimited_test.go
+++ b/gateway/undelimited_test.go
@@ -149,3 +149,35 @@
 	g.Expect(body).To(Equal(twoEvents + "id: 3\ndata: x\n\n"))
 	g.Expect(end).To(Equal(framing.Truncated))
 }
+
+// Guards against a response that is framed as complete for a caller who closed only its sending side.
+func TestResponseToHalfClosedCallerIsNotFramedAsComplete(t *testing.T) {
+	g := NewWithT(t)
+	s := newSetup(t, 5*time.Second, newBackend(t, "i1", func(c net.Conn, _ string) bool {
+		fmt.Fprintf(c, streamHead, "st")
+		events(c, 1, 2, 5)
+		time.Sleep(300 * time.Millisecond)
+		events(c, 3, 5, 5)
+		return true
+	}))
+	c, err := net.Dial("tcp", s.address)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(within))
+	_, _ = io.WriteString(c, request("/stream/x", ""))
+	in := bufio.NewReader(c)
+	var read strings.Builder
+	for !strings.Contains(read.String(), "id: 2") {
+		line, err := in.ReadString('\n')
+		g.Expect(err).NotTo(HaveOccurred())
+		read.WriteString(line)
+	}
+	g.Expect(c.(*net.TCPConn).CloseWrite()).To(Succeed())
+	rest, _ := io.ReadAll(in)
+	_, end := asCaller(t, read.String()+string(rest))
+	if strings.Contains(string(rest), "id: 5") {
+		g.Expect(end).To(Equal(framing.Complete))
+	} else {
+		g.Expect(end).To(Equal(framing.Truncated))
+	}
+}
