gateway: a stream that ends inside an event has been broken off

Cause: at the end of the body the gateway appended what it had of an event, as if a missing blank line were the only thing that can be missing. Whether the body ended with the last chunk or with its connection made no difference.

Change: a body that ends inside an event is a broken stream: it resumes where the route permits it and is aborted elsewhere, and the part is dropped. Blank lines and comments after the last event are forwarded as before.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -78,6 +78,17 @@
 	return 0, false
 }
 
+// insideEvent reports whether the pending bytes are a part of an event, rather than blank lines and comments.
+func (e *events) insideEvent() bool {
+	for line := range bytes.SplitSeq(e.partial, []byte("\n")) {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // tooLarge reports whether the pending event exceeds maxEvent.
 func (e *events) tooLarge() bool { return len(e.partial) > maxEvent }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -153,6 +153,9 @@
 // errGivenUp is returned where a response began after its exchange was aborted for silence.
 var errGivenUp = Error.New("the response began after the server was given up")
 
+// errInsideEvent means that a stream ended inside an event, with or without its last chunk.
+var errInsideEvent = Error.New("the stream ended inside an event")
+
 // relayStream forwards a stream event by event (5).
 func (j *job) relayStream(ctx context.Context, s *server, a *response, onFirstEvent func()) (answered bool) {
 	flush := http.NewResponseController(j.w)
@@ -168,6 +171,9 @@
 		seen := j.stream.count
 		out := j.stream.next(buf[:n])
 		j.load.eventsRead(lastRead, j.stream.count-seen)
+		if err == io.EOF && j.stream.insideEvent() {
+			err = errInsideEvent
+		}
 		if err == io.EOF {
 			out = append(out, j.stream.partial...)
 		}
--- a/gateway/undelimited_test.go
+++ b/gateway/undelimited_test.go
@@ -181,3 +181,14 @@
 		g.Expect(end).To(Equal(framing.Truncated))
 	}
 }
+
+// Guards against a stream that counts as cut off inside an event because a comment or a blank line follows its last one.
+func TestCommentAfterTheLastEventIsNoPartOfAnEvent(t *testing.T) {
+	for _, trailing := range []string{"\n", "\r\n", ": keep-alive\n", ": keep-alive"} {
+		g := NewWithT(t)
+		s := newSetup(t, 5*time.Second, newBackend(t, "i1", writeAndClose(fmt.Sprintf(streamHead, "st")+chunk(twoEvents+trailing)+"0\r\n\r\n")))
+		body, end := asCaller(t, s.send(request("/once/x", "")))
+		g.Expect(end).To(Equal(framing.Complete), "%q", trailing)
+		g.Expect(body).To(Equal(twoEvents + trailing))
+	}
+}
