entry, proxy: a response without a length or chunks is forwarded as one

A response of a service's backend server that ends with its connection was read to its end and forwarded with a Content-Length or, as a stream or a large body, in chunks with a last one, whether it was whole or not; a keyed call stored it as whole and replayed it so.

Change: proxy says that the end is unknown, entry forwards such a response without a length or chunks and resets its connection if it is aborted. The stored response of a keyed call keeps the mark, as a field that a box of the build before drops, so that such a box replays it as it did. A stream with a last event is complete with that event, as before. A response of unknown end clears no request as a crasher.

Engines and control calls read JSON, which is not whole until its last brace: a truncated answer there is an error already.

--- a/entry/crashers.go
+++ b/entry/crashers.go
@@ -101,7 +101,7 @@
 
 // recordServed records that a request was answered completely.
 func (e *Entry) recordServed(j *job, response *proxy.Response) {
-	if response.Status < http.StatusMultipleChoices {
+	if response.Status < http.StatusMultipleChoices && !endUnknown(j, response) {
 		e.crashWatcher.RecordServed(e.print(j), "", &e.opts.View().Crashers)
 	}
 }
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -69,7 +69,7 @@
 	attempt, digest := rand.Text(), requestDigest(&j.attempt)
 	answer := e.opts.Claims.Acquire(ctx, j.key, attempt, digest)
 	if answer.Verdict != claim.Granted {
-		e.answerExistingClaim(w, j, answer)
+		e.answerExistingClaim(w, r, j, answer)
 		return
 	}
 	res := e.tryWithinQuota(ctx, j)
@@ -79,7 +79,7 @@
 		return
 	}
 	e.opts.Claims.Record(j.key, attempt, digest, newClaimResult(res.response))
-	e.writeResponse(ctx, w, j, res)
+	e.writeResponse(ctx, w, r, j, res)
 }
 
 // recordClaimFailure releases the claim if the call did not run, and otherwise records that its
@@ -93,6 +93,10 @@
 	e.opts.Claims.Record(j.key, attempt, digest, &claim.Result{Outcome: string(why.Outcome)})
 }
 
+// undelimitedField marks a stored response whose end is unknown. It is a field that no response is stored with, and that a box
+// which does not know it drops.
+const undelimitedField = "Transfer-Encoding: identity"
+
 // newClaimResult returns the result to store for a response. Responses that were not buffered are too
 // large to store.
 func newClaimResult(response *proxy.Response) *claim.Result {
@@ -100,6 +104,9 @@
 		return &claim.Result{Outcome: keyed.OutcomeTooLarge, Status: response.Status}
 	}
 	var header bytes.Buffer
+	if response.Undelimited {
+		header.WriteString(undelimitedField + "\r\n")
+	}
 	if err := response.Header.Write(&header); err != nil {
 		return &claim.Result{Outcome: keyed.OutcomeTooLarge, Status: response.Status}
 	}
@@ -107,7 +114,7 @@
 }
 
 // answerExistingClaim answers a call whose key is claimed by another attempt.
-func (e *Entry) answerExistingClaim(w http.ResponseWriter, j *job, existing claim.Answer) {
+func (e *Entry) answerExistingClaim(w http.ResponseWriter, r *http.Request, j *job, existing claim.Answer) {
 	why := e.existingClaimReason(j, existing)
 	if why != nil {
 		e.refuseJob(w, j, result{why: why})
@@ -119,9 +126,10 @@
 		return
 	}
 	w.Header().Set(HeaderReplayed, "true")
-	outcome := writeHeader(w, j, stored)
+	outcome, undelimited := writeHeader(w, r, j, stored)
 	// The error is ignored: a caller that hung up needs no answer.
 	_, _ = w.Write(stored.Body)
+	undelimited.Finish()
 	e.finish(j, string(outcome), "replayed the response stored for its key")
 }
 
@@ -150,5 +158,5 @@
 	if err != nil {
 		return nil, errors.Join(errStoredResponse, err)
 	}
-	return &proxy.Response{Status: r.Status, Header: http.Header(header), Body: r.Body}, nil
+	return &proxy.Response{Status: r.Status, Header: http.Header(header), Body: r.Body, Undelimited: header.Get("Transfer-Encoding") != ""}, nil
 }
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -14,6 +14,7 @@
 
 	"leverdrum/admit"
 	"leverdrum/crasher"
+	"leverdrum/internal/framing"
 	"leverdrum/internal/wait"
 	"leverdrum/meter"
 	"leverdrum/proxy"
@@ -88,7 +89,7 @@
 	}
 	res := e.tryWithinQuota(ctx, j)
 	if res.why == nil {
-		e.writeResponse(ctx, w, j, res)
+		e.writeResponse(ctx, w, r, j, res)
 		return
 	}
 	if r.Context().Err() != nil {
@@ -286,11 +287,12 @@
 }
 
 // writeResponse sends the response to the caller and releases the backend's slot.
-func (e *Entry) writeResponse(ctx context.Context, w http.ResponseWriter, j *job, res result) {
-	outcome := writeHeader(w, j, res.response)
+func (e *Entry) writeResponse(ctx context.Context, w http.ResponseWriter, r *http.Request, j *job, res result) {
+	outcome, undelimited := writeHeader(w, r, j, res.response)
 	if res.response.BodyReader == nil {
 		// The error is ignored: a caller that hung up needs no answer.
 		_, _ = w.Write(res.response.Body)
+		undelimited.Finish()
 		e.releaseBackend(j, &res, time.Since(j.admission.StartedAt()))
 		e.recordServed(j, res.response)
 		e.finishResponse(j, res.backend, outcome)
@@ -301,6 +303,7 @@
 	err := e.copyBody(ctx, w, j, &res)
 	switch {
 	case err == nil:
+		undelimited.Finish()
 		answered = time.Since(j.admission.StartedAt())
 		e.recordServed(j, res.response)
 		e.finishResponse(j, res.backend, outcome)
@@ -319,20 +322,28 @@
 	}
 }
 
-func writeHeader(w http.ResponseWriter, j *job, response *proxy.Response) reason.Outcome {
+func writeHeader(w http.ResponseWriter, r *http.Request, j *job, response *proxy.Response) (outcome reason.Outcome, undelimited *framing.Undelimited) {
 	h := w.Header()
 	proxy.CopyEndToEndHeaders(h, response.Header)
 	h.Set(HeaderRequestID, j.id)
-	outcome := reason.Done
+	outcome = reason.Done
 	if response.Status >= http.StatusInternalServerError {
 		outcome = reason.Failed
 	}
 	h.Set(HeaderOutcome, string(outcome))
-	if response.BodyReader == nil {
+	switch {
+	case endUnknown(j, response), response.BodyReader != nil && h.Get("Content-Length") == "" && !r.ProtoAtLeast(1, 1):
+		undelimited = framing.BeginUndelimited(w, r, response.Status)
+	case response.BodyReader == nil:
 		h.Set("Content-Length", strconv.Itoa(len(response.Body)))
 	}
 	w.WriteHeader(response.Status)
-	return outcome
+	return outcome, undelimited
+}
+
+// endUnknown reports whether only the end of its connection ends a response.
+func endUnknown(j *job, response *proxy.Response) bool {
+	return response.Undelimited && !(response.Stream && lastEvent(j) != "")
 }
 
 // finishResponse records a complete response.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -8,7 +8,8 @@
 //  2. An attempt is reported as not run only if it had no connection, so that no
 //     byte can have been sent, or if the backend server says so.
 //  3. A response is complete when its full length or its final chunk arrived; a
-//     stream also needs its last event.
+//     stream also needs its last event. The end of one without a length or
+//     chunks is unknown (package framing), unless it is a stream with a last event.
 //  4. A response that names another attempt is dropped with its connection.
 //  5. Calls that may not be repeated use new connections: a reused connection may
 //     already be dead, and then the outcome would be unknown.
@@ -29,6 +30,7 @@
 	"github.com/zeebo/errs"
 
 	"leverdrum/engine"
+	"leverdrum/internal/framing"
 	"leverdrum/reason"
 )
 
@@ -70,6 +72,8 @@
 	BodyReader io.ReadCloser
 	// Stream is set if BodyReader is an event stream.
 	Stream bool
+	// Undelimited is set if the end of the body is unknown, because it ended, or will end, with the connection.
+	Undelimited bool
 	// Version is the version of the weights, "" if the backend does not report it.
 	Version string
 }
@@ -225,7 +229,7 @@
 		resp.Body.Close()
 		return nil, &Failure{Outcome: reason.NotRun, Reason: reason.BackendRefused, Header: resp.Header, Status: resp.StatusCode, Cause: Error.New("the backend server responded with status %d and did not run the request", resp.StatusCode)}
 	}
-	response := &Response{Status: resp.StatusCode, Header: http.Header{}, Version: resp.Header.Get(engine.HeaderVersion)}
+	response := &Response{Status: resp.StatusCode, Header: http.Header{}, Version: resp.Header.Get(engine.HeaderVersion), Undelimited: !framing.Delimited(a.Method, resp)}
 	CopyEndToEndHeaders(response.Header, resp.Header)
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		response.BodyReader, response.Stream = resp.Body, true
