gateway: log and count streams that continue at a server

The record names callers who came back and went on at another software version; whether streams that boxes resume inside a response do so too, no line of the boxes says: request-retried names the server that broke off, not the one that went on, nor a version.

stream-resumed has both, at most five a second; leverdrum_streams_resumed_total counts them by who resumed the stream and whether the version is the one that began it, which a box does not know of streams that callers resume ("unknown"). No request goes elsewhere.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -118,6 +118,7 @@
 	bodies       *bodies
 	crashWatch   *crasher.Watcher
 	late         lineSampler
+	resumed      lineSampler // of streams
 	unknownEnds  lineSampler // of responses whose end is unknown
 	admission    *admission
 	startHold    *startHold
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -46,6 +46,7 @@
 	attempts        int       // attempts sent
 	possibleRuns    int       // attempts that may have run
 	stream          events
+	firstServer     *server              // that sent the first event of the response; nil: none yet
 	headSent        bool                 // the head of the response was forwarded
 	end             framing.End          // how the response ended at its server
 	undelimited     *framing.Undelimited // of the forwarded head; nil: it determines where the response ends
@@ -223,6 +224,9 @@
 		pending = false
 		j.recordResponse(a, true)
 		j.load.firstEvent()
+		if isStream(a) {
+			j.recordResumed(s)
+		}
 		firstEventAfter := j.firstEventAt.Sub(j.arrived)
 		if !j.headSent { // a resumed stream keeps the time of the first event that reached its caller
 			j.firstEventAfter = firstEventAfter
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -214,7 +214,7 @@
 	j.g.opts.Meters.CountRetry(retryReason)
 	event.RequestRetried.Log(j.g.opts.Log,
 		zap.String("request", j.id), zap.String("route", j.route.Name), zap.String("outcome", f.reason.Code), zap.String("why", retryReason.Code),
-		zap.Int("sends", j.attempts), zap.Int("runs", j.possibleRuns), zap.String("server", j.current.id), event.ErrorField(f.cause), zap.Duration("left", j.remaining()), j.fingerprintField(f))
+		zap.Int("sends", j.attempts), zap.Int("runs", j.possibleRuns), zap.String("server", j.current.id), zap.String("version", j.current.version), event.ErrorField(f.cause), zap.Duration("left", j.remaining()), j.fingerprintField(f))
 }
 
 // fingerprintField adds the request's fingerprint to log lines of attempts that may have run, so
