gateway: failing test, streams that resume at another software version

Two servers of different versions, each of which breaks off after two of five events: within ten streams one goes on at the other version, inside its response.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -37,6 +37,7 @@
 // backend is a test server that handles each connection with a script.
 type backend struct {
 	id, address string
+	version     string // software version
 
 	mu       sync.Mutex
 	requests []string // head and body as received
@@ -144,7 +145,7 @@
 	s := &setup{t: t, view: state.New(), onCurrentCheck: func() {}}
 	s.view.Fleet, s.view.Version = f, &wire.FleetVersion{Number: 1, Index: 1}
 	for _, b := range backends {
-		s.view.Announcements.Set(b.id, &wire.Announcement{Id: b.id, Service: "s", Address: b.address, Hall: "h", Slots: 8})
+		s.view.Announcements.Set(b.id, &wire.Announcement{Id: b.id, Service: "s", Address: b.address, Hall: "h", Slots: 8, Version: b.version})
 	}
 	lines, logged := observer.New(zap.InfoLevel)
 	s.logged = logged
