--- a/box/crasher_test.go
+++ b/box/crasher_test.go
@@ -40,6 +40,7 @@
 	// deadlyModel is a model whose load terminates a server.
 	deadlyModel string
 	model       string // requested model, m1 if ""
+	version     string // software version of servers started from now on, v1 if ""
 	// limits are the limits that servers announce, by ID.
 	limits map[string]string
 	// retryAfter is the Retry-After with which servers reject all requests, draining whether they announce draining, by ID.
@@ -93,7 +94,7 @@
 	s.started++
 	v := &standin.Server{
 		ID:      fmt.Sprint("i-", s.started),
-		Service: "s", Hall: "h", Memory: 220, AdapterSlots: 3, LoadTime: 100 * time.Millisecond, HeartbeatInterval: 100 * time.Millisecond,
+		Service: "s", Hall: "h", Version: s.version, Memory: 220, AdapterSlots: 3, LoadTime: 100 * time.Millisecond, HeartbeatInterval: 100 * time.Millisecond,
 		ControlAddresses: []string{s.control}, EventCount: 3, EventDelay: 30 * time.Millisecond, ModelSizes: map[string]int{"m1": 70, "m2": 70}, ListenAddress: at, CrashOnLoad: s.deadlyModel,
 	}
 	v.CrashOn = func(body []byte) bool {
