gateway: a stream resumes inside its response only at its software version

Cause: a stream that broke off went on at whichever server had the model. The version of a server's software, which its announcements carry, was known to the box and was no part of the choice.

Change: the version of the server whose first event reaches the caller is kept with the request, and whatever may follow (retries, waits, moves, the check whether a silent server may be given up) chooses among servers of that version only. Where none is left, or none has the model or is loading it, the response is aborted at once (version-gone) instead of after a wait.

--- a/gateway/find.go
+++ b/gateway/find.go
@@ -98,8 +98,17 @@
 	return c.queueDelay+c.duration() > limit
 }
 
-// candidates lists the servers that could run the request.
+// candidates lists the servers that could run the request, or continue its stream.
 func (j *job) candidates() ([]*server, *reason.Reason) {
+	list, refusal := j.servers()
+	if refusal != nil || !j.pinned {
+		return list, refusal
+	}
+	return j.atPinnedVersion(list)
+}
+
+// servers lists the servers, of any software version, that could run the request.
+func (j *job) servers() ([]*server, *reason.Reason) {
 	t := j.g.dir.table()
 	p := t.pools[j.poolName]
 	if p == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,8 @@
 //     not known, a stream that would miss its target at every server is refused.
 //  15. A request that this box cannot send to its server, because of the box's own links (package reach), is relayed by
 //     another box (relays.go). Where none relays it, it is rejected at once.
+//  16. A stream continues only at a server of the software version that sent its first event: what two versions
+//     write does not fit together. Where no such server is left, it is aborted, or rejected at once.
 package gateway
 
 import (
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -46,7 +46,9 @@
 	attempts        int       // attempts sent
 	possibleRuns    int       // attempts that may have run
 	stream          events
-	firstServer     *server              // that sent the first event of the response; nil: none yet
+	firstServer     *server // that sent the first event of the response; nil: none yet
+	pinned          bool    // only servers of pinnedVersion may continue the stream
+	pinnedVersion   string
 	headSent        bool                 // the head of the response was forwarded
 	end             framing.End          // how the response ended at its server
 	undelimited     *framing.Undelimited // of the forwarded head; nil: it determines where the response ends
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -187,6 +187,9 @@
 				j.stream = events{} // no event reached the caller, so the next server is asked for all
 				return j.handleBrokenStream(ctx, s, errGivenUp, true)
 			}
+			if j.stream.any || j.stream.noIDs {
+				j.pinVersion(s)
+			}
 			if _, werr := j.w.Write(out); werr != nil {
 				a.finish(false)
 				return j.abandon()
