origin, gateway, box: callers resume a stream only at the software version that began it

Cause: the version at which a stream began was known nowhere but in the request that served it. A box that is asked to go on had only Last-Event-Id, which says nothing of a server, and chose by load. The class: what crosses from one server to another carried no version.

Change: package origin. The box that forwards a stream's first event remembers the service and the version under the ID of the request. While a service is mixed, it also sends the record to three keepers by hash, of at most eight, beside the first event; nothing is sent for a service of a single version. A box that is asked to resume reads the request that began the stream (Resumes, X-Resumes), asks the keepers, and sends the request to servers of that version only. Where no box knows the version and the service is not known to have had a single one for as long as the stream can have lasted, or where no server of it can continue the stream, the request is rejected at once (version-unknown, version-gone), so that its caller begins anew. The exchange is on from level 7; below it a box resumes by what it knows itself, and no box of the build before is asked.

Ruled out: owners written before the first event goes out (a round trip for each stream); asking all boxes (grows with them, and the box that knows may be the one that was killed); refusing whatever is not known (a service of a single version would lose its resumed streams after each restart of a box). Tried and dropped: a box that calls a service of a single version by its own view alone: after a rollout, restarted boxes went on at the new version (origin TestNeverAnotherVersion found it); they now ask for what the others saw.

--- a/box/box.go
+++ b/box/box.go
@@ -31,6 +31,7 @@
 	"leverdrum/level"
 	"leverdrum/loadshare"
 	"leverdrum/meter"
+	"leverdrum/origin"
 	"leverdrum/peer"
 	"leverdrum/platform"
 	"leverdrum/proxy"
@@ -109,6 +110,7 @@
 	throttle     *throttle.Throttle
 	pushback     *pushback.Registry
 	drains       *drainReporter
+	origins      *origin.Registry
 	sharer       *loadshare.Sharer // nil if the settings do not share load
 	// ackTimeouts bound how long an apply waits for the boxes.
 	ackTimeouts spread.AckTimeouts
@@ -289,6 +291,7 @@
 	wg.Go(func() { b.pollReports(ctx, p) })
 	wg.Go(func() { b.forwardNotices(ctx, p) })
 	wg.Go(func() { b.shareLoad(ctx, p) })
+	wg.Go(func() { b.configureOrigins(ctx, p) })
 	wg.Go(func() { p.quotas.limiter.Run(ctx) })
 	wg.Go(func() { p.serverLimits.limiter.Run(ctx) })
 	wg.Go(func() { p.forwardBackoffs(ctx) })
@@ -351,7 +354,7 @@
 		Meters: b.meters, Records: b.records, MaxBody: s.MaxBody, BodyTimeout: s.BodyTimeout, Claims: p.claims,
 		ReportCrash: p.crashes.add, Quotas: p.quotas.limiter, Pushback: p.pushback,
 	})
-	p.sharer = b.newSharer(self)
+	p.sharer, p.origins = b.newSharer(self), b.newOrigins()
 	p.gateway = b.newGateway(p)
 	p.platform = platform.Control(&platformCluster{b, p})
 	p.admin = admin.New(admin.Options{
--- a/box/stop.go
+++ b/box/stop.go
@@ -18,7 +18,7 @@
 //  1. The readiness check fails; requests are still accepted for as long as the
 //     load balancer may lag. Keep-alive connections are closed after their next
 //     response, but idle ones not yet: a request may be in transit on them.
-//  2. The member list shows the box as draining, and leadership is transferred.
+//  2. The member list shows the box as draining, leadership is transferred, and records of streams are handed over.
 //  3. Further requests are refused as not run; those in flight are completed, also those that
 //     this box relays for others.
 //  4. Everything is closed.
@@ -34,10 +34,13 @@
 		p.gateway.Drain()
 		p.replica.Transfer()
 	}
+	var handOver sync.WaitGroup
+	handOver.Go(b.handOverOrigins)
 	if b.entryHTTP != nil {
 		time.Sleep(b.settings.BalancerLag)
 	}
 	err := b.drain(p) // (3)
+	handOver.Wait()
 	b.Kill()          // (4)
 	return err
 }
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -17,6 +17,7 @@
 	RequestID string // of a request and its response
 	Deadline  string // milliseconds left
 	LastEvent string // of a stream to resume: the ID of the last event received
+	Resumes   string // of a stream to resume: the request that began it
 	Instance  string // the server that a request is for
 	ServerID  string // the server that sent the response, if it says so
 	Rank      string // the request's urgency, 0 the most urgent
@@ -75,7 +76,7 @@
 
 // Native is the dialect of the product's own interface.
 var Native = Dialect{
-	RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", LastEvent: "Last-Event-Id", Instance: "X-Instance", ServerID: "X-Server-Id",
+	RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", LastEvent: "Last-Event-Id", Resumes: "X-Resumes", Instance: "X-Instance", ServerID: "X-Server-Id",
 	Rank: "X-Rank", Stamp: "X-Server-Stamp", NotRun: "X-Not-Run", Key: "X-Api-Key", Workspace: "X-Workspace", Limit: "X-Server-Limit",
 	Draining: "X-Server-Draining", Brittle: "X-Server-Brittle", DrainTTL: nativeDrainTTL,
 	MaxTokens: headerMaxTokens, Prompt: nativePrompt, Usage: nativeUsage,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,9 @@
 	Quotas *rate.Limiter
 	// Load shares load and speed of servers with the other boxes; nil: they are not shared.
 	Load LoadSource
+	// Origins knows at which software version streams began; nil: only streams of services with a single version are resumed
+	// for callers.
+	Origins Origins
 	// SharesLoad reports whether the boxes share the load of a pool as the box's settings and state have
 	// it, also before the exchange has begun; nil: of none.
 	SharesLoad func(pool string) bool
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -49,6 +49,7 @@
 	firstServer     *server // that sent the first event of the response; nil: none yet
 	pinned          bool    // only servers of pinnedVersion may continue the stream
 	pinnedVersion   string
+	resumes         string               // the request that began the stream, if this one resumes it and names it
 	headSent        bool                 // the head of the response was forwarded
 	end             framing.End          // how the response ended at its server
 	undelimited     *framing.Undelimited // of the forwarded head; nil: it determines where the response ends
@@ -100,6 +101,10 @@
 		j.giveUp(reason.CrashesServers)
 		return
 	}
+	if refusal := j.pinResumedStream(ctx); refusal != nil {
+		j.giveUp(refusal)
+		return
+	}
 	charge, refusal := j.chargeQuota(ctx)
 	if refusal != nil {
 		j.giveUp(refusal)
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"leverdrum/event"
+	"leverdrum/fleet"
 	"leverdrum/meter"
+	"leverdrum/origin"
 	"leverdrum/reason"
 	"leverdrum/wire"
 )
@@ -20,34 +23,102 @@
 
 // recordResumed counts and logs a stream that continues at a server. It is called with the first event of an attempt.
 func (j *job) recordResumed(s *server) {
-	by, version := resumedByBox, "same"
-	switch {
-	case j.firstServer != nil:
-		if j.firstServer.version != s.version {
-			version = "other"
-		}
-	case j.r.Header.Get(j.g.opts.Dialect.LastEvent) != "":
-		by, version = resumedByCaller, "unknown"
-	default:
+	if !j.pinned {
 		return
 	}
+	by, version := resumedByBox, "same"
+	if j.firstServer == nil {
+		by = resumedByCaller
+	}
+	if j.pinnedVersion != s.version {
+		version = "other"
+	}
 	j.g.opts.Meters.Count(meter.StreamsResumed, by, version).Inc()
 	skipped, ok := j.g.resumed.admit(time.Now())
 	if !ok {
 		return
 	}
-	fields := []zap.Field{zap.String("request", j.id), zap.String("route", j.route.Name), zap.String("by", by), zap.String("server", s.id), zap.String("version", s.version), zap.Int("skipped", skipped)}
+	fields := []zap.Field{zap.String("request", j.id), zap.String("route", j.route.Name), zap.String("by", by), zap.String("server", s.id), zap.String("version", s.version), zap.String("began", j.pinnedVersion), zap.String("resumes", j.resumes), zap.Int("skipped", skipped)}
 	if j.firstServer != nil {
-		fields = append(fields, zap.String("began_at", j.firstServer.id), zap.String("began", j.firstServer.version))
+		fields = append(fields, zap.String("began_at", j.firstServer.id))
 	}
 	event.StreamResumed.Log(j.g.opts.Log, fields...)
 }
 
 // pinVersion restricts what continues the stream to the software version of the server whose events reach its caller.
 func (j *job) pinVersion(s *server) {
-	if j.firstServer == nil {
-		j.firstServer, j.pinned, j.pinnedVersion = s, true, s.version
+	if j.firstServer != nil {
+		return
+	}
+	j.firstServer = s
+	if j.pinned {
+		return
+	}
+	j.pinned, j.pinnedVersion = true, s.version
+	if j.g.opts.Origins != nil && j.route.Resumable {
+		j.g.opts.Origins.Begin(j.id, origin.Origin{Service: j.poolName, Version: s.version})
+	}
+}
+
+// resumeWindow is how long ago a stream that a caller resumes can have begun, in timeouts of its route: it broke off within one,
+// and the request that resumes it has another.
+const resumeWindow = 2
+
+// Origins knows at which software version streams began. *origin.Registry implements it.
+type Origins interface {
+	Begin(id string, o origin.Origin)
+	Lookup(ctx context.Context, id, service string, maxAge time.Duration) (o origin.Origin, ok bool)
+	Only(service string, maxAge time.Duration) (version string, ok bool)
+}
+
+// pinResumedStream restricts a request that resumes a stream to the software version that began it. It returns a refusal if
+// the version is unknown.
+func (j *job) pinResumedStream(ctx context.Context) *reason.Reason {
+	d := &j.g.opts.Dialect
+	if !j.route.Resumable || j.r.Header.Get(d.LastEvent) == "" {
+		return nil
+	}
+	j.resumes = j.r.Header.Get(d.Resumes)
+	o, ok := j.originOf(ctx, j.resumes)
+	if !ok {
+		return reason.VersionUnknown
+	}
+	j.pinned, j.pinnedVersion = true, o.Version
+	if slices.ContainsFunc(j.route.Split, func(s fleet.Share) bool { return s.Pool == o.Service }) {
+		j.poolName = o.Service
+	}
+	return nil
+}
+
+// originOf returns where the stream of a request began. Without a request, or boxes that remember it, it is known only where the
+// service has a single version.
+func (j *job) originOf(ctx context.Context, id string) (o origin.Origin, ok bool) {
+	origins := j.g.opts.Origins
+	switch {
+	case origins != nil && id != "":
+		return origins.Lookup(ctx, id, j.poolName, resumeWindow*j.route.Timeout)
+	case origins != nil:
+		o.Version, ok = origins.Only(j.poolName, resumeWindow*j.route.Timeout)
+	default:
+		o.Version, ok = j.onlyVersion()
+	}
+	o.Service = j.poolName
+	return o, ok
+}
+
+// onlyVersion returns the software version of the servers of the pool if they have a single one.
+func (j *job) onlyVersion() (version string, ok bool) {
+	p := j.g.dir.table().pools[j.poolName]
+	if p == nil {
+		return "", false
+	}
+	for i, s := range p.servers() {
+		if i > 0 && s.version != version {
+			return "", false
+		}
+		version, ok = s.version, true
 	}
+	return version, ok
 }
 
 // atPinnedVersion returns the servers of a list that may continue the stream. The list may be empty only while the model is
--- a/level/level.go
+++ b/level/level.go
@@ -40,6 +40,8 @@
 	SharedLoad
 	// Relays: boxes relay requests for others that cannot reach the backend servers.
 	Relays
+	// StreamOrigins: boxes tell one another at which software version streams began (package origin).
+	StreamOrigins
 	// end is one above the newest level.
 	end
 )
@@ -55,6 +57,7 @@
 	ServerBackoffs: "long backoffs requested by backend servers",
 	Evacuations:    "evacuations of data halls, and warm-up of servers",
 	SharedLoad:     "load of backend servers exchanged between boxes",
+	StreamOrigins:  "the software versions at which streams began, for callers who resume them at another box",
 	Relays:         "requests relayed for boxes that cannot reach the backend servers",
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -68,7 +68,8 @@
 	ServerLinks        = Metric{"leverdrum_server_links", Gauge, "1 while the box reaches backend servers, 0 while other boxes relay its requests.", nil}
 	RelayedAttempts    = Metric{"leverdrum_relayed_total", Counter, "Attempts of this box that other boxes relayed, by result (answered, failed, no-box: none relays).", []string{"result"}}
 	RelaysServed       = Metric{"leverdrum_relays_served_total", Counter, "Attempts of other boxes that this box was asked to relay, by result (sent, declined).", []string{"result"}}
-	StreamsResumed     = Metric{"leverdrum_streams_resumed_total", Counter, "Streams that continued at a server, by who resumed them (box: inside the response; caller: with another request) and whether the server has the software version of the one that began them (same, other, unknown).", []string{"by", "version"}}
+	StreamsResumed     = Metric{"leverdrum_streams_resumed_total", Counter, "Streams that continued at a server, by who resumed them (box: inside the response; caller: with another request) and whether the server has the software version of the one that began them (same, other).", []string{"by", "version"}}
+	OriginsLost        = Metric{"leverdrum_stream_origins_lost_total", Counter, "Records of the software version at which a stream began that could not be delivered to a box that keeps them.", nil}
 	ResponseEnds       = Metric{"leverdrum_response_ends_total", Counter, "Responses of backend servers by how they ended (complete; unknown: with the connection, without a length or chunks; truncated).", []string{"end"}}
 	Claims             = Metric{"leverdrum_claims_total", Counter, "Claims on keyed calls by verdict.", []string{"verdict"}}
 )
@@ -77,7 +78,7 @@
 func All() []Metric {
 	return []Metric{
 		Refusals, Retries, RetriesDenied, Requests, RequestsInTime, RequestDuration, RequestsInFlight, StateIndex, FleetNumber,
-		IsLeader, Current, Elections, Orders, Ejections, PeerBytes, PeerMessages, PeerAbandonedBytes, CrashReports, CrashersBlocked, InvalidReports, BuildInfo, ActiveLevel, WorkspaceRequests, LimitedAttempts, ServerLimits, LateRequests, LateWorkspaces, ServerSlowness, LoadFrames, LoadIgnored, LoadPrefixes, LoadHubs, StartHolds, ServerLinks, RelayedAttempts, RelaysServed, ResponseEnds, StreamsResumed, Claims,
+		IsLeader, Current, Elections, Orders, Ejections, PeerBytes, PeerMessages, PeerAbandonedBytes, CrashReports, CrashersBlocked, InvalidReports, BuildInfo, ActiveLevel, WorkspaceRequests, LimitedAttempts, ServerLimits, LateRequests, LateWorkspaces, ServerSlowness, LoadFrames, LoadIgnored, LoadPrefixes, LoadHubs, StartHolds, ServerLinks, RelayedAttempts, RelaysServed, ResponseEnds, StreamsResumed, OriginsLost, Claims,
 	}
 }
 
--- /dev/null
+++ b/origin/origin.go
@@ -0,0 +1,332 @@
+// Package origin remembers at which software version of its service a stream began, so that a caller whose stream broke off
+// can resume it at any box.
+//
+// Rules:
+//
+//  1. A record has the service and the software version of the server that sent the first event of a stream. Its key is
+//     the ID of the request that began the stream. It is kept for recordTTL, in memory.
+//  2. The box that forwarded the first event keeps the record. While the service is mixed, the box also sends the record
+//     to the record's keepers, beside the first event. It sends what it has kept when the service becomes mixed.
+//  3. A service is mixed for a box that knows of servers or streams of two of its versions within recordTTL. Each answer of a box
+//     includes what it knows of this, and for how long it knows it; a box that has started asks for it. So what a box knows
+//     outlasts a restart as long as one keeper runs.
+//  4. The keepers of a record are the keepersPerRecord boxes with the highest hash of the key and their own ID, among at most
+//     maxKeepers boxes that are the same for all records: boxes with a disk come first.
+//  5. A box that does not have a record asks its keepers. One that has it is enough. A second round asks all keepers: the
+//     record may still be on its way, or have been sent before the keepers changed.
+//  6. Where no keeper has the record, the stream began at the only version of its service, if the service is not mixed for the
+//     box, the box knows this for as long as the stream can have lasted, and some keeper answered. Otherwise the version is unknown.
+//  7. A box that stops hands the records that it keeps to the other keepers.
+package origin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"leverdrum/wire"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("origin")
+
+const (
+	// recordTTL is how long a record is kept. It exceeds the time within which callers resume a stream.
+	recordTTL = 2 * time.Minute
+	// maxRecords bounds the records of a box; the oldest are dropped first.
+	maxRecords = 1 << 15
+	// maxIDBytes bounds the length of a key. A stream with a longer one has no record.
+	maxIDBytes = 128
+	// askTimeout bounds one round of questions, roundPause is the time between the two rounds (5).
+	askTimeout = 250 * time.Millisecond
+	// laggardTimeout is how long a round lasts once a box has answered.
+	laggardTimeout = 80 * time.Millisecond
+	roundPause     = 40 * time.Millisecond
+)
+
+// Origin is where a stream began.
+type Origin struct {
+	Service string
+	Version string // of the server's software
+}
+
+// Options configures a Registry.
+type Options struct {
+	// Self is the name of this box.
+	Self string
+	// Call sends a call to a box.
+	Call func(ctx context.Context, box string, c *wire.OriginCall) (*wire.OriginAnswer, error)
+	// Now returns the time since a fixed point; it does not jump.
+	Now func() time.Duration
+	// Lost is called with the number of records that were not delivered to a keeper; may be nil.
+	Lost func(records int)
+}
+
+// Registry is the part of one box. All methods may be called concurrently.
+type Registry struct {
+	opts Options
+
+	mu       sync.Mutex
+	topology Topology
+	keepers  []string // the boxes of rule 4
+	records  records
+	services map[string]*service
+	outboxes map[string]*outbox
+	// knownSince is the time from which the box knows the versions of services (3).
+	configured bool
+	knownSince time.Duration
+}
+
+// service is what a box knows of the versions of a service.
+type service struct {
+	lastSeen map[string]time.Duration // by version: when a server or stream of it was last seen
+	current  []string                 // versions of the servers now
+}
+
+// Topology is what a Registry takes from the replicated state.
+type Topology struct {
+	// Enabled is set if all boxes exchange records.
+	Enabled bool
+	// Unused is set while the cluster has served no request yet.
+	Unused bool
+	Boxes  []Box
+	// Versions are the software versions of the servers of each service.
+	Versions map[string][]string
+}
+
+// Box is a box of the cluster.
+type Box struct {
+	ID      string
+	Disk    bool
+	Leaving bool
+}
+
+// New returns a Registry that exchanges nothing until it is configured.
+func New(opts Options) *Registry {
+	return &Registry{opts: opts, services: map[string]*service{}, outboxes: map[string]*outbox{}, records: newRecords()}
+}
+
+// Configure sets the topology.
+func (r *Registry) Configure(t Topology) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.opts.Now()
+	r.topology, r.keepers = t, keepersOf(t.Boxes)
+	for name, versions := range t.Versions {
+		r.observe(now, name, versions...)
+	}
+	for name, s := range r.services {
+		s.current = t.Versions[name]
+	}
+	switch {
+	case t.Unused:
+		r.configured, r.knownSince = true, now-recordTTL
+	case !r.configured && t.Enabled:
+		r.configured, r.knownSince = true, now
+		go r.ask(context.Background(), r.others(r.keepers), "")
+	}
+}
+
+// observe records that versions of a service were seen now (3). The caller holds the lock.
+func (r *Registry) observe(now time.Duration, name string, versions ...string) {
+	for _, v := range versions {
+		r.observeAt(now, now, name, v)
+	}
+}
+
+// observeAt records that a version of a service was seen at a time. If the service becomes mixed, what was kept of it is sent (2).
+// The caller holds the lock.
+func (r *Registry) observeAt(now, at time.Duration, name, version string) {
+	s := r.services[name]
+	if s == nil {
+		s = &service{lastSeen: map[string]time.Duration{}}
+		r.services[name] = s
+	}
+	wasMixed := s.mixed(now)
+	if last, ok := s.lastSeen[version]; !ok || at > last {
+		s.lastSeen[version] = at
+	}
+	if !wasMixed && s.mixed(now) {
+		for _, kept := range r.records.of(name, now) {
+			r.send(kept)
+		}
+	}
+}
+
+// mixed reports whether servers or streams of two versions were seen lately (3).
+func (s *service) mixed(now time.Duration) bool {
+	for _, v := range s.current {
+		s.lastSeen[v] = now
+	}
+	for v, at := range s.lastSeen {
+		if now-at > recordTTL {
+			delete(s.lastSeen, v)
+		}
+	}
+	return len(s.lastSeen) > 1
+}
+
+// Begin records that a stream began (1, 2).
+func (r *Registry) Begin(id string, o Origin) {
+	if id == "" || len(id) > maxIDBytes {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.opts.Now()
+	r.observe(now, o.Service, o.Version)
+	kept := record{id: id, origin: o, at: now}
+	r.records.add(kept, now)
+	if r.services[o.Service].mixed(now) {
+		r.send(kept)
+	}
+}
+
+// Only returns the only software version that a service had within maxAge, as far as this box knows (6).
+func (r *Registry) Only(name string, maxAge time.Duration) (version string, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now, s := r.opts.Now(), r.services[name]
+	if s == nil || s.mixed(now) || !r.configured || now-r.knownSince < min(maxAge, recordTTL) {
+		return "", false
+	}
+	for v := range s.lastSeen {
+		return v, true
+	}
+	return "", false
+}
+
+// Lookup returns where the stream of a request began. name is the service that it began at if no box has a record, and maxAge how long
+// ago it can have begun. ok is false if the version is unknown (6).
+func (r *Registry) Lookup(ctx context.Context, id, name string, maxAge time.Duration) (o Origin, ok bool) {
+	o, ok, keepers, all := r.begin(id)
+	if ok {
+		return o, true
+	}
+	kept, answers := r.ask(ctx, keepers, id)
+	if version, only := r.Only(name, maxAge); kept == nil && only && (answers > 0 || len(keepers) == 0) {
+		return Origin{name, version}, true
+	}
+	if kept == nil && len(all) > 0 {
+		if waitFor(ctx, roundPause) != nil {
+			return Origin{}, false
+		}
+		kept, _ = r.ask(ctx, all, id)
+	}
+	if kept == nil {
+		return Origin{}, false
+	}
+	return Origin{kept.Service, kept.Version}, true
+}
+
+// begin returns the own record of a stream, or else the other keepers to ask for it: those of the record, and all.
+func (r *Registry) begin(id string) (o Origin, ok bool, keepers, all []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if kept, found := r.records.get(id, r.opts.Now()); found {
+		return kept.origin, true, nil, nil
+	}
+	if !r.topology.Enabled {
+		return Origin{}, false, nil, nil
+	}
+	return Origin{}, false, r.keepersOf(id), r.others(r.keepers)
+}
+
+// ask asks boxes for a record, none if id is "", and for what they know of versions. It returns once one has the record, all have
+// answered or the round is over.
+func (r *Registry) ask(ctx context.Context, boxes []string, id string) (found *wire.OriginRecord, answered int) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	over := time.AfterFunc(askTimeout, cancel)
+	defer over.Stop()
+	answers := make(chan *wire.OriginAnswer, len(boxes))
+	for _, box := range boxes {
+		go func() {
+			a, err := r.opts.Call(ctx, box, &wire.OriginCall{Id: id})
+			if err != nil {
+				a = nil // an unreachable keeper; the others may answer
+			}
+			answers <- a
+		}()
+	}
+	for range boxes {
+		a := <-answers
+		if a == nil {
+			continue
+		}
+		if answered++; answered == 1 {
+			over.Reset(laggardTimeout)
+		}
+		r.learn(a.History)
+		if a.Record != nil {
+			return a.Record, answered
+		}
+	}
+	return nil, answered
+}
+
+// learn adds what another box knows of versions (3).
+func (r *Registry) learn(h *wire.OriginHistory) {
+	if h == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.opts.Now()
+	for _, w := range h.Seen {
+		r.observeAt(now, now-milliseconds(w.AgeMs), w.Service, w.Version)
+	}
+	if since := now - milliseconds(h.KnownMs); r.configured && since < r.knownSince {
+		r.knownSince = since
+	}
+}
+
+// history returns what this box knows of versions. The caller holds the lock.
+func (r *Registry) history(now time.Duration) *wire.OriginHistory {
+	h := &wire.OriginHistory{}
+	if r.configured {
+		h.KnownMs = uint32(min(now-r.knownSince, recordTTL).Milliseconds())
+	}
+	for name, s := range r.services {
+		s.mixed(now) // updates lastSeen
+		for v, at := range s.lastSeen {
+			h.Seen = append(h.Seen, record{origin: Origin{name, v}, at: at}.wire(now))
+		}
+	}
+	return h
+}
+
+func milliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// Serve answers the call of another box.
+func (r *Registry) Serve(c *wire.OriginCall) *wire.OriginAnswer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.opts.Now()
+	for _, w := range c.Records {
+		if len(w.Id) > maxIDBytes || w.Id == "" {
+			continue
+		}
+		at := now - milliseconds(w.AgeMs)
+		r.records.add(record{id: w.Id, origin: Origin{w.Service, w.Version}, at: at}, now)
+		r.observeAt(now, at, w.Service, w.Version)
+	}
+	a := &wire.OriginAnswer{History: r.history(now)}
+	if kept, ok := r.records.get(c.Id, now); ok {
+		a.Record = kept.wire(now)
+	}
+	return a
+}
+
+func waitFor(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/origin/origin_test.go
@@ -0,0 +1,326 @@
+package origin_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"leverdrum/internal/fixed"
+	"leverdrum/origin"
+	"leverdrum/wire"
+)
+
+const (
+	service = "s"
+	latency = 2 * time.Millisecond // one way
+	settle  = 100 * time.Millisecond
+	maxAge  = 30 * time.Second
+)
+
+// TestMain fixes the seed, so that every run gives the same result; -rapid.seed and -rapid.checks on the command line
+// take precedence.
+func TestMain(m *testing.M) {
+	fixed.SetRapidFlags(200)
+	os.Exit(m.Run())
+}
+
+// network is a cluster of registries. Calls to a box that is down fail after downDelay.
+type network struct {
+	downDelay time.Duration
+	topology  origin.Topology
+
+	mu    sync.Mutex
+	boxes []*origin.Registry
+	down  map[string]bool
+	calls int
+	lost  int
+}
+
+// to returns a box that is called, nil if it is down.
+func (n *network) to(box string) *origin.Registry {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.calls++
+	if n.down[box] {
+		return nil
+	}
+	var i int
+	fmt.Sscanf(box, "b%d", &i)
+	return n.boxes[i]
+}
+
+func (n *network) setDown(i int, down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down[fmt.Sprint("b", i)] = down
+}
+
+func (n *network) isDown(i int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.down[fmt.Sprint("b", i)]
+}
+
+func (n *network) counts() (calls, lost int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.calls, n.lost
+}
+
+func newNetwork(size, withDisk int, versions ...string) *network {
+	n := &network{down: map[string]bool{}, downDelay: latency}
+	n.topology = origin.Topology{Enabled: true, Versions: map[string][]string{service: versions}}
+	for i := range size {
+		n.topology.Boxes = append(n.topology.Boxes, origin.Box{ID: fmt.Sprint("b", i), Disk: i < withDisk})
+		n.boxes = append(n.boxes, nil)
+	}
+	n.topology.Unused = true
+	for i := range size {
+		n.restart(i)
+	}
+	n.topology.Unused = false
+	n.setVersions(versions...)
+	return n
+}
+
+// restart starts a box with nothing in memory.
+func (n *network) restart(i int) {
+	start := time.Now()
+	b := origin.New(origin.Options{
+		Self: n.topology.Boxes[i].ID, Now: func() time.Duration { return time.Since(start) + time.Hour },
+		Lost: func(records int) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.lost += records
+		},
+		Call: func(ctx context.Context, box string, c *wire.OriginCall) (*wire.OriginAnswer, error) {
+			time.Sleep(latency)
+			to := n.to(box)
+			if to == nil {
+				select {
+				case <-ctx.Done():
+				case <-time.After(n.downDelay):
+				}
+				return nil, errors.New("the box is down")
+			}
+			a := to.Serve(c)
+			time.Sleep(latency)
+			return a, nil
+		},
+	})
+	n.mu.Lock()
+	n.boxes[i] = b
+	n.mu.Unlock()
+	b.Configure(n.topology)
+}
+
+// setVersions changes the versions of the servers, for all boxes.
+func (n *network) setVersions(versions ...string) {
+	n.topology.Versions = map[string][]string{service: versions}
+	for _, b := range n.boxes {
+		b.Configure(n.topology)
+	}
+}
+
+func (n *network) begin(box int, id, version string) {
+	n.boxes[box].Begin(id, origin.Origin{Service: service, Version: version})
+}
+
+func (n *network) lookup(box int, id string) string {
+	o, ok := n.boxes[box].Lookup(context.Background(), id, service, maxAge)
+	if !ok {
+		return "unknown"
+	}
+	return o.Version
+}
+
+func TestLookup(t *testing.T) {
+	for name, c := range map[string]struct {
+		versions []string
+		between  func(n *network)
+		at       int
+		want     string
+	}{
+		"at the box that began it":                     {[]string{"v1", "v2"}, func(*network) {}, 9, "v2"},
+		"at another box":                               {[]string{"v1", "v2"}, func(*network) {}, 5, "v2"},
+		"the box that began it is down":                {[]string{"v1", "v2"}, func(n *network) { n.setDown(9, true) }, 5, "v2"},
+		"at a box that has just started":               {[]string{"v1", "v2"}, func(n *network) { n.restart(5) }, 5, "v2"},
+		"all boxes were killed":                        {[]string{"v1", "v2"}, func(n *network) { n.restartAll() }, 5, "unknown"},
+		"a single version, all boxes were killed":      {[]string{"v2"}, func(n *network) { n.restartAll() }, 5, "unknown"},
+		"a single version, long after all were killed": {[]string{"v2"}, func(n *network) { n.restartAll(); time.Sleep(maxAge) }, 5, "v2"},
+		"a single version":                             {[]string{"v2"}, func(*network) {}, 5, "v2"},
+		"a single version, at a box that is cut off":   {[]string{"v2"}, func(n *network) { n.allDownBut(5) }, 5, "unknown"},
+		"another version came later":                   {[]string{"v2"}, func(n *network) { n.setVersions("v2", "v3"); time.Sleep(settle); n.setDown(9, true) }, 5, "v2"},
+		"the version has left":                         {[]string{"v1", "v2"}, func(n *network) { n.setVersions("v1") }, 5, "v2"},
+		"the version has left, all boxes were killed":  {[]string{"v1", "v2"}, func(n *network) { time.Sleep(time.Second); n.setVersions("v1"); n.restart(5); n.allDownBut(5, 6) }, 5, "unknown"},
+		"two keepers are frozen":                       {[]string{"v1", "v2"}, func(n *network) { n.downDelay = time.Hour; n.setDown(0, true); n.setDown(1, true); n.setDown(9, true) }, 5, "v2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				n := newNetwork(10, 4, c.versions...)
+				n.begin(9, "r", "v2")
+				time.Sleep(settle)
+				c.between(n)
+				start := time.Now()
+				g.Expect(n.lookup(c.at, "r")).To(Equal(c.want))
+				g.Expect(time.Since(start)).To(BeNumerically("<", 600*time.Millisecond))
+			})
+		})
+	}
+}
+
+func (n *network) restartAll() {
+	for i := range n.boxes {
+		n.restart(i)
+	}
+}
+
+func (n *network) allDownBut(up ...int) {
+	for i := range n.boxes {
+		n.setDown(i, true)
+	}
+	for _, i := range up {
+		n.setDown(i, false)
+	}
+}
+
+// Guards against traffic between boxes for services whose servers all have one software version.
+func TestNothingIsSentForASingleVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := newNetwork(10, 4, "v1")
+		for i := range 1000 {
+			n.begin(i%10, fmt.Sprint("r", i), "v1")
+		}
+		time.Sleep(time.Second)
+		calls, _ := n.counts()
+		g.Expect(calls).To(BeZero())
+	})
+}
+
+// Guards against a caller who returns before the record of its stream has reached a keeper.
+func TestLookupRightAfterTheFirstEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := newNetwork(10, 4, "v1", "v2")
+		for i := range 100 {
+			id := fmt.Sprint("r", i)
+			n.begin(i%10, id, "v1")
+			g.Expect(n.lookup((i+1)%10, id)).To(Equal("v1"))
+		}
+	})
+}
+
+// Guards against records that are lost when the boxes are restarted in turn, each time with a planned stop.
+func TestRecordsSurviveARollingRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := newNetwork(10, 4, "v1", "v2")
+		for i := range 200 {
+			n.begin(i%10, fmt.Sprint("r", i), []string{"v1", "v2"}[i%2])
+		}
+		time.Sleep(settle)
+		for i := range n.boxes {
+			n.topology.Boxes[i].Leaving = true
+			n.setVersions("v1", "v2")
+			n.boxes[i].HandOver(t.Context())
+			n.topology.Boxes[i].Leaving = false
+			n.restart(i)
+			n.setVersions("v1", "v2")
+		}
+		for i := range 200 {
+			g.Expect(n.lookup((i+3)%10, fmt.Sprint("r", i))).To(Equal([]string{"v1", "v2"}[i%2]), "stream %d", i)
+		}
+		_, lost := n.counts()
+		g.Expect(lost).To(BeZero())
+	})
+}
+
+// Guards against a load of records at one box that grows with the boxes.
+func TestRecordsAreSpreadOverKeepers(t *testing.T) {
+	for _, size := range []int{10, 82, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			n := newNetwork(size, size/10, "v1", "v2")
+			for i := range 600 {
+				n.begin(i%size, fmt.Sprint("r", i), "v1")
+			}
+			time.Sleep(settle)
+			calls, _ := n.counts()
+			g.Expect(calls).To(BeNumerically("<=", 600*3))
+			for i := range 600 {
+				n.setDown(i%size, true)
+				g.Expect(n.lookup((i+1)%size, fmt.Sprint("r", i))).To(Equal("v1"))
+				n.setDown(i%size, false)
+			}
+		})
+	}
+}
+
+// Guards against a stream that continues at another version whatever happened to boxes and servers since it began: the answer is
+// the version that began it, or none.
+func TestNeverAnotherVersion(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		wrong := ""
+		synctest.Test(t, func(t *testing.T) { wrong = playHistory(rand.New(rand.NewPCG(seed, 1))) })
+		if wrong != "" {
+			rt.Fatal(wrong)
+		}
+	})
+}
+
+// playHistory plays a random history and describes the first wrong answer, "" if there is none.
+func playHistory(r *rand.Rand) string {
+	size := 3 + r.IntN(12)
+	n := newNetwork(size, 1+r.IntN(4), "v0")
+	n.downDelay = []time.Duration{latency, time.Hour}[r.IntN(2)]
+	servers, newest := []string{"v0"}, 0
+	began, ids := map[string]string{}, []string(nil)
+	for step := range 60 {
+		time.Sleep(time.Duration(r.IntN(60)) * time.Millisecond)
+		switch box := r.IntN(size); r.IntN(10) {
+		case 0:
+			n.restart(box)
+		case 1:
+			n.setDown(box, !n.isDown(box))
+		case 2: // a rollout begins
+			if len(servers) == 1 {
+				newest++
+				servers = append(servers, fmt.Sprint("v", newest))
+				n.setVersions(servers...)
+			}
+		case 3: // a rollout ends; the boxes that were restarted know only of the new version
+			if len(servers) == 2 {
+				servers = servers[1:]
+				n.setVersions(servers...)
+			}
+		case 4, 5, 6:
+			if id := fmt.Sprint("r", step); !n.isDown(box) {
+				began[id] = servers[r.IntN(len(servers))]
+				n.begin(box, id, began[id])
+				ids = append(ids, id)
+			}
+		default:
+			if len(ids) == 0 {
+				continue
+			}
+			id := ids[r.IntN(len(ids))]
+			if got := n.lookup(box, id); got != began[id] && got != "unknown" {
+				return fmt.Sprintf("step %d: %s began at %s, looked up as %s", step, id, began[id], got)
+			}
+		}
+	}
+	time.Sleep(10 * time.Second) // what is being sent ends
+	return ""
+}
