--- a/box/stop.go
+++ b/box/stop.go
@@ -41,7 +41,7 @@
 	}
 	err := b.drain(p) // (3)
 	handOver.Wait()
-	b.Kill()          // (4)
+	b.Kill() // (4)
 	return err
 }
 
