gateway: prompt parts are fetched only from servers of the same software version

What two versions of a server's software write does not fit together, and nothing checks it. The source is now one of the same version.

go test ./gateway -run TestPrefixesAreFetchedOnly: source of v1 for a server of v2 before.

--- a/gateway/cached.go
+++ b/gateway/cached.go
@@ -10,10 +10,13 @@
 )
 
 // choiceAt returns the choice of a server of the list with its work (5). source is the index of the
-// server with the most cached tokens.
+// server with the most cached tokens. Nothing is fetched from a server of another software version (16 in gateway.go).
 func (w *criteria) choiceAt(list []*server, cached []int, source, i int) choice {
 	c := choice{server: list[i]}
 	available := cached[i]
+	if list[source].version != c.server.version {
+		source = largestOfVersion(list, cached, i)
+	}
 	if missing := cached[source] - available; w.fetchRate > 0 && missing >= minFetch {
 		c.prefixSource = list[source]
 		c.work = fetchSetup + float64(missing)*w.fetchRate
@@ -112,6 +115,17 @@
 	return index
 }
 
+// largestOfVersion returns the index of the server with the most cached tokens among those of the software version of server i.
+func largestOfVersion(list []*server, cached []int, i int) (index int) {
+	index = i
+	for k, s := range list {
+		if s.version == list[i].version && cached[k] > cached[index] {
+			index = k
+		}
+	}
+	return index
+}
+
 // sharedTokens counts the tokens of the parts that other requests may share: all parts but the
 // last.
 func sharedTokens(p dialect.Prompt) (n int) {
--- a/gateway/down_test.go
+++ b/gateway/down_test.go
@@ -115,6 +115,27 @@
 	g.Expect(d.choose(list, w).prefixSource).To(BeNil(), "servers do not support fetching")
 }
 
+// Guards against cached prompt parts that are fetched from a server of another software version.
+func TestPrefixesAreFetchedOnlyFromTheSameSoftwareVersion(t *testing.T) {
+	g := NewWithT(t)
+	d := newDirectory("h", 0, nil)
+	list := newServers(3)
+	p := newPrompt("m", 1, 2, 3)
+	for _, s := range list[:2] {
+		s.recordPrefixes(prefixKeys(p))
+		s.beginAttempt(time.Now(), 1e4)
+	}
+	list[0].version, list[1].version, list[2].version = "v1", "v2", "v2"
+	w := criteria{prefillRate: defaultPrefillRate, prompt: p, keys: prefixKeys(p), fetchRate: 0.005}
+	c := d.choose(list, w)
+	g.Expect(c.server).To(Equal(list[2]))
+	g.Expect(c.prefixSource).To(Equal(list[1]))
+	list[2].version = "v3"
+	c = d.choose(list, w)
+	g.Expect(c.server).To(Equal(list[2]))
+	g.Expect(c.prefixSource).To(BeNil())
+}
+
 // Nearly all streams with a pause above their target were at the few slow servers: 131 of 138 on a
 // quiet day.
 func TestServersThatStallStreamsAreAvoided(t *testing.T) {
