origin, box: a box that has just started asks for the version of a stream

It served requests by its new state before the registry of origins had the boxes from it, which it took at intervals of 200 ms.

Change: a lookup waits for the first list of boxes, for the time of one round at most, and the first list is taken as soon as there is one. origin TestLookupWaitsForTheTopology: unknown before.

--- a/box/origins.go
+++ b/box/origins.go
@@ -39,8 +39,11 @@
 func (b *Box) configureOrigins(ctx context.Context, p *components) {
 	for ctx.Err() == nil {
 		changed := p.replica.Changed()
-		p.origins.Configure(originTopology(p.replica.View()))
-		wait.For(ctx, originTopologyInterval)
+		view := p.replica.View()
+		p.origins.Configure(originTopology(view))
+		if len(view.Members) > 0 {
+			wait.For(ctx, originTopologyInterval)
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -77,6 +77,9 @@
 	// knownSince is the time from which the box knows the versions of services (3).
 	configured bool
 	knownSince time.Duration
+	// ready is closed once the box knows the others.
+	ready       chan struct{}
+	becomeReady sync.Once
 }
 
 // service is what a box knows of the versions of a service.
@@ -105,7 +108,7 @@
 
 // New returns a Registry that exchanges nothing until it is configured.
 func New(opts Options) *Registry {
-	return &Registry{opts: opts, services: map[string]*service{}, outboxes: map[string]*outbox{}, records: newRecords()}
+	return &Registry{opts: opts, services: map[string]*service{}, outboxes: map[string]*outbox{}, records: newRecords(), ready: make(chan struct{})}
 }
 
 // Configure sets the topology.
@@ -113,6 +116,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.opts.Now()
+	if len(t.Boxes) > 0 {
+		r.becomeReady.Do(func() { close(r.ready) })
+	}
 	r.topology, r.keepers = t, keepersOf(t.Boxes)
 	for name, versions := range t.Versions {
 		r.observe(now, name, versions...)
@@ -201,6 +207,13 @@
 // Lookup returns where the stream of a request began. name is the service that it began at if no box has a record, and maxAge how long
 // ago it can have begun. ok is false if the version is unknown (6).
 func (r *Registry) Lookup(ctx context.Context, id, name string, maxAge time.Duration) (o Origin, ok bool) {
+	starting := time.NewTimer(askTimeout)
+	defer starting.Stop()
+	select {
+	case <-r.ready:
+	case <-starting.C:
+	case <-ctx.Done():
+	}
 	o, ok, keepers, all := r.begin(id)
 	if ok {
 		return o, true
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -221,6 +221,21 @@
 	})
 }
 
+// Guards against a box that has just started and rejects a stream without asking for it, since it does not know the others yet.
+func TestLookupWaitsForTheTopology(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := newNetwork(10, 4, "v1", "v2")
+		n.begin(9, "r", "v2")
+		time.Sleep(settle)
+		topology := n.topology
+		n.topology = origin.Topology{}
+		n.restart(5)
+		time.AfterFunc(200*time.Millisecond, func() { n.boxes[5].Configure(topology) })
+		g.Expect(n.lookup(5, "r")).To(Equal("v2"))
+	})
+}
+
 // Guards against records that are lost when the boxes are restarted in turn, each time with a planned stop.
 func TestRecordsSurviveARollingRestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
