--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -37,6 +37,7 @@
 type network struct {
 	downDelay time.Duration
 	topology  origin.Topology
+	configure func(b *origin.Registry) // a box that has started
 
 	mu    sync.Mutex
 	boxes []*origin.Registry
@@ -78,6 +79,7 @@
 
 func newNetwork(size, withDisk int, versions ...string) *network {
 	n := &network{down: map[string]bool{}, downDelay: latency}
+	n.configure = func(b *origin.Registry) { b.Configure(n.topology) }
 	n.topology = origin.Topology{Enabled: true, Versions: map[string][]string{service: versions}}
 	for i := range size {
 		n.topology.Boxes = append(n.topology.Boxes, origin.Box{ID: fmt.Sprint("b", i), Disk: i < withDisk})
@@ -120,7 +122,7 @@
 	n.mu.Lock()
 	n.boxes[i] = b
 	n.mu.Unlock()
-	b.Configure(n.topology)
+	n.configure(b)
 }
 
 // setVersions changes the versions of the servers, for all boxes.
@@ -228,10 +230,9 @@
 		n := newNetwork(10, 4, "v1", "v2")
 		n.begin(9, "r", "v2")
 		time.Sleep(settle)
-		topology := n.topology
-		n.topology = origin.Topology{}
+		n.configure = func(*origin.Registry) {} // not yet
 		n.restart(5)
-		time.AfterFunc(200*time.Millisecond, func() { n.boxes[5].Configure(topology) })
+		time.AfterFunc(200*time.Millisecond, func() { n.boxes[5].Configure(n.topology) })
 		g.Expect(n.lookup(5, "r")).To(Equal("v2"))
 	})
 }
