box: test boxes listen for peers on ports that no outgoing connection gets

Traced: all boxes of a test cluster listen on one port at addresses of their own, the port was checked at the first of them only, and was one that the system gives to outgoing connections, which the boxes of earlier tests open from the same addresses. The port is now below that range.

--- a/box/platform_test.go
+++ b/box/platform_test.go
@@ -63,6 +63,26 @@
 	}
 }
 
+// firstEphemeralPort is the lowest port that the system may give to outgoing connections.
+const firstEphemeralPort = 32768
+
+// peerAddress returns an address for a box's peers. Boxes at other addresses listen on the same port, and open connections
+// from these addresses, so that the port must not be one that the system gives to an outgoing connection.
+func peerAddress(t *testing.T) string {
+	const first = 10000
+	for port := first + os.Getpid()%10000; port < firstEphemeralPort; port++ {
+		if _, again := usedPorts.LoadOrStore(port, true); again {
+			continue
+		}
+		if l, err := net.Listen("tcp", fmt.Sprint(ownIP, ":", port)); err == nil {
+			l.Close()
+			return fmt.Sprint(ownIP, ":", port)
+		}
+	}
+	t.Fatal("no port for peers is left")
+	return ""
+}
+
 // settingsOf returns the settings that all boxes have. The form setting is true only for the seed itself, the box with a
 // disk.
 func settingsOf(t *testing.T, name, peerAt, seed, entry, ready, control, roles string) string {
@@ -90,7 +110,7 @@
 // startSingleBox starts the box in this process.
 func startSingleBox(t *testing.T) *singleBox {
 	o := &singleBox{t: t, entry: address(t), control: address(t), ready: address(t), log: newTestLog(t)}
-	p := address(t)
+	p := peerAddress(t)
 	text := settingsOf(t, ownIP, p, p, o.entry, o.ready, o.control, "control,entry") + fmt.Sprintf(`[data]
 folder = %s
 [orders]
