origin: below the level, and with most keepers down, streams of a single version go on

A new box beside boxes of the build before knew no version history, and rejected every stream that a caller resumed there, also of services with a single version; so did a box for the time of a stream after the level was raised. And where the three keepers of a record were down, the answers of the second round were not used to conclude that a service has a single version.

Change: below the level a box goes by its own view, as the build before does for all streams; what it knows counts from its first list of boxes, not from the level; each round is judged alike. Four rows of origin TestLookup failed before.

--- a/level/level.go
+++ b/level/level.go
@@ -40,7 +40,7 @@
 	SharedLoad
 	// Relays: boxes relay requests for others that cannot reach the backend servers.
 	Relays
-	// StreamOrigins: boxes tell one another at which software version streams began (package origin).
+	// StreamOrigins: boxes exchange at which software version streams began (package origin).
 	StreamOrigins
 	// end is one above the newest level.
 	end
--- a/origin/keepers.go
+++ b/origin/keepers.go
@@ -112,7 +112,7 @@
 	}
 }
 
-// nextBatch takes records from an outbox. If there is none, the sending ends.
+// nextBatch takes records from an outbox. If there is none, nothing is being sent any more.
 func (r *Registry) nextBatch(o *outbox) []record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -74,9 +74,10 @@
 	records  records
 	services map[string]*service
 	outboxes map[string]*outbox
-	// knownSince is the time from which the box knows the versions of services (3).
-	configured bool
-	knownSince time.Duration
+	// knownSince is the time from which the box knows the versions of services (3), once it is configured. askedHistory is set
+	// once it has asked the others for theirs.
+	configured, askedHistory bool
+	knownSince               time.Duration
 	// ready is closed once the box knows the others.
 	ready       chan struct{}
 	becomeReady sync.Once
@@ -128,9 +129,12 @@
 	}
 	switch {
 	case t.Unused:
-		r.configured, r.knownSince = true, now-recordTTL
-	case !r.configured && t.Enabled:
+		r.configured, r.askedHistory, r.knownSince = true, true, now-recordTTL
+	case !r.configured && len(t.Boxes) > 0:
 		r.configured, r.knownSince = true, now
+	}
+	if t.Enabled && !r.askedHistory && len(t.Boxes) > 0 {
+		r.askedHistory = true
 		go r.ask(context.Background(), r.others(r.keepers), "")
 	}
 }
@@ -190,12 +194,16 @@
 	}
 }
 
-// Only returns the only software version that a service had within maxAge, as far as this box knows (6).
+// Only returns the only software version that a service had within maxAge, as far as this box knows (6). Where boxes exchange no
+// records, it is the version of the servers that the box knows.
 func (r *Registry) Only(name string, maxAge time.Duration) (version string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, s := r.opts.Now(), r.services[name]
-	if s == nil || s.mixed(now) || !r.configured || now-r.knownSince < min(maxAge, recordTTL) {
+	if s == nil || s.mixed(now) {
+		return "", false
+	}
+	if r.topology.Enabled && now-r.knownSince < min(maxAge, recordTTL) {
 		return "", false
 	}
 	for v := range s.lastSeen {
@@ -218,20 +226,19 @@
 	if ok {
 		return o, true
 	}
-	kept, answers := r.ask(ctx, keepers, id)
-	if version, only := r.Only(name, maxAge); kept == nil && only && (answers > 0 || len(keepers) == 0) {
-		return Origin{name, version}, true
-	}
-	if kept == nil && len(all) > 0 {
-		if waitFor(ctx, roundPause) != nil {
-			return Origin{}, false
+	for n, boxes := range [][]string{keepers, all} {
+		if n > 0 && (len(boxes) == 0 || waitFor(ctx, roundPause) != nil) {
+			break
+		}
+		kept, answers := r.ask(ctx, boxes, id)
+		if kept != nil {
+			return Origin{kept.Service, kept.Version}, true
+		}
+		if version, only := r.Only(name, maxAge); only && (answers > 0 || len(boxes) == 0) {
+			return Origin{name, version}, true
 		}
-		kept, _ = r.ask(ctx, all, id)
-	}
-	if kept == nil {
-		return Origin{}, false
 	}
-	return Origin{kept.Service, kept.Version}, true
+	return Origin{}, false
 }
 
 // begin returns the own record of a stream, or else the other keepers to ask for it: those of the record, and all.
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -164,7 +164,17 @@
 		"another version came later":                   {[]string{"v2"}, func(n *network) { n.setVersions("v2", "v3"); time.Sleep(settle); n.setDown(9, true) }, 5, "v2"},
 		"the version has left":                         {[]string{"v1", "v2"}, func(n *network) { n.setVersions("v1") }, 5, "v2"},
 		"the version has left, all boxes were killed":  {[]string{"v1", "v2"}, func(n *network) { time.Sleep(time.Second); n.setVersions("v1"); n.restart(5); n.allDownBut(5, 6) }, 5, "unknown"},
-		"two keepers are frozen":                       {[]string{"v1", "v2"}, func(n *network) { n.downDelay = time.Hour; n.setDown(0, true); n.setDown(1, true); n.setDown(9, true) }, 5, "v2"},
+		"a single version, most keepers are down":      {[]string{"v2"}, func(n *network) { n.allDownBut(5, 6, 7) }, 5, "v2"},
+		"a single version, below the level":            {[]string{"v2"}, func(n *network) { n.topology.Enabled = false; n.restartAll() }, 5, "v2"},
+		"below the level":                              {[]string{"v1", "v2"}, func(n *network) { n.topology.Enabled = false; n.restartAll() }, 5, "unknown"},
+		"the level was raised later": {[]string{"v2"}, func(n *network) {
+			n.topology.Enabled = false
+			n.restartAll()
+			time.Sleep(maxAge)
+			n.topology.Enabled = true
+			n.setVersions("v2")
+		}, 5, "v2"},
+		"two keepers are frozen": {[]string{"v1", "v2"}, func(n *network) { n.downDelay = time.Hour; n.setDown(0, true); n.setDown(1, true); n.setDown(9, true) }, 5, "v2"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
