--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -366,4 +366,11 @@
 mutant isolated-boxes-report reach/reach.go 's/m.held = nil \/\/ \(4\)/m.acquit(now)/' reach TestIsolatedBoxIsNoWitness
 mutant relays-cut-off gateway/gateway.go 's/for g.relayed.Load\(\) > 0/for false/' box 'TestRelayingBoxEnds/stopped'
 mutant brittle-ignored pushback/brittle.go 's/return b.running >= b.window\n\}/return false\n}/' pushback TestBrittleServersDoNotFallOverAtAnySize
+mutant unknown-ends-complete internal/framing/framing.go 's/return !bodyAllowed\(method, r.StatusCode\) \|\|/return true ||/' gateway TestTruncatedResponse
+mutant aborts-not-reset internal/framing/framing.go 's/u.conn.SetLinger\(0\)/u.conn.SetLinger(-1)/' gateway TestAbortedUndelimited
+mutant parts-of-events-forwarded gateway/relay.go 's/err == io.EOF && j.stream.insideEvent\(\)/false/' gateway TestStreamEndingInside
+mutant resumes-at-any-version gateway/find.go 's/refusal != nil \|\| !j.pinned/true || !j.pinned/' gateway TestStreamResumesOnly
+mutant origins-not-sent origin/keepers.go 's/if !r.topology.Enabled \{\n\t\treturn\n/if true {\n\t\treturn\n/' box TestCallersResumeAfter
+mutant restarted-boxes-know-no-other-version origin/origin.go 's/now-r.knownSince < min\(maxAge, recordTTL\)/false/' origin 'TestLookup|TestNever'
+mutant prefixes-of-any-version gateway/cached.go 's/if list\[source\].version != c.server.version/if false/' gateway TestPrefixesAreFetchedOnly
 exit $missed
