control: TestUncommittedSuspicionIsRetried stops the replica instead of ending a context

The test was wrong: a proposal whose context has ended may be committed all the same by a leader without peers, and then the report is used up rightly. It now stops the replica, after which nothing is committed.

--- a/control/notice_test.go
+++ b/control/notice_test.go
@@ -27,6 +27,13 @@
 
 // newUnlistedLeader returns a controller whose box leads a cluster of one and is not listed yet.
 func newUnlistedLeader(t *testing.T) *Controller {
+	c, _ := newStoppableLeader(t)
+	return c
+}
+
+// newStoppableLeader returns a controller whose box is not listed, and a function that stops its replica: nothing is committed
+// after it has returned.
+func newStoppableLeader(t *testing.T) (c *Controller, stop func()) {
 	r, err := replica.New(replica.Options{
 		Core:    consensus.Options{ID: "b/i", ElectionMin: 200 * time.Millisecond, Heartbeat: 20 * time.Millisecond, Lease: 160 * time.Millisecond, Seed: 1},
 		Storage: singleVoterStorage{}, Send: func(*wire.Message) {}, CompactAfter: 1000, Fatal: func(err error) { t.Error(err) }, Log: zap.NewNop(),
@@ -34,15 +41,22 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(r.Close)
-	c := New(Options{Replica: r, Meters: meter.New(), Log: zap.NewNop()})
+	stop = sync.OnceFunc(r.Close)
+	t.Cleanup(stop)
+	c = New(Options{Replica: r, Meters: meter.New(), Log: zap.NewNop()})
 	NewWithT(t).Eventually(c.leads, 10*time.Second).Should(BeTrue())
-	return c
+	return c, stop
 }
 
 // newLeader returns a controller whose box is listed, with a server that announced itself.
 func newLeader(t *testing.T) *Controller {
 	c := newUnlistedLeader(t)
+	listWithServer(t, c)
+	return c
+}
+
+// listWithServer lists the box of a controller, and a server that announced itself.
+func listWithServer(t *testing.T, c *Controller) {
 	g := NewWithT(t)
 	member := &wire.Member{Box: "b", Incarnation: "i", Process: "p"}
 	join := func() error {
@@ -54,7 +68,6 @@
 		return c.Announce(context.Background(), &wire.Announcement{Id: "s", Sequence: 1, Address: "127.0.0.1:1"})
 	}
 	g.Eventually(announce, 10*time.Second).Should(Succeed())
-	return c
 }
 
 // Notices arrive on the goroutines of other boxes' calls while the leadership changes.
@@ -107,10 +120,10 @@
 // effect.
 func TestUncommittedSuspicionIsRetried(t *testing.T) {
 	g := NewWithT(t)
-	c := newLeader(t)
-	ended, cancel := context.WithCancel(context.Background())
-	cancel()
+	c, stop := newStoppableLeader(t)
+	listWithServer(t, c)
 	g.Expect(c.noteSuspicion("s", "b", 1, true, time.Now())).To(BeTrue())
-	c.markUnresponsive(ended, "s", zap.Skip())
+	stop()
+	c.markUnresponsive(context.Background(), "s", zap.Skip())
 	g.Expect(c.noteSuspicion("s", "b", 1, true, time.Now())).To(BeTrue())
 }
