gateway, box: contract of Origins; its topology is taken twice a second

Going over all announcements five times a second while they change costs a box of 3,900 servers' state more than it gains: a box that serves a new version learns it from the stream itself. By reading, not measured.

--- a/box/origins.go
+++ b/box/origins.go
@@ -15,7 +15,7 @@
 
 const (
 	// originTopologyInterval is the minimum time between two updates of what the registry of origins takes from the state.
-	originTopologyInterval = 200 * time.Millisecond
+	originTopologyInterval = 500 * time.Millisecond
 	// handOverTimeout bounds how long a box that stops hands over records of streams.
 	handOverTimeout = time.Second
 )
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -15,7 +15,7 @@
 	"leverdrum/wire"
 )
 
-// resumedBy is who resumes a stream.
+// Values of the label and log field "by": who resumes a stream.
 const (
 	resumedByBox    = "box"    // inside its response
 	resumedByCaller = "caller" // with another request
@@ -66,8 +66,12 @@
 
 // Origins knows at which software version streams began. *origin.Registry implements it.
 type Origins interface {
+	// Begin records that the request with an ID began a stream. It must not block.
 	Begin(id string, o origin.Origin)
+	// Lookup returns where the stream of a request began, within maxAge. service is where it began unless a record says
+	// otherwise. ok is false if its version is unknown.
 	Lookup(ctx context.Context, id, service string, maxAge time.Duration) (o origin.Origin, ok bool)
+	// Only returns the software version of a service that had no other one within maxAge; ok is false if it had, or may have had.
 	Only(service string, maxAge time.Duration) (version string, ok bool)
 }
 
