--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -52,7 +52,7 @@
 }
 
 // abandon ends a request whose caller has disconnected. A response that has begun is aborted: a caller that closed only its
-// sending side still reads it.
+// writing side still reads it.
 func (j *job) abandon() (answered bool) {
 	j.logFailure("caller-gone", j.lastFailure)
 	if j.headSent {
--- a/gateway/undelimited_test.go
+++ b/gateway/undelimited_test.go
@@ -150,7 +150,7 @@
 	g.Expect(end).To(Equal(framing.Truncated))
 }
 
-// Guards against a response that is framed as complete for a caller who closed only its sending side.
+// Guards against a response that is framed as complete for a caller who shut down only its side of the connection.
 func TestResponseToHalfClosedCallerIsNotFramedAsComplete(t *testing.T) {
 	g := NewWithT(t)
 	s := newSetup(t, 5*time.Second, newBackend(t, "i1", func(c net.Conn, _ string) bool {
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -12,8 +12,8 @@
 	"leverdrum/internal/framing"
 )
 
-// newVersionedBackend returns a server whose events carry its software version. The first stream that begins at a server of
-// breaking breaks off after two of five events.
+// newVersionedBackend returns a server whose events carry its software version. If breaks is set, each stream breaks off before its
+// third event of five.
 func newVersionedBackend(t *testing.T, id, version string, breaks bool) *backend {
 	var b *backend
 	b = newBackend(t, id, func(c net.Conn, _ string) bool {
