entry: the limits test copies the map that it changes

Traced: the test's setLimit writes to the map of limits of a cloned state, which the clone shares with the state that the boxes are reading; state itself copies it first (ownLimits). The test is as old as limits of the own interface, and no product code writes there.

--- a/entry/limits_test.go
+++ b/entry/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -41,6 +42,7 @@
 	l.state.mu.Lock()
 	defer l.state.mu.Unlock()
 	next := l.state.view.Load().Clone()
+	next.Limits = maps.Clone(next.Limits) // the clone of a state shares its maps
 	next.Limits[server] = &wire.ServerLimit{Server: server, Milli: uint32(limit)}
 	if limit == 0 {
 		delete(next.Limits, server)
