--- a/review/1/drive/main.go
+++ b/review/.src/review-case1/main.go
@@ -1,5 +1,3 @@
-//go:build review
-
 // Command drive starts three boxes for the first time. The third one is gone for good right after its start, and another machine
 // joins in its place, at another address and with an empty disk. The operator sends the first configuration.
 package main
@@ -13,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"leverdrum/review/rig"
+	"review/rig"
 )
 
 // Bounds of a small deployment.
--- a/review/2/drive/main.go
+++ b/review/.src/review-case2/main.go
@@ -1,5 +1,3 @@
-//go:build review
-
 // Command drive sends requests that share the first parts of their prompts to three boxes before four model servers. While the
 // first answers are under way, three servers crash, one after another. It counts requests that the boxes end with a 4xx of
 // their own.
@@ -15,11 +13,11 @@
 	"sync"
 	"time"
 
-	"leverdrum/review/rig"
+	"review/rig"
 )
 
 const (
-	servers   = 12
+	servers   = 12                    // at the start
 	interval  = 50 * time.Millisecond // between two requests
 	firstKill = 1200 * time.Millisecond
 	killEvery = 1200 * time.Millisecond
@@ -27,14 +25,14 @@
 	restart   = 2 * time.Second // until a crashed server is back, empty and under a new id
 	length    = 20 * time.Second
 	model     = "base1"
-	shared    = "5c1e07a2:2520,91bd3f06:3780" // the parts that all requests have
+	shared    = "5c1e07a2:119,91bd3f06:79" // the parts that all requests have
 )
 
 var config = map[string]any{
 	"version": 1,
 	"routes": []any{map[string]any{
-		"name": "r-draft", "hostname": "case.example", "path_prefix": "/draft/", "route_type": "streaming", "timeout_ms": 12000, "target_latency_ms": 5000,
-		"priority": 1, "backend": "lm", "max_attempts": 1, "session_affinity": true, "resumable": false, "gap_target_ms": 1000,
+		"name": "r-query", "hostname": "case.example", "path_prefix": "/query/", "route_type": "streaming", "timeout_ms": 15000, "target_latency_ms": 1500,
+		"priority": 0, "backend": "lm", "max_attempts": 2, "session_affinity": true, "resumable": true, "gap_target_ms": 400,
 	}},
 	"backends": []any{map[string]any{
 		"name": "lm", "health_check_path": "/health", "max_connections": 390, "protocol": "h1", "tls": false,
@@ -69,7 +67,7 @@
 		fail(r.StartBox(i, true))
 	}
 	start := func(id string, held string) *rig.Server {
-		s, err := r.StartServer(id, rig.Hall(len(id)%3), "-service", "lm", "-models", held, "-first", "300ms", "-events", "20", "-gap", "400ms")
+		s, err := r.StartServer(id, rig.Hall(len(id)%3), "-service", "lm", "-engine", "-models", held, "-first", "300ms", "-events", "58", "-gap", "130ms")
 		fail(err)
 		return s
 	}
@@ -97,7 +95,7 @@
 		for n, at := range restarts {
 			if !at.IsZero() && time.Now().After(at) {
 				restarts[n] = time.Time{}
-				start(fmt.Sprintf("i-lm%d-again", n), "-")
+				list = append(list, start(fmt.Sprintf("i-lm%d-again", n), ""))
 			}
 		}
 		if time.Now().After(next) {
@@ -112,7 +110,9 @@
 	allowed := 5 + float64(all.sent)/500
 	text := fmt.Sprintf("%d of %d proper requests were ended with a 4xx of the boxes' own (allowed: %.1f), the last one %.1f s after the first request; %d were answered whole", all.denied, all.sent, allowed, all.last.Seconds(), all.whole)
 	for _, s := range list {
-		r.Note("server %s noted %d lines on runs", s.ID, len(s.RunLines()))
+		for _, line := range s.RunLines() {
+			r.Note("server %s: %s", s.ID, line)
+		}
 	}
 	if float64(all.denied) > allowed {
 		r.Finish(rig.Broken, "DENIED: %s", text)
@@ -123,7 +123,7 @@
 // busiest returns the server that began the most runs in the last second, of those that have not crashed.
 func busiest(list []*rig.Server, crashed map[int]time.Time) (best int) {
 	most := -1
-	for n, s := range list {
+	for n, s := range list[:servers] {
 		if _, gone := crashed[n]; gone {
 			continue
 		}
@@ -142,21 +142,21 @@
 	return best
 }
 
-var client = &http.Client{Timeout: 15 * time.Second}
+var client = &http.Client{Timeout: 20 * time.Second}
 
 // call sends one request and reads its answer.
 func (all *result) call(r *rig.Rig, n int, began time.Time) {
 	box, id := n%rig.Boxes, fmt.Sprintf("%016x", n+1)
-	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/draft/%d", r.Entry(box), n), strings.NewReader(fmt.Sprintf("draft %d", n)))
+	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/query/%d", r.Entry(box), n), strings.NewReader(fmt.Sprintf("query %d", n)))
 	if err != nil {
 		return
 	}
 	req.Host = "case.example"
 	req.Header.Set("Leverdrum-Request-Id", id)
-	req.Header.Set("Leverdrum-Deadline-Ms", "12000")
+	req.Header.Set("Leverdrum-Deadline-Ms", "15000")
 	req.Header.Set("Leverdrum-Model", model)
-	req.Header.Set("Leverdrum-Token-Usage", "6600,100")
-	req.Header.Set("Leverdrum-Prefix-Hash", fmt.Sprintf("%s,%x:300", shared, 0xe0000000+n))
+	req.Header.Set("Leverdrum-Token-Usage", "826,290")
+	req.Header.Set("Leverdrum-Prefix-Hash", fmt.Sprintf("%s,%x:628", shared, 0xe0000000+n))
 	sentAt := time.Since(began)
 	resp, err := client.Do(req)
 	if err != nil {
--- a/review/3/drive/main.go
+++ b/review/.src/review-case3/main.go
@@ -1,5 +1,3 @@
-//go:build review
-
 // Command drive sends requests that may run once at most to three boxes. The clients leave before their deadline: each closes
 // its sending side, and reads what still comes until the box has closed the connection too.
 package main
@@ -15,7 +13,7 @@
 	"strings"
 	"time"
 
-	"leverdrum/review/rig"
+	"review/rig"
 )
 
 const (
--- a/review/stand/main.go
+++ b/review/.src/review-stand/main.go
@@ -1,5 +1,3 @@
-//go:build review
-
 // Command review-stand is a backend server that speaks the platform's protocol as PROTOCOL.md tells it: it registers itself,
 // beats, runs requests, answers reports and carries out orders. It notes each run in a file.
 package main
@@ -25,6 +23,7 @@
 	address  = flag.String("address", "", "address to listen on")
 	control  = flag.String("control", "", "control_plane addresses, separated by commas")
 	service  = flag.String("service", "lm", "name of the service")
+	engine   = flag.Bool("engine", false, "whether it is a model server")
 	models   = flag.String("models", "", "models that it holds at the start, separated by commas")
 	slots    = flag.Int("slots", 64, "slots")
 	first    = flag.Duration("first", 200*time.Millisecond, "time to the first event, or to a plain answer")
@@ -102,7 +101,7 @@
 	s.mu.Lock()
 	s.sequence++
 	m := map[string]any{"backend": *service, "address": *address, "zone": *zone, "version": "v1", "slots": *slots, "state": "ready", "cold_remaining_ms": 0, "sequence": s.sequence}
-	if *models != "" {
+	if *engine {
 		m["stage"], m["models"] = "both", s.modelList()
 	}
 	s.mu.Unlock()
--- a/review/rig/rig.go
+++ b/review/.src/rig/rig.go
@@ -1,5 +1,3 @@
-//go:build review
-
 // Package rig starts the project's own boxes as separate processes on loopback addresses, with settings like those of a
 // small deployment, and stand-ins for the operator, the clients and the backend servers around them.
 package rig
