--- a/review/.src/review-case3/main.go
+++ b/review/.src/review-case3/main.go
@@ -1,5 +1,5 @@
-// Command drive sends requests that may run once at most to three boxes. The clients leave before their deadline: each closes
-// its sending side, and reads what still comes until the box has closed the connection too.
+// Command drive sends requests that may run once at most to three boxes, for 5.4 s. One client in five leaves before its
+// deadline: it closes its sending side, and reads what still comes until the box has closed the connection too.
 package main
 
 import (
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"time"
 
 	"review/rig"
@@ -18,6 +19,8 @@
 
 const (
 	requests = 60
+	interval = 90 * time.Millisecond  // between two requests: 5.4 s in all
+	leaving  = 5                      // one request in so many is left
 	work     = 400 * time.Millisecond // of a server for a request
 	leave    = 75 * time.Millisecond  // after the request was sent: half of the route's objective
 )
@@ -57,18 +60,30 @@
 	fail(r.Replace(ctx, config, rig.First))
 	fail(r.AwaitReady(10 * time.Second))
 	time.Sleep(4 * time.Second) // contact_ms, and time for each server's heartbeat
-	whole, falsely := 0, 0
+	whole, falsely, left := 0, 0, 0
+	var mu sync.Mutex
+	var calls sync.WaitGroup
 	for n := range requests {
-		id := fmt.Sprintf("%016x", n+1)
-		status, stamp, body, err := send(r.Entry(n%rig.Boxes), id, n)
-		r.Note("request %s to box%d: the client read status %d, stamp %q, %d bytes of body %q, %v", id, n%rig.Boxes+1, status, stamp, len(body), strings.TrimSpace(body), err)
-		switch {
-		case status/100 == 2 && stamp == "":
-			falsely++
-		case status == http.StatusOK && strings.Contains(body, id):
-			whole++
+		leaves := rig.WithTrouble() && n%leaving == 0
+		if leaves {
+			left++
 		}
+		calls.Go(func() {
+			id := fmt.Sprintf("%016x", n+1)
+			status, stamp, body, err := send(r.Entry(n%rig.Boxes), id, n, leaves)
+			r.Note("request %s to box%d, client leaves: %t, read status %d, stamp %q, %d bytes of body %q, %v", id, n%rig.Boxes+1, leaves, status, stamp, len(body), strings.TrimSpace(body), err)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case status/100 == 2 && stamp == "":
+				falsely++
+			case status == http.StatusOK && strings.Contains(body, id):
+				whole++
+			}
+		})
+		time.Sleep(interval)
 	}
+	calls.Wait()
 	time.Sleep(time.Second)
 	begun, ended := 0, 0
 	for _, s := range list {
@@ -82,7 +97,7 @@
 			}
 		}
 	}
-	text := fmt.Sprintf("of %d requests, clients read a success without a server's stamp for %d, and a server's whole answer for %d; servers began %d and ended %d", requests, falsely, whole, begun, ended)
+	text := fmt.Sprintf("of %d requests, of which the clients left %d, they read a success without a server's stamp for %d, and a server's whole answer for %d; servers began %d and ended %d", requests, left, falsely, whole, begun, ended)
 	if falsely > 0 {
 		r.Finish(rig.Broken, "MIXED: %s", text)
 	}
@@ -92,9 +107,9 @@
 	r.Finish(rig.Held, "%s", text)
 }
 
-// send sends one request on a connection of its own, leaves unless TROUBLE=0, and reads until the box has answered or closed
+// send sends one request on a connection of its own, leaves if it is to, and reads until the box has answered or closed
 // the connection.
-func send(to, id string, n int) (status int, stamp, body string, err error) {
+func send(to, id string, n int, leaves bool) (status int, stamp, body string, err error) {
 	c, err := net.Dial("tcp", to)
 	if err != nil {
 		return 0, "", "", err
@@ -104,7 +119,7 @@
 	if _, err := fmt.Fprintf(c, "POST /order/%d HTTP/1.1\r\nHost: case.example\r\nLeverdrum-Request-Id: %s\r\nLeverdrum-Deadline-Ms: 2500\r\nContent-Length: %d\r\n\r\n%s", n, id, len(order), order); err != nil {
 		return 0, "", "", err
 	}
-	if rig.WithTrouble() {
+	if leaves {
 		time.Sleep(leave)
 		if err := c.(*net.TCPConn).CloseWrite(); err != nil {
 			return 0, "", "", err
