attest, gateway: responses are counted by what they prove about their attempt

The logs and metrics of a box could not tell a sound refusal from a copy of an earlier one, from one without an id, or from a status that promises without the header: the hypotheses of docs/incidents/false-not-run.md.

What is decided from a response has not changed.

--- a/gateway/backoff_test.go
+++ b/gateway/backoff_test.go
@@ -13,6 +13,7 @@
 
 	"leverdrum/dialect"
 	"leverdrum/fleet"
+	"leverdrum/internal/attest"
 	"leverdrum/pushback"
 	"leverdrum/reason"
 	"leverdrum/state"
@@ -38,7 +39,7 @@
 	}()
 	to := newConnPool(l.Addr().String())
 	o := &outgoing{method: "POST", target: "/", host: "h", id: "r", refusal: func() *failure { return notRun(reason.ServersInBackoff, ErrInBackoff) }}
-	_, f := exchange(context.Background(), to, o, "X-Request-Id", 0, nil)
+	_, f := exchange(context.Background(), to, o, &attest.Headers{RequestID: "X-Request-Id"}, 0, nil)
 	g.Expect(f).NotTo(BeNil())
 	g.Expect(f.outcome).To(Equal(reason.NotRun))
 	g.Expect(errors.Is(f.cause, ErrInBackoff)).To(BeTrue())
--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"leverdrum/internal/attest"
 )
 
 // Error is the error class of this package.
@@ -44,6 +46,7 @@
 	net.Conn
 	pool        *connPool
 	in          *bufio.Reader
+	history     attest.History
 	idleSince   time.Time // start of the current idle period
 	idleTimeout time.Duration
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"leverdrum/internal/attest"
 	"leverdrum/internal/framing"
 	"leverdrum/proxy"
 	"leverdrum/reason"
@@ -33,7 +34,7 @@
 	body                 []byte
 	id                   string
 	// observe is called with each response that arrives, also one to another request; may be nil.
-	observe func(*http.Response)
+	observe func(*http.Response, attest.Ruling)
 	// refusal is called right before the request is sent and returns why it may not be, nil if it may; nil: it always may.
 	refusal func() *failure
 	// watching is called with the watch of the exchange, where it has one; may be nil.
@@ -146,7 +147,7 @@
 // exchange sends the request once and reads the head of the response. The context also bounds the
 // reading of the body. Where mayAbort is not nil, an exchange with an unresponsive server is
 // aborted once mayAbort allows it; silence is as for newWatch.
-func exchange(ctx context.Context, to *connPool, o *outgoing, idHeader string, silence time.Duration, mayAbort func() bool) (*response, *failure) {
+func exchange(ctx context.Context, to *connPool, o *outgoing, names *attest.Headers, silence time.Duration, mayAbort func() bool) (*response, *failure) {
 	x, _, err := to.get(ctx)
 	if err != nil {
 		f := notRun(reason.BackendUnreachable, err)
@@ -166,6 +167,7 @@
 			o.watching(a.watch)
 		}
 	}
+	x.history.Begin(o.id)
 	stopSilence := to.links.awaitHead(to.server)
 	defer stopSilence()
 	if f := a.write(o); f != nil {
@@ -174,7 +176,7 @@
 		to.drop(x)
 		return nil, f
 	}
-	if err := a.read(o, idHeader); err != nil {
+	if err := a.read(o, names); err != nil {
 		a.stop()
 		unresponsive := a.watch.stop()
 		to.drop(x)
@@ -225,7 +227,7 @@
 
 // read reads the head of the response to this request. It skips responses to other requests: they
 // are late or surplus, and the connection is not reused.
-func (a *response) read(o *outgoing, idHeader string) error {
+func (a *response) read(o *outgoing, names *attest.Headers) error {
 	for range maxSurplus + 1 {
 		resp, err := http.ReadResponse(a.conn.in, &http.Request{Method: o.method})
 		if err != nil {
@@ -234,10 +236,11 @@
 		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		ruling := a.conn.history.Judge(o.id, resp.StatusCode, resp.Header, names)
 		if o.observe != nil {
-			o.observe(resp)
+			o.observe(resp, ruling)
 		}
-		if id := resp.Header.Get(idHeader); id == "" || id == o.id {
+		if id := resp.Header.Get(names.RequestID); id == "" || id == o.id {
 			a.Response, a.delimited = resp, framing.Delimited(o.method, resp)
 			return nil
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,7 @@
 	"leverdrum/dialect"
 	"leverdrum/event"
 	"leverdrum/fleet"
+	"leverdrum/internal/attest"
 	"leverdrum/internal/wait"
 	"leverdrum/loadshare"
 	"leverdrum/meter"
@@ -125,6 +126,8 @@
 	late         lineSampler
 	resumed      lineSampler // of streams
 	unknownEnds  lineSampler // of responses whose end is unknown
+	unproven     lineSampler // of responses that prove nothing
+	headers      attest.Headers
 	admission    *admission
 	startHold    *startHold
 	links        *links
@@ -157,6 +160,8 @@
 	if opts.Dial != nil {
 		g.dir.dialer = opts.Dial
 	}
+	d := &opts.Dialect
+	g.headers = attest.Headers{RequestID: d.RequestID, NotRun: d.NotRun, Stamp: d.Stamp}
 	g.budgets = newBudgets(opts.Budget, g.dir.boxes)
 	g.admission = newAdmission(opts.Load, opts.MaxBodies)
 	g.startHold = &startHold{began: time.Now(), current: opts.Current, maxBytes: opts.MaxBodies / waitingBodiesDivisor, meters: opts.Meters}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -11,6 +11,7 @@
 	"leverdrum/crasher"
 	"leverdrum/dialect"
 	"leverdrum/fleet"
+	"leverdrum/internal/attest"
 	"leverdrum/internal/framing"
 	"leverdrum/meter"
 	"leverdrum/pushback"
@@ -195,7 +196,7 @@
 	}()
 	o := j.outgoing(c)
 	o.refusal = func() *failure { return j.g.refusal(s, j.blockedAt(s)) }
-	o.observe = func(resp *http.Response) { j.g.observe(s, j.id, resp) }
+	o.observe = func(resp *http.Response, r attest.Ruling) { j.g.observe(s, j.id, resp, r) }
 	o.watching = j.load.setWatch
 	a, f := j.exchange(ctx, s, o)
 	if f != nil {
@@ -257,7 +258,7 @@
 func (j *job) exchange(ctx context.Context, s *server, o *outgoing) (*response, *failure) {
 	j.relayedBy = ""
 	if !j.g.relaysTo(s) {
-		return exchange(ctx, s.pool, o, j.g.opts.Dialect.RequestID, j.silenceTimeout(), j.abortCheck(s))
+		return exchange(ctx, s.pool, o, &j.g.headers, j.silenceTimeout(), j.abortCheck(s))
 	}
 	silence := time.Duration(0)
 	if j.route.Repeatable() {
--- a/gateway/pushback.go
+++ b/gateway/pushback.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"leverdrum/internal/attest"
 	"leverdrum/internal/wait"
 	"leverdrum/pushback"
 	"leverdrum/reason"
@@ -14,8 +15,9 @@
 
 // observe records the report in a response about its server. A response of another server at the
 // same address is ignored.
-func (g *Gateway) observe(s *server, request string, resp *http.Response) {
+func (g *Gateway) observe(s *server, request string, resp *http.Response, ruling attest.Ruling) {
 	d := &g.opts.Dialect
+	g.recordRuling(s, request, resp, ruling)
 	if d.FromOtherServer(resp.Header, s.name) {
 		return
 	}
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"leverdrum/event"
+	"leverdrum/internal/attest"
 	"leverdrum/meter"
 	"leverdrum/reason"
 	"leverdrum/wire"
@@ -43,7 +44,7 @@
 			j.g.relays.release(box)
 			return nil, f
 		}
-		x := &relayExchange{ctx: ctx, relays: j.g.relays, box: box, idHeader: j.g.opts.Dialect.RequestID}
+		x := &relayExchange{ctx: ctx, relays: j.g.relays, box: box, names: &j.g.headers}
 		a, f := x.run(s, o, silence)
 		if f == nil || !f.declined {
 			j.relayedBy = box
@@ -76,7 +77,7 @@
 type relayExchange struct {
 	relays   *relays
 	box      string
-	idHeader string
+	names    *attest.Headers
 	ctx      context.Context // of the request
 	stream   RelayStream
 	stop     func() bool // of the context
@@ -189,11 +190,14 @@
 	for _, h := range head.Headers {
 		resp.Header.Add(h.Name, h.Value)
 	}
+	var history attest.History // of the stream between the boxes, which carries a single attempt
+	history.Begin(o.id)
+	ruling := history.Judge(o.id, resp.StatusCode, resp.Header, x.names)
 	if o.observe != nil {
-		o.observe(resp)
+		o.observe(resp, ruling)
 	}
 	a := &response{Response: resp, relay: x, delimited: head.Framed}
-	if id := resp.Header.Get(x.idHeader); id != "" && id != o.id {
+	if id := resp.Header.Get(x.names.RequestID); id != "" && id != o.id {
 		a.finish(false)
 		return nil, unknown(reason.BackendDisconnected, Error.New("box %s relayed the response to another request", x.box))
 	}
--- a/gateway/relayend_test.go
+++ b/gateway/relayend_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"leverdrum/internal/attest"
 	"leverdrum/wire"
 )
 
@@ -52,12 +53,12 @@
 		g := NewWithT(t)
 		o := &outgoing{method: c.method, host: "h", target: "/"}
 		pool := &connPool{maxOpen: 1, dialer: func(context.Context, string) (net.Conn, error) { return respondOnce(c.response), nil }}
-		server, failed := exchange(t.Context(), pool, o, "X-Request-Id", 0, nil)
+		server, failed := exchange(t.Context(), pool, o, &attest.Headers{RequestID: "X-Request-Id"}, 0, nil)
 		g.Expect(failed).To(BeNil())
 		sent := &recordedFrames{}
 		new(Gateway).forwardRelayed(server, &relayAnswer{to: sent})
 
-		x := &relayExchange{relays: &relays{}, ctx: context.Background(), stream: sent, idHeader: "X-Request-Id", silence: time.NewTimer(time.Hour)}
+		x := &relayExchange{relays: &relays{}, ctx: context.Background(), stream: sent, names: &attest.Headers{RequestID: "X-Request-Id"}, silence: time.NewTimer(time.Hour)}
 		f, err := x.nextFrame()
 		g.Expect(err).NotTo(HaveOccurred())
 		a, failure := x.response(f.Head, o)
--- a/gateway/serverelay.go
+++ b/gateway/serverelay.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"leverdrum/internal/attest"
 	"leverdrum/level"
 	"leverdrum/meter"
 	"leverdrum/reason"
@@ -108,7 +109,7 @@
 	}
 	// The box whose request it is may not know of a block yet.
 	o.refusal = func() *failure { return g.refusal(s, g.relayBlocked(r, o.header, s)) }
-	o.observe = func(resp *http.Response) { g.observe(s, r.Id, resp) }
+	o.observe = func(resp *http.Response, ruling attest.Ruling) { g.observe(s, r.Id, resp, ruling) }
 	var mayAbort func() bool
 	if r.SilenceMs > 0 {
 		mayAbort = func() bool { return !out.started() }
@@ -116,7 +117,7 @@
 	startedAt := time.Now()
 	s.beginAttempt(startedAt, 0)
 	defer s.endAttempt(startedAt, 0, true)
-	a, f := exchange(ctx, s.pool, o, g.opts.Dialect.RequestID, time.Duration(r.SilenceMs)*time.Millisecond, mayAbort)
+	a, f := exchange(ctx, s.pool, o, &g.headers, time.Duration(r.SilenceMs)*time.Millisecond, mayAbort)
 	if f != nil {
 		if f.dialFailed && ctx.Err() == nil {
 			g.reportDown(s, f)
