--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -162,7 +162,7 @@
 	}
 }
 
-// report fails the test with the failures found, and keeps the logs of the boxes.
+// report logs how many requests were served and fails the test with the failures found.
 func (h *harness) report(callers []*caller) {
 	served, refused := 0, 0
 	for _, c := range callers {
@@ -173,6 +173,11 @@
 	if served == 0 {
 		h.addFailure("no request was served")
 	}
+	h.reportFailures()
+}
+
+// reportFailures fails the test with the failures found, and keeps the logs of the boxes.
+func (h *harness) reportFailures() {
 	if len(h.failures) == 0 {
 		return
 	}
