gateway: a connection carries no second attempt of a request that it has seen refused

Callers saw requests refused as not run that had run, and orders that ran twice.

Cause: the id names the request, not the attempt. The pool hands out the connection that was used last, so a retry at the same server goes to the connection that carried the refusal. A server that sends the refusal a second time, later, is taken to have refused the retry, which it runs. The box then sends the request again (TWICE) or refuses it (REFUSED).

The pool now skips idle connections that may not carry an attempt with the id (attest, rules 2 and 3), and at its limit replaces an idle one.

Ruled out: an id for each attempt (the platform's servers repeat the caller's, which must reach them unchanged); a connection of its own for each retry (new connections are limited at servers, and only this pair has to be kept apart).

--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -110,16 +111,15 @@
 	c.idle = nil
 }
 
-// get returns a usable idle connection or dials a new one. fresh reports a new one.
-func (c *connPool) get(ctx context.Context) (x *conn, fresh bool, err error) {
-	if x := c.takeIdle(); x != nil {
-		return x, false, nil
+// get returns a usable idle connection that may carry an attempt with this ID, or dials a new one.
+func (c *connPool) get(ctx context.Context, id string) (*conn, error) {
+	if x := c.takeIdle(id); x != nil {
+		return x, nil
 	}
-	if !c.reserve() {
-		return nil, false, ErrConnectionLimit
+	if !c.reserve() && !c.replaceIdle() {
+		return nil, ErrConnectionLimit
 	}
-	x, err = c.dial(ctx)
-	return x, true, err
+	return c.dial(ctx)
 }
 
 // dial opens a connection for which the caller has reserved a place in the pool.
@@ -151,24 +151,42 @@
 	return nil
 }
 
-func (c *connPool) takeIdle() *conn {
+// takeIdle returns the most recently used idle connection that may carry an attempt with this ID, nil if there is none.
+func (c *connPool) takeIdle(id string) *conn {
 	for {
-		c.mu.Lock()
-		n := len(c.idle)
-		if n == 0 {
-			c.mu.Unlock()
-			return nil
-		}
-		x := c.idle[n-1]
-		c.idle = c.idle[:n-1]
-		c.mu.Unlock()
-		if time.Since(x.idleSince) < x.idleTimeout && x.isQuiet() {
+		x := c.removeIdle(id)
+		if x == nil || time.Since(x.idleSince) < x.idleTimeout && x.isQuiet() {
 			return x
 		}
 		c.drop(x)
 	}
 }
 
+// removeIdle removes the most recently used idle connection that may carry an attempt with this ID.
+func (c *connPool) removeIdle(id string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, x := range slices.Backward(c.idle) {
+		if x.history.MayCarry(id) {
+			c.idle = slices.Delete(c.idle, i, i+1)
+			return x
+		}
+	}
+	return nil
+}
+
+// replaceIdle closes the least recently used idle connection and reserves its place.
+func (c *connPool) replaceIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle) == 0 || c.closed {
+		return false
+	}
+	c.idle[0].Close()
+	c.idle = slices.Delete(c.idle, 0, 1)
+	return true
+}
+
 func (c *connPool) reserve() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -212,7 +230,7 @@
 // put returns a connection to the pool, or closes it where it cannot be used again.
 func (c *connPool) put(x *conn) {
 	c.mu.Lock()
-	if c.closed || x.in.Buffered() > 0 {
+	if c.closed || x.in.Buffered() > 0 || !x.history.Reusable() {
 		c.mu.Unlock()
 		c.drop(x)
 		return
