gateway: a refusal that does not name the request proves nothing

Callers saw requests refused as not run that had run, and orders that ran twice.

Cause: a response without an id counted as the response to the request under way. A surplus refusal without one, in the place where the next response is due, ended an attempt as not run while its server ran it.

The gateway now takes from a response what package attest says it proves. A response without an id, or with several, on a connection whose server has named requests before ends the attempt as unknown (backend-unproven, 502), and its connection. One of a server that never names requests is still forwarded, but promises nothing. The same for what other boxes relay.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -74,6 +74,8 @@
 	stop    func() bool
 	watch   *watch
 	tainted bool // the connection must not be reused
+	// proof is what the response proves about the attempt.
+	proof attest.Proof
 	// delimited is set if the head determines where the body ends.
 	delimited bool
 	relay     *relayExchange // set if another box relays the exchange; it has no connection then
@@ -128,6 +130,7 @@
 	declined     bool // a box declined to relay the attempt
 	noPath       bool // this box does not reach the server, and no other box relays the attempt
 	endUnknown   bool // the response may be complete
+	unproven     bool // the response does not prove whether the server runs the attempt
 	relayLost    bool // the relaying box, or the connection to it, failed
 }
 
@@ -180,6 +183,9 @@
 		a.stop()
 		unresponsive := a.watch.stop()
 		to.drop(x)
+		if errors.Is(err, errUnidentified) {
+			return nil, unproven(err)
+		}
 		if unresponsive {
 			f := unknown(reason.BackendUnresponsive, Error.Wrap(err))
 			f.unresponsive = true
@@ -225,6 +231,16 @@
 	return unknown(reason.BackendDisconnected, Error.Wrap(err))
 }
 
+// errUnidentified is returned where a response does not say which request it is for.
+var errUnidentified = Error.New("the response does not say which request it is for")
+
+// unproven returns the failure of an attempt whose response does not prove whether the server runs it.
+func unproven(cause error) *failure {
+	f := unknown(reason.BackendUnproven, cause)
+	f.unproven = true
+	return f
+}
+
 // read reads the head of the response to this request. It skips responses to other requests: they
 // are late or surplus, and the connection is not reused.
 func (a *response) read(o *outgoing, names *attest.Headers) error {
@@ -240,9 +256,12 @@
 		if o.observe != nil {
 			o.observe(resp, ruling)
 		}
-		if id := resp.Header.Get(names.RequestID); id == "" || id == o.id {
-			a.Response, a.delimited = resp, framing.Delimited(o.method, resp)
+		switch ruling.Owner {
+		case attest.This:
+			a.Response, a.delimited, a.proof = resp, framing.Delimited(o.method, resp), ruling.Proof
 			return nil
+		case attest.Unidentified:
+			return errUnidentified
 		}
 		a.tainted = true
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSurplusBytes)); err != nil {
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -196,10 +196,10 @@
 	if o.observe != nil {
 		o.observe(resp, ruling)
 	}
-	a := &response{Response: resp, relay: x, delimited: head.Framed}
-	if id := resp.Header.Get(x.names.RequestID); id != "" && id != o.id {
+	a := &response{Response: resp, relay: x, delimited: head.Framed, proof: ruling.Proof}
+	if ruling.Owner != attest.This {
 		a.finish(false)
-		return nil, unknown(reason.BackendDisconnected, Error.New("box %s relayed the response to another request", x.box))
+		return nil, unproven(Error.New("box %s relayed a response that is not the request's", x.box))
 	}
 	return a, nil
 }
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"leverdrum/event"
+	"leverdrum/internal/attest"
 	"leverdrum/meter"
 	"leverdrum/reason"
 )
@@ -22,8 +23,11 @@
 func (j *job) checkResponse(a *response) *failure {
 	d := &j.g.opts.Dialect
 	switch {
-	case a.Header.Get(d.NotRun) != "", a.StatusCode == http.StatusMisdirectedRequest:
+	case a.proof == attest.NotRun, a.StatusCode == http.StatusMisdirectedRequest:
 		return notRun(reason.BackendRefused, Error.New("the server answered %d, not run", a.StatusCode))
+	case a.Header.Get(d.NotRun) != "":
+		a.tainted = true
+		return unproven(Error.New("the response with status %d does not prove that the request was not run", a.StatusCode))
 	case a.Header.Get(d.Stamp) == "" && a.StatusCode < http.StatusMultipleChoices:
 		a.tainted = true
 		return unknown(reason.BackendDisconnected, Error.New("the response lacks the server's stamp"))
@@ -67,7 +71,7 @@
 	}
 	j.lastFailure = f
 	ownLinks := j.failedOnOwnLinks(f)
-	if !f.moved && !f.endUnknown && !ownLinks {
+	if !f.moved && !f.endUnknown && !f.unproven && !ownLinks {
 		j.recordBroken(s, f)
 		j.recordBrokenOutcome(s, f)
 	}
