gateway: a status that promises is not forwarded without the server's promise

Callers saw requests refused as not run that had run.

Cause: 408, 421, 429 and 503 promise to callers that their request has not run. A server, or what stands before it, that answers so after it began to run the request promises nothing: only the header does. The gateway forwarded 408, 429 and 503 as any other error and took 421 for not run.

For requests that may run at most once such a response now ends the attempt as unknown (backend-unproven, 502, without the server's stamp). For others it is forwarded as before: their callers may send them again in any case.

--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -21,18 +21,25 @@
 
 // checkResponse returns a failure for a response that must not be forwarded.
 func (j *job) checkResponse(a *response) *failure {
-	d := &j.g.opts.Dialect
 	switch {
-	case a.proof == attest.NotRun, a.StatusCode == http.StatusMisdirectedRequest:
+	case a.proof == attest.NotRun:
 		return notRun(reason.BackendRefused, Error.New("the server answered %d, not run", a.StatusCode))
-	case a.Header.Get(d.NotRun) != "":
-		a.tainted = true
-		return unproven(Error.New("the response with status %d does not prove that the request was not run", a.StatusCode))
-	case a.Header.Get(d.Stamp) == "" && a.StatusCode < http.StatusMultipleChoices:
-		a.tainted = true
-		return unknown(reason.BackendDisconnected, Error.New("the response lacks the server's stamp"))
-	}
-	return nil
+	case a.proof == attest.Run, j.mayForwardUnproven(a):
+		return nil
+	case a.StatusCode == http.StatusMisdirectedRequest && j.route.Repeatable():
+		return notRun(reason.BackendRefused, Error.New("the server answered %d", a.StatusCode))
+	}
+	a.tainted = true
+	if a.Header.Get(j.g.headers.NotRun) == "" {
+		j.recordResponse(a, false) // a failure of its own, unlike a refusal that may be another attempt's
+	}
+	return unproven(Error.New("the server's response with status %d does not prove whether it ran the request", a.StatusCode))
+}
+
+// mayForwardUnproven reports whether a status that promises to callers that their request has not run may be forwarded although
+// the server promises nothing: its caller may repeat the request whether or not it has run.
+func (j *job) mayForwardUnproven(a *response) bool {
+	return j.route.Repeatable() && attest.Promises(a.StatusCode) && a.StatusCode != http.StatusMisdirectedRequest && a.Header.Get(j.g.headers.NotRun) == ""
 }
 
 // recordMisdirected records why a server rejected the request as misdirected: the address belongs
