proxy, entry: a response proves what became of an attempt only if it is the attempt's own

Callers of the product's own interface that came again with the id of a refused request could be told "not run" of a request that had run.

Cause: attempts were named by the request's id and a number, so that the second arrival of a request had the attempt ids of the first, and a refusal without an id counted as the response to any attempt. Calls that may run at most once were not affected: they use new connections.

Attempts have ids of their own, and the sender takes from a response what package attest says it proves; a refusal without an id counts on a connection that carried nothing before. The head of a response is bounded to 64 KiB.

--- a/entry/serve.go
+++ b/entry/serve.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -239,7 +240,7 @@
 		return reason.RetryRefused
 	case !j.repeatable:
 		return nil
-	case f.Reason == reason.BackendDisconnected:
+	case f.Reason == reason.BackendDisconnected, f.Reason == reason.BackendUnproven:
 		return reason.RetryDisconnected
 	case f.Reason == reason.BackendFailed:
 		return reason.RetryFailed
@@ -251,7 +252,7 @@
 
 func (e *Entry) attempt(ctx context.Context, j *job, b *route.Backend) (*proxy.Response, *proxy.Failure) {
 	a := j.attempt
-	a.ID = j.id + "." + strconv.Itoa(j.attempts)
+	a.ID = j.id + "." + strconv.Itoa(j.attempts) + "." + strconv.FormatUint(rand.Uint64(), 36)
 	j.attempts++
 	a.Address = b.Address
 	a.NonRepeatable = !j.repeatable
--- a/entry/undelimited_test.go
+++ b/entry/undelimited_test.go
@@ -28,11 +28,17 @@
 	"leverdrum/state"
 )
 
-// rawService is an entry box in front of one backend server that sends a fixed response to each call.
+// rawService is an entry box in front of one backend server.
 type rawService struct{ address string }
 
-// newRawService returns a rawService whose server closes the connection after the response, with a reset if reset is set.
+// newRawService returns a rawService whose server sends a fixed response to each call and then closes the connection, with a
+// reset if reset is set.
 func newRawService(t *testing.T, response string, reset bool) *rawService {
+	return newScriptedService(t, func(c net.Conn) { respond(c, response, reset) })
+}
+
+// newScriptedService returns a rawService whose server handles each connection with a function.
+func newScriptedService(t *testing.T, serve func(net.Conn)) *rawService {
 	g := NewWithT(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
@@ -43,7 +49,7 @@
 			if err != nil {
 				return
 			}
-			go respond(c, response, reset)
+			go serve(c)
 		}
 	}()
 	st, err := standin.CommittedState(fmt.Sprintf("[fleet]\nnumber = 1\n[hall a]\n[class c]\ndeadline = 5s\n[service shop]\nclass = c\nnon-repeatable = POST /orders\nkey-header = Idempotency-Key\n[instance s]\nservice = shop\naddress = %s\nhall = a\n", l.Addr()))
--- a/internal/attest/attest.go
+++ b/internal/attest/attest.go
@@ -14,8 +14,8 @@
 //     connection that carried no earlier attempt, or whose server has never identified its responses. An attempt
 //     without an ID is sent on a connection of its own.
 //  4. A response proves that its attempt was not run only if it says so in the header for it, has a status that fits, and
-//     belongs to the attempt by its ID. Nothing else proves it: without the header, a status that promises it to callers proves
-//     nothing.
+//     belongs to the attempt by its ID or as the first response on its connection. Nothing else proves it: without the
+//     header, a status that promises it to callers proves nothing.
 //  5. A success proves that the attempt was run if it has the server's stamp. Any other status that does not promise the
 //     contrary proves it, too.
 //  6. What is remembered is bounded. A connection on which maxRemembered requests had no success is not used again.
@@ -29,6 +29,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// MaxHeadBytes is the maximum size in bytes of the head of a response. A server may send one without end.
+const MaxHeadBytes = 64 << 10
+
 // maxRemembered is the number of request IDs that are remembered of a connection, 8 bytes each (6).
 const maxRemembered = 1024
 
@@ -85,6 +88,9 @@
 	unsuccessful []uint64 // hashes of the IDs whose response was no success
 }
 
+// OfReused returns the history of a connection of which it is only known that it carried attempts with other IDs.
+func OfReused() *History { return &History{attempts: 1} }
+
 // MayCarry reports whether an attempt of the request with an ID may be sent on the connection (2, 3).
 func (h *History) MayCarry(id string) bool {
 	return h.attempts == 0 || id != "" && !h.unidentified && !h.remembers(id)
@@ -107,7 +113,7 @@
 	if owner != This {
 		return Ruling{Owner: owner}
 	}
-	identified := id == "" || len(header.Values(names.RequestID)) > 0
+	identified := h.attempts <= 1 || len(header.Values(names.RequestID)) > 0
 	ruling := Ruling{Owner: owner, Proof: proofOf(status, header, names)}
 	if ruling.Proof == NotRun && (!identified || h.remembers(id)) {
 		ruling.Proof = Nothing
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -6,11 +6,14 @@
 //     a request has a body that cannot be rewound or, if an empty body must be sent
 //     as such, no header that marks idempotent requests for the transport.
 //  2. An attempt is reported as not run only if it had no connection, so that no
-//     byte can have been sent, or if the backend server says so.
+//     byte can have been sent, or if the backend server's response proves it
+//     (package attest).
 //  3. A response is complete when its full length or its final chunk arrived; a
 //     stream also needs its last event. The end of one without a length or
 //     chunks is unknown (package framing), unless it is a stream with a last event.
-//  4. A response that names another attempt is dropped with its connection.
+//  4. A response that does not belong to the attempt is dropped with its
+//     connection. Attempts have IDs of their own, so that a response to an earlier
+//     attempt of the same request is none to a later one.
 //  5. Calls that may not be repeated use new connections: a reused connection may
 //     already be dead, and then the outcome would be unknown.
 package proxy
@@ -30,6 +33,7 @@
 	"github.com/zeebo/errs"
 
 	"leverdrum/engine"
+	"leverdrum/internal/attest"
 	"leverdrum/internal/framing"
 	"leverdrum/reason"
 )
@@ -49,6 +53,7 @@
 
 // Attempt is one attempt at a request.
 type Attempt struct {
+	// ID is unique among all attempts (4).
 	ID      string
 	Method  string
 	Address string
@@ -105,7 +110,7 @@
 func NewSender() *Sender {
 	base := http.Transport{
 		DialContext: dial, DisableCompression: true,
-		MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout, ForceAttemptHTTP2: false,
+		MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout, ForceAttemptHTTP2: false, MaxResponseHeaderBytes: attest.MaxHeadBytes,
 	}
 	singleUse := base.Clone()
 	singleUse.DisableKeepAlives = true
@@ -183,11 +188,14 @@
 // Send sends the attempt and waits for the complete response, or for its headers if it is a stream or
 // large. The context also bounds the reading of BodyReader.
 func (s *Sender) Send(ctx context.Context, a *Attempt) (*Response, *Failure) {
-	var connected atomic.Bool
+	var connected, reused atomic.Bool
 	if a.Sendable != nil {
 		ctx = context.WithValue(ctx, sendableKey{}, a.Sendable)
 	}
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connected.Store(true)
+		reused.Store(info.Reused)
+	}}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), a.Method, "http://"+a.Address+a.Path, nil)
 	if err != nil {
 		return nil, &Failure{Outcome: reason.NotRun, Reason: reason.BadRequest, Cause: Error.Wrap(err)}
@@ -203,7 +211,7 @@
 	if err != nil {
 		return nil, classify(err, connected.Load())
 	}
-	return s.receive(a, resp)
+	return s.receive(a, resp, reused.Load())
 }
 
 // classify returns the failure for a transport error. It is not run only if there was no connection
@@ -220,14 +228,38 @@
 	return &Failure{Outcome: reason.Unknown, Reason: reason.BackendDisconnected, Cause: Error.Wrap(err)}
 }
 
-func (s *Sender) receive(a *Attempt, resp *http.Response) (*Response, *Failure) {
-	if id := resp.Header.Get(engine.HeaderAttemptID); id != "" && id != a.ID { // (4)
-		resp.Body.Close()
-		return nil, &Failure{Outcome: reason.Unknown, Reason: reason.BackendDisconnected, Header: resp.Header, Status: resp.StatusCode, Cause: Error.New("the response belongs to attempt %q", id)}
+// headers are the names of the headers by which a response is attributed to an attempt.
+var headers = attest.Headers{RequestID: engine.HeaderAttemptID, NotRun: engine.HeaderNotRun}
+
+// check returns the failure of an attempt whose response is not its own, was not run, or may have been (2, 4).
+func check(a *Attempt, resp *http.Response, reused bool) *Failure {
+	history := &attest.History{}
+	if reused {
+		history = attest.OfReused()
 	}
-	if resp.Header.Get(engine.HeaderNotRun) == "true" {
+	history.Begin(a.ID)
+	ruling := history.Judge(a.ID, resp.StatusCode, resp.Header, &headers)
+	f := &Failure{Outcome: reason.Unknown, Reason: reason.BackendUnproven, Header: resp.Header, Status: resp.StatusCode}
+	switch {
+	case ruling.Owner == attest.Another:
+		f.Reason, f.Cause = reason.BackendDisconnected, Error.New("the response belongs to attempt %q", resp.Header.Get(engine.HeaderAttemptID))
+	case ruling.Owner == attest.Unidentified:
+		f.Cause = Error.New("the response does not say which attempt it belongs to")
+	case ruling.Proof == attest.NotRun:
+		f.Outcome, f.Reason = reason.NotRun, reason.BackendRefused
+		f.Cause = Error.New("the backend server responded with status %d and did not run the request", resp.StatusCode)
+	case resp.Header.Get(engine.HeaderNotRun) != "":
+		f.Cause = Error.New("the response with status %d does not prove that the request was not run", resp.StatusCode)
+	default:
+		return nil
+	}
+	return f
+}
+
+func (s *Sender) receive(a *Attempt, resp *http.Response, reused bool) (*Response, *Failure) {
+	if f := check(a, resp, reused); f != nil {
 		resp.Body.Close()
-		return nil, &Failure{Outcome: reason.NotRun, Reason: reason.BackendRefused, Header: resp.Header, Status: resp.StatusCode, Cause: Error.New("the backend server responded with status %d and did not run the request", resp.StatusCode)}
+		return nil, f
 	}
 	response := &Response{Status: resp.StatusCode, Header: http.Header{}, Version: resp.Header.Get(engine.HeaderVersion), Undelimited: !framing.Delimited(a.Method, resp)}
 	CopyEndToEndHeaders(response.Header, resp.Header)
--- a/standin/service.go
+++ b/standin/service.go
@@ -79,6 +79,7 @@
 	}
 	f := s.nextRequest()
 	f.setHeaders(w)
+	w.Header().Set(engine.HeaderAttemptID, r.Header.Get(engine.HeaderAttemptID))
 	if f.rejects() {
 		w.Header().Set(engine.HeaderNotRun, "true")
 		http.Error(w, "not run", http.StatusServiceUnavailable)
@@ -93,7 +94,6 @@
 	if f.DisconnectBeforeResponse {
 		abortConnection()
 	}
-	w.Header().Set(engine.HeaderAttemptID, r.Header.Get(engine.HeaderAttemptID))
 	if f.Status != 0 {
 		http.Error(w, "failed", f.Status)
 		return
