gateway: bytes without end from a server are cut off

Callers waited until their deadline, and a box kept all bytes of a head that a server sent without end: http.ReadResponse bounds neither the size of a head nor the time in which it arrives. A refusal, which is not forwarded, was read to the end of its body before the request was sent elsewhere, however slowly it came.

A head is read up to 64 KiB and for a second from its first byte. The body of a response that is not forwarded is read for 100 ms, that of a response to another request for a second, both only if the head says where they end; else the connection is closed. A whole response to another request no longer costs the connection: its id says whose it is, and the next one is in its place. Up to 16 are skipped, 2 before.

--- a/engine/guard.go
+++ b/engine/guard.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"leverdrum/internal/attest"
 )
 
 // ErrNotAllowed: the box is no longer the leader. Nothing was written.
@@ -29,7 +31,7 @@
 		current, _ := ctx.Value(attemptKey{}).(*attempt)
 		return &guardedConn{Conn: c, allowed: allowed, attempt: current}, nil
 	}
-	return &guardedTransport{&http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}}
+	return &guardedTransport{&http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: attest.MaxHeadBytes}}
 }
 
 // attemptKey is the context key of a request's attempt.
--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -33,6 +34,9 @@
 	// ackTimeout bounds how long sent bytes may stay unacknowledged: a server behind a network
 	// partition sends no reset.
 	ackTimeout = 4 * time.Second
+	// headTimeout bounds the time from the first byte of a response's head to its last one. It leaves time for lost packets
+	// to be sent again.
+	headTimeout = time.Second
 	// readBuffer is the size in bytes of a connection's read buffer.
 	readBuffer = 4 << 10
 	// idleMargin is subtracted from the idle timeout that the server announces, so that the box
@@ -48,6 +52,8 @@
 	pool        *connPool
 	in          *bufio.Reader
 	history     attest.History
+	headLeft    int       // bytes that may still be read of the head being read
+	readingHead bool      // the head of a response is being read
 	idleSince   time.Time // start of the current idle period
 	idleTimeout time.Duration
 }
@@ -69,9 +75,19 @@
 	lastDial atomic.Int64 // time of the last successful dial, in Unix nanoseconds
 }
 
+// errLargeHead is returned where a server sends a head without end.
+var errLargeHead = Error.New("the head of the response is too large")
+
 // Read records the time at which bytes arrived from the server.
 func (x *conn) Read(b []byte) (int, error) {
+	if x.readingHead {
+		if x.headLeft == 0 {
+			return 0, errLargeHead
+		}
+		b = b[:min(len(b), x.headLeft)]
+	}
 	n, err := x.Conn.Read(b)
+	x.headLeft = max(0, x.headLeft-n)
 	if n > 0 {
 		now := time.Now()
 		x.pool.lastRead.Store(now.UnixNano())
@@ -80,6 +96,29 @@
 	return n, err
 }
 
+// readHead reads the head of a response of at most attest.MaxHeadBytes, within headTimeout from its first byte.
+func (x *conn) readHead(r *http.Request) (*http.Response, error) {
+	x.readingHead, x.headLeft = true, attest.MaxHeadBytes
+	defer func() { x.readingHead = false }()
+	if _, err := x.in.Peek(1); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	timer := x.abortReadAfter(headTimeout)
+	resp, err := http.ReadResponse(x.in, r)
+	if !timer.Stop() && err == nil {
+		err = errSlowHead
+	}
+	return resp, Error.Wrap(err)
+}
+
+// errSlowHead is returned where the head of a response did not arrive within headTimeout.
+var errSlowHead = Error.New("the head of the response did not arrive in time")
+
+// abortReadAfter makes reads fail after d, unless the timer is stopped before.
+func (x *conn) abortReadAfter(d time.Duration) *time.Timer {
+	return time.AfterFunc(d, func() { _ = x.SetReadDeadline(time.Unix(1, 0)) }) // fails only on a closed connection
+}
+
 // Dialer opens a connection to an address within dialTimeout.
 type Dialer func(ctx context.Context, address string) (net.Conn, error)
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -18,10 +18,11 @@
 )
 
 const (
-	// maxSurplus is the number of responses to other requests that are skipped on a connection.
-	maxSurplus = 2
-	// maxSurplusBytes bounds the body of such a response.
+	// maxSurplus is the number of interim responses, and of responses to other requests, that an exchange skips.
+	maxSurplus = 16
+	// maxSurplusBytes bounds the body of a response to another request, and surplusTimeout the time in which it arrives.
 	maxSurplusBytes = 1 << 20
+	surplusTimeout  = time.Second
 	// smallBody is the body size in bytes up to which a request is written before its response is
 	// read; a larger body is written concurrently.
 	smallBody = 4 << 10
@@ -241,11 +242,10 @@
 	return f
 }
 
-// read reads the head of the response to this request. It skips responses to other requests: they
-// are late or surplus, and the connection is not reused.
+// read reads the head of the response to this request. It skips responses to other requests: they are late or surplus.
 func (a *response) read(o *outgoing, names *attest.Headers) error {
 	for range maxSurplus + 1 {
-		resp, err := http.ReadResponse(a.conn.in, &http.Request{Method: o.method})
+		resp, err := a.conn.readHead(&http.Request{Method: o.method})
 		if err != nil {
 			return err
 		}
@@ -263,14 +263,29 @@
 		case attest.Unidentified:
 			return errUnidentified
 		}
-		a.tainted = true
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSurplusBytes)); err != nil {
+		if err := a.skip(o, resp); err != nil {
 			return err
 		}
 	}
 	return Error.New("received only responses to other requests")
 }
 
+// errSurplus is returned where a response to another request has no end, so that it is not known where the next one begins.
+var errSurplus = Error.New("a response to another request does not end")
+
+// skip reads the body of a response to another request.
+func (a *response) skip(o *outgoing, surplus *http.Response) error {
+	if !framing.Delimited(o.method, surplus) {
+		return errSurplus
+	}
+	timer := a.conn.abortReadAfter(surplusTimeout)
+	n, err := io.Copy(io.Discard, io.LimitReader(surplus.Body, maxSurplusBytes))
+	if !timer.Stop() || n == maxSurplusBytes {
+		return errSurplus
+	}
+	return Error.Wrap(err)
+}
+
 // passHeaders returns the end-to-end headers.
 func passHeaders(from http.Header) http.Header {
 	to := http.Header{}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -23,8 +23,9 @@
 	// answerBuffer is the size in bytes up to which a plain response is buffered until it is
 	// complete. A larger one is forwarded as it arrives, and aborted if it breaks.
 	answerBuffer = 1 << 20
-	// maxDiscard bounds the bytes read of a response that is not forwarded.
-	maxDiscard = 64 << 10
+	// maxDiscard bounds the bytes read of a response that is not forwarded, and discardTimeout the time in which they arrive.
+	maxDiscard     = 64 << 10
+	discardTimeout = 100 * time.Millisecond
 )
 
 func isStream(a *response) bool {
@@ -34,8 +35,22 @@
 // discard reads the rest of a response that is not forwarded, so that its connection can be
 // reused.
 func (a *response) discard() {
+	if !a.delimited || a.tainted {
+		a.finish(false)
+		return
+	}
+	timer := a.abortReadAfter(discardTimeout)
 	n, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxDiscard))
-	a.finish(err == nil && n < maxDiscard)
+	inTime := timer.Stop()
+	a.finish(inTime && err == nil && n < maxDiscard)
+}
+
+// abortReadAfter makes reads of the body fail after d, unless the timer is stopped before.
+func (a *response) abortReadAfter(d time.Duration) *time.Timer {
+	if a.relay != nil {
+		return time.AfterFunc(d, func() { a.relay.stream.Close() })
+	}
+	return a.conn.abortReadAfter(d)
 }
 
 // recordEnd records how the response of a server ended.
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -75,15 +75,15 @@
 
 // relayExchange is one request that another box relays. It is released when its response has ended.
 type relayExchange struct {
-	relays   *relays
-	box      string
-	names    *attest.Headers
-	ctx      context.Context // of the request
-	stream   RelayStream
-	stop     func() bool // of the context
-	silence  *time.Timer
-	unread   []byte // of the body
-	ended    bool   // the last frame has arrived
+	relays  *relays
+	box     string
+	names   *attest.Headers
+	ctx     context.Context // of the request
+	stream  RelayStream
+	stop    func() bool // of the context
+	silence *time.Timer
+	unread  []byte // of the body
+	ended   bool   // the last frame has arrived
 }
 
 // run sends the request and reads the head of the response.
