engine: a state that belongs to an earlier read is rejected

Connections for reads of a server's state are kept, and a server may send a response twice: an old state could pass for the current one, which placement counts memory by. Orders use a connection each and are not affected.

Reads carry an id that the server repeats; a response with another one is an error and closes its connection. Servers that repeat none are read as before.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -8,8 +8,10 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -25,7 +27,7 @@
 	StatePath       = "/state"
 	OrderPath       = "/orders"
 	ChatPath        = "/v1/chat/completions"
-	HeaderAttemptID = "X-Attempt-Id" // sent with a request and repeated in the response
+	HeaderAttemptID = "X-Attempt-Id" // sent with a request or a read of the state, and repeated in the response
 	HeaderNotRun    = "X-Not-Run"    // "true" in a response: the request was not run
 	// HeaderVersion, in a response, is the version of the model weights that produced it.
 	HeaderVersion = "X-Model-Version"
@@ -126,6 +128,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	req.Header.Set(HeaderAttemptID, strconv.FormatUint(rand.Uint64(), 36))
 	s := &State{}
 	if _, err := exchange(r.client.reads, req, s); err != nil {
 		return nil, err
@@ -164,7 +167,12 @@
 	if err != nil {
 		return 0, Error.Wrap(err)
 	}
+	// A server may send a response twice, and connections for reads are kept: an old state must not pass for the current one.
+	// Without its body being read, the connection is closed.
 	defer resp.Body.Close()
+	if id := resp.Header.Get(HeaderAttemptID); id != "" && id != req.Header.Get(HeaderAttemptID) {
+		return 0, Error.New("the response belongs to another call")
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxStateBytes))
 	if err != nil {
 		return 0, Error.Wrap(err)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -120,11 +120,12 @@
 	return a
 }
 
-func (e *Engine) state(w http.ResponseWriter, _ *http.Request) {
+func (e *Engine) state(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(engine.HeaderAttemptID, r.Header.Get(engine.HeaderAttemptID))
 	e.mu.Lock()
 	s := engine.State{Incarnation: e.incarnation, Draining: e.current().Draining, Fence: e.fence, Running: e.running, Waiting: e.waiting, Residents: []engine.Resident{}}
-	for _, r := range e.residents {
-		s.Residents = append(s.Residents, *r)
+	for _, resident := range e.residents {
+		s.Residents = append(s.Residents, *resident)
 	}
 	e.mu.Unlock()
 	writeJSON(w, http.StatusOK, s)
