reply, gateway, entry: a request that ends without a response is no success

Cause: net/http answers 200 for a handler that returns without writing. The gateway's handler returned so for each abandoned request, that of the product's own interface for calls without a key.

Both interfaces end their responses in one place now: if nothing was written the connection is aborted. The caller reads an end or a reset, neither a success nor a promise; its server is let go as before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"leverdrum/admit"
 	"leverdrum/crasher"
+	"leverdrum/internal/reply"
 	"leverdrum/meter"
 	"leverdrum/proxy"
 	"leverdrum/pushback"
@@ -95,8 +96,11 @@
 	return e
 }
 
-// ServeHTTP routes the request and counts it as in flight meanwhile.
-func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// ServeHTTP routes the request and counts it as in flight meanwhile. The connection of a request that ends without a response
+// is aborted.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) { reply.Serve(w, r, e.route) }
+
+func (e *Entry) route(w http.ResponseWriter, r *http.Request) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	if e.draining.Load() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,7 @@
 	"leverdrum/event"
 	"leverdrum/fleet"
 	"leverdrum/internal/attest"
+	"leverdrum/internal/reply"
 	"leverdrum/internal/wait"
 	"leverdrum/loadshare"
 	"leverdrum/meter"
@@ -216,8 +217,10 @@
 	return t.fleet != nil && len(t.fleet.Routes) > 0
 }
 
-// ServeHTTP serves one request.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// ServeHTTP serves one request. The connection of a request that ends without a response is aborted.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { reply.Serve(w, r, g.serve) }
+
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -51,8 +51,8 @@
 	j.g.refuse(j.w, j.id, refusal, j.retryAfterFor(refusal))
 }
 
-// abandon ends a request whose caller has disconnected. A response that has begun is aborted: a caller that closed only its
-// writing side still reads it.
+// abandon ends a request whose caller has disconnected. A response that has begun is aborted, and so is the connection without
+// one (ServeHTTP): a caller that closed only its writing side still reads.
 func (j *job) abandon() (answered bool) {
 	j.logFailure("caller-gone", j.lastFailure)
 	if j.headSent {
