--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -14,6 +15,7 @@
 	"github.com/zeebo/errs"
 
 	"leverdrum/internal/attest"
+	"leverdrum/internal/framing"
 )
 
 // Error is the error class of this package.
@@ -37,6 +39,8 @@
 	// headTimeout bounds the time from the first byte of a response's head to its last one. It leaves time for lost packets
 	// to be sent again.
 	headTimeout = time.Second
+	// idleSurplusTimeout bounds the reading of responses that have arrived on an idle connection. A request waits for it.
+	idleSurplusTimeout = 2 * time.Millisecond
 	// readBuffer is the size in bytes of a connection's read buffer.
 	readBuffer = 4 << 10
 	// idleMargin is subtracted from the idle timeout that the server announces, so that the box
@@ -151,8 +155,8 @@
 }
 
 // get returns a usable idle connection that may carry an attempt with this ID, or dials a new one.
-func (c *connPool) get(ctx context.Context, id string) (*conn, error) {
-	if x := c.takeIdle(id); x != nil {
+func (c *connPool) get(ctx context.Context, id string, names *attest.Headers) (*conn, error) {
+	if x := c.takeIdle(id, names); x != nil {
 		return x, nil
 	}
 	if !c.reserve() && !c.replaceIdle() {
@@ -191,10 +195,10 @@
 }
 
 // takeIdle returns the most recently used idle connection that may carry an attempt with this ID, nil if there is none.
-func (c *connPool) takeIdle(id string) *conn {
+func (c *connPool) takeIdle(id string, names *attest.Headers) *conn {
 	for {
 		x := c.removeIdle(id)
-		if x == nil || time.Since(x.idleSince) < x.idleTimeout && x.isQuiet() {
+		if x == nil || time.Since(x.idleSince) < x.idleTimeout && (x.isQuiet() || x.skipSurplus(names) && x.isQuiet()) {
 			return x
 		}
 		c.drop(x)
@@ -279,6 +283,24 @@
 	c.mu.Unlock()
 }
 
+// skipSurplus reads the responses that have arrived on an idle connection. It reports whether they were whole and say which
+// request they are for: the next response then begins behind them.
+func (x *conn) skipSurplus(names *attest.Headers) bool {
+	if x.SetReadDeadline(time.Now().Add(idleSurplusTimeout)) != nil {
+		return false
+	}
+	for n := 0; x.in.Buffered() > 0 || x.hasUnread(); n++ {
+		resp, err := x.readHead(&http.Request{Method: http.MethodPost})
+		if err != nil || n == maxSurplus || resp.Header.Get(names.RequestID) == "" || !framing.Delimited(http.MethodPost, resp) {
+			return false
+		}
+		if size, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSurplusBytes)); err != nil || size == maxSurplusBytes {
+			return false
+		}
+	}
+	return x.SetReadDeadline(time.Time{}) == nil
+}
+
 // isQuiet reports whether an idle connection is open and has no unread bytes. Bytes that arrive on
 // an idle connection belong to no request.
 func (x *conn) isQuiet() bool {
@@ -292,10 +314,16 @@
 	return err == nil && n > 0
 }
 
+// peeker is implemented by connections of a Dialer that are not sockets. Peek is as conn.peek.
+type peeker interface{ Peek() (n int, err error) }
+
 // peek looks for unread bytes without consuming them. It is safe to call while another goroutine
 // reads. The error is EAGAIN where no bytes have arrived, and EINVAL for a connection that is not
 // a socket.
 func (x *conn) peek() (n int, err error) {
+	if p, ok := x.Conn.(peeker); ok {
+		return p.Peek()
+	}
 	sock, ok := x.Conn.(syscall.Conn)
 	if !ok {
 		return 0, syscall.EINVAL
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -152,7 +152,7 @@
 // reading of the body. Where mayAbort is not nil, an exchange with an unresponsive server is
 // aborted once mayAbort allows it; silence is as for newWatch.
 func exchange(ctx context.Context, to *connPool, o *outgoing, names *attest.Headers, silence time.Duration, mayAbort func() bool) (*response, *failure) {
-	x, err := to.get(ctx, o.id)
+	x, err := to.get(ctx, o.id, names)
 	if err != nil {
 		f := notRun(reason.BackendUnreachable, err)
 		f.dialFailed = !errors.Is(err, ErrConnectionLimit)
