gateway: a box relays no refusal that proves nothing on its own connection

A box that relays a request forwarded a refusal without an id as it came. The box whose request it is knows nothing of the connection to the server and took it for the first response there, which needs no id.

gateway TestUnprovenRefusalIsNotRelayed, seen to fail without the check: the attempt ends as unknown.

--- a/gateway/serverelay.go
+++ b/gateway/serverelay.go
@@ -128,8 +128,14 @@
 	g.forwardRelayed(a, out)
 }
 
-// forwardRelayed forwards a response as it arrives.
+// forwardRelayed forwards a response as it arrives. A refusal that proves nothing on this box's connection is not forwarded: the
+// other box could not tell it from a sound one.
 func (g *Gateway) forwardRelayed(a *response, out *relayAnswer) {
+	if a.proof != attest.NotRun && a.Header.Get(g.headers.NotRun) != "" {
+		a.finish(false)
+		out.fail(wire.RelayFailure_UNKNOWN, "the response does not prove that the request was not run")
+		return
+	}
 	head := &wire.RelayHead{Status: uint32(a.StatusCode), Headers: relayHeaders(passHeaders(a.Header)), Length: a.ContentLength, Framed: a.delimited}
 	if !a.watch.passHead(func() { out.send(&wire.RelayFrame{Head: head}) }) {
 		a.finish(false)
