crasher, gateway: a part that a server runs for longer, and goes on, is not blamed for a crash

Cause: presence at a crash counted against a part, and only a whole answer for it. A part that all requests share is at each server that crashes; that it ran on at all others meant nothing.

A box that has responses with a part in progress at other servers holds its evidence against that part back for 500 ms. It drops it if one of them has then run for 250 ms longer than any did at the server that crashed: a part that crashes servers would have ended that one as well. Where no response with the part is in progress elsewhere, as with a part that does crash servers, evidence is reported at once. Evidence against whole requests does not wait. Nothing that boxes say to each other has changed.

--- a/crasher/doc.go
+++ b/crasher/doc.go
@@ -48,4 +48,8 @@
 //  14. A blocked request explains the servers at which it was as well, to its own parts: its evidence does not count against
 //     them any more, and a part is released if one blocked request was at all servers that count against it. So the parts of
 //     a request that crashes servers by itself are not blocked with it.
+//  15. A server that has run a request with a part for longer than the terminated one, and goes on, refutes the evidence of that
+//     termination against the part: a part that crashes servers would have ended it as well. So a box that has such
+//     requests at other servers waits for a moment before it reports evidence against their parts. Evidence against whole
+//     requests does not wait.
 package crasher
--- /dev/null
+++ b/crasher/exposure.go
@@ -0,0 +1,130 @@
+package crasher
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// exposureDelay is how long evidence against prompt parts waits if requests with them run at other servers (15).
+	exposureDelay = 500 * time.Millisecond
+	// exposureMargin is how much longer such a request must have run. It covers the time for which a crash is not noticed.
+	exposureMargin = 250 * time.Millisecond
+)
+
+// Run is a response that a server has begun and not ended.
+type Run struct {
+	server       Server
+	service      string
+	parts        []uint64
+	firstEventAt time.Time
+	runFor       atomic.Int64 // nanoseconds from the first event to the last one so far
+}
+
+// Event records that an event has arrived. Run may be nil.
+func (r *Run) Event(at time.Time) {
+	if r != nil {
+		r.runFor.Store(int64(at.Sub(r.firstEventAt)))
+	}
+}
+
+// runs are the responses in progress at a box. The zero value has none.
+type runs struct {
+	mu     sync.Mutex
+	active map[*Run]struct{}
+}
+
+// BeginRun records the first event of a response to a request with prompt parts. The caller ends it with EndRun.
+func (w *Watcher) BeginRun(s Server, service string, parts []uint64, firstEventAt time.Time) *Run {
+	r := &Run{server: s, service: service, parts: parts, firstEventAt: firstEventAt}
+	w.runs.mu.Lock()
+	defer w.runs.mu.Unlock()
+	if w.runs.active == nil {
+		w.runs.active = map[*Run]struct{}{}
+	}
+	w.runs.active[r] = struct{}{}
+	return r
+}
+
+// EndRun records the end of a response, however it ended. Run may be nil.
+func (w *Watcher) EndRun(r *Run) {
+	if r == nil {
+		return
+	}
+	w.runs.mu.Lock()
+	defer w.runs.mu.Unlock()
+	delete(w.runs.active, r)
+}
+
+// longest returns, for each prompt part of failed attempts with which a request runs at another server than theirs, for how long
+// one has run.
+func (l *runs) longest(s Server, attempts []FailedAttempt) map[partOfService]time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	longest := map[partOfService]time.Duration{}
+	for r := range l.active {
+		if r.server == s {
+			continue
+		}
+		for _, id := range r.parts {
+			part := partOfService{r.service, id}
+			if runFor := time.Duration(r.runFor.Load()); runFor >= longest[part] && isPartOf(attempts, part) {
+				longest[part] = runFor
+			}
+		}
+	}
+	return longest
+}
+
+// partOfService is a prompt part at the servers of a service.
+type partOfService struct {
+	service string
+	id      uint64
+}
+
+func isPartOf(attempts []FailedAttempt, part partOfService) bool {
+	return slices.ContainsFunc(attempts, func(b FailedAttempt) bool { return b.Service == part.service && slices.Contains(b.Parts, part.id) })
+}
+
+// withoutRefuted returns those of the attempts at a terminated server, with those of their prompt parts, that are evidence against
+// parts: no request with the part has run for longer at another server, and goes on (15).
+func withoutRefuted(attempts []FailedAttempt, longest map[partOfService]time.Duration) (rest []FailedAttempt) {
+	ran := map[partOfService]time.Duration{} // at the terminated server
+	for i := range attempts {
+		b := &attempts[i]
+		for _, id := range b.Parts {
+			part := partOfService{b.Service, id}
+			ran[part] = max(ran[part], b.ranFor())
+		}
+	}
+	for _, b := range attempts {
+		b.Parts = slices.DeleteFunc(slices.Clone(b.Parts), func(id uint64) bool {
+			part := partOfService{b.Service, id}
+			runFor, exposed := longest[part]
+			return exposed && runFor > ran[part]+exposureMargin
+		})
+		if len(b.Parts) > 0 {
+			rest = append(rest, b)
+		}
+	}
+	return rest
+}
+
+// withoutParts returns attempts as evidence against whole requests alone.
+func withoutParts(attempts []FailedAttempt) []FailedAttempt {
+	list := slices.Clone(attempts)
+	for i := range list {
+		list[i].Parts = nil
+	}
+	return list
+}
+
+// ranFor returns for how long the attempt ran since its first event.
+func (b *FailedAttempt) ranFor() time.Duration {
+	if b.FirstEventAt.IsZero() {
+		return 0
+	}
+	return b.FailedAt.Sub(b.FirstEventAt)
+}
--- a/crasher/watcher.go
+++ b/crasher/watcher.go
@@ -70,6 +70,7 @@
 	// servedParts is the same for prompt parts.
 	servedParts *ServedCache
 	own         ownEvidence
+	runs        runs
 
 	mu      sync.Mutex
 	pending map[Server]*pendingAttempts
@@ -168,6 +169,22 @@
 	if len(list) == 0 {
 		return
 	}
+	if len(w.runs.longest(s, list)) == 0 {
+		w.reportEvidence(s, list)
+		return
+	}
+	w.reportEvidence(s, withoutParts(list))
+	time.AfterFunc(exposureDelay, func() {
+		w.reportEvidence(s, withoutRefuted(list, w.runs.longest(s, list)))
+	})
+}
+
+// reportEvidence reports attempts that failed at a terminated server.
+func (w *Watcher) reportEvidence(s Server, list []FailedAttempt) {
+	if len(list) == 0 {
+		return
+	}
+	now := time.Now()
 	r := &wire.CrashReport{Served: w.servedPartsOf(list)}
 	for i := range list {
 		b := &list[i]
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -47,8 +47,9 @@
 	attempts        int       // attempts sent
 	possibleRuns    int       // attempts that may have run
 	stream          events
-	firstServer     *server // that sent the first event of the response; nil: none yet
-	pinned          bool    // only servers of pinnedVersion may continue the stream
+	firstServer     *server      // that sent the first event of the response; nil: none yet
+	run             *crasher.Run // the stream in progress of a request with prompt parts; nil: none
+	pinned          bool         // only servers of pinnedVersion may continue the stream
 	pinnedVersion   string
 	resumes         string               // the request that began the stream, if this one resumes it and names it
 	headSent        bool                 // the head of the response was forwarded
@@ -191,6 +192,8 @@
 	}
 	defer j.permit.Done()
 	defer func() {
+		j.g.crashWatch.EndRun(j.run)
+		j.run = nil
 		s.endAttempt(startedAt, c.work, pending)
 		j.load.end()
 	}()
@@ -231,6 +234,9 @@
 			s.recordRelayedFirstEvent(j.firstEventAt, startedAt, c.work)
 		}
 		pending = false
+		if parts := sharedParts(j.prompt); isStream(a) && len(parts) > 0 {
+			j.run = j.g.crashWatch.BeginRun(s.crasherID(), j.poolName, parts, j.firstEventAt)
+		}
 		j.recordResponse(a, true)
 		j.load.firstEvent()
 		if isStream(a) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -197,6 +197,7 @@
 				onFirstEvent()
 				started = true
 			}
+			j.run.Event(lastRead)
 			if !j.headSent && !a.watch.passHead(func() { j.writeHead(a, -1) }) {
 				a.finish(false)
 				j.stream = events{} // no event reached the caller, so the next server is asked for all
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -391,4 +391,14 @@
 mutant rulings-answered crasher/registry.go 's/case !ok \|\| old == nil \|\| hasRuling\(old\):/case !ok || old == nil:/' crasher TestRulingsOverrideEvidence
 mutant exempt-parts-blocked crasher/parts.go 's/if hasRuling\(old\) \{/if false {/' crasher TestRulingsOverrideEvidence
 mutant parts-blocked-with-their-request crasher/parts.go 's/ && !explainedByRequest\(s, held\)//' crasher TestPartsOfCrashingRequestNotBlocked
+mutant any-connection-carries internal/attest/attest.go 's/return h.attempts == 0 \|\| id/return true || id/' internal/attest TestMayCarry
+mutant copies-prove internal/attest/attest.go 's/return h.attempts == 0 \|\| id/return true || id/; s/!identified \|\| h.remembers\(id\)/!identified/' gateway TestPromisesAreTrueOverSequences
+mutant any-response-is-its-own internal/attest/attest.go 's/case len\(ids\) == 0 && \(h.attempts <= 1 \|\| !h.identifies\):/case len(ids) == 0:/; s/!identified \|\| h.remembers\(id\)/!identified \&\& false/' gateway TestPromisesAreTrueOverSequences
+mutant statuses-promise internal/attest/attest.go 's/case Promises\(status\):/case Promises(status) \&\& false:/' gateway TestPromisesAreTrueOverSequences
+mutant attempts-share-ids entry/serve.go 's/ \+ "\." \+ strconv.FormatUint\(rand.Uint64\(\), 36\)/ + strconv.FormatUint(0*rand.Uint64(), 36)/' entry TestSurplusRefusal
+mutant heads-without-end gateway/conns.go 's/x.readingHead, x.headLeft = true, attest.MaxHeadBytes/x.readingHead, x.headLeft = false, attest.MaxHeadBytes/' gateway TestEndlessBytes
+mutant refusals-read-to-the-end gateway/relay.go 's/discardTimeout = 100 \* time.Millisecond/discardTimeout = time.Hour/' gateway TestEndlessBytes
+mutant empty-successes internal/reply/reply.go 's/if !t.began \{/if false {/' gateway TestCallerThatClosed
+mutant states-of-other-reads engine/engine.go 's/id != "" && id != req/id != "" \&\& false \&\& id != req/' engine TestCopyOfAnEarlierState
+mutant parts-without-exposure crasher/exposure.go 's/return exposed && runFor/return false \&\& exposed \&\& runFor/' crasher TestPartsThatRunOn
 exit $missed
