--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -42,6 +42,23 @@
 	surplus   *standin.Surplus
 	// unpromised makes servers answer some requests that have run with 503, without a promise.
 	unpromised bool
+	// disturbed has boxes killed, stopped, frozen and cut off from each other meanwhile.
+	disturbed bool
+}
+
+// promiseFaults are the faults of a disturbed run.
+var promiseFaults = []func(*faultInjector){
+	(*faultInjector).kill, (*faultInjector).pause, (*faultInjector).stop, (*faultInjector).resetConnections, (*faultInjector).stallOneWay, (*faultInjector).slowLinks,
+}
+
+// randomPromiseCase draws a kind of servers and callers for a disturbed run.
+func randomPromiseCase(seed uint64) promiseCase {
+	random := rand.New(rand.NewPCG(seed, 37))
+	c := promiseCase{sameID: random.IntN(2) == 0, oneServer: random.IntN(2) == 0, unpromised: random.IntN(4) == 0, disturbed: true}
+	if !c.unpromised {
+		c.surplus = &standin.Surplus{WithoutID: random.IntN(2) == 0}
+	}
+	return c
 }
 
 // Guards against false promises while servers refuse requests: the checks of this file hold without anything surplus.
@@ -70,6 +87,15 @@
 	runPromises(t, promiseCase{unpromised: true}, promiseSeed())
 }
 
+// TestFreshPromiseSeeds runs SOAK_PROMISE_SEEDS new random seeds of disturbed runs, none if it is not set.
+func TestFreshPromiseSeeds(t *testing.T) {
+	count, _ := strconv.Atoi(os.Getenv("SOAK_PROMISE_SEEDS"))
+	for range count {
+		seed := rand.Uint64N(1 << 40)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runPromises(t, randomPromiseCase(seed), seed) })
+	}
+}
+
 // promiseSeed is the fixed seed, or a seed that is set to repeat a run.
 func promiseSeed() uint64 {
 	if seed, err := strconv.ParseUint(os.Getenv("SOAK_PROMISE_SEED"), 10, 64); err == nil {
@@ -92,7 +118,11 @@
 }
 
 func runPromises(t *testing.T, c promiseCase, seed uint64) {
-	p := &promiseRun{h: newBoxes(t, seed, promiseBoxes, ""), c: c, random: rand.New(rand.NewPCG(seed, 31)), refused: map[string]bool{}}
+	boxes := promiseBoxes
+	if c.disturbed {
+		boxes = boxCount
+	}
+	p := &promiseRun{h: newBoxes(t, seed, boxes, ""), c: c, random: rand.New(rand.NewPCG(seed, 31)), refused: map[string]bool{}}
 	if c.surplus != nil {
 		c.surplus.Delay = func() time.Duration {
 			return time.Duration(5+p.draw(295)) * time.Millisecond
@@ -109,6 +139,9 @@
 	defer cancel()
 	var running sync.WaitGroup
 	running.Go(func() { p.varyCapacity(ctx) })
+	if c.disturbed {
+		running.Go(func() { p.disturb(ctx) })
+	}
 	for i := range promiseCallers {
 		running.Go(func() { p.call(ctx, i) })
 	}
@@ -174,9 +207,19 @@
 	}
 }
 
+// disturb injects faults into the boxes.
+func (p *promiseRun) disturb(ctx context.Context) {
+	f := &faultInjector{h: p.h, random: rand.New(rand.NewPCG(p.h.seed, 41))}
+	for wait.For(ctx, time.Duration(100+f.random.IntN(900))*time.Millisecond) {
+		promiseFaults[f.random.IntN(len(promiseFaults))](f)
+	}
+	f.wg.Wait()
+	p.h.links.heal()
+}
+
 // call sends the requests of one caller, one after another.
 func (p *promiseRun) call(ctx context.Context, number int) {
-	client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: promiseBoxes}, Timeout: 5 * time.Second}
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: len(p.h.boxes)}, Timeout: 5 * time.Second}
 	for n := 0; wait.For(ctx, time.Duration(p.draw(20))*time.Millisecond); n++ {
 		id := fmt.Sprintf("p%d-%d-%d", p.h.seed, number, n)
 		for returns := 0; ; returns++ {
@@ -198,7 +241,7 @@
 
 // send sends a request and reports whether its answer promises that it has not run.
 func (p *promiseRun) send(client *http.Client, id string, number int) (refused bool) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+p.h.boxes[p.draw(promiseBoxes)].entry()+"/r/x", io.NopCloser(bytes.NewReader([]byte("order"))))
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.h.boxes[p.draw(len(p.h.boxes))].entry()+"/r/x", io.NopCloser(bytes.NewReader([]byte("order"))))
 	if err != nil {
 		p.h.addFailure("%v", err)
 		return false
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -56,6 +56,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			runSoak(t, seed, time.Duration(seconds)*time.Second)
 			runSteady(t, seed)
+			runPromises(t, randomPromiseCase(seed), seed)
 		})
 	}
 }
