gateway, dialect: requests without an id are named in the native dialect

Since responses are attributed by the id, a request without one takes a connection of its own. Callers of the native dialect need not name their requests (docs/CALLERS.md says that one is drawn): the box draws an id for these. On the platform a request without one is rejected by its server, as before.

gateway TestUnnamedRequestsShareConnections: three connections for three requests without the change, one with it.

--- a/gateway/job.go
+++ b/gateway/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"net/http"
 	"strconv"
@@ -86,6 +87,9 @@
 		g: g, w: w, r: r, route: route, poolName: pickPool(route.Split), number: t.number, body: body, arrived: arrived,
 		id: r.Header.Get(g.opts.Dialect.RequestID), prompt: g.opts.Dialect.Prompt(r.Header),
 	}
+	if j.id == "" && g.opts.Dialect.DrawsRequestID {
+		j.id = rand.Text()
+	}
 	j.keys = prefixKeys(j.prompt)
 	j.deadline = arrived.Add(route.Timeout)
 	if ms, err := strconv.ParseFloat(r.Header.Get(g.opts.Dialect.Deadline), 64); err == nil {
@@ -284,6 +288,9 @@
 		setHeader(h, d.Fetch, c.prefixSource.address)
 	}
 	h.Del("Content-Length")
+	if j.id != "" {
+		setHeader(h, d.RequestID, j.id)
+	}
 	setHeader(h, d.Deadline, strconv.FormatInt(max(1, j.remaining().Milliseconds()), 10))
 	setHeader(h, d.Instance, s.name)
 	if j.prompt.Model != "" {
