--- a/crasher/exposure_test.go
+++ b/crasher/exposure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,7 +34,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				registry, index := NewRegistry(), uint64(0)
+				var mu sync.Mutex
 				w := NewWatcher(func(r *wire.CrashReport) {
+					mu.Lock()
+					defer mu.Unlock()
 					index++
 					now := time.Now().UnixMilli()
 					for _, s := range r.Signs {
@@ -74,6 +78,8 @@
 				time.Sleep(time.Second)
 				synctest.Wait()
 				part := PartFingerprint("s", 1)
+				mu.Lock()
+				defer mu.Unlock()
 				g.Expect(registry.Blocks(part, "")).To(Equal(c.blocked))
 				time.Sleep(20 * time.Second) // the requests end
 			})
