--- a/internal/reply/reply.go
+++ b/internal/reply/reply.go
@@ -1,5 +1,5 @@
 // Package reply ends responses truthfully. net/http answers 200 with an empty body for a handler that returns without writing
-// anything, which is a success that nobody gave.
+// anything, although no server has answered.
 package reply
 
 import "net/http"
