gateway: a server whose draining duration has passed gets no relayed requests

Cause: both boxes counted the server as down (no backend server was reached for a time) and sent the requests through another box. The choice looked at "down" before "draining", so the draining duration did not apply. The relaying box had been killed in between, and counts the duration from its start. In the code since relays exist. Ruled out: a frozen or disturbed process of the two boxes; the check excludes these. Change: a server that has drained for longer than its duration is not a candidate for relayed attempts.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -140,7 +140,8 @@
 			if s.probe(now) {
 				go s.dialAgain()
 			}
-			if s.relayable(now) && !slices.Contains(tried, s) && !(blocks && d.blocked(s, w.rank)) {
+			drained := isDraining && since >= d.drainingDuration
+			if !drained && s.relayable(now) && !slices.Contains(tried, s) && !(blocks && d.blocked(s, w.rank)) {
 				relayed = append(relayed, s)
 			}
 		case p.Model != "" && s.down(now) && !s.probe(now):
--- a/gateway/down_test.go
+++ b/gateway/down_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"net/http/httptest"
 	"testing"
 	"testing/synctest"
@@ -10,6 +12,9 @@
 
 	"leverdrum/dialect"
 	"leverdrum/fleet"
+	"leverdrum/level"
+	"leverdrum/state"
+	"leverdrum/wire"
 )
 
 // Guards against retries that exhaust a request's attempts. Requests for a model whose only server
@@ -34,6 +39,30 @@
 	})
 }
 
+// Guards against requests that another box relays to a server whose draining duration has passed: a box that
+// does not reach the server itself used it on, and the relaying box, started since, did not know for how long it has been draining.
+func TestDrainedServerGetsNoRelayedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const drainingDuration = time.Minute
+		d := newDirectory("h", drainingDuration, nil)
+		open := func(context.Context, string, *wire.RelayRequest) (RelayStream, bool, error) {
+			return nil, false, Error.New("no box relays")
+		}
+		d.relays = newRelays(open, "", func() *state.State { return &state.State{Level: level.Relays} })
+		list := newServers(1)
+		s := list[0]
+		s.pool.dialer = func(context.Context, string) (net.Conn, error) { return nil, Error.New("unreachable") }
+		w := criteria{prefillRate: defaultPrefillRate, prompt: newPrompt("m", 1)}
+		s.markDraining(time.Now())
+		g.Expect(s.setDown(time.Now())).To(BeTrue())
+		g.Expect(d.choose(list, w).server).To(Equal(s), "no other is left")
+		time.Sleep(drainingDuration)
+		g.Expect(s.setDown(time.Now())).To(BeTrue(), "it still is")
+		g.Expect(d.choose(list, w).server).To(BeNil())
+	})
+}
+
 func TestServerWithOpenConnectionIsNotDown(t *testing.T) {
 	g := NewWithT(t)
 	s := newServers(1)[0]
