gateway: the choice of a server knows which connections may carry an attempt

What callers saw: a retry of a refused request was sent to a server whose idle connections may not carry its ID (package attest), and waited for a new connection, while another server had a usable one. Cause: hasIdle counted any idle connection, also where the attempt may use none of them. Change: hasIdle takes the ID of the request. Also for a box that reaches no server: it relays the request if its open connections may not carry it, where it dialed in vain before. Result: TestRetriesPreferServersWithUsableConnections fails with the condition taken out, passes.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -33,7 +33,7 @@
 //  7. A server at its reported limit or in backoff (package pushback) is skipped. One that
 //     reports a limit costs as much as one whose slots are taken, so that work goes to the others
 //     first.
-//  8. A server without an idle connection costs the opening of one. Of servers with equal cost a
+//  8. A server without an idle connection that may carry the attempt (package attest) costs the opening of one. Of servers with equal cost a
 //     random one is chosen: 300 boxes that each see a few requests a second must not all choose
 //     the first.
 //  9. Where boxes share their load, the rules in shared.go replace 2, 6 and the queue delay of 1.
@@ -55,6 +55,7 @@
 
 // criteria holds the inputs to the choice of a server.
 type criteria struct {
+	id          string // of the request; "": none
 	prompt      dialect.Prompt
 	keys        []uint64
 	tried       []*server
@@ -98,7 +99,7 @@
 	case len(usable) == 0:
 		return choice{}
 	case w.prompt.Model == "":
-		return choice{server: d.lessLoaded(usable, now)}
+		return choice{server: d.lessLoaded(usable, now, w.id)}
 	}
 	if w.load != nil {
 		return d.cheapestShared(usable, now, w)
@@ -218,10 +219,10 @@
 }
 
 // lessLoaded returns the less loaded of two servers drawn at random (3).
-func (d *directory) lessLoaded(list []*server, now time.Time) *server {
+func (d *directory) lessLoaded(list []*server, now time.Time, id string) *server {
 	a, b := list[rand.IntN(len(list))], list[rand.IntN(len(list))]
 	hasIdle := false
-	if open := withIdleConnection(list, now); len(open) > 0 {
+	if open := withIdleConnection(list, now, id); len(open) > 0 {
 		a, hasIdle = open[rand.IntN(len(open))], true
 	}
 	_, loadA := a.load(now)
@@ -241,10 +242,10 @@
 	return a
 }
 
-// withIdleConnection returns the servers to which an idle connection exists.
-func withIdleConnection(list []*server, now time.Time) (open []*server) {
+// withIdleConnection returns the servers to which an idle connection exists that an attempt with this ID can use.
+func withIdleConnection(list []*server, now time.Time, id string) (open []*server) {
 	for _, s := range list {
-		if s.pool.hasIdle(now) {
+		if s.pool.hasIdle(now, id) {
 			open = append(open, s)
 		}
 	}
@@ -266,7 +267,7 @@
 		i := (first + n) % len(list)
 		s := list[i]
 		c := w.choiceAt(list, cached, source, i)
-		c.queueDelay = d.queueCost(s, now)
+		c.queueDelay = d.queueCost(s, now, w.id)
 		cost := c.work + c.queueDelay + s.stallCost(now, c.work)
 		if limits {
 			cost += d.limitCost(s)
@@ -278,7 +279,7 @@
 	return best
 }
 
-func (d *directory) queueCost(s *server, now time.Time) float64 {
+func (d *directory) queueCost(s *server, now time.Time, id string) float64 {
 	delay, slotShare := s.load(now)
 	cost := delay
 	if slotShare*float64(d.boxes()) >= 1 {
@@ -287,7 +288,7 @@
 	if s.hall != d.hall {
 		cost += hallPenalty
 	}
-	if !s.pool.hasIdle(now) {
+	if !s.pool.hasIdle(now, id) {
 		cost += openPenalty
 	}
 	return cost
--- a/gateway/choose_test.go
+++ b/gateway/choose_test.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"leverdrum/dialect"
+	"leverdrum/internal/attest"
 )
 
 // addIdleConnection gives the pool of a server an idle connection.
@@ -53,5 +55,22 @@
 	}
 	g.Expect(others).To(BeNumerically(">", 10), "the other of the two servers drawn")
 	list[4].pool.idle[0].idleTimeout = 0
-	g.Expect(list[4].pool.hasIdle(time.Now())).To(BeFalse(), "the server has closed the idle connection")
+	g.Expect(list[4].pool.hasIdle(time.Now(), "")).To(BeFalse(), "the server has closed the idle connection")
+}
+
+// Guards against needless dials for retries: a request that a server refused goes again to a server with a connection that
+// may carry it.
+func TestRetriesPreferServersWithUsableConnections(t *testing.T) {
+	g := NewWithT(t)
+	d := newDirectory("h", 0, nil)
+	list := newServers(2)
+	for _, s := range list {
+		addIdleConnection(s)
+	}
+	refusing := &list[0].pool.idle[0].history
+	refusing.Begin("a")
+	refusing.Judge("a", http.StatusServiceUnavailable, http.Header{"Id": {"a"}}, &attest.Headers{RequestID: "Id"})
+	for range 50 {
+		g.Expect(d.choose(list, criteria{id: "a", prompt: dialect.Prompt{Model: "m", Tokens: 600}, prefillRate: 0.03}).server).To(BeIdenticalTo(list[1]))
+	}
 }
--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -206,12 +206,13 @@
 	return true
 }
 
-// hasIdle reports whether the pool has an idle connection that a request can use at once.
-func (c *connPool) hasIdle(now time.Time) bool {
+// hasIdle reports whether the pool has an idle connection that an attempt with this ID can use at once.
+func (c *connPool) hasIdle(now time.Time, id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := len(c.idle)
-	return n > 0 && now.Sub(c.idle[n-1].idleSince) < c.idle[n-1].idleTimeout
+	return slices.ContainsFunc(c.idle, func(x *conn) bool {
+		return now.Sub(x.idleSince) < x.idleTimeout && x.history.MayCarry(id)
+	})
 }
 
 // any reports whether a connection is open or being opened.
--- a/gateway/find.go
+++ b/gateway/find.go
@@ -66,7 +66,7 @@
 }
 
 func (j *job) criteria() criteria {
-	w := criteria{prompt: j.prompt, keys: j.keys, tried: j.tried, rank: j.rank()}
+	w := criteria{id: j.id, prompt: j.prompt, keys: j.keys, tried: j.tried, rank: j.rank()}
 	if p := j.g.dir.table().pools[j.poolName]; p != nil && p.Kind != nil && j.g.opts.Dialect.Fetch != "" {
 		w.fetchRate = milliseconds(p.Kind.FetchPerToken)
 	}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -267,7 +267,7 @@
 // response.
 func (j *job) exchange(ctx context.Context, s *server, o *outgoing) (*response, *failure) {
 	j.relayedBy = ""
-	if !j.g.relaysTo(s) {
+	if !j.g.relaysTo(s, j.id) {
 		return exchange(ctx, s.pool, o, &j.g.headers, j.silenceTimeout(), j.abortCheck(s))
 	}
 	silence := time.Duration(0)
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -19,14 +19,15 @@
 // errRelayLost is the cause of a failure of the relaying box, or of the connection to it, which says nothing about the server.
 var errRelayLost = errors.New("the relaying box or the connection to it failed")
 
-// relaysTo reports whether an attempt at a server goes through another box: no connection of this box works.
-func (g *Gateway) relaysTo(s *server) bool {
+// relaysTo reports whether an attempt with this ID at a server goes through another box: no connection of this box that may carry
+// it works.
+func (g *Gateway) relaysTo(s *server, id string) bool {
 	if !g.relays.enabled() {
 		return false
 	}
 	now := time.Now()
 	if since := g.links.isolatedSince(); !since.IsZero() {
-		return !s.pool.readSince(since) || !s.pool.hasIdle(now)
+		return !s.pool.readSince(since) || !s.pool.hasIdle(now, id)
 	}
 	return s.down(now) && s.relayable(now)
 }
--- a/gateway/shared.go
+++ b/gateway/shared.go
@@ -134,7 +134,7 @@
 	for i, s := range list {
 		l := s.sharedLoad(w.load, now)
 		work := w.choiceAt(list, cached, source, i).work
-		costs[i] = w.targets.cost(l, work, w.overhead) + d.placeCost(s, l, now)
+		costs[i] = w.targets.cost(l, work, w.overhead) + d.placeCost(s, l, now, w.id)
 		if failing != nil { // (7)
 			costs[i] += w.failingCost(failing[i], l.slowness*work)
 		}
@@ -150,12 +150,12 @@
 	c := w.choiceAt(list, cached, source, i)
 	l := list[i].sharedLoad(w.load, now)
 	c.slowness = l.slowness
-	c.queueDelay = l.queueDelay + d.placeCost(list[i], l, now)
+	c.queueDelay = l.queueDelay + d.placeCost(list[i], l, now, w.id)
 	return c
 }
 
 // placeCost returns the cost in milliseconds of taken slots, the data hall, and a connection.
-func (d *directory) placeCost(s *server, l serverLoad, now time.Time) (cost float64) {
+func (d *directory) placeCost(s *server, l serverLoad, now time.Time, id string) (cost float64) {
 	taken := l.slotShare
 	if !l.known { // the other boxes probably have as much there
 		taken *= float64(d.boxes())
@@ -166,7 +166,7 @@
 	if s.hall != d.hall {
 		cost += hallPenalty
 	}
-	if !s.pool.hasIdle(now) {
+	if !s.pool.hasIdle(now, id) {
 		cost += openPenalty
 	}
 	return cost
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -192,7 +192,7 @@
 	w := startCheck(probeAfter)
 	g.Eventually(func() int64 { return from.lastDial.Load() }).ShouldNot(BeZero(), "the server is probed")
 	g.Eventually(func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.probing }).Should(BeFalse())
-	g.Expect(from.hasIdle(time.Now())).To(BeTrue(), "the connection of the probe is kept")
+	g.Expect(from.hasIdle(time.Now(), "")).To(BeTrue(), "the connection of the probe is kept")
 	w.startedAt = time.Now().Add(-unresponsiveAfter)
 	w.check()
 	g.Expect(w.stop()).To(BeFalse(), "the server accepted a connection")
