box: the test of a large configuration waits until its boxes have joined

Traced: the test sends the configuration while its other boxes are still joining. Their first reads then waited 190 to 250 ms of the 700 ms after which a box that reaches no leader answers 503. A box that has not joined cannot know the newest configuration, and says so; operators ask another box. Change: each box must answer a read before the large configuration is sent, which must then be accepted at the first attempt. The reads after it are as before, with the same bounds.

--- a/box/config_read_test.go
+++ b/box/config_read_test.go
@@ -99,13 +99,17 @@
 func TestLargeConfigurationReadOverSlowLinks(t *testing.T) {
 	s := startMultiBox(t, 2)
 	g := NewWithT(t)
-	text := largeConfig(t, 7, 4000)
-	g.Eventually(func() int { return s.apply(text) }, testTimeout).Should(Equal(http.StatusOK))
 	links := map[string]float64{s.control: fastLink}
 	for _, control := range s.controls[1:] {
 		links[control] = slowLink
 	}
 	o := newOperator(t, links)
+	g.Eventually(func() int { return s.apply(config(1, "m1")) }, testTimeout).Should(Equal(http.StatusOK))
+	for _, control := range s.controls { // a box that has not joined yet cannot answer
+		g.Eventually(func() int { status, _, _ := o.read(control); return status }, testTimeout).Should(Equal(http.StatusOK))
+	}
+	text := largeConfig(t, 7, 4000)
+	g.Expect(s.apply(text)).To(Equal(http.StatusOK))
 	for _, control := range s.controls {
 		status, read, err := o.read(control)
 		g.Expect(err).NotTo(HaveOccurred(), "%d of %d bytes were read from %s within %v", len(read), len(text), control, operatorPatience)
