entry: the test that a backoff is no failure asks for a quarter of more calls

KNOWN-RED entry since 15 calls in 1.5 s, where more than 15 of some 58 are wanted. Traced: the two instances are chosen between at random. 28 runs, fourteen at once with the race detector, print 57 to 59 calls sent and 18 to 36 accepted, mean 26, so that 15 or fewer come about once in some hundred runs by chance; no backoff or ejection is involved. An instance that counts as failed gets none for longer than that share allows.

--- a/entry/backoff_test.go
+++ b/entry/backoff_test.go
@@ -93,6 +93,6 @@
 	rejected := len(l.instances[0].ArrivalTimes())
 	g.Expect(rejected).To(BeNumerically(">", 10))
 	l.instances[0].SetFaults(standin.Faults{})
-	l.sendCalls(t, 40, 1500*time.Millisecond)
-	g.Expect(len(l.instances[0].ArrivalTimes())-rejected).To(BeNumerically(">", 15), "the instance gets half of the calls")
+	sent, _ := l.sendCalls(t, 40, 6*time.Second)
+	g.Expect(len(l.instances[0].ArrivalTimes())-rejected).To(BeNumerically(">", sent/4), "the instance gets half of the calls, by chance")
 }
