--- a/crasher/provisional_test.go
+++ b/crasher/provisional_test.go
@@ -30,7 +30,7 @@
 // crashOthers terminates servers, each under another request.
 func (r provisionalRegistry) crashOthers(count int, at time.Duration) {
 	for i := range count {
-		r.crash(100+i, fmt.Sprint("other", i), at)
+		r.crash(100+i, fmt.Sprintf("other%d, %v", i, at), at)
 	}
 }
 
