--- a/crasher/own.go
+++ b/crasher/own.go
@@ -66,7 +66,7 @@
 	return nil
 }
 
-// blocks reports whether a suspect is blocked, if provisionally, for as long as otherwise: nobody releases it here.
+// blocks reports whether a suspect is blocked. A provisional block lasts as long as any other, since no leader releases it.
 func (o *ownEvidence) blocks(p Fingerprint, version string) bool {
 	s := o.suspect(p, version)
 	return s.GetHeld() && time.Since(time.UnixMilli(s.UnixMs)) < firstBlockDuration
--- a/entry/abandon_test.go
+++ b/entry/abandon_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards against an empty success of the product's own interface for a request that was abandoned: its caller closed its sending
-// side, and reads on.
+// side, and still reads.
 func TestCallerThatClosedItsSendingSideGetsNoSuccess(t *testing.T) {
 	for name, header := range map[string]string{"plain": "", "keyed": "Idempotency-Key: k\r\n"} {
 		t.Run(name, func(t *testing.T) {
--- a/entry/crashers.go
+++ b/entry/crashers.go
@@ -38,7 +38,7 @@
 	return e.crashWatcher.HasBlocked(crashers) && (e.crashWatcher.Blocks(crashers, e.print(j), "") || e.crashWatcher.BlocksAny(crashers, j.partPrints()))
 }
 
-// crashReason returns the reason for a blocked request, according to whether it is blocked only provisionally.
+// crashReason returns why a blocked request is not sent: CrashesServers only if the block is not provisional.
 func (e *Entry) crashReason(j *job) *reason.Reason {
 	crashers := &e.opts.View().Crashers
 	if e.crashWatcher.Lasts(crashers, e.print(j), "") || e.crashWatcher.AnyLasts(crashers, j.partPrints()) {
--- a/gateway/abandon_test.go
+++ b/gateway/abandon_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against an empty success for a request that was abandoned: its caller closed its sending side, and reads on.
+// Guards against an empty success for a request that was abandoned: its caller closed the sending direction of its connection and still reads.
 func TestCallerThatClosedItsSendingSideGetsNoSuccess(t *testing.T) {
 	for _, path := range []string{"/unsafe/x", "/safe/x", "/stream/x"} {
 		t.Run(path, func(t *testing.T) {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -33,9 +33,9 @@
 //  7. A server at its reported limit or in backoff (package pushback) is skipped. One that
 //     reports a limit costs as much as one whose slots are taken, so that work goes to the others
 //     first.
-//  8. A server without an idle connection that may carry the attempt (package attest) costs the opening of one. Of servers with equal cost a
-//     random one is chosen: 300 boxes that each see a few requests a second must not all choose
-//     the first.
+//  8. A server without an idle connection that may carry the attempt (package attest) costs the
+//     opening of one. Of servers with equal cost a random one is chosen: 300 boxes that each see a
+//     few requests a second must not all choose the first.
 //  9. Where boxes share their load, the rules in shared.go replace 2, 6 and the queue delay of 1.
 
 const (
--- a/gateway/crashers.go
+++ b/gateway/crashers.go
@@ -53,19 +53,22 @@
 	return watch.HasBlocked(crashers) && (watch.BlocksAny(crashers, j.partPrints()) || watch.Blocks(crashers, j.print(), s.version))
 }
 
-// blockReason returns the reason for a blocked request, according to whether it is blocked only provisionally. The block may have
-// ended since, or only the box that was to relay the request may know of it.
+// blockReason returns why a blocked request is not sent: CrashesServers only if this box knows that the block is not provisional.
+// The block may have ended since, or only the box that was to relay the request may know of it.
 func (j *job) blockReason() *reason.Reason {
 	crashers, watch := &j.g.opts.View().Crashers, j.g.crashWatch
 	if watch.AnyLasts(crashers, j.partPrints()) {
 		return reason.CrashesServers
 	}
-	lasts := func(s *server) bool { return watch.Lasts(crashers, j.print(), s.version) }
 	p := j.g.dir.table().pools[j.poolName]
-	if p != nil && !watch.BlocksAny(crashers, j.partPrints()) && len(p.servers()) > 0 && !slices.ContainsFunc(p.servers(), func(s *server) bool { return !lasts(s) }) {
-		return reason.CrashesServers
+	if p == nil || watch.BlocksAny(crashers, j.partPrints()) {
+		return reason.CrashSuspected
+	}
+	mayRun := func(s *server) bool { return !watch.Lasts(crashers, j.print(), s.version) }
+	if all := p.servers(); len(all) == 0 || slices.ContainsFunc(all, mayRun) {
+		return reason.CrashSuspected
 	}
-	return reason.CrashSuspected
+	return reason.CrashesServers
 }
 
 // relayBlocked is blockedAt for a request of another box.
--- a/gateway/serverelay.go
+++ b/gateway/serverelay.go
@@ -129,7 +129,7 @@
 }
 
 // forwardRelayed forwards a response as it arrives. A refusal that proves nothing on this box's connection is not forwarded: the
-// other box could not tell it from a sound one.
+// other box would take it for proof.
 func (g *Gateway) forwardRelayed(a *response, out *relayAnswer) {
 	if a.proof != attest.NotRun && a.Header.Get(g.headers.NotRun) != "" {
 		a.finish(false)
--- a/gateway/unnamed_test.go
+++ b/gateway/unnamed_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against a new connection to a server for each request without an ID: the response to it could not be told from others.
+// Guards against a new connection to a server for each request without an ID: on a used connection its response cannot be identified.
 func TestUnnamedRequestsShareConnections(t *testing.T) {
 	g := NewWithT(t)
 	var ids, connections sync.Map
