entry: a limit or backoff that ends meanwhile is no lack of servers

Cause: the reason is looked for after the choice of a server has found none. A limit or backoff that ends in between blocks no more, and the call was refused as if there were no server, though one accepts it now. Class: a condition that is tested twice at different times. Change: where no server is blocked the choice is made once more.

--- a/entry/pushback.go
+++ b/entry/pushback.go
@@ -27,10 +27,15 @@
 // acquireBackend acquires a slot at a backend that accepts the attempt now. Backends at their limit or
 // in backoff are skipped.
 func (e *Entry) acquireBackend(ctx context.Context, j *job) (*route.Backend, *reason.Reason) {
-	for {
+	for retried := false; ; {
 		b, why := e.admission.Acquire(ctx, j.admission)
 		if why == reason.NoServer {
-			return nil, e.blockReason(j)
+			why = e.blockReason(j)
+			if why == reason.NoServer && !retried { // a limit or backoff may have ended since
+				retried = true
+				continue
+			}
+			return nil, why
 		}
 		if why != nil {
 			return nil, why
