--- a/crasher/doc.go
+++ b/crasher/doc.go
@@ -54,5 +54,5 @@
 //     requests does not wait.
 //  16. Where servers terminated lately without a suspect, more than half as many as with it, servers terminate for other reasons
 //     as well, and the suspect may have been at them by chance. Its first block is provisional: callers are told to come again, and
-//     the suspect is released after provisionalDuration. It is then blocked again, for long, after one piece of evidence.
+//     the suspect is released after provisionalDuration. One more piece of evidence then blocks it definitively.
 package crasher
--- a/crasher/provisional.go
+++ b/crasher/provisional.go
@@ -42,15 +42,15 @@
 	return len(servers)
 }
 
-// Lasts reports whether a request or prompt part is blocked from servers of a software version, and not only provisionally.
-func (w *Watcher) Lasts(registry *Registry, p Fingerprint, version string) bool {
+// BlocksDefinitively reports whether a request or prompt part is blocked from servers of a software version, and not only provisionally.
+func (w *Watcher) BlocksDefinitively(registry *Registry, p Fingerprint, version string) bool {
 	if s := registry.Suspects[Key{p, version}]; s.GetHeld() {
 		return !IsProvisional(s) && !w.exempts(s)
 	}
 	return w.Blocks(registry, p, version) && !IsProvisional(w.own.suspect(p, version))
 }
 
-// AnyLasts is Lasts for the parts of a prompt.
-func (w *Watcher) AnyLasts(registry *Registry, parts []Fingerprint) bool {
-	return slices.ContainsFunc(parts, func(p Fingerprint) bool { return w.Lasts(registry, p, "") })
+// BlocksAnyDefinitively is BlocksDefinitively for the parts of a prompt.
+func (w *Watcher) BlocksAnyDefinitively(registry *Registry, parts []Fingerprint) bool {
+	return slices.ContainsFunc(parts, func(p Fingerprint) bool { return w.BlocksDefinitively(registry, p, "") })
 }
--- a/crasher/provisional_test.go
+++ b/crasher/provisional_test.go
@@ -71,7 +71,7 @@
 }
 
 // Guards against a request that crashes servers and is blocked only provisionally each time.
-func TestBlockAfterProvisionalOneLasts(t *testing.T) {
+func TestBlockAfterProvisionalOneIsDefinitive(t *testing.T) {
 	g := NewWithT(t)
 	r := provisionalRegistry{testRegistry: newTestRegistry()}
 	r.crashOthers(9, time.Minute)
--- a/crasher/simulation_test.go
+++ b/crasher/simulation_test.go
@@ -208,14 +208,14 @@
 	}
 }
 
-// denies reports whether a request that is blocked is not only blocked provisionally.
+// denies reports whether a request is blocked definitively.
 func (sim *simulation) denies(r *request) bool {
-	lasts := func(key crasher.Key) bool {
+	definitive := func(key crasher.Key) bool {
 		s := sim.registry.Suspects[key]
 		return s.GetHeld() && !crasher.IsProvisional(s)
 	}
-	return lasts(crasher.Key{Fingerprint: r.print, Version: "v1"}) || slices.ContainsFunc(r.parts, func(id uint64) bool {
-		return lasts(crasher.Key{Fingerprint: crasher.PartFingerprint(simulatedService, id)})
+	return definitive(crasher.Key{Fingerprint: r.print, Version: "v1"}) || slices.ContainsFunc(r.parts, func(id uint64) bool {
+		return definitive(crasher.Key{Fingerprint: crasher.PartFingerprint(simulatedService, id)})
 	})
 }
 
--- a/entry/crashers.go
+++ b/entry/crashers.go
@@ -41,7 +41,7 @@
 // crashReason returns why a blocked request is not sent: CrashesServers only if the block is not provisional.
 func (e *Entry) crashReason(j *job) *reason.Reason {
 	crashers := &e.opts.View().Crashers
-	if e.crashWatcher.Lasts(crashers, e.print(j), "") || e.crashWatcher.AnyLasts(crashers, j.partPrints()) {
+	if e.crashWatcher.BlocksDefinitively(crashers, e.print(j), "") || e.crashWatcher.BlocksAnyDefinitively(crashers, j.partPrints()) {
 		return reason.CrashesServers
 	}
 	return reason.CrashSuspected
--- a/gateway/crashers.go
+++ b/gateway/crashers.go
@@ -57,14 +57,14 @@
 // The block may have ended since, or only the box that was to relay the request may know of it.
 func (j *job) blockReason() *reason.Reason {
 	crashers, watch := &j.g.opts.View().Crashers, j.g.crashWatch
-	if watch.AnyLasts(crashers, j.partPrints()) {
+	if watch.BlocksAnyDefinitively(crashers, j.partPrints()) {
 		return reason.CrashesServers
 	}
 	p := j.g.dir.table().pools[j.poolName]
 	if p == nil || watch.BlocksAny(crashers, j.partPrints()) {
 		return reason.CrashSuspected
 	}
-	mayRun := func(s *server) bool { return !watch.Lasts(crashers, j.print(), s.version) }
+	mayRun := func(s *server) bool { return !watch.BlocksDefinitively(crashers, j.print(), s.version) }
 	if all := p.servers(); len(all) == 0 || slices.ContainsFunc(all, mayRun) {
 		return reason.CrashSuspected
 	}
