box: a planned stop does not wait for unused connections

Callers saw nothing; the platform saw exit status 3 and the log line cut-off ("The shutdown aborted requests") although no request was in flight, and stops that took up to 5 s longer.

Cause: http.Server.Shutdown treats a connection on which no request has arrived as busy until it is 5 s old, and a timeout of the shutdown was taken for aborted requests. Clients open such connections when another one becomes idle meanwhile.

Change: the listener knows the connections on which nothing was received, and a stopping box closes them after a second. Requests in flight are counted; only they make the stop report an abort, and the log line has their number.

The other explanation, a request with a deadline of 5 s in flight, would now show in the line's number.

--- a/box/box.go
+++ b/box/box.go
@@ -77,6 +77,9 @@
 
 	operatorHTTP *http.Server
 	entryHTTP    *http.Server
+	// entryListener accepts the connections of entryHTTP.
+	entryListener *intake.Listener
+	requests      atomic.Int64 // of callers, in flight
 	// auxiliaryHTTP are the optional servers: readiness and platform.
 	auxiliaryHTTP []*http.Server
 	// callers are contacted if no box named in the settings is running.
@@ -185,7 +188,8 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	b.serveListener(b.entryHTTP, intake.NewListener(l, b.settings.LinkMbps, b.recordConnection))
+	b.entryListener = intake.NewListener(l, b.settings.LinkMbps, b.recordConnection)
+	b.serveListener(b.entryHTTP, b.entryListener)
 	return nil
 }
 
@@ -227,6 +231,8 @@
 }
 
 func (b *Box) serveEntry(w http.ResponseWriter, r *http.Request) {
+	b.requests.Add(1)
+	defer b.requests.Add(-1)
 	switch p := b.components.Load(); {
 	case p == nil:
 		serveStarting(w, r)
--- a/box/stop.go
+++ b/box/stop.go
@@ -7,12 +7,18 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"leverdrum/event"
 )
 
 // closeTimeout bounds how long Kill waits for operators' calls.
 const closeTimeout = 2 * time.Second
 
+// unusedTimeout is how long a stopping box keeps callers' connections on which nothing was received. A request may be in transit
+// on them.
+const unusedTimeout = time.Second
+
 // Stop shuts the box down gracefully:
 //
 //  1. The readiness check fails; requests are still accepted for as long as the
@@ -60,11 +66,18 @@
 		relayed.Go(func() { p.gateway.AwaitRelayed(ctx) })
 		defer relayed.Wait()
 	}
-	if err := shutdownHTTP(b.entryHTTP, b.settings.StopTimeout); err != nil {
-		event.RequestsCutOff.Log(b.log, event.ErrorField(err))
-		return Error.Wrap(err)
+	unused := time.AfterFunc(min(unusedTimeout, b.settings.StopTimeout/2), b.entryListener.CloseUnused)
+	defer unused.Stop()
+	err := b.entryHTTP.Shutdown(ctx)
+	requests := b.requests.Load()
+	if err != nil {
+		b.entryHTTP.Close()
+	}
+	if err == nil || requests == 0 {
+		return nil
 	}
-	return nil
+	event.RequestsCutOff.Log(b.log, zap.Int64("requests", requests), event.ErrorField(err))
+	return Error.Wrap(err)
 }
 
 // shutdownHTTP lets a server complete its requests in flight, and closes the connections of those
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -14,12 +16,38 @@
 	net.Listener
 	gate   *gate
 	report func(Verdict)
+
+	mu     sync.Mutex
+	unused map[*conn]struct{} // nothing was received on them
 }
 
 // NewListener wraps a listener. linkMbps is the bandwidth of the box's link in Mbit/s, 0 if it is unknown. report is called with each
 // decision and must not block.
 func NewListener(l net.Listener, linkMbps float64, report func(Verdict)) *Listener {
-	return &Listener{Listener: l, gate: newGate(linkMbps), report: report}
+	return &Listener{Listener: l, gate: newGate(linkMbps), report: report, unused: map[*conn]struct{}{}}
+}
+
+// CloseUnused closes the connections on which nothing was received. A stopping box calls it once it accepts no further ones:
+// http.Server.Shutdown waits for such a connection for 5 s.
+func (l *Listener) CloseUnused() {
+	l.mu.Lock()
+	list := slices.Collect(maps.Keys(l.unused))
+	l.mu.Unlock()
+	for _, c := range list {
+		c.Close()
+	}
+}
+
+func (l *Listener) addUnused(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unused[c] = struct{}{}
+}
+
+func (l *Listener) removeUnused(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.unused, c)
 }
 
 // Accept returns the next connection that is not refused.
@@ -32,7 +60,9 @@
 		t, verdict := l.gate.admit(time.Now())
 		l.report(verdict)
 		if verdict == Accepted {
-			return &conn{Conn: c, ticket: t}, nil
+			accepted := &conn{Conn: c, listener: l, ticket: t}
+			l.addUnused(accepted)
+			return accepted, nil
 		}
 		reset(c)
 	}
@@ -49,14 +79,19 @@
 // conn is an accepted connection.
 type conn struct {
 	net.Conn
+	listener *Listener
 	ticket   *ticket
 	readOnce sync.Once
+	usedOnce sync.Once
 }
 
 // Read reads from the connection and records what was received.
 func (c *conn) Read(b []byte) (int, error) {
 	c.readOnce.Do(func() { c.ticket.start(time.Now()) })
 	n, err := c.Conn.Read(b)
+	if n > 0 || err != nil {
+		c.usedOnce.Do(func() { c.listener.removeUnused(c) })
+	}
 	if n > 0 && !c.ticket.settled.Load() {
 		c.ticket.receive(n, time.Now())
 	}
@@ -69,6 +104,7 @@
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.ticket.finish()
+	c.usedOnce.Do(func() { c.listener.removeUnused(c) })
 	return c.Conn.Close()
 }
 
