--- a/crasher/doc.go
+++ b/crasher/doc.go
@@ -53,6 +53,6 @@
 //     requests at other servers waits for a moment before it reports evidence against their parts. Evidence against whole
 //     requests does not wait.
 //  16. Where servers terminated lately without a suspect, more than half as many as with it, servers terminate for other reasons
-//     as well, and the suspect may have been at them by chance. Its first block is provisional: callers are told to come again, and
-//     the suspect is released after provisionalDuration. One more piece of evidence then blocks it definitively.
+//     as well, and the suspect may have been at them by chance. Its first block is provisional: rejected requests may be retried,
+//     and the suspect is released after provisionalDuration. One more piece of evidence then blocks it definitively.
 package crasher
--- a/entry/abandon_test.go
+++ b/entry/abandon_test.go
@@ -10,9 +10,9 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against an empty success of the product's own interface for a request that was abandoned: its caller closed its sending
-// side, and still reads.
-func TestCallerThatClosedItsSendingSideGetsNoSuccess(t *testing.T) {
+// Guards against an empty success of the product's own interface for a request whose caller shut down the sending direction of
+// its connection and still waits for a response.
+func TestCallerThatShutDownSendingGetsNoSuccess(t *testing.T) {
 	for name, header := range map[string]string{"plain": "", "keyed": "Idempotency-Key: k\r\n"} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/gateway/abandon_test.go
+++ b/gateway/abandon_test.go
@@ -10,8 +10,9 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against an empty success for a request that was abandoned: its caller closed the sending direction of its connection and still reads.
-func TestCallerThatClosedItsSendingSideGetsNoSuccess(t *testing.T) {
+// Guards against an empty success for a request whose caller shut down the sending direction of its connection and still waits for a
+// response.
+func TestCallerThatShutDownSendingGetsNoSuccess(t *testing.T) {
 	for _, path := range []string{"/unsafe/x", "/safe/x", "/stream/x"} {
 		t.Run(path, func(t *testing.T) {
 			g := NewWithT(t)
--- a/gateway/crashers_test.go
+++ b/gateway/crashers_test.go
@@ -283,8 +283,8 @@
 	g.Expect(crashed.Load()).To(BeZero())
 }
 
-// Guards against callers of sound requests who are told not to come again because servers terminated for another reason.
-func TestProvisionallyBlockedRequestMayComeAgain(t *testing.T) {
+// Guards against permanent rejections of sound requests because servers terminated for another reason.
+func TestProvisionallyBlockedRequestMayBeRetried(t *testing.T) {
 	for _, c := range []struct {
 		holds        uint32
 		target       string
