box, forming: a majority of the first members forms the cluster

Cause: forming needed all first members to be present and new, and only the first of them by name could do it. A first member that was killed and started again had form = false and took no part any more.

Change: the first members agree on the cluster's ID and its voters by single-decree Paxos (package forming, no I/O). What a member promised is in its data folder, which also tells a first member that was restarted from one that lost its disk. With first-members, which does not tell these apart, all are still needed. Each voter writes the initial configuration itself, so that the loss of the only box that had it no longer leaves the others without a leader. Boxes whose settings name other first members reject each other with a log line.

Known: until a late first member is added as a voter, a cluster formed by two of three does not survive the loss of another one.

--- a/box/box.go
+++ b/box/box.go
@@ -88,6 +88,8 @@
 	invalidCallLog logLimiter
 	// intakeLog limits the logging of refused connections.
 	intakeLog logLimiter
+	// formLog limits the logging of boxes with other first members.
+	formLog logLimiter
 	// loadLog limits the logging of ignored input of the load exchange.
 	loadLog logLimiter
 	// reloadedBoxes are the box addresses of the last settings reload, nil before one.
@@ -156,6 +158,9 @@
 		}
 	}
 	b.id = newIdentity(b.settings, b.store)
+	if err := b.id.openForming(b.settings); err != nil {
+		return err
+	}
 	b.pool = peer.NewPool(b.id, tls, b.settings.PeerListen, b.lookup, b.meters)
 	l, err := net.Listen("tcp", b.settings.PeerListen)
 	if err != nil {
@@ -370,7 +375,7 @@
 	engines := engine.NewClient(allowed, p.pushback)
 	p.control = control.New(control.Options{
 		Replica: r, Spread: p.spread, Engines: engines.At,
-		TerminatedServers: p.directory.TerminatedServers, OpenSession: b.openSession, WantedVoters: cmp.Or(s.Voters, len(s.FirstMembers)), RepairAfter: s.RepairAfter, UpgradeSettleTime: s.UpgradeSettleTime,
+		TerminatedServers: p.directory.TerminatedServers, OpenSession: b.openSession, WantedVoters: cmp.Or(s.Voters, len(b.id.firstMembers()), len(s.FirstMembers)), RepairAfter: s.RepairAfter, UpgradeSettleTime: s.UpgradeSettleTime,
 		Counting: platform.NewEngines(allowed, p.pushback), InBackoff: func(server string) bool { return !p.pushback.Sendable(server) }, Holder: s.Box, OrderPause: s.OrderPause, DemandSettleTime: s.DemandSettleTime, VotersNeedDisks: s.VotersNeedDisks, NeverLeads: s.VotersNeedDisks && b.store == nil,
 		Slowness: func() map[string]float64 { return serverSlowness(p) }, Failing: func() map[string]time.Duration { return failingServers(p) },
 		Records: b.records, Meters: b.meters, Log: b.log,
@@ -432,8 +437,7 @@
 // Answer handles a request of another box. It implements peer.Handler.
 func (b *Box) Answer(ctx context.Context, from *wire.Member, r *wire.Request) *wire.Response {
 	if f := r.GetForm(); f != nil {
-		err := b.id.Adopt(f.ClusterId)
-		return &wire.Response{Kind: &wire.Response_Form{Form: &wire.FormAnswer{Formed: err == nil}}}
+		return &wire.Response{Kind: &wire.Response_Form{Form: b.answerForm(from.GetBox(), f)}}
 	}
 	if from.GetBox() != "" {
 		b.callers.record(from)
--- a/box/identity.go
+++ b/box/identity.go
@@ -2,15 +2,18 @@
 
 import (
 	"crypto/rand"
+	"slices"
 	"strings"
 	"sync"
 
 	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
 
+	"leverdrum/forming"
 	"leverdrum/internal/build"
 	"leverdrum/level"
 	"leverdrum/settings"
+	"leverdrum/state"
 	"leverdrum/wal"
 	"leverdrum/wire"
 )
@@ -30,7 +33,8 @@
 	self      *wire.Member
 	cluster   string
 	clusterID string
-	store     *wal.Store // nil without a disk
+	store     *wal.Store        // nil without a disk
+	acceptor  *forming.Acceptor // nil if this box is no first member
 	adopted   chan struct{}
 	level     func() level.Level // level in force, as far as known; nil before the cluster is found
 }
@@ -71,13 +75,102 @@
 	return i.cluster, i.clusterID
 }
 
+// openForming reads what this box promised as a first member, and makes the record at its first start.
+func (i *identity) openForming(s *settings.Settings) error {
+	if i.store == nil {
+		return nil
+	}
+	record, err := i.store.Forming()
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if record == nil {
+		if i.clusterID != "" || !slices.Contains(s.FirstMembers, s.Box) {
+			return nil
+		}
+		record = &wire.Forming{FirstMembers: slices.Sorted(slices.Values(s.FirstMembers))}
+		if err := i.store.SaveForming(record); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	i.acceptor = forming.NewAcceptor(state.MemberID(i.self), record, i.store.SaveForming)
+	return nil
+}
+
+// firstMembers returns the names of the first members, nil if this box is none of them.
+func (i *identity) firstMembers() []string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.acceptor == nil {
+		return nil
+	}
+	return i.acceptor.FirstMembers()
+}
+
+// promised returns the highest ballot that this box promised.
+func (i *identity) promised() *wire.Ballot {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.acceptor.Promised()
+}
+
+// founding returns what the first members agreed on, nil if this box does not know.
+func (i *identity) founding() *wire.Founding {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.foundingOf(i.clusterID)
+}
+
+// foundingOf returns the founding that this box accepted if it is the one of a cluster. Since the cluster exists, it was agreed on.
+func (i *identity) foundingOf(clusterID string) *wire.Founding {
+	if i.acceptor == nil || clusterID == "" || i.acceptor.Founding().GetClusterId() != clusterID {
+		return nil
+	}
+	return i.acceptor.Founding()
+}
+
+// answerForm answers a step of a proposal. The error is one of forming.Acceptor's.
+func (i *identity) answerForm(f *wire.Form) (*wire.FormAnswer, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	switch {
+	case i.clusterID != "":
+		return &wire.FormAnswer{Formed: true, Member: state.MemberID(i.self), Founding: i.foundingOf(i.clusterID)}, nil
+	case i.acceptor == nil:
+		return &wire.FormAnswer{Member: state.MemberID(i.self)}, nil
+	}
+	return i.acceptor.Answer(f)
+}
+
 // Adopt records the cluster's ID unless one is set already, durably if the box has a disk.
 func (i *identity) Adopt(id string) error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	return i.adopt(id, i.foundingOf(id))
+}
+
+// Join records the ID of the cluster that the first members agreed on, unless one is set already.
+func (i *identity) Join(f *wire.Founding) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.adopt(f.ClusterId, f)
+}
+
+// adopt records the cluster's ID. A voter of its founding first writes the initial configuration to its disk: the others cannot
+// elect a leader if the only one that has it is lost.
+func (i *identity) adopt(id string, f *wire.Founding) error {
 	if i.clusterID != "" || id == "" {
 		return nil
 	}
+	if i.store != nil && slices.Contains(f.GetVoters(), state.MemberID(i.self)) && i.store.Loaded().Snapshot == nil {
+		first := &wire.Snapshot{Index: 1, Term: 1, Config: &wire.Config{Voters: f.Voters}}
+		if err := i.store.SaveSnapshot(first, &wire.HardState{Term: 1}, nil); err != nil {
+			return Error.Wrap(err)
+		}
+		if err := i.store.Reload(); err != nil {
+			return Error.Wrap(err)
+		}
+	}
 	if i.store != nil {
 		if err := i.store.SetClusterID(id); err != nil {
 			return Error.Wrap(err)
--- a/event/event.go
+++ b/event/event.go
@@ -36,6 +36,7 @@
 	CertificatesRejected  = add(Event{"certificates-refused", zapcore.WarnLevel, "The changed certificates cannot be loaded; the old ones stay active.", "Fix the files; they are reloaded automatically."})
 	TornRecord            = add(Event{"torn-record", zapcore.WarnLevel, "An unacknowledged last record was truncated from the log.", "Nothing; the box crashed during a write."})
 	DataFolderFull        = add(Event{"data-folder-full", zapcore.WarnLevel, "The data folder is full; the member is paused.", "Free disk space or raise [data] limit."})
+	FirstMembersDiffer    = add(Event{"first-members-differ", zapcore.ErrorLevel, "Two boxes have different first members in their settings and do not form a cluster.", "Give all first members the same seeds, or the same first-members."})
 	ClusterFormed         = add(Event{"cluster-formed", zapcore.InfoLevel, "The first members have formed the cluster.", "Nothing; this happens once per cluster."})
 	ClusterJoined         = add(Event{"cluster-joined", zapcore.InfoLevel, "The box has joined its cluster.", "Nothing."})
 	BoxListed             = add(Event{"listed", zapcore.InfoLevel, "The replicated member list has the current data of the box.", "Nothing."})
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -398,9 +398,12 @@
 mutant attempts-share-ids entry/serve.go 's/strconv.FormatUint\(rand.Uint64\(\), 36\)/strconv.FormatUint(0*rand.Uint64(), 36)/' entry TestSurplusRefusal
 mutant heads-without-end gateway/head.go 's/x.readingHead, x.headLeft = true, attest.MaxHeadBytes/x.readingHead, x.headLeft = false, attest.MaxHeadBytes/' gateway TestEndlessBytes
 mutant refusals-read-to-the-end gateway/relay.go 's/discardTimeout = 100 \* time.Millisecond/discardTimeout = time.Hour/' gateway TestEndlessBytes
-mutant empty-successes internal/reply/reply.go 's/if !t.began \{/if false {/' gateway TestCallerThatClosed
+mutant empty-successes internal/reply/reply.go 's/if !t.began \{/if false {/' gateway TestCallerThatShutDown
 mutant states-of-other-reads engine/engine.go 's/id != "" && id != req/id != "" \&\& false \&\& id != req/' engine TestCopyOfAnEarlierState
 mutant parts-without-exposure crasher/exposure.go 's/return exposed && runFor/return false \&\& exposed \&\& runFor/' crasher TestPartsThatRunOn
 mutant blocks-never-provisional crasher/provisional.go 's/!at.ProvisionalBlocks ../true ||/' crasher 'TestProvisionalBlocks'
 mutant blocks-always-provisional crasher/provisional.go 's/ s.Holds > 0 ..//' crasher TestBlockAfterProvisional
+mutant accepted-values-ignored forming/forming.go 's/if highest != nil \{/if false \&\& highest != nil {/' forming TestOneCluster
+mutant lower-ballots-answered forming/forming.go 's/if Compare\(f.Ballot, a.record.Promised\) < 0 \{/if false {/' forming TestOneCluster
+mutant minority-founds forming/forming.go 's/len\(p.accepted\) >= quorum/len(p.accepted) >= quorum-1/' forming TestOneCluster
 exit $missed
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,7 +34,7 @@
 		{Name: "first-members", Type: conf.Names, Default: "", Description: "The control boxes that form the cluster together once, when all of them are new. Not with `seeds`."},
 		{Name: "boxes", Type: conf.Addresses, Default: "", Description: "Box-to-box addresses known at the start: the control boxes at least. Not with `seeds`."},
 		{Name: "seeds", Type: conf.Texts, Default: "", Description: "Instead of `boxes`: any addresses (IP number:port) of boxes. The name of each is its IP number, and its box-to-box port is that of this box."},
-		{Name: "form", Type: conf.Bool, Default: "false", Description: "With `seeds`: whether these are the first members, all new, that form the cluster together."},
+		{Name: "form", Type: conf.Bool, Default: "false", Description: "With `seeds`: whether these are the first members, all new, that form the cluster together; a majority of them is enough."},
 		{Name: "voters", Type: conf.Int, Default: "0", Description: "Number of voters; 0: the number of first members."},
 		{Name: "tolerate", Type: conf.Int, Default: "0", Description: "How many voters may fail at once; if above 0, there are twice as many voters plus one."},
 		{Name: "voters-need-disks", Type: conf.Bool, Default: "false", Description: "Whether boxes without a disk never replace a lost voter temporarily."},
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -3,6 +3,7 @@
 // The folder holds:
 //
 //	identity        the identity of this box; written once, never changed
+//	forming         what this box promised while the cluster was formed; missing otherwise
 //	snapshot        the newest snapshot; replaced by rename
 //	log-N           segment N of the log: batches of entries and votes
 //
@@ -49,6 +50,7 @@
 // Names of the files in a data folder.
 const (
 	identityName  = "identity"
+	formingName   = "forming"
 	snapshotName  = "snapshot"
 	segmentPrefix = "log-"
 	tempSuffix    = ".new"
@@ -142,6 +144,22 @@
 	return nil
 }
 
+// Forming returns what the box has promised as a first member, nil if it is none.
+func (s *Store) Forming() (*wire.Forming, error) {
+	f := &wire.Forming{}
+	err := s.readSingleFrame(formingName, f)
+	switch {
+	case errors.Is(err, os.ErrNotExist):
+		return nil, nil
+	case err != nil:
+		return nil, err
+	}
+	return f, nil
+}
+
+// SaveForming durably stores what the box has promised as a first member.
+func (s *Store) SaveForming(f *wire.Forming) error { return s.replace(formingName, f) }
+
 func (s *Store) path(name string) string { return filepath.Join(s.opts.Folder, name) }
 
 func (s *Store) openIdentity() error {
