crasher: evidence that other runs refute has a log line and a counter

While servers crash one after another, a box drops evidence against a prompt part whose requests run on at other servers (rule 15).

crash-exposure names, for each terminated server, the parts against which its termination is no evidence and those against which it is, with the time for which requests with them ran there and elsewhere; leverdrum_crash_exposures_total counts both.

--- a/box/crashes.go
+++ b/box/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -82,6 +83,23 @@
 		zap.Strings("parts", strongParts(r.Signs)))
 }
 
+// recordExposures counts and logs what this box concludes about the prompt parts of its requests at a terminated server while requests
+// with them run at others.
+func (c *crashReporter) recordExposures(s crasher.Server, list []crasher.Exposure) {
+	var refuted, kept []string
+	for _, e := range list {
+		text := fmt.Sprintf("%x ran %v, elsewhere %v", e.Part, e.RanFor.Round(time.Millisecond), e.RunsElsewhereFor.Round(time.Millisecond))
+		if e.Refuted {
+			refuted = append(refuted, text)
+			continue
+		}
+		kept = append(kept, text)
+	}
+	c.meters.Count(meter.CrashExposures, "refuted").Add(float64(len(refuted)))
+	c.meters.Count(meter.CrashExposures, "kept").Add(float64(len(kept)))
+	event.CrashExposed.Log(c.log, zap.String("server", s.ID), zap.String("version", s.Version), zap.Strings("refuted", refuted), zap.Strings("kept", kept))
+}
+
 // strongParts returns the prompt parts of requests with strong evidence, each once and in hexadecimal.
 func strongParts(signs []*wire.CrashSign) (parts []string) {
 	seen := map[uint64]bool{}
--- a/crasher/exposure.go
+++ b/crasher/exposure.go
@@ -88,22 +88,47 @@
 	return slices.ContainsFunc(attempts, func(b FailedAttempt) bool { return b.Service == part.service && slices.Contains(b.Parts, part.id) })
 }
 
-// withoutRefuted returns those of the attempts at a terminated server, with those of their prompt parts, that are evidence against
-// parts: no request with the part has run for longer at another server, and goes on (15).
-func withoutRefuted(attempts []FailedAttempt, longest map[partOfService]time.Duration) (rest []FailedAttempt) {
-	ran := map[partOfService]time.Duration{} // at the terminated server
+// Exposure says for how long requests with a prompt part ran at a server that terminated, and at the other servers (15).
+type Exposure struct {
+	Service string
+	Part    uint64
+	// RanFor is the longest time from a first event to the termination, RunsElsewhereFor the longest from a first event at a server
+	// that goes on. The latter is 0 if no such request of the box has had an event.
+	RanFor, RunsElsewhereFor time.Duration
+	// Refuted reports that the termination is no evidence against the part.
+	Refuted bool
+}
+
+// exposures compares, for each prompt part of the attempts at a terminated server, how long requests with it ran there and elsewhere.
+func exposures(attempts []FailedAttempt, longest map[partOfService]time.Duration) (list []Exposure) {
+	positions := map[partOfService]int{}
 	for i := range attempts {
 		b := &attempts[i]
 		for _, id := range b.Parts {
 			part := partOfService{b.Service, id}
-			ran[part] = max(ran[part], b.ranFor())
+			at, ok := positions[part]
+			if !ok {
+				at = len(list)
+				positions[part] = at
+				list = append(list, Exposure{Service: b.Service, Part: id, RunsElsewhereFor: longest[part]})
+			}
+			list[at].RanFor = max(list[at].RanFor, b.ranFor())
 		}
 	}
+	for i := range list {
+		e := &list[i]
+		_, exposed := longest[partOfService{e.Service, e.Part}]
+		e.Refuted = exposed && e.RunsElsewhereFor > e.RanFor+exposureMargin
+	}
+	return list
+}
+
+// withoutRefuted returns those of the attempts at a terminated server, with those of their prompt parts, that are evidence against
+// parts: no request with the part has run for longer at another server, and goes on (15).
+func withoutRefuted(attempts []FailedAttempt, exposures []Exposure) (rest []FailedAttempt) {
 	for _, b := range attempts {
 		b.Parts = slices.DeleteFunc(slices.Clone(b.Parts), func(id uint64) bool {
-			part := partOfService{b.Service, id}
-			runFor, exposed := longest[part]
-			return exposed && runFor > ran[part]+exposureMargin
+			return slices.ContainsFunc(exposures, func(e Exposure) bool { return e.Refuted && e.Service == b.Service && e.Part == id })
 		})
 		if len(b.Parts) > 0 {
 			rest = append(rest, b)
--- a/crasher/exposure_test.go
+++ b/crasher/exposure_test.go
@@ -44,7 +44,7 @@
 						s.SentMs, s.EndedMs = now-int64(s.SentAgoMs), now-int64(s.EndedAgoMs)
 					}
 					registry.Apply(r, CommitPosition{Index: index, Term: 1, PromptParts: true})
-				})
+				}, nil)
 				begin := func(n int) {
 					r := w.BeginRun(Server{ID: fmt.Sprint("other", n)}, "s", []uint64{1}, time.Now())
 					begun := time.Now()
--- a/crasher/watcher.go
+++ b/crasher/watcher.go
@@ -65,6 +65,7 @@
 // Watcher keeps a box's failed attempts until it is known whether their server terminated (1).
 type Watcher struct {
 	report     func(*wire.CrashReport)
+	compared   func(Server, []Exposure)
 	clockStart time.Time // origin of the clock by which this box's evidence is compared
 	served     *ServedCache
 	// servedParts is the same for prompt parts.
@@ -82,9 +83,14 @@
 	probing  bool
 }
 
-// NewWatcher returns a Watcher that passes its reports to report, which must not block.
-func NewWatcher(report func(*wire.CrashReport)) *Watcher {
+// NewWatcher returns a Watcher that passes its reports to report. It tells compared what it concludes about the prompt parts at a
+// terminated server while requests with them run at others (15); nil: nobody. Neither may block.
+func NewWatcher(report func(*wire.CrashReport), compared func(Server, []Exposure)) *Watcher {
+	if compared == nil {
+		compared = func(Server, []Exposure) {}
+	}
 	w := &Watcher{
+		compared:   compared,
 		clockStart: time.Now(), served: NewServedCache(maxServed), servedParts: NewServedCache(maxServedParts), pending: map[Server]*pendingAttempts{},
 	}
 	w.report = func(r *wire.CrashReport) {
@@ -175,7 +181,9 @@
 	}
 	w.reportEvidence(s, withoutParts(list))
 	time.AfterFunc(exposureDelay, func() {
-		w.reportEvidence(s, withoutRefuted(list, w.runs.longest(s, list)))
+		compared := exposures(list, w.runs.longest(s, list))
+		w.compared(s, compared)
+		w.reportEvidence(s, withoutRefuted(list, compared))
 	})
 }
 
--- a/crasher/watcher_test.go
+++ b/crasher/watcher_test.go
@@ -36,7 +36,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				var signs []*wire.CrashSign
-				w := NewWatcher(func(r *wire.CrashReport) { signs = append(signs, r.Signs...) })
+				w := NewWatcher(func(r *wire.CrashReport) { signs = append(signs, r.Signs...) }, nil)
 				s := Server{ID: "s", Version: "v"}
 				probes := 0
 				w.RecordFailure(s, c.attempt(), func() Liveness {
@@ -65,7 +65,7 @@
 // The number of pending attempts is bounded, however many fail.
 func TestPendingIsBounded(t *testing.T) {
 	g := NewWithT(t)
-	w := NewWatcher(func(*wire.CrashReport) {})
+	w := NewWatcher(func(*wire.CrashReport) {}, nil)
 	for range 2 * maxPending {
 		w.RecordFailure(Server{ID: "s"}, FailedAttempt{FailedAt: time.Now()}, nil)
 	}
@@ -94,7 +94,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		registry, part := NewRegistry(), PartFingerprint("s", 1)
-		w := NewWatcher(func(*wire.CrashReport) {})
+		w := NewWatcher(func(*wire.CrashReport) {}, nil)
 		for n := range 3 {
 			s, sentAt := Server{ID: fmt.Sprint("i", n), Version: "v1"}, time.Now()
 			w.RecordFailure(s, FailedAttempt{Fingerprint: Fingerprint{byte(n)}, Service: "s", Parts: []uint64{1}, SentAt: sentAt, FailedAt: sentAt}, nil)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -85,7 +85,7 @@
 	if opts.ReportCrash == nil {
 		opts.ReportCrash = func(*wire.CrashReport) {}
 	}
-	e := &Entry{crashWatcher: crasher.NewWatcher(opts.ReportCrash), opts: opts, admission: admit.NewController(opts.Directory), budget: newRetryBudget(), latencies: newLatencyTracker(), demand: newDemand()}
+	e := &Entry{crashWatcher: crasher.NewWatcher(opts.ReportCrash, nil), opts: opts, admission: admit.NewController(opts.Directory), budget: newRetryBudget(), latencies: newLatencyTracker(), demand: newDemand()}
 	r := chi.NewRouter()
 	r.Post("/v1/chat/completions", e.chat)
 	r.Get("/v1/models", e.models)
--- a/event/event.go
+++ b/event/event.go
@@ -112,6 +112,7 @@
 // Events of requests that crash backend servers.
 var (
 	CrashDetected   = add(Event{"crash-seen", zapcore.InfoLevel, "A backend server terminated while it ran requests of this box or a load.", "Nothing; prints lists them, weak those that had been running for a long time, parts the prompt parts of the others."})
+	CrashExposed    = add(Event{"crash-exposure", zapcore.InfoLevel, "A backend server terminated while requests with the same prompt parts ran at others.", "Nothing; refuted lists the parts against which the termination is no evidence, kept the others: for how long requests with each had run there, and at a server that goes on."})
 	CrasherBlocked  = add(Event{"crasher-held", zapcore.WarnLevel, "A request, or a part of prompts, is blocked from all servers because several of them terminated while running it.", "See docs/OPERATIONS.md: find its callers by the print or the part, and the cause in the servers' own logs."})
 	SuspectRuled    = add(Event{"crasher-ruled", zapcore.WarnLevel, "An operator blocked or exempted a request or a part of prompts, or took that back.", "Nothing; `leverdrum crashers` lists what is in force."})
 	CrasherReleased = add(Event{"crasher-released", zapcore.InfoLevel, "A blocked request or part of prompts may be sent to a server again.", "Nothing; if another server terminates while running it, it is blocked for twice as long."})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,8 @@
 	Notify func(Notice)
 	// ReportCrash reports requests under which servers crashed; may be nil. It must not block.
 	ReportCrash func(*wire.CrashReport)
+	// RecordExposures records how long requests with prompt parts ran at a terminated server and at others; may be nil. It must not block.
+	RecordExposures func(crasher.Server, []crasher.Exposure)
 	// Quotas limits what workspaces are served; nil: no limits.
 	Quotas *rate.Limiter
 	// Load shares load and speed of servers with the other boxes; nil: they are not shared.
@@ -166,7 +168,7 @@
 	g.budgets = newBudgets(opts.Budget, g.dir.boxes)
 	g.admission = newAdmission(opts.Load, opts.MaxBodies)
 	g.startHold = &startHold{began: time.Now(), current: opts.Current, maxBytes: opts.MaxBodies / waitingBodiesDivisor, meters: opts.Meters}
-	g.crashWatch = crasher.NewWatcher(opts.ReportCrash)
+	g.crashWatch = crasher.NewWatcher(opts.ReportCrash, opts.RecordExposures)
 	g.relays = newRelays(opts.OpenRelay, opts.Self, opts.View)
 	g.links = newLinks(g)
 	g.dir.links, g.dir.relays = g.links, g.relays
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -50,6 +50,7 @@
 	PeerMessages       = Metric{"leverdrum_peer_messages_total", Counter, "Messages between boxes, by direction.", []string{"direction"}}
 	PeerAbandonedBytes = Metric{"leverdrum_peer_given_up_bytes_total", Counter, "Bytes received from other boxes for calls that were abandoned before their response was complete.", nil}
 	CrashReports       = Metric{"leverdrum_crash_signs_total", Counter, "Requests of this box that a backend server was running when it terminated, by weight of this evidence.", []string{"weight"}}
+	CrashExposures     = Metric{"leverdrum_crash_exposures_total", Counter, "Prompt parts of this box's requests at a terminated server with which others of its requests ran at other servers, and whether these refuted the evidence or it was kept.", []string{"result"}}
 	CrashersBlocked    = Metric{"leverdrum_crashers_held", Gauge, "Requests blocked because backend servers terminated while running them.", nil}
 	InvalidReports     = Metric{"leverdrum_strange_words_total", Counter, "Reports of backend servers or other senders that do not identify a usable server, by error.", []string{"why"}}
 	BuildInfo          = Metric{"leverdrum_build_info", Gauge, "Always 1; the labels are the build of the box and the newest level that it supports.", []string{"build", "level"}}
@@ -80,7 +81,7 @@
 func All() []Metric {
 	return []Metric{
 		Refusals, Retries, RetriesDenied, Requests, RequestsInTime, RequestDuration, RequestsInFlight, StateIndex, FleetNumber,
-		IsLeader, Current, Elections, Orders, Ejections, PeerBytes, PeerMessages, PeerAbandonedBytes, CrashReports, CrashersBlocked, InvalidReports, BuildInfo, ActiveLevel, WorkspaceRequests, LimitedAttempts, ServerLimits, LateRequests, LateWorkspaces, ServerSlowness, LoadFrames, LoadIgnored, LoadPrefixes, LoadHubs, StartHolds, ServerLinks, RelayedAttempts, RelaysServed, Connections, Responses, ResponseEnds, StreamsResumed, OriginsLost, Claims,
+		IsLeader, Current, Elections, Orders, Ejections, PeerBytes, PeerMessages, PeerAbandonedBytes, CrashReports, CrashExposures, CrashersBlocked, InvalidReports, BuildInfo, ActiveLevel, WorkspaceRequests, LimitedAttempts, ServerLimits, LateRequests, LateWorkspaces, ServerSlowness, LoadFrames, LoadIgnored, LoadPrefixes, LoadHubs, StartHolds, ServerLinks, RelayedAttempts, RelaysServed, Connections, Responses, ResponseEnds, StreamsResumed, OriginsLost, Claims,
 	}
 }
 
