--- a/box/crasher_test.go
+++ b/box/crasher_test.go
@@ -43,6 +43,7 @@
 	// deadlyModel is a model whose load terminates a server.
 	deadlyModel string
 	model       string // requested model, m1 if ""
+	eventCount  int    // of each response, 3 if 0
 	version     string // software version of servers started from now on, v1 if ""
 	// limits are the limits that servers announce, by ID.
 	limits map[string]string
@@ -98,7 +99,7 @@
 	v := &standin.Server{
 		ID:      fmt.Sprint("i-", s.started),
 		Service: "s", Hall: "h", Version: s.version, Memory: 220, AdapterSlots: 3, LoadTime: 100 * time.Millisecond, HeartbeatInterval: 100 * time.Millisecond,
-		ControlAddresses: []string{s.control}, EventCount: 3, EventDelay: 30 * time.Millisecond, ModelSizes: map[string]int{"m1": 70, "m2": 70}, ListenAddress: at, CrashOnLoad: s.deadlyModel, CrashOnPart: s.deadlyPart,
+		ControlAddresses: []string{s.control}, EventCount: cmp.Or(s.eventCount, 3), EventDelay: 30 * time.Millisecond, ModelSizes: map[string]int{"m1": 70, "m2": 70}, ListenAddress: at, CrashOnLoad: s.deadlyModel, CrashOnPart: s.deadlyPart,
 	}
 	v.CrashOn = func(body []byte) bool {
 		s.mu.Lock()
