crasher: evidence against parts that run nowhere else does not wait for the others

Cause: if requests with any part of a terminated server's requests ran on elsewhere, the evidence against all parts there waited for half a second (rule 15), also that against the part that had terminated the server: it is in the same requests as parts that all requests share.

Change: only the evidence against parts that run elsewhere waits.

Taken back: that a termination is weak evidence against a part that had run there for long.

--- a/crasher/doc.go
+++ b/crasher/doc.go
@@ -57,7 +57,5 @@
 //     and the suspect is released after provisionalDuration. One more piece of evidence then blocks it definitively.
 //  17. What runs at one box refutes what another one reports: boxes report for how long a request with a part has run at a server that
 //     goes on, when a server terminates under the part, and again while requests with a suspected part run. Evidence against a part
-//     counts only while no such request is known to have run for longer than any with the part at the terminated server. If a
-//     request with the part had run there for long, the evidence is weak (2). So the longer servers run requests with a sound part, the less of
-//     what terminates them by chance counts.
+//     counts only while no such request is known to have run for longer than any with the part at the terminated server.
 package crasher
--- a/crasher/exposure.go
+++ b/crasher/exposure.go
@@ -140,15 +140,35 @@
 	return rest
 }
 
-// withoutParts returns attempts as evidence against whole requests alone.
-func withoutParts(attempts []FailedAttempt) []FailedAttempt {
+// withoutExposed returns attempts as evidence against whole requests, and against the parts with which no request runs elsewhere.
+func withoutExposed(attempts []FailedAttempt, exposed map[partOfService]time.Duration) []FailedAttempt {
 	list := slices.Clone(attempts)
 	for i := range list {
-		list[i].Parts = nil
+		list[i].Parts = list[i].partsIn(exposed, false)
 	}
 	return list
 }
 
+// onlyExposed returns the attempts with parts with which requests run elsewhere, and with these parts alone.
+func onlyExposed(attempts []FailedAttempt, exposed map[partOfService]time.Duration) (list []FailedAttempt) {
+	for _, b := range attempts {
+		if b.Parts = b.partsIn(exposed, true); len(b.Parts) > 0 {
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
+// partsIn returns the parts of an attempt that are in a set, or that are not.
+func (b *FailedAttempt) partsIn(set map[partOfService]time.Duration, in bool) (parts []uint64) {
+	for _, id := range b.Parts {
+		if _, ok := set[partOfService{b.Service, id}]; ok == in {
+			parts = append(parts, id)
+		}
+	}
+	return parts
+}
+
 // ranFor returns for how long the attempt ran since its first event.
 func (b *FailedAttempt) ranFor() time.Duration {
 	if b.FirstEventAt.IsZero() {
--- a/crasher/parts.go
+++ b/crasher/parts.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
@@ -50,15 +49,6 @@
 	ranMs   uint32 // of the request with the part that ran longest at the server
 }
 
-// weight returns the weight of the evidence. If any request with the part had run for long at the server, the part is the less likely
-// cause (2, 17).
-func (e *partEvidence) weight(at CommitPosition) uint32 {
-	if at.SharedExposure && time.Duration(e.ranMs)*time.Millisecond > longRunThreshold {
-		return weakWeight
-	}
-	return evidenceWeight(e.CrashSign)
-}
-
 // partsOf derives the evidence against prompt parts from that against requests (9). Of several requests with a part at a
 // server, the one counts whose evidence is strong, and among these the one sent last.
 func partsOf(signs []*wire.CrashSign) (list []partEvidence) {
@@ -115,10 +105,11 @@
 	next.Servers = appendBounded(next.Servers, e.Server, maxPartServers)
 	next.Index, next.UnixMs = at.Index, at.UnixMs
 	if counts {
-		next.Weight += e.weight(at)
+		weight := evidenceWeight(e.CrashSign)
+		next.Weight += weight
 		next.Term, next.EndedMs, next.Box, next.EndedHereMs = at.Term, e.EndedMs, box, e.EndedHereMs
 		if at.SharedExposure {
-			next.Terminations = append(next.Terminations, &wire.Termination{Server: e.Server, Weight: e.weight(at), RanMs: e.ranMs})
+			next.Terminations = append(next.Terminations, &wire.Termination{Server: e.Server, Weight: weight, RanMs: e.ranMs})
 		}
 		if next.Weight >= BlockWeight(next) { // (4, 10)
 			reg.block(next, at)
--- a/crasher/watcher.go
+++ b/crasher/watcher.go
@@ -178,11 +178,12 @@
 	if len(list) == 0 {
 		return
 	}
-	if len(w.runs.longest(s, list)) == 0 {
-		w.reportEvidence(s, list)
+	exposed := w.runs.longest(s, list)
+	w.reportEvidence(s, withoutExposed(list, exposed))
+	if len(exposed) == 0 {
 		return
 	}
-	w.reportEvidence(s, withoutParts(list))
+	list = onlyExposed(list, exposed)
 	time.AfterFunc(exposureReportDelay, func() { w.reportExposures(exposures(list, w.runs.longest(s, list))) })
 	time.AfterFunc(exposureDelay, func() {
 		compared := exposures(list, w.runs.longest(s, list))
