crasher: a box blocks by its own evidence while the leader's disk stalls

What callers saw: while the disk of the only voter stalls, a prompt part that terminates servers goes on to further ones: 11 to 15 servers with 64 requests each ended, where 8 are allowed.

Cause: what boxes report is committed by a write of the disk. Until then each box knows only its own evidence and waits for three servers of its own (rule 12); when the first box's report is committed it forgets its own evidence, though those of the other boxes are still on their way.

Change: after 50 ms without a commit a box blocks provisionally (503, Retry-After) what it has one strong piece of evidence against, until half a second after the commit, and for 5 s at most. Answers, runs that go on and rulings lift it as ever.

--- a/box/box.go
+++ b/box/box.go
@@ -334,12 +334,15 @@
 	p.replica.Close()
 }
 
+// newStorage returns the storage of a box with a disk. Tests replace it to simulate disks that stall.
+var newStorage = func(store *wal.Store) replica.Storage { return store }
+
 func (b *Box) assemble() (*components, error) {
 	s := b.settings
 	self := b.id.Self()
 	var storage replica.Storage = replica.MemoryStorage{}
 	if b.store != nil {
-		storage = b.store
+		storage = newStorage(b.store)
 	}
 	r, err := replica.New(replica.Options{
 		Core: consensus.Options{
--- a/box/crasher_parts_test.go
+++ b/box/crasher_parts_test.go
@@ -7,12 +7,16 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"leverdrum/box"
 	"leverdrum/command"
+	"leverdrum/replica"
+	"leverdrum/wire"
 )
 
 // partsLoad sends requests with a deadly prompt part and sound ones that share all other parts.
@@ -98,6 +102,51 @@
 	}
 }
 
+// stallingStorage makes one write take stallDuration once a server has terminated.
+type stallingStorage struct {
+	replica.Storage
+	terminated func() int
+	once       *sync.Once
+}
+
+const stallDuration = 2200 * time.Millisecond
+
+func (d stallingStorage) Append(b *wire.Batch) error {
+	if d.terminated() > 0 {
+		d.once.Do(func() { time.Sleep(stallDuration) })
+	}
+	return d.Storage.Append(b)
+}
+
+// Guards against a prompt part that terminates servers for as long as the disk of the only voter stalls, since no evidence can be
+// committed meanwhile: 11 to 15 servers terminated.
+func TestCrashingPromptPartBlockedWhileDiskStalls(t *testing.T) {
+	var s atomic.Pointer[multiBox]
+	var once sync.Once
+	terminated := func() int {
+		if s.Load() == nil {
+			return 0
+		}
+		return s.Load().terminatedCount()
+	}
+	t.Cleanup(box.SetNewStorage(func(disk replica.Storage) replica.Storage { return stallingStorage{disk, terminated, &once} }))
+	s.Store(startMultiBox(t, 2))
+	s.Load().deadlyPart = deadlyPart
+	g := NewWithT(t)
+	s.Load().startServers(12)
+	l := &partsLoad{s: s.Load()}
+	began := time.Now()
+	l.run(6 * time.Second)
+	t.Logf("%d servers terminated under %d requests; %.2f of the sound requests were served, %.2f of those from 4 s on",
+		terminated(), len(l.guilty), l.servedShare(began), l.servedShare(began.Add(4*time.Second)))
+	g.Expect(terminated()).To(BeNumerically(">=", 3), "else the test proves nothing")
+	g.Expect(terminated()).To(BeNumerically("<=", maxTerminatedByPart))
+	g.Expect(l.servedShare(began.Add(4 * time.Second))).To(BeNumerically(">=", 0.95))
+	for _, a := range l.sound {
+		g.Expect(a.reason).NotTo(Equal("crashes-servers"), "a sound request was blocked")
+	}
+}
+
 // Operators block a part that has crashed nothing, exempt it while it crashes servers, and take both back.
 func TestOperatorsRuleOnPromptParts(t *testing.T) {
 	s := startMultiBox(t, 1)
--- a/box/export_test.go
+++ b/box/export_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"leverdrum/gateway"
+	"leverdrum/replica"
 	"leverdrum/settings"
 	"leverdrum/state"
+	"leverdrum/wal"
 )
 
 // Notify queues a notice as the gateway does, for tests.
@@ -16,5 +18,12 @@
 	return func() { dialServers = before }
 }
 
+// SetNewStorage sets how boxes store what they agree on and returns a function that restores the default.
+func SetNewStorage(wrap func(replica.Storage) replica.Storage) (restore func()) {
+	before := newStorage
+	newStorage = func(store *wal.Store) replica.Storage { return wrap(store) }
+	return func() { newStorage = before }
+}
+
 // View returns the replicated state as the box has it, for tests.
 func (b *Box) View() *state.State { return b.components.Load().replica.View() }
--- a/crasher/provisional.go
+++ b/crasher/provisional.go
@@ -47,7 +47,7 @@
 	if s := registry.Suspects[Key{p, version}]; s.GetHeld() {
 		return !IsProvisional(s) && !w.exempts(s)
 	}
-	return w.Blocks(registry, p, version) && !IsProvisional(w.own.suspect(p, version))
+	return w.Blocks(registry, p, version) && w.own.blocksDefinitively(p, version)
 }
 
 // BlocksAnyDefinitively is BlocksDefinitively for the parts of a prompt.
--- a/crasher/running.go
+++ b/crasher/running.go
@@ -93,7 +93,16 @@
 func (w *Watcher) CheckRuns(registry func() *Registry) {
 	table := registry()
 	w.sharesRuns.Store(table != nil)
-	if table == nil || !w.reportRuns(table) || w.runCheckDue.Swap(true) {
+	w.exposureTable.Store(&registry)
+	if table == nil {
+		return
+	}
+	again := w.reportRuns(table)
+	if own := w.own.table.Load(); own != nil && w.own.uncommittedSince.Load() > 0 {
+		w.reportRuns(own)
+		again = true // requests with the parts may begin to run
+	}
+	if !again || w.runCheckDue.Swap(true) {
 		return
 	}
 	time.AfterFunc(runCheckInterval, func() {
@@ -122,6 +131,13 @@
 	return any
 }
 
+// checkRunsAgain does what CheckRuns does, by the table that it was called with last.
+func (w *Watcher) checkRunsAgain() {
+	if registry := w.exposureTable.Load(); registry != nil {
+		w.CheckRuns(*registry)
+	}
+}
+
 // reportExposures reports the runs that refute the termination of a server (17).
 func (w *Watcher) reportExposures(list []Exposure) {
 	if !w.sharesRuns.Load() {
--- a/crasher/watcher.go
+++ b/crasher/watcher.go
@@ -75,6 +75,8 @@
 	runs        runs
 	sharesRuns  atomic.Bool // whether all boxes know reports of runs (17)
 	runCheckDue atomic.Bool // whether a check of runs is scheduled
+	// exposureTable returns the replicated table, see CheckRuns; nil before its first call.
+	exposureTable atomic.Pointer[func() *Registry]
 
 	mu      sync.Mutex
 	pending map[Server]*pendingAttempts
@@ -208,6 +210,7 @@
 		})
 	}
 	w.report(r)
+	w.checkRunsAgain()
 }
 
 // servedPartsOf lists those prompt parts of failed attempts that this box saw answered before. The leader learns this with the
@@ -277,9 +280,7 @@
 // RecordCommitted records that this box's reports so far were committed. The replicated table includes them, unless it has no prompt
 // parts (12).
 func (w *Watcher) RecordCommitted(promptParts bool) {
-	if promptParts {
-		w.own.reset()
-	}
+	w.own.committed(promptParts)
 }
 
 // Blocks reports whether a request is blocked from servers of a software version: by the replicated table, or by the evidence of
--- a/crasher/watcher_test.go
+++ b/crasher/watcher_test.go
@@ -107,3 +107,44 @@
 		g.Expect(w.Blocks(&registry, part, "")).To(BeFalse(), "it was answered in full")
 	})
 }
+
+// Guards against the loss of one server after another while the leader's disk stalls, and against sound parts that stay blocked for it.
+func TestEvidenceThatIsCommittedLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		after     time.Duration // from the evidence
+		committed time.Duration // from the evidence; 0: never
+		runs      bool          // a request with the part runs on elsewhere
+		blocked   bool
+	}{
+		"before a commit takes too long":   {after: 20 * time.Millisecond},
+		"once a commit takes too long":     {after: 100 * time.Millisecond, blocked: true},
+		"committed in time":                {after: 100 * time.Millisecond, committed: 20 * time.Millisecond},
+		"just committed late":              {after: 400 * time.Millisecond, committed: 300 * time.Millisecond, blocked: true},
+		"committed late, some time before": {after: time.Second, committed: 300 * time.Millisecond},
+		"never committed":                  {after: 6 * time.Second},
+		"a request with the part runs on":  {after: time.Second, runs: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				registry, part, began := NewRegistry(), PartFingerprint("s", 1), time.Now()
+				w := NewWatcher(func(*wire.CrashReport) {}, nil)
+				w.CheckRuns(func() *Registry { return &registry })
+				w.RecordFailure(Server{ID: "i"}, FailedAttempt{Service: "s", Parts: []uint64{1}, SentAt: began, FailedAt: began}, nil)
+				w.RecordTermination(Server{ID: "i"})
+				if c.committed > 0 {
+					time.AfterFunc(c.committed, func() { w.RecordCommitted(true) })
+				}
+				if c.runs {
+					r := w.BeginRun(Server{ID: "other"}, "s", []uint64{1}, began)
+					defer w.EndRun(r)
+					time.AfterFunc(500*time.Millisecond, func() { r.Event(time.Now()) })
+				}
+				time.Sleep(c.after)
+				synctest.Wait()
+				g.Expect(w.Blocks(&registry, part, "")).To(Equal(c.blocked))
+				g.Expect(w.BlocksDefinitively(&registry, part, "")).To(BeFalse())
+			})
+		})
+	}
+}
