entry: streams count as running, and each attempt has a first event

Besides, only the first event of a whole stream was recorded: once a stream had been resumed at another server, the crash of that one was strong evidence against its request and its parts, however long it had run there.

Change: each attempt's first event begins a run, later ones prolong it.

TestResumedStreamIsWeakEvidence fails without it (mutant resumed-streams-not-timed).

--- a/entry/crashers.go
+++ b/entry/crashers.go
@@ -69,6 +69,24 @@
 	}, func() crasher.Liveness { return probeLiveness(b.Address) })
 }
 
+// beginRun records the first event of an attempt at a backend, nil if the request declares no prompt parts.
+func (e *Entry) beginRun(j *job, b *route.Backend) *crasher.Run {
+	parts := sharedParts(j.attempt.Header)
+	if len(parts) == 0 || b == nil {
+		return nil
+	}
+	return e.crashWatcher.BeginRun(crasher.Server{ID: incarnationOf(e.opts.View(), b.Name)}, j.partScope(), parts, j.firstEventAt)
+}
+
+// exposureTable returns the replicated table of suspects, nil while boxes of older builds do not know reports of runs.
+func (e *Entry) exposureTable() *crasher.Registry {
+	view := e.opts.View()
+	if view.Level < level.SharedExposure {
+		return nil
+	}
+	return &view.Crashers
+}
+
 // incarnationOf returns the ID of a server's current incarnation. The incarnations of service
 // instances are unknown, so for these it returns the name.
 func incarnationOf(view *state.State, name string) string {
@@ -95,6 +113,7 @@
 // those whose incarnation has ended since.
 func (e *Entry) reportTerminated(view *state.State) {
 	e.crashWatcher.ReportServed(&view.Crashers)
+	e.crashWatcher.CheckRuns(e.exposureTable)
 	pending := e.crashWatcher.PendingServers()
 	if len(pending) == 0 || view.Fleet == nil {
 		return
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -28,6 +28,8 @@
 	version := res.response.Version
 	for resumes := 0; ; {
 		err := proxy.CopyBody(w, res.response, e.copyOptions(j, relay, res.backend))
+		e.crashWatcher.EndRun(j.run)
+		j.run = nil
 		if err == nil || errors.Is(err, proxy.ErrCallerDisconnected) || errors.Is(err, stream.ErrGap) {
 			return err
 		}
@@ -56,10 +58,20 @@
 // copyOptions returns how to copy a stream: the first event is timed, and a stream that can be resumed
 // elsewhere is closed when it stalls.
 func (e *Entry) copyOptions(j *job, relay *stream.Relay, b *route.Backend) proxy.CopyOptions {
-	opts := proxy.CopyOptions{Relay: relay, OnFirstEvent: func() {
-		j.firstEventAt = time.Now()
+	resumed := relay.Forwarded() > 0
+	opts := proxy.CopyOptions{Relay: relay, OnEvents: func() {
+		now := time.Now()
+		if !j.firstEventAt.IsZero() {
+			j.run.Event(now)
+			return
+		}
+		j.firstEventAt = now
+		j.run = e.beginRun(j, b)
+		if resumed {
+			return
+		}
 		e.admission.RecordFirstEvent(j.admission, time.Since(j.admission.StartedAt()))
-		if deadline := j.admission.FirstEventDeadline; !deadline.IsZero() && time.Now().After(deadline) {
+		if deadline := j.admission.FirstEventDeadline; !deadline.IsZero() && now.After(deadline) {
 			j.firstEventLate = true
 		}
 	}}
--- a/proxy/copy.go
+++ b/proxy/copy.go
@@ -22,8 +22,8 @@
 type CopyOptions struct {
 	// Relay processes the events of a stream; nil if the response is not a stream.
 	Relay *stream.Relay
-	// OnFirstEvent is called after the first event was forwarded.
-	OnFirstEvent func()
+	// OnEvents is called after one or more events were forwarded.
+	OnEvents func()
 	// StallAfter is how long a stream may send nothing before AbortStalled is asked whether to close
 	// it; 0 means no limit.
 	StallAfter   time.Duration
@@ -70,8 +70,8 @@
 	if err := c.write(c.out); err != nil {
 		return err
 	}
-	if before == 0 && relay.Forwarded() > 0 && c.opts.OnFirstEvent != nil {
-		c.opts.OnFirstEvent()
+	if relay.Forwarded() > before && c.opts.OnEvents != nil {
+		c.opts.OnEvents()
 	}
 	return Error.Wrap(relayErr)
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -393,6 +393,7 @@
 mutant blocks-after-the-choice-ignored gateway/job.go 's/g.refusal\(s, j.blockedAt\(s\)\)/g.refusal(s, false)/' gateway TestRequestBlockedBeforeItIsSent
 mutant own-evidence-reset-below-its-level crasher/own.go 's/if discard \{/if true {/' crasher TestOwnEvidenceBlocksWhileTableHasNoParts
 mutant late-commits-ignored crasher/own.go 's/return since > 0 && time/return false \&\& since > 0 \&\& time/' box TestCrashingPromptPartBlockedWhileDiskStalls
+mutant resumed-streams-not-timed entry/stream.go 's/now := time.Now\(\)\n/now := time.Now()\n\t\tif resumed { return }\n/' entry TestResumedStreamIsWeakEvidence
 mutant declared-parts-ignored entry/crashers.go 's/ \|\| e.crashWatcher.BlocksAny\(crashers, j.partPrints\(\)\)//' entry TestCrashingPartIsBlocked
 mutant rulings-answered crasher/registry.go 's/case !ok \|\| old == nil \|\| hasRuling\(old\):/case !ok || old == nil:/' crasher TestRulingsOverrideEvidence
 mutant exempt-parts-blocked crasher/parts.go 's/if hasRuling\(old\) \{/if false {/' crasher TestRulingsOverrideEvidence
