crasher: a first block is confirmed, and any other end makes that of a request provisional

Cause: a request that is retried at few servers was at three of the first servers to terminate. The first block was judged once, when the third piece of evidence came, and one server that terminated without the request was passed over. The servers that terminate next, which show that it was chance, came too late.

A server that terminates under a request that is blocked already counts as one with it.

TestProvisionalBlocks: the case "one other" asked for a definitive block; it holds now for the level before, and the new rule has a stricter case. No bound changed.

--- a/crasher/doc.go
+++ b/crasher/doc.go
@@ -52,9 +52,10 @@
 //     termination against the part: a part that crashes servers would have ended it as well. So a box that has such
 //     requests at other servers waits for a moment before it reports evidence against their parts. Evidence against whole
 //     requests does not wait.
-//  16. Where servers terminated lately without a suspect, more than half as many as with it, servers terminate for other reasons
-//     as well, and the suspect may have been at them by chance. Its first block is provisional: rejected requests may be retried,
-//     and the suspect is released after provisionalDuration. One more piece of evidence then blocks it definitively.
+//  16. Where any server terminated lately without a suspected request, or more than half as many without a suspected part as with it,
+//     servers terminate for other reasons as well, and the suspect may have been at them by chance. Its first block is provisional: rejected requests may be retried,
+//     and the suspect is released after provisionalDuration. One more piece of evidence then blocks it definitively. A first block is
+//     confirmed after confirmDuration only, and becomes provisional if other servers terminate meanwhile or soon after.
 //  17. What runs at one box refutes what another one reports: boxes report for how long a request with a part has run at a server that
 //     goes on, when a server terminates under the part, and again while requests with a suspected part run. Evidence against a part
 //     counts only while no such request is known to have run for longer than any with the part at the terminated server.
--- a/crasher/registry.go
+++ b/crasher/registry.go
@@ -98,6 +98,9 @@
 			reg.clear(s, at)
 		}
 	}
+	if at.ProvisionalBlocks && at.SharedExposure && len(r.Signs) > 0 {
+		reg.reviewBlocks(at)
+	}
 	for _, key := range keys {
 		if s := reg.Suspects[key]; s.GetHeld() {
 			blocked = append(blocked, s)
@@ -147,6 +150,9 @@
 	}
 	key := Key{p, evidence.Version}
 	old := reg.Suspects[key]
+	if at.SharedExposure && old.GetHeld() && !hasRuling(old) {
+		reg.recordServer(key, old, evidence.Server)
+	}
 	if old.GetHeld() || old.GetServed() || hasRuling(old) || old != nil && !isIndependent(box, evidence, old, at.Term) {
 		return nil
 	}
@@ -169,6 +175,16 @@
 	return next
 }
 
+// recordServer records a server that terminated under a request that was blocked already: it did not terminate for another reason (16).
+func (reg *Registry) recordServer(key Key, s *wire.Suspect, server string) {
+	if slices.Contains(s.Servers, server) {
+		return
+	}
+	next := proto.CloneOf(s)
+	next.Servers = appendBounded(next.Servers, server, maxServers)
+	reg.put(key, next)
+}
+
 // isIndependent reports whether evidence counts in addition to the previous evidence (3). Evidence of one box is
 // compared by the box's own clock: an attempt goes to the next server within a millisecond of the previous
 // server's termination, while reporting each takes some milliseconds. Evidence of two boxes is compared by the
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -410,6 +410,8 @@
 mutant parts-without-exposure crasher/exposure.go 's/return exposed && runFor/return false \&\& exposed \&\& runFor/' crasher TestPartsThatRunOn
 mutant blocks-never-provisional crasher/provisional.go 's/!at.ProvisionalBlocks ../true ||/' crasher 'TestProvisionalBlocks'
 mutant blocks-always-provisional crasher/provisional.go 's/ s.Holds > 0 ..//' crasher TestBlockAfterProvisional
+mutant blocks-not-reviewed crasher/registry.go 's/reg.reviewBlocks\(at\)/_ = at/' crasher TestFirstBlockIsReviewed
+mutant one-other-tolerated crasher/provisional.go 's/if at.SharedExposure && !isPart/if false \&\& !isPart/' crasher 'TestProvisionalBlocks|TestFewServers'
 mutant accepted-values-ignored forming/forming.go 's/if highest != nil \{/if false \&\& highest != nil {/' forming TestOneCluster
 mutant lower-ballots-answered forming/forming.go 's/if Compare\(f.Ballot, a.record.Promised\) < 0 \{/if false {/' forming TestOneCluster
 mutant minority-founds forming/forming.go 's/len\(p.accepted\) >= quorum/len(p.accepted) >= quorum-1/' forming TestOneCluster
