story: the timeline of a request that is blocked for a prompt part names the part

A request that is rejected for a part of its prompt was at no server itself: its fingerprint is in no crash-seen line, and crasher-held names the part's. So explain-request showed none of the crashes that had led to it.

request-failed names the blocked parts of the request, crash-exposure the parts that it compares, and the timeline includes the lines about them. TestTimelineOfBlockedPartIncludesCrashes.

--- a/box/crashes.go
+++ b/box/crashes.go
@@ -86,8 +86,9 @@
 // recordExposures counts and logs what this box concludes about the prompt parts of its requests at a terminated server while requests
 // with them run at others.
 func (c *crashReporter) recordExposures(s crasher.Server, list []crasher.Exposure) {
-	var refuted, kept []string
+	var parts, refuted, kept []string
 	for _, e := range list {
+		parts = append(parts, strconv.FormatUint(e.Part, 16))
 		text := fmt.Sprintf("%x ran %v, elsewhere %v", e.Part, e.RanFor.Round(time.Millisecond), e.RunsElsewhereFor.Round(time.Millisecond))
 		if e.Refuted {
 			refuted = append(refuted, text)
@@ -97,7 +98,7 @@
 	}
 	c.meters.Count(meter.CrashExposures, "refuted").Add(float64(len(refuted)))
 	c.meters.Count(meter.CrashExposures, "kept").Add(float64(len(kept)))
-	event.CrashExposed.Log(c.log, zap.String("server", s.ID), zap.String("version", s.Version), zap.Strings("refuted", refuted), zap.Strings("kept", kept))
+	event.CrashExposed.Log(c.log, zap.String("server", s.ID), zap.String("version", s.Version), zap.Strings("parts", parts), zap.Strings("refuted", refuted), zap.Strings("kept", kept))
 }
 
 // strongParts returns the prompt parts of requests with strong evidence, each once and in hexadecimal.
--- a/control/crashes.go
+++ b/control/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -79,7 +78,7 @@
 	if s.Service == "" {
 		return zap.Skip()
 	}
-	return zap.String("part", s.Service+"/"+strconv.FormatUint(s.Part, 16))
+	return zap.String("part", crasher.PartName(s.Service, s.Part))
 }
 
 // releaseSuspects releases suspects whose time has expired, as far as this leader has seen it pass.
--- a/crasher/parts.go
+++ b/crasher/parts.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
@@ -35,6 +36,9 @@
 	return prints
 }
 
+// PartName names a prompt part in logs.
+func PartName(service string, id uint64) string { return service + "/" + strconv.FormatUint(id, 16) }
+
 // isPart reports whether a suspect is a prompt part.
 func isPart(s *wire.Suspect) bool { return s.GetService() != "" }
 
--- a/gateway/crashers.go
+++ b/gateway/crashers.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	"leverdrum/crasher"
 	"leverdrum/dialect"
 	"leverdrum/internal/framing"
@@ -86,6 +88,20 @@
 	return watch.Blocks(crashers, p, s.version)
 }
 
+// suspectFields adds log fields for a request that is blocked as a crasher: its fingerprint, and those parts of its prompt that are blocked.
+func (j *job) suspectFields(outcome string, f *failure) (fields []zap.Field) {
+	if f != nil || outcome != reason.CrashesServers.Code && outcome != reason.CrashSuspected.Code {
+		return nil
+	}
+	var parts []string
+	for i, p := range j.partPrints() {
+		if j.g.crashWatch.Blocks(&j.g.opts.View().Crashers, p, "") {
+			parts = append(parts, crasher.PartName(j.poolName, sharedParts(j.prompt)[i]))
+		}
+	}
+	return []zap.Field{zap.Stringer("print", j.print()), zap.Strings("parts", parts)}
+}
+
 // refusal returns why a request may not be sent to a server now, nil if it may. blocked is set if it is blocked as a crasher.
 func (g *Gateway) refusal(s *server, blocked bool) *failure {
 	switch {
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -129,8 +129,6 @@
 	if f != nil {
 		fields = append(fields, zap.String("last", f.reason.Code), event.ErrorField(f.cause), j.fingerprintField(f))
 	}
-	if outcome == reason.CrashesServers.Code && f == nil {
-		fields = append(fields, zap.Stringer("print", j.print()))
-	}
+	fields = append(fields, j.suspectFields(outcome, f)...)
 	event.RequestFailed.Log(j.g.opts.Log, fields...)
 }
--- a/story/timeline.go
+++ b/story/timeline.go
@@ -121,13 +121,16 @@
 	last := tl.Lines[len(tl.Lines)-1]
 	tl.Outcome = last.field("outcome")
 	tl.Cause = describeOutcome(&last)
-	fingerprints := map[string]bool{}
+	fingerprints, parts := map[string]bool{}, map[string]bool{}
 	for _, line := range tl.Lines {
 		fingerprints[line.field("print")] = true
+		for _, part := range line.list("parts") {
+			parts[part] = true
+		}
 	}
 	delete(fingerprints, "")
 	for _, line := range l.Lines {
-		if isRelevant(&line, &last) || isAboutFingerprint(&line, fingerprints) {
+		if isRelevant(&line, &last) || isAboutFingerprint(&line, fingerprints) || isAboutPart(&line, parts) {
 			tl.Lines = append(tl.Lines, line)
 		}
 	}
@@ -164,10 +167,39 @@
 	return false
 }
 
+// isAboutPart reports whether a line is about servers that terminated while they processed requests with one of the blocked prompt parts,
+// or about such a part being blocked. The parts are named by service and ID, those of terminated servers by ID alone.
+func isAboutPart(line *Line, parts map[string]bool) bool {
+	switch line.Event {
+	case event.CrasherBlocked.Code, event.CrasherReleased.Code:
+		return parts[line.field("part")]
+	case event.CrashDetected.Code, event.CrashExposed.Code:
+		return slices.ContainsFunc(line.list("parts"), func(id string) bool {
+			for part := range parts {
+				if strings.HasSuffix(part, "/"+id) {
+					return true
+				}
+			}
+			return false
+		})
+	}
+	return false
+}
+
 // listContains reports whether a list field contains one of the values.
 func (l *Line) listContains(name string, values map[string]bool) bool {
-	list, _ := l.Data[name].([]any)
-	return slices.ContainsFunc(list, func(v any) bool { s, _ := v.(string); return values[s] })
+	return slices.ContainsFunc(l.list(name), func(v string) bool { return values[v] })
+}
+
+// list returns the texts of a list field.
+func (l *Line) list(name string) (texts []string) {
+	items, _ := l.Data[name].([]any)
+	for _, item := range items {
+		if text, ok := item.(string); ok {
+			texts = append(texts, text)
+		}
+	}
+	return texts
 }
 
 // describeOutcome explains the outcome in the last line of a request (4).
--- a/story/timeline_test.go
+++ b/story/timeline_test.go
@@ -83,6 +83,26 @@
 	})
 }
 
+// A request is blocked for a part of its prompt: the lines about the part are those that explain it, the request itself was at no server.
+func TestTimelineOfBlockedPartIncludesCrashes(t *testing.T) {
+	g := NewWithT(t)
+	l := &story.Log{}
+	g.Expect(l.Read(strings.NewReader(`{"ts":"2026-12-02T10:00:01Z","msg":"m","box":"b1","server":"s1","prints":["cc"],"parts":["5c1e07a2"],"event":"crash-seen"}
+{"ts":"2026-12-02T10:00:02Z","msg":"m","box":"b2","server":"s2","parts":["5c1e07a2","bb"],"refuted":["5c1e07a2 ran 0s, elsewhere 1s"],"event":"crash-exposure"}
+{"ts":"2026-12-02T10:00:02Z","msg":"m","box":"b2","server":"s3","prints":["dd"],"parts":["bb"],"event":"crash-seen"}
+{"ts":"2026-12-02T10:00:03Z","msg":"m","box":"b3","print":"ee","part":"lm/5c1e07a2","servers":["s1"],"event":"crasher-held"}
+{"ts":"2026-12-02T10:00:03Z","msg":"m","box":"b3","print":"ff","part":"other/5c1e07a2","servers":["s1"],"event":"crasher-held"}
+{"ts":"2026-12-02T10:09:00Z","msg":"m","box":"b4","request":"r1","outcome":"crash-suspected","print":"aa","parts":["lm/5c1e07a2"],"sends":0,"event":"request-failed"}
+`))).To(Succeed())
+	tl, err := l.Timeline("r1")
+	g.Expect(err).NotTo(HaveOccurred())
+	var events []string
+	for _, line := range tl.Lines {
+		events = append(events, line.Box+" "+line.Event)
+	}
+	g.Expect(events).To(Equal([]string{"b1 crash-seen", "b2 crash-exposure", "b3 crasher-held", "b4 request-failed"}))
+}
+
 // A request is blocked because servers terminated while they processed it. The crash lines that led to this are minutes old
 // and come from other boxes.
 func TestTimelineOfBlockedRequestIncludesCrashes(t *testing.T) {
