crasher: runs are reported once, and looked up in one pass

Cause: while a prompt part is suspected, each box that runs requests with it reported the run that refutes the evidence every 100 ms until that was committed, and each such report of each box was committed: 300 boxes, 300 entries and more. And each check went over all runs for each suspect, up to 4,096.

Change: a box does not repeat a report within 400 ms, the leader commits none that refutes nothing new, and a check goes over the suspects and the runs once each.

--- a/control/crashes.go
+++ b/control/crashes.go
@@ -58,7 +58,13 @@
 		}
 	}
 	for _, s := range r.GetServed() {
-		if p, ok := crasher.ParseFingerprint(s.Print); ok && (s.Before || s.RunsMs > 0 || view.Crashers.Suspected(p, s.Version)) {
+		if s.RunsMs > 0 {
+			if view.Crashers.RunMatters(s, time.Now().UnixMilli()) {
+				out.Served = append(out.Served, s)
+			}
+			continue
+		}
+		if p, ok := crasher.ParseFingerprint(s.Print); ok && (s.Before || view.Crashers.Suspected(p, s.Version)) {
 			out.Served = append(out.Served, s)
 		}
 	}
--- a/crasher/exposure.go
+++ b/crasher/exposure.go
@@ -37,6 +37,8 @@
 type runs struct {
 	mu     sync.Mutex
 	active map[*Run]struct{}
+	// reportedAt is when runs with prompt parts were reported to refute committed evidence.
+	reportedAt map[partOfService]time.Time
 }
 
 // BeginRun records the first event of a response to a request with prompt parts. The caller ends it with EndRun.
--- a/crasher/running.go
+++ b/crasher/running.go
@@ -1,6 +1,7 @@
 package crasher
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -16,6 +17,9 @@
 // runCheckInterval is the time between two checks for runs that refute committed evidence.
 const runCheckInterval = 100 * time.Millisecond
 
+// runReportInterval is the time between two reports of runs with the same part.
+const runReportInterval = 400 * time.Millisecond
+
 // isRefuted reports whether a run that goes on refutes that a suspect terminated a server on which it had run for ranMs (15, 17).
 func isRefuted(ranMs, runsMs uint32) bool {
 	return runsMs > ranMs+uint32(exposureMargin.Milliseconds())
@@ -48,6 +52,14 @@
 	reg.evict()
 }
 
+// RunMatters reports whether the report of a run would change what counts as evidence. Of the boxes that run requests with a part, many
+// report about the same at once.
+func (reg *Registry) RunMatters(run *wire.ServedSuspect, unixMs int64) bool {
+	s := reg.Suspects[partKey(PartFingerprint(run.Service, run.Part))]
+	ranMs, counts := shortestTermination(s)
+	return counts && isRefuted(ranMs, run.RunsMs) || isRefuted(currentRun(s, CommitPosition{UnixMs: unixMs}), run.RunsMs)
+}
+
 // extendTermination records that a request with a prompt part had run for longer at a terminated server than reported before, and
 // reports whether the part is blocked.
 func (reg *Registry) extendTermination(s *wire.Suspect, e partEvidence, at CommitPosition) (blocked bool) {
@@ -94,7 +106,7 @@
 	table := registry()
 	w.sharesRuns.Store(table != nil)
 	w.exposureTable.Store(&registry)
-	if table == nil {
+	if table == nil || w.runCheckDue.Load() {
 		return
 	}
 	again := w.reportRuns(table)
@@ -111,18 +123,22 @@
 	})
 }
 
-// reportRuns reports the runs that refute committed evidence, and whether requests with suspected parts run.
+// reportRuns reports the runs that refute evidence in a table, and whether requests with suspected parts run.
 func (w *Watcher) reportRuns(registry *Registry) (any bool) {
-	var list []*wire.ServedSuspect
+	refutable := map[partOfService]uint32{} // the shortest times for which the parts had run at terminated servers, in milliseconds
 	for _, s := range registry.Suspects {
-		ranMs, ok := shortestTermination(s)
-		if !ok || !isPart(s) || hasRuling(s) {
-			continue
+		if ranMs, ok := shortestTermination(s); ok && isPart(s) && !hasRuling(s) {
+			refutable[partOfService{s.Service, s.Part}] = ranMs
 		}
-		runFor, runs := w.runs.longestWith(partOfService{s.Service, s.Part})
-		any = any || runs
-		if isRefuted(ranMs, ms(runFor)) {
-			list = append(list, runReport(s.Service, s.Part, runFor))
+	}
+	if len(refutable) == 0 {
+		return false
+	}
+	var list []*wire.ServedSuspect
+	for part, runFor := range w.runs.longestWith(refutable) {
+		any = true
+		if isRefuted(refutable[part], ms(runFor)) && w.runs.mayReport(part, time.Now()) {
+			list = append(list, runReport(part.service, part.id, runFor))
 		}
 	}
 	if len(list) > 0 {
@@ -159,14 +175,33 @@
 	return &wire.ServedSuspect{Print: p[:], Service: service, Part: part, RunsMs: max(1, ms(runFor))}
 }
 
-// longestWith returns for how long the longest request with a prompt part has run, and whether there is one.
-func (l *runs) longestWith(part partOfService) (longest time.Duration, runs bool) {
+// longestWith returns, for those of the prompt parts with which requests run, for how long the longest has run.
+func (l *runs) longestWith(parts map[partOfService]uint32) map[partOfService]time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	longest := map[partOfService]time.Duration{}
 	for r := range l.active {
-		if r.service == part.service && slices.Contains(r.parts, part.id) {
-			longest, runs = max(longest, time.Duration(r.runFor.Load())), true
+		for _, id := range r.parts {
+			part := partOfService{r.service, id}
+			if _, ok := parts[part]; ok {
+				longest[part] = max(longest[part], time.Duration(r.runFor.Load()))
+			}
 		}
 	}
-	return longest, runs
+	return longest
+}
+
+// mayReport reports whether a run with a prompt part may be reported now: a report is not repeated while it is on its way.
+func (l *runs) mayReport(part partOfService, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.reportedAt, func(_ partOfService, at time.Time) bool { return now.Sub(at) >= runReportInterval })
+	if _, ok := l.reportedAt[part]; ok {
+		return false
+	}
+	if l.reportedAt == nil {
+		l.reportedAt = map[partOfService]time.Time{}
+	}
+	l.reportedAt[part] = now
+	return true
 }
--- a/crasher/running_test.go
+++ b/crasher/running_test.go
@@ -152,3 +152,32 @@
 	g.Expect(reg.Blocks(PartFingerprint("s", 1), "")).To(BeFalse())
 	g.Expect(weight()).To(BeZero())
 }
+
+// Guards against a report of each box at each check: at 300 boxes that run requests with one part a report that changes nothing is not
+// committed, and a box repeats none within runReportInterval.
+func TestRunsAreReportedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		reg, reports := NewRegistry(), 0
+		w := NewWatcher(func(r *wire.CrashReport) { reports += len(r.Served) }, nil)
+		p := PartFingerprint("s", 1)
+		reg.put(partKey(p), &wire.Suspect{Print: p[:], Service: "s", Part: 1, Weight: 2, Terminations: []*wire.Termination{{Server: "i", Weight: 2, RanMs: 100}}})
+		r := w.BeginRun(Server{ID: "other"}, "s", []uint64{1}, time.Now())
+		for range 10 {
+			time.Sleep(100 * time.Millisecond)
+			r.Event(time.Now())
+			w.CheckRuns(func() *Registry { return &reg })
+		}
+		g.Expect(reports).To(BeNumerically(">=", 1))
+		g.Expect(reports).To(BeNumerically("<=", 2))
+		w.EndRun(r)
+		time.Sleep(time.Second) // no further check is due
+
+		run := runReport("s", 1, time.Second)
+		g.Expect(reg.RunMatters(run, 1000)).To(BeTrue())
+		reg.Apply(&wire.CrashReport{Served: []*wire.ServedSuspect{run}}, CommitPosition{Index: 1, UnixMs: 1000, PromptParts: true, SharedExposure: true})
+		g.Expect(reg.RunMatters(runReport("s", 1, 1100*time.Millisecond), 1100)).To(BeFalse(), "hardly longer")
+		g.Expect(reg.RunMatters(runReport("s", 1, 2*time.Second), 1100)).To(BeTrue())
+		g.Expect(reg.RunMatters(run, 9000)).To(BeTrue(), "the last report is old")
+	})
+}
