--- a/crasher/running_test.go
+++ b/crasher/running_test.go
@@ -172,6 +172,7 @@
 		g.Expect(reports).To(BeNumerically("<=", 2))
 		w.EndRun(r)
 		time.Sleep(time.Second) // no further check is due
+		synctest.Wait()
 
 		run := runReport("s", 1, time.Second)
 		g.Expect(reg.RunMatters(run, 1000)).To(BeTrue())
