crasher: runs refute evidence against whole requests, too

Presence at a crash counted against a request, running on elsewhere did not count for it.

Change: streams are runs of their request as well as of the parts of its prompt, with or without parts, at servers of one software version (6). Their reports refute evidence against requests as they do against parts, from level 10 on. Evidence against requests still does not wait (rule 15).

The comment of NewWatcher is reworded, and its second argument named.

--- a/crasher/doc.go
+++ b/crasher/doc.go
@@ -57,8 +57,9 @@
 //     and the suspect is released after provisionalDuration. One more piece of evidence then blocks it definitively. A first block is
 //     confirmed after confirmDuration only, and becomes provisional if other servers terminate meanwhile or soon after.
 //  17. What runs at one box refutes what another one reports: boxes report for how long a request with a part has run at a server that
-//     goes on, when a server terminates under the part, and again while requests with a suspected part run. Evidence against a part
-//     counts only while no such request is known to have run for longer than any with the part at the terminated server.
+//     goes on, when a server terminates under the part, and again while requests run that are suspects or have suspected parts.
+//     Evidence against a suspect counts only while no such request is known to have run for longer than any at the terminated
+//     server, for a whole request at servers of the same version (6).
 //  18. While a box's reports are not committed within commitTimeout, since the leader's disk stalls or the box does not reach it, no box
 //     learns what others have seen, and each would lose as many servers as (4) takes. So the box blocks a suspect provisionally after
 //     one strong piece of its own evidence, until its reports and those of the others are committed, but for provisionalDuration
--- a/crasher/exposure.go
+++ b/crasher/exposure.go
@@ -20,8 +20,7 @@
 // Run is a response that a server has begun and not ended.
 type Run struct {
 	server       Server
-	service      string
-	parts        []uint64
+	suspects     []Key // that the request may turn out to be: itself, and the parts of its prompt
 	firstEventAt time.Time
 	runFor       atomic.Int64 // nanoseconds from the first event to the last one so far
 }
@@ -37,13 +36,17 @@
 type runs struct {
 	mu     sync.Mutex
 	active map[*Run]struct{}
-	// reportedAt is when runs with prompt parts were reported to refute committed evidence.
-	reportedAt map[partOfService]time.Time
+	// reportedAt is when runs were reported to refute committed evidence, by suspect.
+	reportedAt map[Key]time.Time
 }
 
-// BeginRun records the first event of a response to a request with prompt parts. The caller ends it with EndRun.
-func (w *Watcher) BeginRun(s Server, service string, parts []uint64, firstEventAt time.Time) *Run {
-	r := &Run{server: s, service: service, parts: parts, firstEventAt: firstEventAt}
+// BeginRun records the first event of a response to a request, whose prompt may have parts. The caller ends it with EndRun.
+func (w *Watcher) BeginRun(s Server, request Fingerprint, parts []Fingerprint, firstEventAt time.Time) *Run {
+	r := &Run{server: s, suspects: make([]Key, 0, 1+len(parts)), firstEventAt: firstEventAt}
+	r.suspects = append(r.suspects, Key{request, s.Version})
+	for _, p := range parts {
+		r.suspects = append(r.suspects, partKey(p))
+	}
 	w.runs.mu.Lock()
 	defer w.runs.mu.Unlock()
 	if w.runs.active == nil {
@@ -63,35 +66,37 @@
 	delete(w.runs.active, r)
 }
 
-// longest returns, for each prompt part of failed attempts with which a request runs at another server than theirs, for how long
-// one has run.
-func (l *runs) longest(s Server, attempts []FailedAttempt) map[partOfService]time.Duration {
+// longest returns, for those of the suspects with which requests run, except at one server, for how long the longest has run.
+func (l *runs) longest(suspects map[Key]bool, except Server) map[Key]time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	longest := map[partOfService]time.Duration{}
+	longest := map[Key]time.Duration{}
 	for r := range l.active {
-		if r.server == s {
+		if r.server == except {
 			continue
 		}
-		for _, id := range r.parts {
-			part := partOfService{r.service, id}
-			if runFor := time.Duration(r.runFor.Load()); runFor >= longest[part] && isPartOf(attempts, part) {
-				longest[part] = runFor
+		for _, key := range r.suspects {
+			if suspects[key] {
+				longest[key] = max(longest[key], time.Duration(r.runFor.Load()))
 			}
 		}
 	}
 	return longest
 }
 
-// partOfService is a prompt part at the servers of a service.
-type partOfService struct {
-	service string
-	id      uint64
+// partsOfAttempts returns the prompt parts of attempts.
+func partsOfAttempts(attempts []FailedAttempt) map[Key]bool {
+	parts := map[Key]bool{}
+	for i := range attempts {
+		for _, id := range attempts[i].Parts {
+			parts[attempts[i].partKey(id)] = true
+		}
+	}
+	return parts
 }
 
-func isPartOf(attempts []FailedAttempt, part partOfService) bool {
-	return slices.ContainsFunc(attempts, func(b FailedAttempt) bool { return b.Service == part.service && slices.Contains(b.Parts, part.id) })
-}
+// partKey returns the key of one of the prompt parts of an attempt.
+func (b *FailedAttempt) partKey(id uint64) Key { return partKey(PartFingerprint(b.Service, id)) }
 
 // Exposure says for how long requests with a prompt part ran at a server that terminated, and at the other servers (15).
 type Exposure struct {
@@ -105,12 +110,12 @@
 }
 
 // exposures compares, for each prompt part of the attempts at a terminated server, how long requests with it ran there and elsewhere.
-func exposures(attempts []FailedAttempt, longest map[partOfService]time.Duration) (list []Exposure) {
-	positions := map[partOfService]int{}
+func exposures(attempts []FailedAttempt, longest map[Key]time.Duration) (list []Exposure) {
+	positions := map[Key]int{}
 	for i := range attempts {
 		b := &attempts[i]
 		for _, id := range b.Parts {
-			part := partOfService{b.Service, id}
+			part := b.partKey(id)
 			at, ok := positions[part]
 			if !ok {
 				at = len(list)
@@ -122,7 +127,7 @@
 	}
 	for i := range list {
 		e := &list[i]
-		_, exposed := longest[partOfService{e.Service, e.Part}]
+		_, exposed := longest[partKey(PartFingerprint(e.Service, e.Part))]
 		e.Refuted = exposed && e.RunsElsewhereFor > e.RanFor+exposureMargin
 	}
 	return list
@@ -143,7 +148,7 @@
 }
 
 // withoutExposed returns attempts as evidence against whole requests, and against the parts with which no request runs elsewhere.
-func withoutExposed(attempts []FailedAttempt, exposed map[partOfService]time.Duration) []FailedAttempt {
+func withoutExposed(attempts []FailedAttempt, exposed map[Key]time.Duration) []FailedAttempt {
 	list := slices.Clone(attempts)
 	for i := range list {
 		list[i].Parts = list[i].partsIn(exposed, false)
@@ -152,7 +157,7 @@
 }
 
 // onlyExposed returns the attempts with parts with which requests run elsewhere, and with these parts alone.
-func onlyExposed(attempts []FailedAttempt, exposed map[partOfService]time.Duration) (list []FailedAttempt) {
+func onlyExposed(attempts []FailedAttempt, exposed map[Key]time.Duration) (list []FailedAttempt) {
 	for _, b := range attempts {
 		if b.Parts = b.partsIn(exposed, true); len(b.Parts) > 0 {
 			list = append(list, b)
@@ -162,9 +167,9 @@
 }
 
 // partsIn returns the parts of an attempt that are in a set, or that are not.
-func (b *FailedAttempt) partsIn(set map[partOfService]time.Duration, in bool) (parts []uint64) {
+func (b *FailedAttempt) partsIn(set map[Key]time.Duration, in bool) (parts []uint64) {
 	for _, id := range b.Parts {
-		if _, ok := set[partOfService{b.Service, id}]; ok == in {
+		if _, ok := set[b.partKey(id)]; ok == in {
 			parts = append(parts, id)
 		}
 	}
--- a/crasher/exposure_test.go
+++ b/crasher/exposure_test.go
@@ -46,7 +46,7 @@
 					registry.Apply(r, CommitPosition{Index: index, Term: 1, PromptParts: true})
 				}, nil)
 				begin := func(n int) {
-					r := w.BeginRun(Server{ID: fmt.Sprint("other", n)}, "s", []uint64{1}, time.Now())
+					r := w.BeginRun(Server{ID: fmt.Sprint("other", n)}, Fingerprint{}, []Fingerprint{PartFingerprint("s", 1)}, time.Now())
 					begun := time.Now()
 					for range 40 {
 						time.Sleep(50 * time.Millisecond)
--- a/crasher/parts.go
+++ b/crasher/parts.go
@@ -101,7 +101,7 @@
 		return old.Held
 	}
 	if slices.Contains(next.Servers, e.Server) { // each box with a request there reports the termination
-		return at.SharedExposure && reg.extendTermination(next, e, at)
+		return at.SharedExposure && reg.extendTermination(next, e.Server, e.ranMs, at)
 	}
 	request, _ := ParseFingerprint(e.Print)
 	counts := !next.Held && !reg.Blocks(request, e.Version) && (old == nil || isIndependent(box, e.CrashSign, old, at.Term)) // (14)
--- a/crasher/registry.go
+++ b/crasher/registry.go
@@ -157,13 +157,24 @@
 		return nil
 	}
 	if at.PromptParts && slices.Contains(old.GetServers(), evidence.Server) { // builds of lower levels count it
+		if at.SharedExposure {
+			reg.extendTermination(proto.CloneOf(old), evidence.Server, evidence.RanMs, at)
+		}
+		return nil
+	}
+	if at.SharedExposure && isRefuted(evidence.RanMs, currentRun(old, at)) { // (17)
+		reg.recordServer(key, old, evidence.Server)
 		return nil
 	}
 	next := &wire.Suspect{Print: evidence.Print, Version: evidence.Version, Weight: reg.initialWeight(key)}
 	if old != nil {
 		next = proto.CloneOf(old)
 	}
-	next.Weight += evidenceWeight(evidence)
+	weight := evidenceWeight(evidence)
+	next.Weight += weight
+	if at.SharedExposure {
+		next.Terminations = append(next.Terminations, &wire.Termination{Server: evidence.Server, Weight: weight, RanMs: evidence.RanMs})
+	}
 	next.Servers = appendBounded(next.Servers, evidence.Server, maxServers)
 	next.Term, next.EndedMs, next.Index, next.UnixMs = at.Term, evidence.EndedMs, at.Index, at.UnixMs
 	next.Box, next.EndedHereMs = box, evidence.EndedHereMs
@@ -175,7 +186,7 @@
 	return next
 }
 
-// recordServer records a server that terminated under a request that was blocked already: it did not terminate for another reason (16).
+// recordServer records a server that terminated under a request without counting against it: it did not terminate without the request (16).
 func (reg *Registry) recordServer(key Key, s *wire.Suspect, server string) {
 	if slices.Contains(s.Servers, server) {
 		return
--- a/crasher/running.go
+++ b/crasher/running.go
@@ -17,7 +17,7 @@
 // runCheckInterval is the time between two checks for runs that refute committed evidence.
 const runCheckInterval = 100 * time.Millisecond
 
-// runReportInterval is the time between two reports of runs with the same part.
+// runReportInterval is the time between two reports of runs with the same suspect.
 const runReportInterval = 400 * time.Millisecond
 
 // isRefuted reports whether a run that goes on refutes that a suspect terminated a server on which it had run for ranMs (15, 17).
@@ -33,41 +33,50 @@
 	return s.GetRunsMs()
 }
 
-// recordRun records that a request with a prompt part has run for some time at a server that goes on, and drops the evidence that this
-// refutes (17).
+// runKey returns the key of the suspect that the report of a run is about: a request, or a prompt part.
+func runKey(run *wire.ServedSuspect) Key {
+	if run.Service != "" {
+		return partKey(PartFingerprint(run.Service, run.Part))
+	}
+	p, _ := ParseFingerprint(run.Print) // an invalid one is nobody's
+	return Key{p, run.Version}
+}
+
+// recordRun records that a suspected request, or a request with a prompt part, has run for some time at a server that goes on, and drops
+// the evidence that this refutes (17).
 func (reg *Registry) recordRun(run *wire.ServedSuspect, at CommitPosition) {
-	p := PartFingerprint(run.Service, run.Part)
-	old := reg.Suspects[partKey(p)]
-	if !at.SharedExposure || run.Service == "" || hasRuling(old) {
+	key := runKey(run)
+	old := reg.Suspects[key]
+	if !at.SharedExposure || old == nil && run.Service == "" || hasRuling(old) {
 		return
 	}
-	next := &wire.Suspect{Print: p[:], Service: run.Service, Part: run.Part}
+	next := &wire.Suspect{Print: key.Fingerprint[:], Service: run.Service, Part: run.Part}
 	if old != nil {
 		next = proto.CloneOf(old)
 	}
 	next.RunsMs, next.RunsUnixMs = max(currentRun(old, at), run.RunsMs), at.UnixMs
 	next.Index, next.UnixMs = at.Index, at.UnixMs
 	dropRefuted(next, at)
-	reg.put(partKey(p), next)
+	reg.put(key, next)
 	reg.evict()
 }
 
 // RunMatters reports whether the report of a run would change what counts as evidence. Of the boxes that run requests with a part, many
 // report about the same at once.
 func (reg *Registry) RunMatters(run *wire.ServedSuspect, unixMs int64) bool {
-	s := reg.Suspects[partKey(PartFingerprint(run.Service, run.Part))]
+	s := reg.Suspects[runKey(run)]
 	ranMs, counts := shortestTermination(s)
 	return counts && isRefuted(ranMs, run.RunsMs) || isRefuted(currentRun(s, CommitPosition{UnixMs: unixMs}), run.RunsMs)
 }
 
-// extendTermination records that a request with a prompt part had run for longer at a terminated server than reported before, and
-// reports whether the part is blocked.
-func (reg *Registry) extendTermination(s *wire.Suspect, e partEvidence, at CommitPosition) (blocked bool) {
-	i := slices.IndexFunc(s.Terminations, func(t *wire.Termination) bool { return t.Server == e.Server })
-	if i < 0 || s.Terminations[i].RanMs >= e.ranMs {
+// extendTermination records that a suspect, which is changed, had run for longer at a terminated server than reported before, and reports
+// whether it is blocked.
+func (reg *Registry) extendTermination(s *wire.Suspect, server string, ranMs uint32, at CommitPosition) (blocked bool) {
+	i := slices.IndexFunc(s.Terminations, func(t *wire.Termination) bool { return t.Server == server })
+	if i < 0 || s.Terminations[i].RanMs >= ranMs {
 		return false
 	}
-	s.Terminations[i].RanMs = e.ranMs
+	s.Terminations[i].RanMs = ranMs
 	s.Index, s.UnixMs = at.Index, at.UnixMs
 	reg.put(keyOf(s), s)
 	return s.Held
@@ -99,8 +108,8 @@
 	return ranMs, ok
 }
 
-// CheckRuns reports the requests of this box that run on and refute committed evidence against their prompt parts (17), again and again
-// while there are such. registry returns the replicated table, nil while boxes of older builds do not know such reports. It is called
+// CheckRuns reports the requests of this box that run on and refute committed evidence against them or their prompt parts (17), again and
+// again while there are such. registry returns the replicated table, nil while boxes of older builds do not know such reports. It is called
 // on another goroutine, too.
 func (w *Watcher) CheckRuns(registry func() *Registry) {
 	table := registry()
@@ -123,28 +132,29 @@
 	})
 }
 
-// reportRuns reports the runs that refute evidence in a table, and whether requests with suspected parts run.
-func (w *Watcher) reportRuns(registry *Registry) (any bool) {
-	refutable := map[partOfService]uint32{} // the shortest times for which the parts had run at terminated servers, in milliseconds
-	for _, s := range registry.Suspects {
-		if ranMs, ok := shortestTermination(s); ok && isPart(s) && !hasRuling(s) {
-			refutable[partOfService{s.Service, s.Part}] = ranMs
+// reportRuns reports the runs that refute evidence in a table, and whether requests run that are suspects, or have suspected parts.
+func (w *Watcher) reportRuns(registry *Registry) (running bool) {
+	refutable := map[Key]bool{}
+	for key, s := range registry.Suspects {
+		if len(s.Terminations) > 0 && !hasRuling(s) {
+			refutable[key] = true
 		}
 	}
 	if len(refutable) == 0 {
 		return false
 	}
 	var list []*wire.ServedSuspect
-	for part, runFor := range w.runs.longestWith(refutable) {
-		any = true
-		if isRefuted(refutable[part], ms(runFor)) && w.runs.mayReport(part, time.Now()) {
-			list = append(list, runReport(part.service, part.id, runFor))
+	for key, runFor := range w.runs.longest(refutable, Server{}) {
+		running = true
+		s := registry.Suspects[key]
+		if ranMs, _ := shortestTermination(s); isRefuted(ranMs, ms(runFor)) && w.runs.mayReport(key, time.Now()) {
+			list = append(list, runReport(s, runFor))
 		}
 	}
 	if len(list) > 0 {
 		w.report(&wire.CrashReport{Served: list})
 	}
-	return any
+	return running
 }
 
 // checkRunsAgain does what CheckRuns does, by the table that it was called with last.
@@ -162,7 +172,8 @@
 	r := &wire.CrashReport{}
 	for _, e := range list {
 		if e.Refuted {
-			r.Served = append(r.Served, runReport(e.Service, e.Part, e.RunsElsewhereFor))
+			p := PartFingerprint(e.Service, e.Part)
+			r.Served = append(r.Served, runReport(&wire.Suspect{Print: p[:], Service: e.Service, Part: e.Part}, e.RunsElsewhereFor))
 		}
 	}
 	if len(r.Served) > 0 {
@@ -170,38 +181,21 @@
 	}
 }
 
-func runReport(service string, part uint64, runFor time.Duration) *wire.ServedSuspect {
-	p := PartFingerprint(service, part)
-	return &wire.ServedSuspect{Print: p[:], Service: service, Part: part, RunsMs: max(1, ms(runFor))}
-}
-
-// longestWith returns, for those of the prompt parts with which requests run, for how long the longest has run.
-func (l *runs) longestWith(parts map[partOfService]uint32) map[partOfService]time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	longest := map[partOfService]time.Duration{}
-	for r := range l.active {
-		for _, id := range r.parts {
-			part := partOfService{r.service, id}
-			if _, ok := parts[part]; ok {
-				longest[part] = max(longest[part], time.Duration(r.runFor.Load()))
-			}
-		}
-	}
-	return longest
+func runReport(s *wire.Suspect, runFor time.Duration) *wire.ServedSuspect {
+	return &wire.ServedSuspect{Print: s.Print, Version: s.Version, Service: s.Service, Part: s.Part, RunsMs: max(1, ms(runFor))}
 }
 
-// mayReport reports whether a run with a prompt part may be reported now: a report is not repeated while it is on its way.
-func (l *runs) mayReport(part partOfService, now time.Time) bool {
+// mayReport reports whether a run with a suspect may be reported now: a report is not repeated while it is on its way.
+func (l *runs) mayReport(suspect Key, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	maps.DeleteFunc(l.reportedAt, func(_ partOfService, at time.Time) bool { return now.Sub(at) >= runReportInterval })
-	if _, ok := l.reportedAt[part]; ok {
+	maps.DeleteFunc(l.reportedAt, func(_ Key, at time.Time) bool { return now.Sub(at) >= runReportInterval })
+	if _, ok := l.reportedAt[suspect]; ok {
 		return false
 	}
 	if l.reportedAt == nil {
-		l.reportedAt = map[partOfService]time.Time{}
+		l.reportedAt = map[Key]time.Time{}
 	}
-	l.reportedAt[part] = now
+	l.reportedAt[suspect] = now
 	return true
 }
--- a/crasher/running_test.go
+++ b/crasher/running_test.go
@@ -53,7 +53,7 @@
 
 // run has a box run a request with part 1 at a server, with an event each 50 ms.
 func (f *exposedBoxes) run(box int, server string, d time.Duration) {
-	r := f.watchers[box].BeginRun(Server{ID: server}, "s", []uint64{1}, time.Now())
+	r := f.watchers[box].BeginRun(Server{ID: server}, Fingerprint{}, []Fingerprint{PartFingerprint("s", 1)}, time.Now())
 	go func() {
 		for range d / (50 * time.Millisecond) {
 			time.Sleep(50 * time.Millisecond)
@@ -138,7 +138,7 @@
 	crash(time.Second, "a", 100)
 	crash(2*time.Second, "b", 900)
 	g.Expect(weight()).To(BeEquivalentTo(4))
-	commit(3*time.Second, &wire.CrashReport{Served: []*wire.ServedSuspect{runReport("s", 1, 600*time.Millisecond)}})
+	commit(3*time.Second, &wire.CrashReport{Served: []*wire.ServedSuspect{runOfPart(1, 600*time.Millisecond)}})
 	g.Expect(weight()).To(BeEquivalentTo(2), "the first is refuted")
 	crash(4*time.Second, "c", 0)
 	g.Expect(weight()).To(BeEquivalentTo(2), "refuted by the run just reported")
@@ -148,7 +148,7 @@
 	g.Expect(weight()).To(BeEquivalentTo(4), "the run was reported long before")
 	crash(11*time.Second, "e", 1500)
 	g.Expect(reg.Blocks(PartFingerprint("s", 1), "")).To(BeTrue())
-	commit(12*time.Second, &wire.CrashReport{Served: []*wire.ServedSuspect{runReport("s", 1, 2*time.Second)}})
+	commit(12*time.Second, &wire.CrashReport{Served: []*wire.ServedSuspect{runOfPart(1, 2*time.Second)}})
 	g.Expect(reg.Blocks(PartFingerprint("s", 1), "")).To(BeFalse())
 	g.Expect(weight()).To(BeZero())
 }
@@ -162,7 +162,7 @@
 		w := NewWatcher(func(r *wire.CrashReport) { reports += len(r.Served) }, nil)
 		p := PartFingerprint("s", 1)
 		reg.put(partKey(p), &wire.Suspect{Print: p[:], Service: "s", Part: 1, Weight: 2, Terminations: []*wire.Termination{{Server: "i", Weight: 2, RanMs: 100}}})
-		r := w.BeginRun(Server{ID: "other"}, "s", []uint64{1}, time.Now())
+		r := w.BeginRun(Server{ID: "other"}, Fingerprint{}, []Fingerprint{PartFingerprint("s", 1)}, time.Now())
 		for range 10 {
 			time.Sleep(100 * time.Millisecond)
 			r.Event(time.Now())
@@ -174,11 +174,64 @@
 		time.Sleep(time.Second) // no further check is due
 		synctest.Wait()
 
-		run := runReport("s", 1, time.Second)
+		run := runOfPart(1, time.Second)
 		g.Expect(reg.RunMatters(run, 1000)).To(BeTrue())
 		reg.Apply(&wire.CrashReport{Served: []*wire.ServedSuspect{run}}, CommitPosition{Index: 1, UnixMs: 1000, PromptParts: true, SharedExposure: true})
-		g.Expect(reg.RunMatters(runReport("s", 1, 1100*time.Millisecond), 1100)).To(BeFalse(), "hardly longer")
-		g.Expect(reg.RunMatters(runReport("s", 1, 2*time.Second), 1100)).To(BeTrue())
+		g.Expect(reg.RunMatters(runOfPart(1, 1100*time.Millisecond), 1100)).To(BeFalse(), "hardly longer")
+		g.Expect(reg.RunMatters(runOfPart(1, 2*time.Second), 1100)).To(BeTrue())
 		g.Expect(reg.RunMatters(run, 9000)).To(BeTrue(), "the last report is old")
 	})
 }
+
+// runOfPart is the report of a run with a prompt part.
+func runOfPart(id uint64, runFor time.Duration) *wire.ServedSuspect {
+	p := PartFingerprint("s", id)
+	return runReport(&wire.Suspect{Print: p[:], Service: "s", Part: id}, runFor)
+}
+
+// Guards against a request that many callers send alike and that is denied because servers crash by themselves, one after another, while it
+// runs on at others: 66 of 240 were denied.
+func TestRunsRefuteEvidenceAgainstRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		shared, runsOn, blocked bool
+		version                 string // of the servers at which the request runs on
+	}{
+		"runs on at another box":                    {shared: true, runsOn: true, version: "v1"},
+		"but a build that does not report runs":     {runsOn: true, version: "v1", blocked: true},
+		"runs on at servers of another version":     {shared: true, runsOn: true, version: "v2", blocked: true},
+		"runs nowhere else, and terminates servers": {shared: true, blocked: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f, p := newExposedBoxes(2, c.shared), Fingerprint{7}
+				if c.runsOn {
+					r := f.watchers[1].BeginRun(Server{ID: "other", Version: c.version}, p, nil, time.Now())
+					go func() {
+						for range 100 {
+							time.Sleep(50 * time.Millisecond)
+							r.Event(time.Now())
+						}
+						f.watchers[1].EndRun(r)
+					}()
+				}
+				for n := range 3 {
+					time.Sleep(800 * time.Millisecond)
+					s, now := Server{ID: fmt.Sprint("i", n), Version: "v1"}, time.Now()
+					f.watchers[0].RecordFailure(s, FailedAttempt{Fingerprint: p, Service: "s", SentAt: now.Add(-300 * time.Millisecond), FirstEventAt: now.Add(-200 * time.Millisecond), FailedAt: now}, nil)
+					f.watchers[0].RecordTermination(s)
+					for range 4 {
+						time.Sleep(100 * time.Millisecond)
+						f.watchers[1].CheckRuns(f.table)
+					}
+				}
+				f.mu.Lock()
+				blocked := f.registry.Blocks(p, "v1")
+				f.mu.Unlock()
+				time.Sleep(10 * time.Second) // the request ends
+				synctest.Wait()
+				g.Expect(blocked).To(Equal(c.blocked))
+			})
+		})
+	}
+}
--- a/crasher/watcher.go
+++ b/crasher/watcher.go
@@ -65,10 +65,11 @@
 
 // Watcher keeps a box's failed attempts until it is known whether their server terminated (1).
 type Watcher struct {
-	report     func(*wire.CrashReport)
-	compared   func(Server, []Exposure)
-	clockStart time.Time // origin of the clock by which this box's evidence is compared
-	served     *ServedCache
+	report func(*wire.CrashReport)
+	// recordExposures is told of exposures, see NewWatcher.
+	recordExposures func(Server, []Exposure)
+	clockStart      time.Time // origin of the clock by which this box's evidence is compared
+	served          *ServedCache
 	// servedParts is the same for prompt parts.
 	servedParts *ServedCache
 	own         ownEvidence
@@ -88,15 +89,15 @@
 	probing  bool
 }
 
-// NewWatcher returns a Watcher that passes its reports to report. It tells compared what it concludes about the prompt parts at a
-// terminated server while requests with them run at others (15); nil: nobody. Neither may block.
-func NewWatcher(report func(*wire.CrashReport), compared func(Server, []Exposure)) *Watcher {
-	if compared == nil {
-		compared = func(Server, []Exposure) {}
+// NewWatcher returns a Watcher that passes its reports to report, and to recordExposures (nil: to none) the exposures of the prompt
+// parts at each terminated server with which requests run at other servers (15). Neither function may block.
+func NewWatcher(report func(*wire.CrashReport), recordExposures func(Server, []Exposure)) *Watcher {
+	if recordExposures == nil {
+		recordExposures = func(Server, []Exposure) {}
 	}
 	w := &Watcher{
-		compared:   compared,
-		clockStart: time.Now(), served: NewServedCache(maxServed), servedParts: NewServedCache(maxServedParts), pending: map[Server]*pendingAttempts{},
+		recordExposures: recordExposures,
+		clockStart:      time.Now(), served: NewServedCache(maxServed), servedParts: NewServedCache(maxServedParts), pending: map[Server]*pendingAttempts{},
 	}
 	w.report = func(r *wire.CrashReport) {
 		w.own.apply(r, w.servedParts)
@@ -180,16 +181,17 @@
 	if len(list) == 0 {
 		return
 	}
-	exposed := w.runs.longest(s, list)
+	exposed := w.runs.longest(partsOfAttempts(list), s)
 	w.reportEvidence(s, withoutExposed(list, exposed))
 	if len(exposed) == 0 {
 		return
 	}
 	list = onlyExposed(list, exposed)
-	time.AfterFunc(exposureReportDelay, func() { w.reportExposures(exposures(list, w.runs.longest(s, list))) })
+	compare := func() []Exposure { return exposures(list, w.runs.longest(partsOfAttempts(list), s)) }
+	time.AfterFunc(exposureReportDelay, func() { w.reportExposures(compare()) })
 	time.AfterFunc(exposureDelay, func() {
-		compared := exposures(list, w.runs.longest(s, list))
-		w.compared(s, compared)
+		compared := compare()
+		w.recordExposures(s, compared)
 		w.reportEvidence(s, withoutRefuted(list, compared))
 	})
 }
--- a/crasher/watcher_test.go
+++ b/crasher/watcher_test.go
@@ -136,7 +136,7 @@
 					time.AfterFunc(c.committed, func() { w.RecordCommitted(true) })
 				}
 				if c.runs {
-					r := w.BeginRun(Server{ID: "other"}, "s", []uint64{1}, began)
+					r := w.BeginRun(Server{ID: "other"}, Fingerprint{1}, []Fingerprint{PartFingerprint("s", 1)}, began)
 					defer w.EndRun(r)
 					time.AfterFunc(500*time.Millisecond, func() { r.Event(time.Now()) })
 				}
--- a/entry/crashers.go
+++ b/entry/crashers.go
@@ -69,13 +69,12 @@
 	}, func() crasher.Liveness { return probeLiveness(b.Address) })
 }
 
-// beginRun records the first event of an attempt at a backend, nil if the request declares no prompt parts.
+// beginRun records the first event of an attempt at a backend, which may be nil.
 func (e *Entry) beginRun(j *job, b *route.Backend) *crasher.Run {
-	parts := sharedParts(j.attempt.Header)
-	if len(parts) == 0 || b == nil {
+	if b == nil {
 		return nil
 	}
-	return e.crashWatcher.BeginRun(crasher.Server{ID: incarnationOf(e.opts.View(), b.Name)}, j.partScope(), parts, j.firstEventAt)
+	return e.crashWatcher.BeginRun(crasher.Server{ID: incarnationOf(e.opts.View(), b.Name)}, e.print(j), j.partPrints(), j.firstEventAt)
 }
 
 // exposureTable returns the replicated table of suspects, nil while boxes of older builds do not know reports of runs.
--- a/entry/runs_test.go
+++ b/entry/runs_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"leverdrum/admit"
+	"leverdrum/fleet"
 	"leverdrum/proxy"
 	"leverdrum/route"
 	"leverdrum/state"
@@ -18,6 +19,7 @@
 func TestResumedStreamIsWeakEvidence(t *testing.T) {
 	g := NewWithT(t)
 	view := state.New()
+	view.Fleet = &fleet.Fleet{}
 	e := New(Options{View: func() *state.State { return view }})
 	j := &job{target: &route.Target{Name: "m"}, admission: &admit.Request{}, attempt: proxy.Attempt{Header: http.Header{HeaderPromptParts: {"1,2"}}}}
 	b := &route.Backend{Name: "server"}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -55,7 +55,7 @@
 	retryAfter     time.Duration       // until a backend accepts it, if limits or backoffs refused it
 	inBackoff      bool                // the newest attempt's backend asked for a backoff
 	firstEventAt   time.Time           // first event of the newest attempt; zero: none yet
-	run            *crasher.Run        // the stream in progress, if the request declares prompt parts; nil: none
+	run            *crasher.Run        // the stream in progress; nil: none
 	// suspects are backends whose failed responses are not yet counted against them.
 	suspects []*route.Backend
 	// slow is the backend whose attempt was abandoned as slow; nil if there is none or it may be tried
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -49,7 +49,7 @@
 	possibleRuns    int       // attempts that may have run
 	stream          events
 	firstServer     *server      // that sent the first event of the response; nil: none yet
-	run             *crasher.Run // the stream in progress of a request with prompt parts; nil: none
+	run             *crasher.Run // the stream in progress; nil: none
 	pinned          bool         // only servers of pinnedVersion may continue the stream
 	pinnedVersion   string
 	resumes         string               // the request that began the stream, if this one resumes it and names it
@@ -238,8 +238,8 @@
 			s.recordRelayedFirstEvent(j.firstEventAt, startedAt, c.work)
 		}
 		pending = false
-		if parts := sharedParts(j.prompt); isStream(a) && len(parts) > 0 {
-			j.run = j.g.crashWatch.BeginRun(s.crasherID(), j.poolName, parts, j.firstEventAt)
+		if isStream(a) {
+			j.run = j.g.crashWatch.BeginRun(s.crasherID(), j.print(), j.partPrints(), j.firstEventAt)
 		}
 		j.recordResponse(a, true)
 		j.load.firstEvent()
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -253,8 +253,10 @@
 mutant runs-refute-nothing crasher/running.go 's/return runsMs > ranMs/return false \&\& runsMs > ranMs/' crasher 'TestRunsAtOtherBoxesRefuteEvidence|TestRunsRefuteOnlyShorterOnes'
 mutant runs-refute-all crasher/running.go 's/return runsMs > ranMs.*/return runsMs > 0/' crasher 'TestRunsRefuteOnlyShorterOnes'
 mutant reported-runs-last crasher/running.go 's/if at.UnixMs-s.GetRunsUnixMs.*\{/if false {/' crasher 'TestRunsRefuteOnlyShorterOnes'
-mutant runs-not-checked-again crasher/running.go 's/if isRefuted\(refutable\[part\], ms\(runFor\)\) && /if false \&\& isRefuted(refutable[part], ms(runFor)) \&\& /' crasher 'TestRunsAtOtherBoxesRefuteEvidence|TestRunsAreReportedOnce'
-mutant runs-reported-again crasher/running.go 's/if _, ok := l.reportedAt\[part\]; ok/if false/' crasher TestRunsAreReportedOnce
+mutant runs-not-checked-again crasher/running.go 's/; isRefuted\(ranMs, ms\(runFor\)\) && /; false \&\& isRefuted(ranMs, ms(runFor)) \&\& /' crasher 'TestRunsAtOtherBoxesRefuteEvidence|TestRunsAreReportedOnce'
+mutant runs-reported-again crasher/running.go 's/if _, ok := l.reportedAt\[suspect\]; ok/if false/' crasher TestRunsAreReportedOnce
+mutant runs-of-requests-ignored crasher/exposure.go 's/r.suspects = append\(r.suspects, Key\{request, s.Version\}\)/_ = request/' crasher TestRunsRefuteEvidenceAgainstRequests
+mutant runs-of-any-version crasher/exposure.go 's/Key\{request, s.Version\}/Key{request, "v1"}/' crasher TestRunsRefuteEvidenceAgainstRequests
 
 mutant accept-all intake/gate.go 's/return RefusedForLink/return Accepted/' box 'TestFloodedBox'
 mutant accept-while-late intake/gate.go 's/return RefusedForProcessor/return Accepted/' intake 'TestConnectionsRefusedForProcessor'
