--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -88,6 +88,10 @@
 // harnessCount counts the harnesses of this process, so that each uses its own addresses.
 var harnessCount int
 
+// maxHarnesses is the number of harnesses of a process that have addresses of their own at the same time, also beside processes with
+// neighbouring IDs.
+const maxHarnesses = 16
+
 func newHarness(t *testing.T, seed uint64) *harness {
 	h := newBoxes(t, seed, boxCount, "")
 	for i := range serverCount {
@@ -99,8 +103,9 @@
 // newBoxes starts boxes without servers.
 func newBoxes(t *testing.T, seed uint64, count int, extraSettings string) *harness {
 	harnessCount++
+	subnetIndex := os.Getpid()*maxHarnesses + harnessCount%maxHarnesses
 	h := &harness{t: t, seed: seed, extraSettings: extraSettings, links: newLinks(), limits: newLimits(seed), pushback: newPushback(seed)}
-	subnet := fmt.Sprintf("127.%d.%d", 64+(os.Getpid()+harnessCount)>>8&63, (os.Getpid()+harnessCount)&255)
+	subnet := fmt.Sprintf("127.%d.%d", 64+subnetIndex>>8&63, subnetIndex&255)
 	for i := range count {
 		h.boxes = append(h.boxes, &daemon{h: h, ip: fmt.Sprintf("%s.%d", subnet, 10+i), folder: t.TempDir(), disk: i < diskBoxCount})
 	}
