--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -140,7 +140,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { p.varyCapacity(ctx) })
 	if c.disturbed {
-		running.Go(func() { p.disturb(ctx) })
+		running.Go(func() { disturb(ctx, p.h, 41) })
 	}
 	for i := range promiseCallers {
 		running.Go(func() { p.call(ctx, i) })
@@ -207,16 +207,6 @@
 	}
 }
 
-// disturb injects faults into the boxes.
-func (p *promiseRun) disturb(ctx context.Context) {
-	f := &faultInjector{h: p.h, random: rand.New(rand.NewPCG(p.h.seed, 41))}
-	for wait.For(ctx, time.Duration(100+f.random.IntN(900))*time.Millisecond) {
-		promiseFaults[f.random.IntN(len(promiseFaults))](f)
-	}
-	f.wg.Wait()
-	p.h.links.heal()
-}
-
 // call sends the requests of one caller, one after another.
 func (p *promiseRun) call(ctx context.Context, number int) {
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: len(p.h.boxes)}, Timeout: 5 * time.Second}
