e2e: the upgrade test waits for the member record of the last box

A box that has started updates its record beside serving (box, maintainMembership); the test waits until the last box is in force and read the records once, right then.

The check is as strict: every box, the newest level, and now also the number of boxes, within 10 s.

--- a/e2e/upgrade_test.go
+++ b/e2e/upgrade_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,6 +15,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"leverdrum/admin"
 	"leverdrum/level"
 )
 
@@ -140,13 +142,17 @@
 	t.Logf("served %d, failed without a refusal %d", load.served.Load(), load.failed.Load())
 	g.Expect(load.served.Load()).To(BeNumerically(">", 1000))
 	g.Expect(load.failed.Load()).To(BeZero())
-	s := c.readStatus()
-	g.Expect(s.Fleet.Number).To(BeEquivalentTo(number))
-	for _, b := range s.Boxes {
-		g.Expect(b.Level).To(Equal(level.Newest))
-	}
+	g.Expect(c.readStatus().Fleet.Number).To(BeEquivalentTo(number))
+	// A box that has started updates its member record beside serving.
+	eventually(t, "every member record has the newest level", memberRecordTimeout, func() bool {
+		s := c.readStatus()
+		return s != nil && len(s.Boxes) == len(c.boxes) && !slices.ContainsFunc(s.Boxes, func(b admin.BoxRow) bool { return b.Level != level.Newest })
+	})
 }
 
+// memberRecordTimeout bounds the time from the start of a box until its member record is up to date.
+const memberRecordTimeout = 10 * time.Second
+
 // TestLevelRisesAfterUpgrade leaves only 1 s for a rollback. The level must not rise before
 // the last box runs the new build, and must rise after that. Features of the newest
 // level must then work. Boxes of the previous build are refused from then on, which is not
