box, origin: conclude no version from a state that has not arrived

What callers saw: all boxes are killed just after the servers of a service were started again as another version. Callers resume their streams and get 200 with events of the new version after those of the old one.

Cause: a box that starts took its empty state, which has no fleet file, for that of a cluster that never served. It then believed that it had known the versions of all services for two minutes, asked no other box, and told others so.

Change: a box concludes from a state only once a leader has confirmed, after the start of the box, that it is complete, and counts its knowledge from then. A state without a fleet file shows that nothing was served only where all voters have a disk. A lookup waits a second at most for the confirmation.

Ruled out: package origin alone. Its histories give no wrong answer while the topology that it is given is right.

--- a/box/crasher_test.go
+++ b/box/crasher_test.go
@@ -28,6 +28,8 @@
 	entries  []string
 	controls []string   // addresses for the platform's calls
 	others   []*box.Box // without a disk
+	// otherSettings are the settings of the boxes without a disk.
+	otherSettings []*settings.Settings
 
 	mu         sync.Mutex
 	started    int
@@ -82,8 +84,9 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.others, s.controls = append(s.others, b), append(s.controls, parsed.PlatformListen)
-	s.t.Cleanup(b.Kill)
+	i = len(s.others)
+	s.others, s.otherSettings, s.controls = append(s.others, b), append(s.otherSettings, parsed), append(s.controls, parsed.PlatformListen)
+	s.t.Cleanup(func() { s.others[i].Kill() })
 	return entry
 }
 
--- a/box/origins.go
+++ b/box/origins.go
@@ -16,6 +16,8 @@
 const (
 	// originTopologyInterval is the minimum time between two updates of what the registry of origins takes from the state.
 	originTopologyInterval = 500 * time.Millisecond
+	// originConfirmPoll is the time between two updates while no leader has confirmed the state since the box started.
+	originConfirmPoll = 20 * time.Millisecond
 	// handOverTimeout bounds how long a box that stops hands over records of streams.
 	handOverTimeout = time.Second
 )
@@ -39,11 +41,14 @@
 func (b *Box) configureOrigins(ctx context.Context, p *components) {
 	for ctx.Err() == nil {
 		changed := p.replica.Changed()
+		_, confirmed := p.spread.StateAge() // before the view, which is then at least as new
 		view := p.replica.View()
-		p.origins.Configure(originTopology(view))
-		if len(view.Members) > 0 {
-			wait.For(ctx, originTopologyInterval)
+		p.origins.Configure(originTopology(view, confirmed, p.replica.Status().Voters))
+		if !confirmed {
+			wait.For(ctx, originConfirmPoll)
+			continue
 		}
+		wait.For(ctx, originTopologyInterval)
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -51,9 +56,11 @@
 	}
 }
 
-// originTopology returns what the registry takes from a state.
-func originTopology(view *state.State) origin.Topology {
-	t := origin.Topology{Enabled: view.Level >= level.StreamOrigins, Unused: view.Fleet == nil, Versions: map[string][]string{}}
+// originTopology returns what the registry takes from a state. confirmed is set if a leader has confirmed the state since the box
+// started.
+func originTopology(view *state.State, confirmed bool, voters []string) origin.Topology {
+	t := origin.Topology{Enabled: view.Level >= level.StreamOrigins, Confirmed: confirmed, Versions: map[string][]string{}}
+	t.Unused = view.Fleet == nil && durable(view, voters)
 	for box, m := range view.Members {
 		t.Boxes = append(t.Boxes, origin.Box{ID: box, Disk: m.Disk, Leaving: m.Leaving})
 	}
@@ -68,6 +75,17 @@
 	return t
 }
 
+// durable reports whether all voters have a disk. Others lose the state when all boxes are killed, so that an empty state does not
+// show that the cluster is new.
+func durable(view *state.State, voters []string) bool {
+	for _, id := range voters {
+		if m := view.Members[wire.BoxOf(id)]; m == nil || !m.Disk {
+			return false
+		}
+	}
+	return len(voters) > 0
+}
+
 // handOverOrigins hands the records that this box keeps to other boxes.
 func (b *Box) handOverOrigins() {
 	p := b.components.Load()
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -9,7 +9,8 @@
 //     to the record's keepers, beside the first event. It sends what it has kept when the service becomes mixed.
 //  3. A service is mixed for a box that knows of servers or streams of two of its versions within recordTTL. Each answer of a box
 //     includes what it knows of this, and for how long it knows it; a box that has started asks for it. So what a box knows
-//     outlasts a restart as long as one keeper runs.
+//     outlasts a restart as long as one keeper runs. Nothing is concluded from a state that may lack what was committed before
+//     the box started.
 //  4. The keepers of a record are the keepersPerRecord boxes with the highest hash of the key and their own ID, among at most
 //     maxKeepers boxes that are the same for all records: boxes with a disk come first.
 //  5. A box that does not have a record asks its keepers. One that has it is enough. A second round asks all keepers: the
@@ -44,6 +45,8 @@
 	// laggardTimeout is how long a round lasts once a box has answered.
 	laggardTimeout = 80 * time.Millisecond
 	roundPause     = 40 * time.Millisecond
+	// confirmTimeout bounds the time that a lookup waits for a confirmed topology.
+	confirmTimeout = time.Second
 )
 
 // Origin is where a stream began.
@@ -78,9 +81,9 @@
 	// once it has asked the others for theirs.
 	configured, askedHistory bool
 	knownSince               time.Duration
-	// ready is closed once the box knows the others.
-	ready       chan struct{}
-	becomeReady sync.Once
+	// ready is closed once the box knows the others, confirmed once its topology is confirmed.
+	ready, confirmed        chan struct{}
+	becomeReady, becomeSure sync.Once
 }
 
 // service is what a box knows of the versions of a service.
@@ -93,7 +96,10 @@
 type Topology struct {
 	// Enabled is set if all boxes exchange records.
 	Enabled bool
-	// Unused is set while the cluster has served no request yet.
+	// Confirmed is set if the state includes everything that was committed before this process started. Before that, the state
+	// may lack servers of any version.
+	Confirmed bool
+	// Unused is set while the cluster has served no request yet. It has no effect unless Confirmed is set.
 	Unused bool
 	Boxes  []Box
 	// Versions are the software versions of the servers of each service.
@@ -109,7 +115,7 @@
 
 // New returns a Registry that exchanges nothing until it is configured.
 func New(opts Options) *Registry {
-	return &Registry{opts: opts, services: map[string]*service{}, outboxes: map[string]*outbox{}, records: newRecords(), ready: make(chan struct{})}
+	return &Registry{opts: opts, services: map[string]*service{}, outboxes: map[string]*outbox{}, records: newRecords(), ready: make(chan struct{}), confirmed: make(chan struct{})}
 }
 
 // Configure sets the topology.
@@ -120,6 +126,10 @@
 	if len(t.Boxes) > 0 {
 		r.becomeReady.Do(func() { close(r.ready) })
 	}
+	t.Confirmed = t.Confirmed || r.topology.Confirmed
+	if t.Confirmed {
+		r.becomeSure.Do(func() { close(r.confirmed) })
+	}
 	r.topology, r.keepers = t, keepersOf(t.Boxes)
 	for name, versions := range t.Versions {
 		r.observe(now, name, versions...)
@@ -128,12 +138,12 @@
 		s.current = t.Versions[name]
 	}
 	switch {
-	case t.Unused:
+	case t.Unused && t.Confirmed:
 		r.configured, r.askedHistory, r.knownSince = true, true, now-recordTTL
-	case !r.configured && len(t.Boxes) > 0:
+	case !r.configured && len(t.Boxes) > 0 && t.Confirmed:
 		r.configured, r.knownSince = true, now
 	}
-	if t.Enabled && !r.askedHistory && len(t.Boxes) > 0 {
+	if t.Enabled && r.configured && !r.askedHistory {
 		r.askedHistory = true
 		go r.ask(context.Background(), r.others(r.keepers), "")
 	}
@@ -200,7 +210,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, s := r.opts.Now(), r.services[name]
-	if s == nil || s.mixed(now) {
+	if s == nil || s.mixed(now) || !r.topology.Confirmed {
 		return "", false
 	}
 	if r.topology.Enabled && now-r.knownSince < min(maxAge, recordTTL) {
@@ -215,19 +225,13 @@
 // Lookup returns where the stream of a request began. name is the service that it began at if no box has a record, and maxAge how long
 // ago it can have begun. ok is false if the version is unknown (6).
 func (r *Registry) Lookup(ctx context.Context, id, name string, maxAge time.Duration) (o Origin, ok bool) {
-	starting := time.NewTimer(askTimeout)
-	defer starting.Stop()
-	select {
-	case <-r.ready:
-	case <-starting.C:
-	case <-ctx.Done():
-	}
+	waitUntil(ctx, r.ready, askTimeout)
 	o, ok, keepers, all := r.begin(id)
 	if ok {
 		return o, true
 	}
 	for n, boxes := range [][]string{keepers, all} {
-		if n > 0 && (len(boxes) == 0 || waitFor(ctx, roundPause) != nil) {
+		if n > 0 && !r.awaitSecondRound(ctx, len(boxes)) {
 			break
 		}
 		kept, answers := r.ask(ctx, boxes, id)
@@ -241,6 +245,17 @@
 	return Origin{}, false
 }
 
+// awaitSecondRound waits until the second round of questions may begin, or returns false if there is none (5). After a start, it waits
+// for the state that the box lacks.
+func (r *Registry) awaitSecondRound(ctx context.Context, boxes int) bool {
+	select {
+	case <-r.confirmed:
+		return boxes > 0 && waitFor(ctx, roundPause) == nil
+	default:
+		return waitUntil(ctx, r.confirmed, confirmTimeout)
+	}
+}
+
 // begin returns the own record of a stream, or else the other keepers to ask for it: those of the record, and all.
 func (r *Registry) begin(id string) (o Origin, ok bool, keepers, all []string) {
 	r.mu.Lock()
@@ -340,6 +355,19 @@
 	return a
 }
 
+// waitUntil waits until a channel is closed, for a time at most, and reports whether it is.
+func waitUntil(ctx context.Context, done <-chan struct{}, most time.Duration) bool {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case <-done:
+		return true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 func waitFor(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -80,7 +80,7 @@
 func newNetwork(size, withDisk int, versions ...string) *network {
 	n := &network{down: map[string]bool{}, downDelay: latency}
 	n.configure = func(b *origin.Registry) { b.Configure(n.topology) }
-	n.topology = origin.Topology{Enabled: true, Versions: map[string][]string{service: versions}}
+	n.topology = origin.Topology{Enabled: true, Confirmed: true, Versions: map[string][]string{service: versions}}
 	for i := range size {
 		n.topology.Boxes = append(n.topology.Boxes, origin.Box{ID: fmt.Sprint("b", i), Disk: i < withDisk})
 		n.boxes = append(n.boxes, nil)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -391,6 +391,7 @@
 mutant resumes-at-any-version gateway/find.go 's/refusal != nil \|\| !j.pinned/true || !j.pinned/' gateway TestStreamResumesOnly
 mutant origins-not-sent origin/keepers.go 's/if !r.topology.Enabled \{\n\t\treturn\n/if true {\n\t\treturn\n/' box TestCallersResumeAfter
 mutant restarted-boxes-know-no-other-version origin/origin.go 's/now-r.knownSince < min\(maxAge, recordTTL\)/false/' origin 'TestLookup|TestNever'
+mutant empty-states-are-unused box/origins.go 's/_, confirmed := p.spread.StateAge\(\)/confirmed := true/' box TestVersionThatHasJustLeft
 mutant prefixes-of-any-version gateway/cached.go 's/if list\[source\].version != c.server.version/if false/' gateway TestPrefixesAreFetchedOnly
 mutant blocked-requests-relayed gateway/serverelay.go 's/g.relayBlocked\(r, o.header, s\)/false/' gateway TestBlockedRequestIsNotRelayed
 mutant blocks-after-the-choice-ignored gateway/job.go 's/g.refusal\(s, j.blockedAt\(s\)\)/g.refusal(s, false)/' gateway TestRequestBlockedBeforeItIsSent
