gateway: a reset while the request is written is no end of its response

A server that answered a long upload at once without a length, and reset the connection while the upload was being written, had its part of a response delivered as a complete one.

Cause: the kernel reports a reset once, to the call that comes first. The goroutine that writes the upload took it, or the peek of the watch did, and the reader then saw the end of the connection. response.finish learned the writer's error after the end had been judged.

Change: a connection keeps the first error that any of its calls receives, and a read that comes to its end returns it. The body of a response that is not delimited returns io.EOF only if the whole request was written without an error and the server's kernel has acknowledged all of it (SIOCOUTQ is 0 once the end of its side has arrived). Delimited responses that arrive before the end of the upload are as before.

--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -48,6 +49,7 @@
 	pool        *connPool
 	in          *bufio.Reader
 	history     attest.History
+	fault       connFault
 	headLeft    int       // bytes that may still be read of the head being read
 	readingHead bool      // the head of a response is being read
 	idleSince   time.Time // start of the current idle period
@@ -86,6 +88,9 @@
 		x.pool.lastRead.Store(now.UnixNano())
 		x.pool.links.recordRead(now)
 	}
+	if err == io.EOF {
+		err = x.fault.endOr(io.EOF)
+	}
 	return n, err
 }
 
@@ -283,9 +288,14 @@
 	}
 	var one [1]byte
 	var found error
+	x.fault.mu.Lock() // a read that ends meanwhile waits for the error
+	defer x.fault.mu.Unlock()
 	err = raw.Control(func(fd uintptr) {
 		n, _, found = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
+	if err == nil && found != nil && found != syscall.EAGAIN && found != syscall.EINTR {
+		x.fault.recordLocked(found)
+	}
 	if err != nil {
 		return 0, err
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -259,6 +259,9 @@
 		switch ruling.Owner {
 		case attest.This:
 			a.Response, a.delimited, a.proof = resp, framing.Delimited(o.method, resp), ruling.Proof
+			if !a.delimited {
+				a.Body = &uploadedBody{a.Body, a}
+			}
 			return nil
 		case attest.Unidentified:
 			return errUnidentified
