gateway: malformed heads are no response

A server in trouble sent "999", a field name with a blank ("X Y: 1") or a blank before the colon ("Content-Length : 2", "Transfer-Encoding : chunked"). Callers got 200 with the line dropped, and a body that was read by another rule.

Cause: net/http's parser drops lines that it can't parse, accepts any three digits as a status, prefers chunks to a length beside them and ignores chunks in HTTP/1.0.

Change: package responsehead checks the bytes of a head against the grammar as they are read, before net/http has the last of them; also those of interim and surplus responses. It replaces the byte count of a head. Heads that other boxes relay are checked for status, length, names and values, since a box of an earlier build forwards what it has not checked. A malformed head is an unknown outcome: 502, or a retry where the request may be repeated; it counts against the server. 101 is rejected, too: no request asks for an upgrade. Bare line feeds are rejected.

The mutant heads-without-end follows the limit to its new place.

--- a/gateway/connend.go
+++ b/gateway/connend.go
@@ -3,10 +3,9 @@
 import (
 	"io"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"leverdrum/internal/framing"
 )
 
 // connFault is the first error of a connection. The kernel reports that a connection was reset only once, to the call that
@@ -78,23 +77,8 @@
 			return errUploadUnfinished
 		}
 	}
-	if a.conn.unreceived() > 0 {
+	if framing.Unacknowledged(a.conn.Conn) > 0 {
 		return errUploadUnfinished
 	}
 	return a.conn.fault.endOr(io.EOF)
 }
-
-// unreceived returns the number of bytes that were written and that the server has not acknowledged. The end of the server's side
-// of the connection acknowledges all that had arrived by then. It is 0 for a connection that is not a socket.
-func (x *conn) unreceived() (bytes int) {
-	sock, ok := x.Conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := sock.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	_ = raw.Control(func(fd uintptr) { bytes, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }) // fails only on a closed connection
-	return bytes
-}
--- a/gateway/connend_test.go
+++ b/gateway/connend_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"leverdrum/internal/framing"
 )
 
 // Guards against a reset that reads as the end of a response, because a look for unread bytes has received its error.
@@ -65,6 +67,6 @@
 	close(written)
 	_, err = x.in.ReadByte()
 	g.Expect(err).To(MatchError(io.EOF))
-	g.Expect(x.unreceived()).To(And(BeNumerically(">", 0), BeNumerically("<=", n)))
+	g.Expect(framing.Unacknowledged(x.Conn)).To(And(BeNumerically(">", 0), BeNumerically("<=", n)))
 	g.Expect((&response{conn: x}).endOfUpload()).To(Equal(errUploadUnfinished))
 }
--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"leverdrum/internal/attest"
+	"leverdrum/internal/responsehead"
 )
 
 // Error is the error class of this package.
@@ -50,9 +51,9 @@
 	in          *bufio.Reader
 	history     attest.History
 	fault       connFault
-	headLeft    int       // bytes that may still be read of the head being read
-	readingHead bool      // the head of a response is being read
-	idleSince   time.Time // start of the current idle period
+	head        responsehead.Head // checks the head that is being read
+	readingHead bool              // the head of a response is being read
+	idleSince   time.Time         // start of the current idle period
 	idleTimeout time.Duration
 }
 
@@ -76,13 +77,11 @@
 // Read records the time at which bytes arrived from the server.
 func (x *conn) Read(b []byte) (int, error) {
 	if x.readingHead {
-		if x.headLeft == 0 {
-			return 0, errLargeHead
+		if _, _, err := x.head.Feed(nil); err != nil {
+			return 0, err
 		}
-		b = b[:min(len(b), x.headLeft)]
 	}
 	n, err := x.Conn.Read(b)
-	x.headLeft = max(0, x.headLeft-n)
 	if n > 0 {
 		now := time.Now()
 		x.pool.lastRead.Store(now.UnixNano())
@@ -91,6 +90,16 @@
 	if err == io.EOF {
 		err = x.fault.endOr(io.EOF)
 	}
+	if x.readingHead && n > 0 {
+		wellFormed, ended, headErr := x.head.Feed(b[:n])
+		if headErr != nil {
+			n = wellFormed // the next read returns the error
+		}
+		if headErr != nil && n == 0 {
+			err = headErr
+		}
+		x.readingHead = !ended
+	}
 	return n, err
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -249,7 +249,7 @@
 		if err != nil {
 			return err
 		}
-		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		ruling := a.conn.history.Judge(o.id, resp.StatusCode, resp.Header, names)
--- a/gateway/head.go
+++ b/gateway/head.go
@@ -7,6 +7,7 @@
 
 	"leverdrum/internal/attest"
 	"leverdrum/internal/framing"
+	"leverdrum/internal/responsehead"
 )
 
 const (
@@ -17,24 +18,41 @@
 	idleSurplusTimeout = 2 * time.Millisecond
 )
 
-// errLargeHead is returned where a server sends a head without end.
-var errLargeHead = Error.New("the head of the response is too large")
-
-// readHead reads the head of a response of at most attest.MaxHeadBytes, within headTimeout from its first byte.
+// readHead reads the head of a response, within headTimeout from its first byte. All its bytes are checked before net/http has
+// the last of them (package responsehead).
 func (x *conn) readHead(r *http.Request) (*http.Response, error) {
-	x.readingHead, x.headLeft = true, attest.MaxHeadBytes
+	x.head = responsehead.Head{}
+	buffered, _ := x.in.Peek(x.in.Buffered()) // no more than is buffered
+	_, ended, err := x.head.Feed(buffered)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	x.readingHead = !ended
 	defer func() { x.readingHead = false }()
 	if _, err := x.in.Peek(1); err != nil {
 		return nil, Error.Wrap(err)
 	}
 	timer := x.abortReadAfter(headTimeout)
 	resp, err := http.ReadResponse(x.in, r)
-	if !timer.Stop() && err == nil {
+	inTime := timer.Stop()
+	if _, _, malformed := x.head.Feed(nil); malformed != nil {
+		err = malformed // net/http may report it in other words
+	}
+	if !inTime && err == nil {
 		err = errSlowHead
 	}
-	return resp, Error.Wrap(err)
+	if err == nil && !x.head.Ended() {
+		err = errUncheckedHead
+	}
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return resp, nil
 }
 
+// errUncheckedHead is returned where net/http ended a head before its check did.
+var errUncheckedHead = Error.New("the head of the response did not end where its check does")
+
 // errSlowHead is returned where the head of a response did not arrive within headTimeout.
 var errSlowHead = Error.New("the head of the response did not arrive in time")
 
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -11,6 +11,7 @@
 
 	"leverdrum/event"
 	"leverdrum/internal/attest"
+	"leverdrum/internal/responsehead"
 	"leverdrum/meter"
 	"leverdrum/reason"
 	"leverdrum/wire"
@@ -123,6 +124,10 @@
 		return nil, relayLost(ctx, Error.New("the answer of box %s has no head", x.box))
 	}
 	x.relays.recordAnswer(x.box, true)
+	if err := checkRelayed(f.Head); err != nil {
+		x.close()
+		return nil, unknown(reason.BackendDisconnected, Error.Wrap(err))
+	}
 	return x.response(f.Head, o)
 }
 
@@ -186,6 +191,23 @@
 	return f
 }
 
+// checkRelayed returns what is wrong with the head of a relayed response; nil if nothing is. A box of an earlier build relays
+// heads that it has not checked.
+func checkRelayed(head *wire.RelayHead) error {
+	if head.Status < http.StatusOK || !responsehead.ValidStatus(int(head.Status)) {
+		return &responsehead.Error{Kind: responsehead.Status}
+	}
+	if head.Length < -1 {
+		return &responsehead.Error{Kind: responsehead.ContentLength}
+	}
+	for _, h := range head.Headers {
+		if err := responsehead.CheckField(h.Name, h.Value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (x *relayExchange) response(head *wire.RelayHead, o *outgoing) (*response, *failure) {
 	resp := &http.Response{StatusCode: int(head.Status), Header: http.Header{}, ContentLength: head.Length, Body: x, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
 	for _, h := range head.Headers {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -406,7 +406,7 @@
 mutant any-response-is-its-own internal/attest/attest.go 's/case len\(ids\) == 0 && \(h.attempts <= 1 \|\| !h.identifies\):/case len(ids) == 0:/; s/!identified \|\| h.remembers\(id\)/!identified \&\& false/' gateway TestPromisesAreTrueOverSequences
 mutant statuses-promise internal/attest/attest.go 's/case Promises\(status\):/case Promises(status) \&\& false:/' gateway TestPromisesAreTrueOverSequences
 mutant attempts-share-ids entry/serve.go 's/strconv.FormatUint\(rand.Uint64\(\), 36\)/strconv.FormatUint(0*rand.Uint64(), 36)/' entry TestSurplusRefusal
-mutant heads-without-end gateway/head.go 's/x.readingHead, x.headLeft = true, attest.MaxHeadBytes/x.readingHead, x.headLeft = false, attest.MaxHeadBytes/' gateway TestEndlessBytes
+mutant heads-without-end internal/responsehead/head.go 's/h.size > attest.MaxHeadBytes \{/false {/' gateway TestEndlessBytes
 mutant refusals-read-to-the-end gateway/relay.go 's/discardTimeout = 100 \* time.Millisecond/discardTimeout = time.Hour/' gateway TestEndlessBytes
 mutant empty-successes internal/reply/reply.go 's/if !t.began \{/if false {/' gateway TestCallerThatShutDown
 mutant states-of-other-reads engine/engine.go 's/id != "" && id != req/id != "" \&\& false \&\& id != req/' engine TestCopyOfAnEarlierState
