--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -13,6 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"leverdrum/internal/attest"
+	"leverdrum/internal/responsehead"
 )
 
 // Error is the error class of this package.
@@ -48,9 +50,10 @@
 	pool        *connPool
 	in          *bufio.Reader
 	history     attest.History
-	headLeft    int       // bytes that may still be read of the head being read
-	readingHead bool      // the head of a response is being read
-	idleSince   time.Time // start of the current idle period
+	fault       connFault
+	head        responsehead.Head // checks the head that is being read
+	readingHead bool              // the head of a response is being read
+	idleSince   time.Time         // start of the current idle period
 	idleTimeout time.Duration
 }
 
@@ -74,18 +77,29 @@
 // Read records the time at which bytes arrived from the server.
 func (x *conn) Read(b []byte) (int, error) {
 	if x.readingHead {
-		if x.headLeft == 0 {
-			return 0, errLargeHead
+		if _, _, err := x.head.Feed(nil); err != nil {
+			return 0, err
 		}
-		b = b[:min(len(b), x.headLeft)]
 	}
 	n, err := x.Conn.Read(b)
-	x.headLeft = max(0, x.headLeft-n)
 	if n > 0 {
 		now := time.Now()
 		x.pool.lastRead.Store(now.UnixNano())
 		x.pool.links.recordRead(now)
 	}
+	if err == io.EOF {
+		err = x.fault.endOr(io.EOF)
+	}
+	if x.readingHead && n > 0 {
+		wellFormed, ended, headErr := x.head.Feed(b[:n])
+		if headErr != nil {
+			n = wellFormed // the next read returns the error
+		}
+		if headErr != nil && n == 0 {
+			err = headErr
+		}
+		x.readingHead = !ended
+	}
 	return n, err
 }
 
@@ -283,9 +297,14 @@
 	}
 	var one [1]byte
 	var found error
+	x.fault.mu.Lock() // a read that ends meanwhile waits for the error
+	defer x.fault.mu.Unlock()
 	err = raw.Control(func(fd uintptr) {
 		n, _, found = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
+	if err == nil && found != nil && found != syscall.EAGAIN && found != syscall.EINTR {
+		x.fault.recordLocked(found)
+	}
 	if err != nil {
 		return 0, err
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -249,7 +249,7 @@
 		if err != nil {
 			return err
 		}
-		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		ruling := a.conn.history.Judge(o.id, resp.StatusCode, resp.Header, names)
@@ -259,6 +259,9 @@
 		switch ruling.Owner {
 		case attest.This:
 			a.Response, a.delimited, a.proof = resp, framing.Delimited(o.method, resp), ruling.Proof
+			if !a.delimited {
+				a.Body = &uploadedBody{a.Body, a}
+			}
 			return nil
 		case attest.Unidentified:
 			return errUnidentified
