internal/framing: write buffered bytes before a connection may close without a reset

A box that is killed between Finish and the end of its handler closes the caller's connection in the ordinary way, and what net/http still buffers of the body is lost: the caller of a response without a length or chunks takes the part for all of it. Finish now flushes first, and a connection that can't be written keeps being reset when it closes.

TestFinishWritesWhatIsBuffered failed before (i/o timeout: no byte arrived before the handler ended; go test ./internal/framing -run TestFinishWritesWhatIsBuffered).

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -9,7 +9,8 @@
 //     unknown: a server that crashes closes the connection, too.
 //  3. An undelimited response is forwarded undelimited, with neither a length nor chunks.
 //  4. Until the last byte of an undelimited response is written, closing its connection resets it, whoever closes it:
-//     without a reset, a response that was aborted would look like one that has ended.
+//     without a reset, a response that was aborted would look like one that has ended. Bytes that net/http buffers are
+//     written before that: a process that is killed with them closes the connection in the ordinary way.
 package framing
 
 import (
@@ -63,7 +64,10 @@
 }
 
 // Undelimited is a response that is being forwarded undelimited; nil if the response is delimited.
-type Undelimited struct{ conn lingerer }
+type Undelimited struct {
+	writer http.ResponseWriter
+	conn   lingerer // nil: not known
+}
 
 type lingerer interface{ SetLinger(seconds int) error }
 
@@ -75,7 +79,7 @@
 	}
 	// net/http then writes neither chunks nor a length of its own, and closes the connection at the end.
 	w.Header().Set("Transfer-Encoding", "identity")
-	u := &Undelimited{}
+	u := &Undelimited{writer: w}
 	if u.conn = connOf(r); u.conn != nil {
 		_ = u.conn.SetLinger(0) // (4); fails only on a closed connection
 	}
@@ -92,10 +96,16 @@
 	return l
 }
 
-// Finish lets the connection close without a reset. It is called once the body has been written, and not for a response that is
-// aborted.
+// Finish writes what is buffered of the body and lets the connection close without a reset. It is called once the body has been
+// written, and not for a response that is aborted.
 func (u *Undelimited) Finish() {
-	if u != nil && u.conn != nil {
+	if u == nil {
+		return
+	}
+	if http.NewResponseController(u.writer).Flush() != nil {
+		return // the connection is broken
+	}
+	if u.conn != nil {
 		_ = u.conn.SetLinger(-1) // fails only on a closed connection
 	}
 }
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -101,3 +102,34 @@
 	all, err := io.ReadAll(c)
 	return string(all), err
 }
+
+// Guards against the last bytes of an undelimited response that are lost when the process is killed after Finish: its
+// connection then closes in the ordinary way.
+func TestFinishWritesWhatIsBuffered(t *testing.T) {
+	g := NewWithT(t)
+	finished, checked := make(chan struct{}), make(chan struct{})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		u := framing.BeginUndelimited(w, r, http.StatusOK)
+		w.WriteHeader(http.StatusOK)
+		_, _ = io.WriteString(w, "whole")
+		u.Finish()
+		close(finished)
+		<-checked
+	}))
+	s.Config.ConnContext = framing.ConnContext
+	s.Start()
+	defer s.Close()
+	defer close(checked)
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-finished
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	body := make([]byte, len("whole"))
+	_, err = io.ReadFull(r.Body, body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(body)).To(Equal("whole"))
+}
