gateway: a response without a length or chunks is complete only if its server went on

Cause: an end was believed without evidence. The kernel closes the connections of a process that ends in the ordinary way, and framing called every such end "unknown" and let it pass.

Change: framing.Judge is the one place that decides. The end of an undelimited body that was read to its end is complete only if its server has shown after it that it went on; until then the caller's connection stays open, and a plain response is not forwarded. Package liveness probes a server once for all ends that wait for it, for 200 ms at most: an answer of the same instance to a health check that was sent after the end (health_check_path, now read from the platform's configuration), or a connection that is open at the end of the probe and has acknowledged it. Without it, a resumable stream goes on at another server, a plain request is retried where it may be, and everything else is broken off. A relaying box asks before it sends the end (RelayFrame.confirmed, level 11, always sent); the end that a box of the build before relays is not confirmed. The bytes after the last event of such a stream are held back until the end is known, as an event of another server may follow instead.

Ruled out as evidence: bytes read on other connections (sent before the server died), a successful dial (the backlog of a process that ends, a new process at the address), an answer without the server's name on a new connection.

Tests: TestRelayKeepsHowAResponseEnds held that the relayed end of an undelimited response is that of all of it. It now says so where the relaying box has evidence, and the contrary where it has none. EndOf, by which tests named what a caller sees, is Judge without evidence; what they require is unchanged: their servers go on.

--- a/entry/undelimited_test.go
+++ b/entry/undelimited_test.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		return r, string(all), framing.Truncated, err
 	}
-	return r, string(all), framing.EndOf(framing.Delimited(http.MethodPost, r)), nil
+	return r, string(all), framing.Judge(framing.Delimited(http.MethodPost, r), io.EOF, nil), nil
 }
 
 // oneBoxClaims is a ClaimStore that keeps the results of finished calls.
--- a/fleet/routes.go
+++ b/fleet/routes.go
@@ -73,6 +73,8 @@
 	Kind *Kind
 	// WarmUpRate is the number of requests per second that a server accepts while it warms up; 0: no reduced rate.
 	WarmUpRate float64
+	// HealthCheckPath is the path of health checks at its servers; "": they have none.
+	HealthCheckPath string
 
 	sharesLoad bool
 }
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -7,7 +7,10 @@
 	"sync/atomic"
 	"time"
 
+	"leverdrum/dialect"
 	"leverdrum/fleet"
+	"leverdrum/internal/attest"
+	"leverdrum/internal/liveness"
 	"leverdrum/ledger"
 	"leverdrum/pushback"
 	"leverdrum/state"
@@ -38,6 +41,8 @@
 	drainingDuration time.Duration
 	pushback         *pushback.Registry // nil: servers report no limits or backoff
 	dialer           Dialer
+	dialect          *dialect.Dialect // set once the gateway has them
+	headers          *attest.Headers
 	links            *links // set once the gateway has them
 	relays           *relays
 
@@ -147,6 +152,8 @@
 	s := newServer(a)
 	s.region = d.regionOf(a.Hall)
 	s.pool.dialer, s.pool.links, s.pool.server = d.dialer, d.links, s.id
+	probe := &endProbe{server: s, dialect: d.dialect, names: d.headers, path: func() string { return d.healthCheckPath(s.service) }}
+	s.checker = liveness.NewChecker(probe.run)
 	d.servers[id] = s
 	d.sync(s, a)
 	return s
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,28 +116,28 @@
 
 // Gateway serves callers' requests at a box whose routes match by host and path.
 type Gateway struct {
-	opts         Options
-	dir          *directory
-	budgets      *budgets
-	demand       *demand
-	prefillRates *prefillRates
-	cachedShares *cachedShares
-	slotTimes    *slotTimes
-	notices      *notices
-	bodies       *bodies
-	crashWatch   *crasher.Watcher
-	late         lineSampler
-	resumed      lineSampler // of streams
-	unknownEnds  lineSampler // of responses whose end is unknown
-	unproven     lineSampler // of responses that prove nothing
-	headers      attest.Headers
-	admission    *admission
-	startHold    *startHold
-	links        *links
-	relays       *relays
-	relayed      atomic.Int64 // requests of other boxes that this one relays
-	noPathLogged atomic.Int64 // when it was last logged that no box relays, in Unix nanoseconds
-	draining     atomic.Bool
+	opts            Options
+	dir             *directory
+	budgets         *budgets
+	demand          *demand
+	prefillRates    *prefillRates
+	cachedShares    *cachedShares
+	slotTimes       *slotTimes
+	notices         *notices
+	bodies          *bodies
+	crashWatch      *crasher.Watcher
+	late            lineSampler
+	resumed         lineSampler // of streams
+	undelimitedEnds lineSampler // of responses without a length or chunks
+	unproven        lineSampler // of responses that prove nothing
+	headers         attest.Headers
+	admission       *admission
+	startHold       *startHold
+	links           *links
+	relays          *relays
+	relayed         atomic.Int64 // requests of other boxes that this one relays
+	noPathLogged    atomic.Int64 // when it was last logged that no box relays, in Unix nanoseconds
+	draining        atomic.Bool
 	// stopping is closed when no further request is accepted and waiting ones are refused.
 	stopping chan struct{}
 	stopOnce sync.Once
@@ -165,6 +165,7 @@
 	}
 	d := &opts.Dialect
 	g.headers = attest.Headers{RequestID: d.RequestID, NotRun: d.NotRun, Stamp: d.Stamp}
+	g.dir.dialect, g.dir.headers = &g.opts.Dialect, &g.headers
 	g.budgets = newBudgets(opts.Budget, g.dir.boxes)
 	g.admission = newAdmission(opts.Load, opts.MaxBodies)
 	g.startHold = &startHold{began: time.Now(), current: opts.Current, maxBytes: opts.MaxBodies / waitingBodiesDivisor, meters: opts.Meters}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -9,9 +9,6 @@
 	"strings"
 	"time"
 
-	"go.uber.org/zap"
-
-	"leverdrum/event"
 	"leverdrum/internal/framing"
 	"leverdrum/meter"
 	"leverdrum/reason"
@@ -57,13 +54,6 @@
 func (j *job) recordEnd(end framing.End) {
 	j.end = end
 	j.g.opts.Meters.Count(meter.ResponseEnds, end.String()).Inc()
-	if end != framing.Unknown {
-		return
-	}
-	if skipped, ok := j.g.unknownEnds.admit(time.Now()); ok {
-		event.ResponseEndUnknown.Log(j.g.opts.Log, zap.String("request", j.id), zap.String("route", j.route.Name), zap.String("server", j.current.id), zap.Int("status", j.status),
-			zap.Int("events", j.stream.count), zap.Int("unfinished", len(j.stream.partial)), zap.Int("skipped", skipped))
-	}
 }
 
 // writeHead forwards the status and headers of a response. length is the length of the body, -1
@@ -110,8 +100,9 @@
 	if len(body) == answerBuffer {
 		return j.relayLarge(ctx, s, a, body)
 	}
-	a.finish(true)
-	j.recordEnd(framing.EndOf(a.delimited))
+	if end := j.judgeEnd(ctx, s, a); !end.IsComplete() {
+		return j.handleFailure(ctx, s, j.endFailure(ctx, end))
+	}
 	length := int64(len(body))
 	if j.r.Method == http.MethodHead || !a.delimited {
 		length = a.ContentLength
@@ -132,23 +123,31 @@
 	if err == nil {
 		_, err = io.Copy(j.w, a.Body)
 	}
-	a.finish(err == nil)
-	if err == nil {
-		j.recordEnd(framing.EndOf(a.delimited))
-		j.undelimited.Finish()
-	} else {
+	if err != nil {
+		a.finish(false)
 		j.recordEnd(framing.Truncated)
-		j.lastFailure = j.bodyFailure(ctx, err)
-		if !j.failedOnOwnLinks(j.lastFailure) {
-			s.recordFailure(time.Now())
-			j.recordBroken(s, j.lastFailure)
-			j.recordBrokenOutcome(s, j.lastFailure)
-		}
-		j.giveUp(reason.BackendDisconnected)
+		j.abort(s, j.bodyFailure(ctx, err), reason.BackendDisconnected)
+		return true
 	}
+	if end := j.judgeEnd(ctx, s, a); !end.IsComplete() {
+		j.abort(s, j.endFailure(ctx, end), reason.BackendDisconnected)
+		return true
+	}
+	j.undelimited.Finish()
 	return true
 }
 
+// abort aborts a response of which a part was forwarded.
+func (j *job) abort(s *server, f *failure, refusal *reason.Reason) {
+	j.lastFailure = f
+	if !f.endUnknown && !j.failedOnOwnLinks(f) {
+		s.recordFailure(time.Now())
+		j.recordBroken(s, f)
+		j.recordBrokenOutcome(s, f)
+	}
+	j.giveUp(refusal)
+}
+
 // bodyFailure returns the failure for an error while reading a body.
 func (j *job) bodyFailure(ctx context.Context, err error) *failure {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -157,14 +156,6 @@
 	return unknown(reason.BackendDisconnected, Error.Wrap(err))
 }
 
-// endUnknown returns the failure of a continuation whose end is unknown, where the head that was forwarded promises a
-// known one. It does not count against the server, whose response may be complete.
-func endUnknown() *failure {
-	f := unknown(reason.StreamInterrupted, Error.New("the continuation ended with its connection, without a length or chunks"))
-	f.endUnknown = true
-	return f
-}
-
 // errGivenUp is returned where a response began after its exchange was aborted for silence.
 var errGivenUp = Error.New("the response began after the server was given up")
 
@@ -173,13 +164,12 @@
 
 // relayStream forwards a stream event by event (5).
 func (j *job) relayStream(ctx context.Context, s *server, a *response, onFirstEvent func()) (answered bool) {
-	flush := http.NewResponseController(j.w)
+	f := &streamForwarder{job: j, server: s, response: a, onFirstEvent: onFirstEvent, flush: http.NewResponseController(j.w)}
 	buf := make([]byte, relayBuffer)
-	started := false
 	lastRead := time.Now()
 	for {
 		n, err := a.Body.Read(buf)
-		if started && n > 0 {
+		if f.started && n > 0 {
 			j.longestPause = max(j.longestPause, time.Since(lastRead))
 		}
 		lastRead = time.Now()
@@ -189,41 +179,14 @@
 		if err == io.EOF && j.stream.insideEvent() {
 			err = errInsideEvent
 		}
-		if err == io.EOF {
-			out = append(out, j.stream.partial...)
-		}
-		if len(out) > 0 || err == io.EOF {
-			if !started {
-				onFirstEvent()
-				started = true
-			}
-			j.run.Event(lastRead)
-			if !j.headSent && !a.watch.passHead(func() { j.writeHead(a, -1) }) {
-				a.finish(false)
-				j.stream = events{} // no event reached the caller, so the next server is asked for all
-				return j.handleBrokenStream(ctx, s, errGivenUp, true)
-			}
-			if j.stream.any || j.stream.noIDs {
-				j.pinVersion(s)
-			}
-			if _, werr := j.w.Write(out); werr != nil {
+		if len(out) > 0 {
+			if werr := f.forward(out, lastRead); werr != nil {
 				a.finish(false)
-				return j.abandon()
+				return f.fail(ctx, werr)
 			}
-			_ = flush.Flush() // a disconnected caller is detected at the next write
-			j.load.forwarded(time.Now())
 		}
 		if err == io.EOF {
-			a.finish(true)
-			j.recordEnd(framing.EndOf(a.delimited))
-			if j.end == framing.Unknown && j.undelimited == nil {
-				return j.handleFailure(ctx, s, endUnknown())
-			}
-			j.undelimited.Finish()
-			if j.route.EventGapTarget > 0 && j.relayedBy == "" {
-				s.recordStream(time.Now(), j.longestPause > j.route.EventGapTarget)
-			}
-			return true
+			return f.end(ctx, lastRead)
 		}
 		if err != nil || j.stream.tooLarge() {
 			unresponsive := a.watch.stop()
@@ -233,20 +196,85 @@
 	}
 }
 
+// streamForwarder forwards one stream of a server.
+type streamForwarder struct {
+	job          *job
+	server       *server
+	response     *response
+	onFirstEvent func()
+	flush        *http.ResponseController
+	started      bool // onFirstEvent was called
+}
+
+// forward forwards bytes that were read at a time, after the head. The error is errGivenUp, or that of writing to the caller.
+func (f *streamForwarder) forward(out []byte, readAt time.Time) error {
+	j := f.job
+	if !f.started {
+		f.onFirstEvent()
+		f.started = true
+	}
+	j.run.Event(readAt)
+	if !j.headSent && !f.response.watch.passHead(func() { j.writeHead(f.response, -1) }) {
+		return errGivenUp
+	}
+	if j.stream.any || j.stream.noIDs {
+		j.pinVersion(f.server)
+	}
+	if _, err := j.w.Write(out); err != nil {
+		return Error.Wrap(err)
+	}
+	_ = f.flush.Flush() // a disconnected caller is detected at the next write
+	j.load.forwarded(time.Now())
+	return nil
+}
+
+// fail ends a stream that could not be forwarded.
+func (f *streamForwarder) fail(ctx context.Context, err error) (answered bool) {
+	if err != errGivenUp {
+		return f.job.abandon()
+	}
+	f.job.stream = events{} // no event reached the caller, so the next server is asked for all
+	return f.job.handleBrokenStream(ctx, f.server, err, true)
+}
+
+// end ends a stream that was read to its end. What follows its last event is forwarded once the end is known, as an event of
+// another server may follow instead.
+func (f *streamForwarder) end(ctx context.Context, readAt time.Time) (answered bool) {
+	j, s := f.job, f.server
+	end := framing.Unknown
+	if f.response.delimited || !j.headSent || j.undelimited != nil {
+		end = j.judgeEnd(ctx, s, f.response)
+	} else { // the head that was forwarded promises an end that is known without evidence
+		f.response.finish(true)
+		j.recordEnd(end)
+	}
+	if !end.IsComplete() {
+		return j.resumeOrAbort(ctx, s, j.endFailure(ctx, end))
+	}
+	if !j.headSent || len(j.stream.partial) > 0 {
+		if err := f.forward(j.stream.partial, readAt); err != nil {
+			return f.fail(ctx, err)
+		}
+	}
+	j.undelimited.Finish()
+	if j.route.EventGapTarget > 0 && j.relayedBy == "" {
+		s.recordStream(time.Now(), j.longestPause > j.route.EventGapTarget)
+	}
+	return true
+}
+
 // handleBrokenStream resumes a stream at another server, or aborts it.
 func (j *job) handleBrokenStream(ctx context.Context, s *server, err error, unresponsive bool) (answered bool) {
 	j.recordEnd(framing.Truncated)
 	f := j.bodyFailure(ctx, err)
 	f.unresponsive = unresponsive
-	ownLinks := j.failedOnOwnLinks(f)
+	return j.resumeOrAbort(ctx, s, f)
+}
+
+// resumeOrAbort resumes a stream that did not end in full at another server, or aborts it.
+func (j *job) resumeOrAbort(ctx context.Context, s *server, f *failure) (answered bool) {
 	if j.headSent && (!j.route.Resumable || j.stream.noIDs) {
-		j.lastFailure = f
-		if !ownLinks {
-			s.recordFailure(time.Now())
-			j.recordBroken(s, f)
-			j.recordBrokenOutcome(s, f)
-		}
-		j.giveUp(reason.StreamInterrupted)
+		j.abort(s, f, reason.StreamInterrupted)
 		return true
 	}
 	j.stream.dropPartial()
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -11,6 +11,7 @@
 
 	"leverdrum/event"
 	"leverdrum/internal/attest"
+	"leverdrum/internal/liveness"
 	"leverdrum/meter"
 	"leverdrum/reason"
 	"leverdrum/wire"
@@ -85,6 +86,8 @@
 	silence *time.Timer
 	unread  []byte // of the body
 	ended   bool   // the last frame has arrived
+	// evidence is what the relaying box found of the server after the end of an undelimited response.
+	evidence liveness.Evidence
 }
 
 // run sends the request and reads the head of the response.
@@ -220,6 +223,9 @@
 			return 0, Error.New("box %s: %s", x.box, f.Failure.Text)
 		}
 		x.unread, x.ended = f.Body, f.End
+		if f.Confirmed {
+			x.evidence = liveness.Relayed
+		}
 	}
 	n := copy(b, x.unread)
 	x.unread = x.unread[n:]
--- a/gateway/relayend_test.go
+++ b/gateway/relayend_test.go
@@ -10,8 +10,12 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"leverdrum/internal/attest"
+	"leverdrum/internal/framing"
+	"leverdrum/internal/liveness"
+	"leverdrum/meter"
 	"leverdrum/wire"
 )
 
@@ -30,33 +34,39 @@
 	if len(r.frames) == 0 {
 		return io.ErrUnexpectedEOF
 	}
-	f.Head, f.Failure, f.Body, f.End = r.frames[0].Head, r.frames[0].Failure, r.frames[0].Body, r.frames[0].End
+	proto.Merge(f, r.frames[0])
 	r.frames = r.frames[1:]
 	return nil
 }
 
 func (r *recordedFrames) Close() error { return nil }
 
-// Guards against a relayed response whose end becomes known, or unknown, on its way between two boxes.
+// Guards against a relayed response whose end becomes known, or unknown, on its way between two boxes, and against an end for
+// which the relaying box has no evidence and that the other box takes for that of the whole response.
 func TestRelayKeepsHowAResponseEnds(t *testing.T) {
 	for _, c := range []struct {
 		method, response string
+		evidence         liveness.Evidence // that the relaying box finds
 		delimited, whole bool
 	}{
-		{"POST", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", true, true},
-		{"POST", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", true, false},
-		{"POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", true, true},
-		{"POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", true, false},
-		{"POST", "HTTP/1.1 200 OK\r\n\r\nab", false, true},
-		{"HEAD", "HTTP/1.1 200 OK\r\n\r\n", true, true},
+		{"POST", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", liveness.None, true, true},
+		{"POST", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", liveness.None, true, false},
+		{"POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", liveness.None, true, true},
+		{"POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", liveness.None, true, false},
+		{"POST", "HTTP/1.1 200 OK\r\n\r\nab", liveness.Answered, false, true},
+		{"POST", "HTTP/1.1 200 OK\r\n\r\nab", liveness.Open, false, true},
+		{"POST", "HTTP/1.1 200 OK\r\n\r\nab", liveness.None, false, false},
+		{"POST", "HTTP/1.1 200 OK\r\n\r\nab", liveness.Ended, false, false},
+		{"HEAD", "HTTP/1.1 200 OK\r\n\r\n", liveness.None, true, true},
 	} {
 		g := NewWithT(t)
 		o := &outgoing{method: c.method, host: "h", target: "/"}
 		pool := &connPool{maxOpen: 1, dialer: func(context.Context, string) (net.Conn, error) { return respondOnce(c.response), nil }}
-		server, failed := exchange(t.Context(), pool, o, &attest.Headers{RequestID: "X-Request-Id"}, 0, nil)
+		response, failed := exchange(t.Context(), pool, o, &attest.Headers{RequestID: "X-Request-Id"}, 0, nil)
 		g.Expect(failed).To(BeNil())
 		sent := &recordedFrames{}
-		new(Gateway).forwardRelayed(server, &relayAnswer{to: sent})
+		to := &server{checker: liveness.NewChecker(func(context.Context) liveness.Evidence { return c.evidence })}
+		(&Gateway{opts: Options{Meters: meter.New()}}).forwardRelayed(t.Context(), to, response, &relayAnswer{to: sent})
 
 		x := &relayExchange{relays: &relays{}, ctx: context.Background(), stream: sent, names: &attest.Headers{RequestID: "X-Request-Id"}, silence: time.NewTimer(time.Hour)}
 		f, err := x.nextFrame()
@@ -65,10 +75,23 @@
 		g.Expect(failure).To(BeNil())
 		g.Expect(a.delimited).To(Equal(c.delimited), c.response)
 		_, err = io.ReadAll(a.Body)
-		g.Expect(err == nil).To(Equal(c.whole), "%s: %v", c.response, err)
+		g.Expect(err == nil).To(Equal(c.whole), "%s, %v: %v", c.response, c.evidence, err)
+		g.Expect(x.evidence == liveness.Relayed).To(Equal(c.whole && !c.delimited))
 	}
 }
 
+// Guards against an end of an undelimited response that a box of an earlier build relays without evidence, and that this box
+// takes for that of the whole response.
+func TestEndRelayedByAnEarlierBuildIsUnknown(t *testing.T) {
+	g := NewWithT(t)
+	sent := &recordedFrames{frames: []*wire.RelayFrame{{Body: []byte("ab")}, {End: true}}}
+	x := &relayExchange{relays: &relays{}, ctx: context.Background(), stream: sent, silence: time.NewTimer(time.Hour)}
+	body, err := io.ReadAll(x)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(body)).To(Equal("ab"))
+	g.Expect(framing.Judge(false, io.EOF, func() liveness.Evidence { return x.evidence })).To(Equal(framing.Unknown))
+}
+
 // respondOnce returns a connection to a server that reads a request head, sends a response and closes the connection.
 func respondOnce(response string) net.Conn {
 	near, far := net.Pipe()
--- a/gateway/relayproof_test.go
+++ b/gateway/relayproof_test.go
@@ -46,7 +46,7 @@
 	a, _ = exchangeOnce("r2")
 	g.Expect(a.proof).To(Equal(attest.Nothing))
 	sent := &recordedFrames{}
-	(&Gateway{headers: names}).forwardRelayed(a, &relayAnswer{to: sent})
+	(&Gateway{headers: names}).forwardRelayed(t.Context(), nil, a, &relayAnswer{to: sent})
 
 	x := &relayExchange{relays: newRelays(nil, "", nil), ctx: context.Background(), stream: sent, names: &names, silence: time.NewTimer(time.Hour)}
 	f, err := x.nextFrame()
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"leverdrum/internal/liveness"
 	"leverdrum/wire"
 )
 
@@ -21,12 +22,14 @@
 	name          string // the name that requests to it carry
 	version       string // software version
 	address       string
+	service       string
 	hall          string
 	region        string
 	slots         int
 	hash          uint64
 	createdAt     time.Time
 	pool          *connPool
+	checker       *liveness.Checker
 	drainingSince atomic.Int64 // since when it drains, in Unix nanoseconds; 0: it does not
 	unresponsive  atomic.Bool
 	// probeSkippedAt is when a request that could have probed the server was last not a probe, in Unix nanoseconds.
@@ -53,7 +56,7 @@
 
 func newServer(a *wire.Announcement) *server {
 	return &server{
-		id: a.Id, name: cmp.Or(a.Name, a.Id), version: a.Version, address: a.Address, hall: a.Hall, slots: int(max(1, a.Slots)), hash: xxhash.Sum64String(a.Id),
+		id: a.Id, name: cmp.Or(a.Name, a.Id), version: a.Version, address: a.Address, service: a.Service, hall: a.Hall, slots: int(max(1, a.Slots)), hash: xxhash.Sum64String(a.Id),
 		pool: newConnPool(a.Address), createdAt: time.Now(),
 	}
 }
--- a/gateway/serverelay.go
+++ b/gateway/serverelay.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"leverdrum/internal/attest"
+	"leverdrum/internal/framing"
+	"leverdrum/internal/liveness"
 	"leverdrum/level"
 	"leverdrum/meter"
 	"leverdrum/reason"
@@ -125,12 +127,12 @@
 		out.fail(g.relayFailureKind(f), f.cause.Error())
 		return
 	}
-	g.forwardRelayed(a, out)
+	g.forwardRelayed(ctx, s, a, out)
 }
 
-// forwardRelayed forwards a response as it arrives. A refusal that proves nothing on this box's connection is not forwarded: the
+// forwardRelayed forwards the response of a server as it arrives. A refusal that proves nothing on this box's connection is not forwarded: the
 // other box would take it for proof.
-func (g *Gateway) forwardRelayed(a *response, out *relayAnswer) {
+func (g *Gateway) forwardRelayed(ctx context.Context, s *server, a *response, out *relayAnswer) {
 	if a.proof != attest.NotRun && a.Header.Get(g.headers.NotRun) != "" {
 		a.finish(false)
 		out.fail(wire.RelayFailure_UNKNOWN, "the response does not prove that the request was not run")
@@ -152,7 +154,7 @@
 		switch {
 		case err == io.EOF:
 			a.finish(true)
-			out.send(&wire.RelayFrame{End: true})
+			out.end(g.judgeRelayedEnd(ctx, s, a))
 			return
 		case err != nil:
 			a.finish(false)
@@ -162,6 +164,11 @@
 	}
 }
 
+// judgeRelayedEnd returns how the response of a server ended that was read to its end.
+func (g *Gateway) judgeRelayedEnd(ctx context.Context, s *server, a *response) framing.End {
+	return framing.Judge(a.delimited, io.EOF, func() liveness.Evidence { return g.awaitEvidence(ctx, s).Evidence })
+}
+
 func (g *Gateway) relayFailureKind(f *failure) wire.RelayFailure_Kind {
 	switch {
 	case errors.Is(f.cause, ErrBlocked) && g.opts.View().Level >= level.PromptParts:
@@ -196,6 +203,15 @@
 	return a.to.Send(f)
 }
 
+// end sends the end of a response. A box of an earlier build takes any end for that of the whole response.
+func (a *relayAnswer) end(end framing.End) {
+	if !end.IsComplete() {
+		a.fail(wire.RelayFailure_UNKNOWN, errEndUnknown.Error())
+		return
+	}
+	a.send(&wire.RelayFrame{End: true, Confirmed: end == framing.Confirmed})
+}
+
 func (a *relayAnswer) fail(kind wire.RelayFailure_Kind, text string) {
 	a.send(&wire.RelayFrame{Failure: &wire.RelayFailure{Kind: kind, Text: text}})
 }
--- a/gateway/undelimited_test.go
+++ b/gateway/undelimited_test.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return string(b), framing.Truncated
 	}
-	return string(b), framing.EndOf(framing.Delimited(http.MethodPost, r))
+	return string(b), framing.Judge(framing.Delimited(http.MethodPost, r), io.EOF, nil)
 }
 
 // Guards against a response that its server broke off and whose caller takes it for complete: the gateway framed responses
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -5,8 +5,9 @@
 //
 //  1. A response is delimited if its head determines where the body ends: by a length, by chunks, or because it
 //     has no body. Any other response ends with its connection (RFC 9112, section 6.3).
-//  2. The body of a delimited response that was read to its end is complete. The end of an undelimited one is
-//     unknown: a server that crashes closes the connection, too.
+//  2. The body of a delimited response that was read to its end is complete. An undelimited one is complete if its server
+//     has shown after the end that it went on (package liveness): the kernel closes the connections of a server that crashes,
+//     too. Without that evidence its end is unknown.
 //  3. An undelimited response is forwarded undelimited, with neither a length nor chunks.
 //  4. Until the last byte of an undelimited response is written, closing its connection resets it, whoever closes it:
 //     without a reset, a response that was aborted would look like one that has ended. Bytes that net/http buffers are
@@ -15,8 +16,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+
+	"leverdrum/internal/liveness"
 )
 
 // End is how the body of a response ended.
@@ -28,6 +32,8 @@
 	Pending End = iota
 	// Complete is the end of a response that has arrived in full.
 	Complete
+	// Confirmed is the end of an undelimited response whose server went on after it.
+	Confirmed
 	// Unknown is the end of a response that ended with its connection and may have been truncated.
 	Unknown
 	// Truncated is the end of a response of which a part is missing.
@@ -36,7 +42,7 @@
 
 // String returns the name of the end in logs and metrics.
 func (e End) String() string {
-	return [...]string{"pending", "complete", "unknown", "truncated"}[e]
+	return [...]string{"pending", "complete", "confirmed", "unknown", "truncated"}[e]
 }
 
 // Delimited reports whether the head of a response to a request with this method determines where its body ends (1).
@@ -44,10 +50,25 @@
 	return !bodyAllowed(method, r.StatusCode) || r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 }
 
-// EndOf returns the end of a body that was read without an error to io.EOF (2).
-func EndOf(delimited bool) End {
-	if delimited {
+// IsComplete reports whether the response may be forwarded as one that has arrived in full.
+func (e End) IsComplete() bool { return e == Complete || e == Confirmed }
+
+// Judge returns the end of a body that was read until err (2). evidence returns what is known of the server after the end; it is
+// called only for an undelimited body that was read to io.EOF, and may wait. nil: nothing is known.
+func Judge(delimited bool, err error, evidence func() liveness.Evidence) End {
+	switch {
+	case err != io.EOF:
+		return Truncated
+	case delimited:
 		return Complete
+	case evidence == nil:
+		return Unknown
+	}
+	switch e := evidence(); {
+	case e.GoesOn():
+		return Confirmed
+	case e == liveness.Ended:
+		return Truncated
 	}
 	return Unknown
 }
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"leverdrum/internal/framing"
+	"leverdrum/internal/liveness"
 )
 
 func TestDelimited(t *testing.T) {
@@ -103,6 +104,35 @@
 	return string(all), err
 }
 
+// Guards against an end that is taken for complete without evidence, and against probes for ends that need none.
+func TestJudge(t *testing.T) {
+	reset := errors.New("reset")
+	for _, c := range []struct {
+		delimited bool
+		err       error
+		evidence  liveness.Evidence
+		end       framing.End
+		asks      bool
+	}{
+		{true, io.EOF, liveness.Ended, framing.Complete, false},
+		{true, reset, liveness.Answered, framing.Truncated, false},
+		{false, reset, liveness.Answered, framing.Truncated, false},
+		{false, io.EOF, liveness.Answered, framing.Confirmed, true},
+		{false, io.EOF, liveness.Open, framing.Confirmed, true},
+		{false, io.EOF, liveness.Relayed, framing.Confirmed, true},
+		{false, io.EOF, liveness.None, framing.Unknown, true},
+		{false, io.EOF, liveness.Ended, framing.Truncated, true},
+	} {
+		g := NewWithT(t)
+		asked := false
+		end := framing.Judge(c.delimited, c.err, func() liveness.Evidence { asked = true; return c.evidence })
+		g.Expect(end.String()).To(Equal(c.end.String()), "%+v", c)
+		g.Expect(asked).To(Equal(c.asks), "%+v", c)
+		g.Expect(end.IsComplete()).To(Equal(c.end == framing.Complete || c.end == framing.Confirmed))
+	}
+	NewWithT(t).Expect(framing.Judge(false, io.EOF, nil)).To(Equal(framing.Unknown))
+}
+
 // Guards against the last bytes of an undelimited response that are lost when the process is killed after Finish: its
 // connection then closes in the ordinary way.
 func TestFinishWritesWhatIsBuffered(t *testing.T) {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -73,7 +73,8 @@
 	StreamsResumed     = Metric{"leverdrum_streams_resumed_total", Counter, "Streams that continued at a server, by who resumed them (box: inside the response; caller: with another request) and whether the server has the software version of the one that began them (same, other).", []string{"by", "version"}}
 	OriginsLost        = Metric{"leverdrum_stream_origins_lost_total", Counter, "Records of the software version at which a stream began that could not be delivered to a box that keeps them.", nil}
 	Responses          = Metric{"leverdrum_responses_total", Counter, "Responses of backend servers by the attempt that they belong to (this; another: a surplus one; unidentified) and by what they prove about the attempt under way (run, not-run, nothing).", []string{"owner", "proof"}}
-	ResponseEnds       = Metric{"leverdrum_response_ends_total", Counter, "Responses of backend servers by how they ended (complete; unknown: with the connection, without a length or chunks; truncated).", []string{"end"}}
+	ResponseEnds       = Metric{"leverdrum_response_ends_total", Counter, "Responses of backend servers by how they ended (complete; confirmed: with the connection, without a length or chunks, and the server went on; unknown: the same, and nothing shows that the server went on; truncated: a part is missing, or the server has ended).", []string{"end"}}
+	ResponseEndWait    = Metric{"leverdrum_response_end_wait_seconds", Histogram, "How long the ends of responses without a length or chunks waited for evidence that their server went on, by what was found (answered: a health check; open: a connection; ended: the server has ended; none).", []string{"life"}}
 	Claims             = Metric{"leverdrum_claims_total", Counter, "Claims on keyed calls by verdict.", []string{"verdict"}}
 )
 
@@ -81,7 +82,7 @@
 func All() []Metric {
 	return []Metric{
 		Refusals, Retries, RetriesDenied, Requests, RequestsInTime, RequestDuration, RequestsInFlight, StateIndex, FleetNumber,
-		IsLeader, Current, Elections, Orders, Ejections, PeerBytes, PeerMessages, PeerAbandonedBytes, CrashReports, CrashExposures, CrashersBlocked, InvalidReports, BuildInfo, ActiveLevel, WorkspaceRequests, LimitedAttempts, ServerLimits, LateRequests, LateWorkspaces, ServerSlowness, LoadFrames, LoadIgnored, LoadPrefixes, LoadHubs, StartHolds, ServerLinks, RelayedAttempts, RelaysServed, Connections, Responses, ResponseEnds, StreamsResumed, OriginsLost, Claims,
+		IsLeader, Current, Elections, Orders, Ejections, PeerBytes, PeerMessages, PeerAbandonedBytes, CrashReports, CrashExposures, CrashersBlocked, InvalidReports, BuildInfo, ActiveLevel, WorkspaceRequests, LimitedAttempts, ServerLimits, LateRequests, LateWorkspaces, ServerSlowness, LoadFrames, LoadIgnored, LoadPrefixes, LoadHubs, StartHolds, ServerLinks, RelayedAttempts, RelaysServed, Connections, Responses, ResponseEnds, ResponseEndWait, StreamsResumed, OriginsLost, Claims,
 	}
 }
 
