--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -47,7 +47,7 @@
 // stays open.
 type script func(c net.Conn, id string) bool
 
-func newBackend(t *testing.T, id string, s script) *backend {
+func newBackend(t testing.TB, id string, s script) *backend {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -114,7 +114,7 @@
 // /stream/ (resumable) and /once/ (a stream that is not resumable).
 type setup struct {
 	logged         *observer.ObservedLogs
-	t              *testing.T
+	t              testing.TB
 	gate           *gateway.Gateway
 	view           *state.State
 	address        string
@@ -123,12 +123,12 @@
 	sharesLoad     bool
 }
 
-func newSetup(t *testing.T, timeout time.Duration, backends ...*backend) *setup {
+func newSetup(t testing.TB, timeout time.Duration, backends ...*backend) *setup {
 	return newLimitedSetup(t, nil, timeout, backends...)
 }
 
 // newLimitedSetup is newSetup with workspace quotas.
-func newLimitedSetup(t *testing.T, quotas *rate.Limiter, timeout time.Duration, backends ...*backend) *setup {
+func newLimitedSetup(t testing.TB, quotas *rate.Limiter, timeout time.Duration, backends ...*backend) *setup {
 	f := fleet.New()
 	f.Number = 1
 	f.Pools["s"] = &fleet.Pool{Name: "s", MaxConnections: 100}
