gateway: one bound over all bytes of responses that a box holds

Cause here: a plain response is buffered up to 1 MiB, an incomplete event too, and nothing bounds their sum.

All attempts of a request now share a hold of one membudget.Budget. A plain response that finds no room is forwarded as it arrives, as one that exceeds 1 MiB. An incomplete event that finds none is treated as a broken stream: it is resumed, or aborted visibly, or answered 502 responses-full, and is no evidence of a crash.

Ruled out: a bound on the number of responses in progress, which would refuse sound ones while the others are read.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,7 +34,9 @@
 //     such a region the request is refused at once.
 //  13. A box holds no more bytes of request bodies than its share of its memory. What exceeds it
 //     is refused while it is read, however slowly it arrives. Of each response the box holds one
-//     buffer: it reads on when the caller has taken what has arrived.
+//     buffer: it reads on when the caller has taken what has arrived. All responses share a bound
+//     (package membudget): beyond it, plain ones are forwarded as they arrive, and a stream with an
+//     incomplete event that finds no room is treated as broken.
 //  14. Where boxes share the load of a pool, package overload decides which requests are sent when
 //     the pool is short of capacity. The others wait in the box, or are refused. Where the load is
 //     not known, a stream that would miss its target at every server is refused.
@@ -61,6 +63,7 @@
 	"leverdrum/event"
 	"leverdrum/fleet"
 	"leverdrum/internal/attest"
+	"leverdrum/internal/membudget"
 	"leverdrum/internal/reply"
 	"leverdrum/internal/wait"
 	"leverdrum/loadshare"
@@ -104,6 +107,8 @@
 	DrainingDuration time.Duration
 	// MaxBodies bounds the bytes of request bodies that the box holds in memory; 0: no limit.
 	MaxBodies int64
+	// Responses bounds the bytes of responses that the box holds in memory; nil: no limit.
+	Responses *membudget.Budget
 	Budget    Budget
 	// Dial opens connections to backend servers; nil: over TCP.
 	Dial Dialer
@@ -250,11 +255,16 @@
 		return
 	}
 	j := g.newJob(w, r, t, route, body, arrived)
+	j.memory = g.opts.Responses.Hold(holdResponse)
+	defer j.memory.Release()
 	j.owner, j.hasWorkspaces = owner, t.fleet.Workspaces != nil
 	j.regions = regionsOf(route, owner)
 	j.serve()
 }
 
+// holdResponse is the kind of the memory that responses of backend servers take.
+const holdResponse = "response"
+
 // currentRoute returns the route of a request and the table that has it, or why there is none.
 func (g *Gateway) currentRoute(r *http.Request) (*table, *reason.Reason, *fleet.Route) {
 	current := g.opts.Current() // before the table, which is then at least as new
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"leverdrum/fleet"
 	"leverdrum/gateway"
 	"leverdrum/internal/framing"
+	"leverdrum/internal/membudget"
 	"leverdrum/meter"
 	"leverdrum/rate"
 	"leverdrum/reason"
@@ -121,8 +122,12 @@
 	onCurrentCheck func() // called when the gateway checks whether its state is current
 	notCurrent     atomic.Bool
 	sharesLoad     bool
+	responses      *membudget.Budget
 }
 
+// responseMemory is the memory of a setup for responses, in bytes.
+const responseMemory = 8 << 20
+
 func newSetup(t testing.TB, timeout time.Duration, backends ...*backend) *setup {
 	return newLimitedSetup(t, nil, timeout, backends...)
 }
@@ -142,7 +147,7 @@
 			Timeout: timeout, LatencyTarget: timeout / 4, MaxAttempts: 2, Split: []fleet.Share{{Pool: "s", Weight: 1}},
 		})
 	}
-	s := &setup{t: t, view: state.New(), onCurrentCheck: func() {}}
+	s := &setup{t: t, view: state.New(), onCurrentCheck: func() {}, responses: membudget.New(responseMemory, nil)}
 	s.view.Fleet, s.view.Version = f, &wire.FleetVersion{Number: 1, Index: 1}
 	for _, b := range backends {
 		s.view.Announcements.Set(b.id, &wire.Announcement{Id: b.id, Service: "s", Address: b.address, Hall: "h", Slots: 8, Version: b.version})
@@ -153,8 +158,8 @@
 	own.Fetch, own.Reserved = "X-Fetch", []string{"X-Reserved"}
 	s.gate = gateway.New(gateway.Options{
 		Dialect: own, View: func() *state.State { return s.view }, Current: func() bool { s.onCurrentCheck(); return !s.notCurrent.Load() }, Hall: "h",
-		SharesLoad: func(string) bool { return s.sharesLoad },
-		Budget:     gateway.Budget{Ratio: 1, Slack: 100, Window: 10 * time.Second}, Quotas: quotas, Meters: meter.New(), Log: zap.New(lines), RegionOf: func(hall string) string { return "region-of-" + hall },
+		SharesLoad: func(string) bool { return s.sharesLoad }, Responses: s.responses,
+		Budget: gateway.Budget{Ratio: 1, Slack: 100, Window: 10 * time.Second}, Quotas: quotas, Meters: meter.New(), Log: zap.New(lines), RegionOf: func(hall string) string { return "region-of-" + hall },
 	})
 	s.gate.Refresh()
 	server := httptest.NewUnstartedServer(s.gate)
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -14,6 +14,7 @@
 	"leverdrum/fleet"
 	"leverdrum/internal/attest"
 	"leverdrum/internal/framing"
+	"leverdrum/internal/membudget"
 	"leverdrum/meter"
 	"leverdrum/pushback"
 	"leverdrum/rate"
@@ -38,6 +39,7 @@
 	number        uint64 // configuration that routed the request
 	id            string
 	body          []byte
+	memory        *membudget.Hold // of its responses
 	arrived       time.Time
 	deadline      time.Time
 	prompt        dialect.Prompt
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -13,6 +13,7 @@
 
 	"leverdrum/event"
 	"leverdrum/internal/framing"
+	"leverdrum/internal/membudget"
 	"leverdrum/meter"
 	"leverdrum/reason"
 )
@@ -100,16 +101,18 @@
 		a.discard()
 		return j.handleFailure(ctx, s, unknown(reason.StreamInterrupted, Error.New("stream cannot resume: the server answered with status %d", a.StatusCode)))
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, answerBuffer))
+	body, err := j.readWhole(a)
+	if errors.Is(err, membudget.ErrTooLong) || errors.Is(err, membudget.ErrFull) {
+		onFirstEvent()
+		return j.relayLarge(ctx, s, a, body)
+	}
+	defer j.memory.Shrink(cap(body))
 	if err != nil {
 		a.finish(false)
 		j.recordEnd(framing.Truncated)
 		return j.handleFailure(ctx, s, j.bodyFailure(ctx, err))
 	}
 	onFirstEvent()
-	if len(body) == answerBuffer {
-		return j.relayLarge(ctx, s, a, body)
-	}
 	a.finish(true)
 	j.recordEnd(framing.EndOf(a.delimited))
 	length := int64(len(body))
@@ -123,12 +126,24 @@
 	return true
 }
 
+// readWhole reads a plain response within its limit and the memory of the box for responses (13).
+func (j *job) readWhole(a *response) ([]byte, error) {
+	length := a.ContentLength
+	if j.r.Method == http.MethodHead {
+		length = 0
+	}
+	return j.memory.ReadAll(a.Body, length, answerBuffer)
+}
+
+// relayLarge forwards a plain response as it arrives, because it is too large to be buffered or the box has no memory left for
+// it.
 func (j *job) relayLarge(ctx context.Context, s *server, a *response, buffered []byte) (answered bool) {
 	if !a.watch.passHead(func() { j.writeHead(a, a.ContentLength) }) {
 		a.finish(false)
 		return j.handleBrokenStream(ctx, s, errGivenUp, true)
 	}
 	_, err := j.w.Write(buffered)
+	j.memory.Shrink(cap(buffered))
 	if err == nil {
 		_, err = io.Copy(j.w, a.Body)
 	}
@@ -151,8 +166,13 @@
 
 // bodyFailure returns the failure for an error while reading a body.
 func (j *job) bodyFailure(ctx context.Context, err error) *failure {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return unknown(reason.BackendTimeout, Error.Wrap(err))
+	case errors.Is(err, membudget.ErrFull):
+		f := unknown(reason.ResponseMemoryFull, Error.Wrap(err))
+		f.unproven = true
+		return f
 	}
 	return unknown(reason.BackendDisconnected, Error.Wrap(err))
 }
@@ -174,6 +194,7 @@
 // relayStream forwards a stream event by event (5).
 func (j *job) relayStream(ctx context.Context, s *server, a *response, onFirstEvent func()) (answered bool) {
 	flush := http.NewResponseController(j.w)
+	j.stream.memory = j.memory
 	buf := make([]byte, relayBuffer)
 	started := false
 	lastRead := time.Now()
@@ -200,6 +221,7 @@
 			j.run.Event(lastRead)
 			if !j.headSent && !a.watch.passHead(func() { j.writeHead(a, -1) }) {
 				a.finish(false)
+				j.stream.dropPartial()
 				j.stream = events{} // no event reached the caller, so the next server is asked for all
 				return j.handleBrokenStream(ctx, s, errGivenUp, true)
 			}
@@ -226,6 +248,9 @@
 			return true
 		}
 		if err != nil || j.stream.tooLarge() {
+			if j.stream.full {
+				err = membudget.ErrFull
+			}
 			unresponsive := a.watch.stop()
 			a.finish(false)
 			return j.handleBrokenStream(ctx, s, err, unresponsive)
@@ -243,6 +268,8 @@
 		j.lastFailure = f
 		if !ownLinks {
 			s.recordFailure(time.Now())
+		}
+		if !ownLinks && !f.unproven {
 			j.recordBroken(s, f)
 			j.recordBrokenOutcome(s, f)
 		}
--- a/gateway/routing_test.go
+++ b/gateway/routing_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"leverdrum/dialect"
+	"leverdrum/internal/membudget"
 	"leverdrum/wire"
 )
 
@@ -168,3 +169,35 @@
 		g.Expect(delay).To(BeNumerically("<", 1), "and decays")
 	})
 }
+
+// Guards against memory that stays reserved for events that were forwarded or dropped, and events that are lost for lack of it
+// without being noticed.
+func TestEventsReturnTheirMemory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := membudget.New(rapid.Int64Range(1, 1<<20).Draw(t, "limit"), nil)
+		e := &events{memory: b.Hold("test")}
+		var sent, got strings.Builder
+		for n := range rapid.IntRange(1, 6).Draw(t, "events") {
+			event := fmt.Sprintf("id: %d\ndata: %s\n\n", n+1, strings.Repeat("x", rapid.IntRange(0, 100<<10).Draw(t, "size")))
+			sent.WriteString(event)
+			for event != "" && !e.full {
+				k := min(len(event), relayBuffer)
+				got.Write(e.next([]byte(event[:k])))
+				event = event[k:]
+			}
+		}
+		switch {
+		case !e.full && got.String() != sent.String():
+			t.Fatalf("%d of %d bytes are forwarded", got.Len(), sent.Len())
+		case !strings.HasPrefix(sent.String(), got.String()):
+			t.Fatal("other bytes are forwarded")
+		}
+		if e.next(nil); !e.full && b.Used() > eventBuffer {
+			t.Fatalf("%d bytes are kept between events", b.Used())
+		}
+		e.dropPartial()
+		if b.Used() != 0 {
+			t.Fatalf("%d bytes are left", b.Used())
+		}
+	})
+}
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -60,7 +60,12 @@
 func (b *Budget) Used() int64 { return b.used.Load() }
 
 // Hold returns an empty hold. The kind names what it is for in metrics.
-func (b *Budget) Hold(kind string) *Hold { return &Hold{budget: b, kind: kind} }
+func (b *Budget) Hold(kind string) *Hold {
+	if b == nil {
+		return nil
+	}
+	return &Hold{budget: b, kind: kind}
+}
 
 func (b *Budget) observeUsed(bytes int64) {
 	if b.observe != nil {
@@ -80,7 +85,7 @@
 
 // Grow reserves n more bytes and reports whether the budget admits them. Nothing is admitted after Release.
 func (h *Hold) Grow(n int) bool {
-	if h == nil || h.budget == nil {
+	if h == nil {
 		return true
 	}
 	h.mu.Lock()
@@ -107,7 +112,7 @@
 
 // Shrink returns n bytes to the budget.
 func (h *Hold) Shrink(n int) {
-	if h == nil || h.budget == nil {
+	if h == nil {
 		return
 	}
 	h.mu.Lock()
@@ -121,7 +126,7 @@
 
 // Release returns all bytes to the budget. The hold admits none afterwards.
 func (h *Hold) Release() {
-	if h == nil || h.budget == nil {
+	if h == nil {
 		return
 	}
 	h.mu.Lock()
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -85,6 +85,7 @@
 	BackendDisconnected = add(Reason{"backend-broke", Callers, "The connection was lost before a response; the request may have run.", "Assume neither; retry with the same key if the call has one.", http.StatusBadGateway, Unknown, 0})
 	BackendFailed       = add(Reason{"backend-failed", Callers, "The backend server failed to run the request.", "See its own response, which is passed on.", 0, Failed, 0})
 	BackendUnproven     = add(Reason{"backend-unproven", Callers, "The backend server's response does not prove whether it ran the request.", "Assume neither; retry with the same key if the call has one.", http.StatusBadGateway, Unknown, 0})
+	ResponseMemoryFull  = add(Reason{"responses-full", Callers, "The box has reached its memory limit for responses of backend servers; the request may have run.", "Assume neither; retry with the same key if the call has one.", http.StatusBadGateway, Unknown, 0})
 	BackendTimeout      = add(Reason{"backend-late", Callers, "No response arrived within the deadline; the request may have run.", "Assume neither; retry with the same key if the call has one.", http.StatusGatewayTimeout, Unknown, 0})
 	BackendUnresponsive = add(Reason{"backend-silent", Callers, "The backend server became unresponsive before a response; the request may have run.", "Assume neither; retry with the same key if the call has one.", http.StatusBadGateway, Unknown, 0})
 	StreamInterrupted   = add(Reason{"stream-broke", Callers, "The stream was interrupted; the response is incomplete.", "Retry if the call may be repeated.", 0, Unknown, 0})
