--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"leverdrum/internal/framing"
+	"leverdrum/internal/membudget"
 	"leverdrum/meter"
 	"leverdrum/reason"
 )
@@ -90,16 +91,18 @@
 		a.discard()
 		return j.handleFailure(ctx, s, unknown(reason.StreamInterrupted, Error.New("stream cannot resume: the server answered with status %d", a.StatusCode)))
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, answerBuffer))
+	body, err := j.readWhole(a)
+	if errors.Is(err, membudget.ErrTooLong) || errors.Is(err, membudget.ErrFull) {
+		onFirstEvent()
+		return j.relayLarge(ctx, s, a, body)
+	}
+	defer j.memory.Shrink(cap(body))
 	if err != nil {
 		a.finish(false)
 		j.recordEnd(framing.Truncated)
 		return j.handleFailure(ctx, s, j.bodyFailure(ctx, err))
 	}
 	onFirstEvent()
-	if len(body) == answerBuffer {
-		return j.relayLarge(ctx, s, a, body)
-	}
 	if end := j.judgeEnd(ctx, s, a); !end.IsComplete() {
 		return j.handleFailure(ctx, s, j.endFailure(ctx, end))
 	}
@@ -114,12 +117,24 @@
 	return true
 }
 
+// readWhole reads a plain response within its limit and the memory of the box for responses (13).
+func (j *job) readWhole(a *response) ([]byte, error) {
+	length := a.ContentLength
+	if j.r.Method == http.MethodHead {
+		length = 0
+	}
+	return j.memory.ReadAll(a.Body, length, answerBuffer)
+}
+
+// relayLarge forwards a plain response as it arrives, because it is too large to be buffered or the box has no memory left for
+// it.
 func (j *job) relayLarge(ctx context.Context, s *server, a *response, buffered []byte) (answered bool) {
 	if !a.watch.passHead(func() { j.writeHead(a, a.ContentLength) }) {
 		a.finish(false)
 		return j.handleBrokenStream(ctx, s, errGivenUp, true)
 	}
 	_, err := j.w.Write(buffered)
+	j.memory.Shrink(cap(buffered))
 	if err == nil {
 		_, err = io.Copy(j.w, a.Body)
 	}
@@ -142,16 +157,23 @@
 	j.lastFailure = f
 	if !f.endUnknown && !j.failedOnOwnLinks(f) {
 		s.recordFailure(time.Now())
-		j.recordBroken(s, f)
-		j.recordBrokenOutcome(s, f)
+		if !f.unproven {
+			j.recordBroken(s, f)
+			j.recordBrokenOutcome(s, f)
+		}
 	}
 	j.giveUp(refusal)
 }
 
 // bodyFailure returns the failure for an error while reading a body.
 func (j *job) bodyFailure(ctx context.Context, err error) *failure {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return unknown(reason.BackendTimeout, Error.Wrap(err))
+	case errors.Is(err, membudget.ErrFull):
+		f := unknown(reason.ResponseMemoryFull, Error.Wrap(err))
+		f.unproven = true
+		return f
 	}
 	return unknown(reason.BackendDisconnected, Error.Wrap(err))
 }
@@ -165,6 +187,7 @@
 // relayStream forwards a stream event by event (5).
 func (j *job) relayStream(ctx context.Context, s *server, a *response, onFirstEvent func()) (answered bool) {
 	f := &streamForwarder{job: j, server: s, response: a, onFirstEvent: onFirstEvent, flush: http.NewResponseController(j.w)}
+	j.stream.memory = j.memory
 	buf := make([]byte, relayBuffer)
 	lastRead := time.Now()
 	for {
@@ -189,6 +212,9 @@
 			return f.end(ctx, lastRead)
 		}
 		if err != nil || j.stream.tooLarge() {
+			if j.stream.full {
+				err = membudget.ErrFull
+			}
 			unresponsive := a.watch.stop()
 			a.finish(false)
 			return j.handleBrokenStream(ctx, s, err, unresponsive)
@@ -233,6 +259,7 @@
 	if err != errGivenUp {
 		return f.job.abandon()
 	}
+	f.job.stream.dropPartial()
 	f.job.stream = events{} // no event reached the caller, so the next server is asked for all
 	return f.job.handleBrokenStream(ctx, f.server, err, true)
 }
