shutdown, box, gateway, entry: a planned stop answers what it has taken, and sends no request that may outlast it

Cause: Stop knew one bound, the time after which it closes all connections. Nothing compared what a request can take with what is left, and no one answered what was left at the end.

Change: package shutdown is the plan of one stop. During it a request is sent only if its deadline is before the end of the stop; a resumable stream always; another stream or a repeatable request if the slowest recent one of its route would end in time; a plain request that must not run twice never otherwise. What is refused gets 503, not run, and Connection: close (reason outlasts-stop). Requests in flight 0.3 s before the end get 504, unknown (stop-unanswered); responses that have begun are broken off. Neither counts against the server. Before the connections are closed, a box that accepts no new ones keeps the idle ones for a second and refuses what arrives there, as on the own interface, where requests in the queue are refused at once when the box stops.

The platform's grace was not known to a box: a stop took 7.5 s, also where the platform kills after 5. A box that was stopped during its start and found its cluster meanwhile took requests after balancer-lag; it follows the stop now. Operators' and other servers close at the same time, not one after the other.

Ruled out: refusing all requests whose timeout does not fit, which would refuse most streams from the signal on (timeouts of 12 to 20 s, where streams take a few seconds).

--- a/box/box.go
+++ b/box/box.go
@@ -41,6 +41,7 @@
 	"leverdrum/replica"
 	"leverdrum/route"
 	"leverdrum/settings"
+	"leverdrum/shutdown"
 	"leverdrum/spread"
 	"leverdrum/state"
 	"leverdrum/throttle"
@@ -71,6 +72,8 @@
 	peers      *peer.Server
 	components atomic.Pointer[components]
 	stopping   atomic.Bool
+	refusing   atomic.Bool // further requests of callers are refused, since the box is stopping
+	shutdown   *shutdown.Plan
 	// routesInitialized is set once the routes include the state that was in force when
 	// the box first became current.
 	routesInitialized atomic.Bool
@@ -131,7 +134,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &Box{
 		settings: s, log: log, meters: meter.New(), records: record.NewHistory(recordLimit), clock: clock.New(),
-		fatal: make(chan error, 1), cancel: cancel,
+		fatal: make(chan error, 1), cancel: cancel, shutdown: shutdown.New(),
 	}
 	b.meters.Gauge(meter.BuildInfo, build.Name(), strconv.Itoa(int(level.Newest))).Set(1)
 	if err := b.open(tls); err != nil {
@@ -221,7 +224,7 @@
 		if s.TLSConfig != nil {
 			serve = func() error { return s.ServeTLS(l, "", "") }
 		}
-		if err := serve(); !errors.Is(err, http.ErrServerClosed) {
+		if err := serve(); !errors.Is(err, http.ErrServerClosed) && !b.refusing.Load() {
 			b.reportFatal(Error.Wrap(err))
 		}
 	})
@@ -240,6 +243,9 @@
 	defer b.requests.Add(-1)
 	switch p := b.components.Load(); {
 	case p == nil:
+		if b.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		serveStarting(w, r)
 	case b.settings.Dialect == settings.DialectPlatform, p.gateway.HasRoutes():
 		p.gateway.ServeHTTP(w, r)
@@ -310,6 +316,7 @@
 		return
 	}
 	b.components.Store(p)
+	p.stopIfRefusing(b)
 	event.ClusterJoined.Log(b.log, zap.String("member", p.replica.ID()))
 	var wg sync.WaitGroup
 	if b.store != nil {
@@ -388,7 +395,7 @@
 	p.entry = entry.New(entry.Options{
 		Directory: p.directory, View: r.View, Current: func() bool { return b.routesInitialized.Load() && p.spread.Current() }, Sender: proxy.NewSender(),
 		Meters: b.meters, Records: b.records, MaxBody: s.MaxBody, BodyTimeout: s.BodyTimeout, Claims: p.claims,
-		ReportCrash: p.crashes.add, Quotas: p.quotas.limiter, Pushback: p.pushback,
+		ReportCrash: p.crashes.add, Quotas: p.quotas.limiter, Pushback: p.pushback, Shutdown: b.shutdown,
 	})
 	p.sharer, p.origins = b.newSharer(self), b.newOrigins()
 	p.gateway = b.newGateway(p)
--- a/box/export_test.go
+++ b/box/export_test.go
@@ -27,3 +27,6 @@
 
 // View returns the replicated state as the box has it, for tests.
 func (b *Box) View() *state.State { return b.components.Load().replica.View() }
+
+// InFlight returns the number of callers' requests being served.
+func (b *Box) InFlight() int64 { return b.requests.Load() }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/json"
 	"net/http"
@@ -22,6 +23,7 @@
 	"leverdrum/reason"
 	"leverdrum/record"
 	"leverdrum/route"
+	"leverdrum/shutdown"
 	"leverdrum/state"
 	"leverdrum/wire"
 )
@@ -64,6 +66,8 @@
 	// Pushback applies the limits, backoffs and draining notices that backend servers report; nil
 	// ignores them.
 	Pushback *pushback.Registry
+	// Shutdown is the planned stop of the box; nil: it never begins.
+	Shutdown *shutdown.Plan
 }
 
 // Entry is the HTTP handler of a box for callers.
@@ -76,7 +80,8 @@
 	crashWatcher *crasher.Watcher
 	inFlight     atomic.Int64
 	draining     atomic.Bool
-	stopping     atomic.Bool
+	stopped      context.Context // ends when all further requests are refused
+	stop         context.CancelFunc
 	router       chi.Router
 }
 
@@ -86,6 +91,7 @@
 		opts.ReportCrash = func(*wire.CrashReport) {}
 	}
 	e := &Entry{crashWatcher: crasher.NewWatcher(opts.ReportCrash, nil), opts: opts, admission: admit.NewController(opts.Directory), budget: newRetryBudget(), latencies: newLatencyTracker(), demand: newDemand()}
+	e.stopped, e.stop = context.WithCancel(context.Background())
 	r := chi.NewRouter()
 	r.Post("/v1/chat/completions", e.chat)
 	r.Get("/v1/models", e.models)
@@ -106,7 +112,7 @@
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if e.stopping.Load() {
+	if e.stopped.Err() != nil {
 		e.refuse(w, requestID(r), reason.Stopping, "")
 		return
 	}
@@ -126,8 +132,8 @@
 // Drain closes each connection after its next response.
 func (e *Entry) Drain() { e.draining.Store(true) }
 
-// Stop refuses all further requests.
-func (e *Entry) Stop() { e.stopping.Store(true) }
+// Stop refuses all further requests, and those that no server has been chosen for.
+func (e *Entry) Stop() { e.stop() }
 
 const maxRequestID = 128
 
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -66,13 +66,14 @@
 func (e *Entry) serveKeyed(w http.ResponseWriter, r *http.Request, j *job) {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), j.deadline())
 	defer cancel()
+	defer e.opts.Shutdown.OnEnd(cancel)()
 	attempt, digest := rand.Text(), requestDigest(&j.attempt)
 	answer := e.opts.Claims.Acquire(ctx, j.key, attempt, digest)
 	if answer.Verdict != claim.Granted {
 		e.answerExistingClaim(w, r, j, answer)
 		return
 	}
-	res := e.tryWithinQuota(ctx, j)
+	res := e.endInterrupted(ctx, e.tryWithinQuota(ctx, j))
 	if res.why != nil {
 		e.recordClaimFailure(j, attempt, digest, res.why)
 		e.refuseJob(w, j, res)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -79,8 +79,13 @@
 
 // serve sends the request until it has a response or must be abandoned, and answers the caller.
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, j *job) {
+	if why := e.stopReason(j); why != nil {
+		e.refuseJob(w, j, result{why: why})
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline())
 	defer cancel()
+	defer e.opts.Shutdown.OnEnd(cancel)()
 	j.admission = &admit.Request{Target: j.target, Caller: callerOf(r, j.owner), Urgency: urgencyOf(j.owner), Deadline: j.deadline(), Criteria: route.Criteria{Rank: rankOf(j.owner, j.target), Session: j.session}}
 	if first := j.target.Class.FirstToken; j.stream && first > 0 {
 		j.admission.FirstEventDeadline = j.receivedAt.Add(first)
@@ -98,7 +103,7 @@
 		e.finish(j, "caller-gone", "the caller hung up")
 		return
 	}
-	e.refuseJob(w, j, res)
+	e.refuseJob(w, j, e.endInterrupted(ctx, res))
 }
 
 func (e *Entry) refuseJob(w http.ResponseWriter, j *job, res result) {
@@ -128,7 +133,7 @@
 		if e.blocked(j) {
 			return last.merge(result{why: e.crashReason(j)})
 		}
-		b, why := e.acquireBackend(ctx, j)
+		b, why := e.acquireUnlessStopping(ctx, j)
 		if why != nil && j.retrySlow() {
 			continue
 		}
@@ -219,7 +224,7 @@
 // mayRetry reports whether a failed attempt is retried. If so, it waits for the retry delay.
 func (e *Entry) mayRetry(ctx context.Context, j *job, f *proxy.Failure) bool {
 	retry := retryReason(j, f)
-	if retry == nil || ctx.Err() != nil || j.attempts == maxAttempts || e.nextReportBlocks(j) || len(j.admission.Tried) >= len(j.target.Backends) {
+	if retry == nil || e.outlastsStop(j) || ctx.Err() != nil || j.attempts == maxAttempts || e.nextReportBlocks(j) || len(j.admission.Tried) >= len(j.target.Backends) {
 		return false
 	}
 	if !e.budget.take() {
@@ -367,7 +372,9 @@
 // error event, and the connection is closed without the final chunk.
 func (e *Entry) abortResponse(w http.ResponseWriter, j *job, b *route.Backend, isStream bool, cause error) {
 	e.opts.Meters.CountRefusal(reason.StreamInterrupted)
-	if b != nil { // otherwise the failure was recorded before the attempt to resume the stream
+	if e.opts.Shutdown.Ended() {
+		e.opts.Meters.Count(meter.Interrupted, "broken").Inc()
+	} else if b != nil { // otherwise the failure was recorded before the attempt to resume the stream
 		e.recordFailedAttempt(j, b, reason.StreamInterrupted)
 		e.recordBackendFailure(b, &proxy.Failure{Outcome: reason.Unknown, Reason: reason.StreamInterrupted, Cause: cause})
 	}
@@ -394,6 +401,9 @@
 // finish counts the request and records its outcome.
 func (e *Entry) finish(j *job, outcome, detail string) {
 	took := time.Since(j.receivedAt)
+	if outcome == string(reason.Done) {
+		e.opts.Shutdown.Record(j.target.Name, took)
+	}
 	e.opts.Meters.Count(meter.Requests, j.class(), outcome).Inc()
 	e.opts.Meters.Observer(meter.RequestDuration, j.class()).Observe(took.Seconds())
 	if outcome == string(reason.Done) && took <= j.target.Class.Deadline && !j.firstEventLate {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -30,7 +30,7 @@
 		err := proxy.CopyBody(w, res.response, e.copyOptions(j, relay, res.backend))
 		e.crashWatcher.EndRun(j.run)
 		j.run = nil
-		if err == nil || errors.Is(err, proxy.ErrCallerDisconnected) || errors.Is(err, stream.ErrGap) {
+		if err == nil || errors.Is(err, proxy.ErrCallerDisconnected) || errors.Is(err, stream.ErrGap) || e.opts.Shutdown.Ended() {
 			return err
 		}
 		position, resumable := relay.Position()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,7 @@
 	"leverdrum/pushback"
 	"leverdrum/rate"
 	"leverdrum/reason"
+	"leverdrum/shutdown"
 	"leverdrum/state"
 	"leverdrum/wire"
 )
@@ -107,6 +108,8 @@
 	Budget    Budget
 	// Dial opens connections to backend servers; nil: over TCP.
 	Dial Dialer
+	// Shutdown is the planned stop of the box; nil: it never begins.
+	Shutdown *shutdown.Plan
 	// OpenRelay asks other boxes to relay requests; nil: none does. Self is the name of this box.
 	OpenRelay OpenRelay
 	Self      string
@@ -250,6 +253,10 @@
 		return
 	}
 	j := g.newJob(w, r, t, route, body, arrived)
+	if j.outlastsStop() {
+		g.refuseUnsent(w, r, t, reason.OutlastsStop)
+		return
+	}
 	j.owner, j.hasWorkspaces = owner, t.fleet.Workspaces != nil
 	j.regions = regionsOf(route, owner)
 	j.serve()
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -104,6 +104,7 @@
 func (j *job) serve() {
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
 	defer cancel()
+	defer j.g.opts.Shutdown.OnEnd(cancel)()
 	if j.blockedEverywhere() {
 		j.giveUp(j.blockReason())
 		return
@@ -131,6 +132,7 @@
 			if j.status == http.StatusOK && j.forKnownModel() {
 				j.g.slotTimes.record(j.prompt.Model, time.Since(j.arrived)-j.sentAfter)
 			}
+			j.g.opts.Shutdown.Record(j.route.Name, time.Since(j.arrived))
 			j.g.opts.Meters.Observer(meter.RequestDuration, j.route.Name).Observe(time.Since(j.arrived).Seconds())
 			j.recordServed()
 			j.logDone()
@@ -177,6 +179,11 @@
 		j.giveUp(reason.BackendTimeout)
 		return true
 	}
+	if !j.headSent && j.outlastsStop() {
+		j.releasePermit()
+		j.giveUp(reason.OutlastsStop)
+		return true
+	}
 	if j.attempts == 0 {
 		j.queueTime = time.Since(j.arrived)
 		j.recordAdmitted()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -139,6 +139,10 @@
 	} else {
 		j.recordEnd(framing.Truncated)
 		j.lastFailure = j.bodyFailure(ctx, err)
+		if j.interrupted(ctx) {
+			j.endInterrupted(j.lastFailure)
+			return true
+		}
 		if !j.failedOnOwnLinks(j.lastFailure) {
 			s.recordFailure(time.Now())
 			j.recordBroken(s, j.lastFailure)
@@ -237,6 +241,10 @@
 func (j *job) handleBrokenStream(ctx context.Context, s *server, err error, unresponsive bool) (answered bool) {
 	j.recordEnd(framing.Truncated)
 	f := j.bodyFailure(ctx, err)
+	if j.interrupted(ctx) {
+		j.endInterrupted(f)
+		return true
+	}
 	f.unresponsive = unresponsive
 	ownLinks := j.failedOnOwnLinks(f)
 	if j.headSent && (!j.route.Resumable || j.stream.noIDs) {
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -76,6 +76,10 @@
 	if j.load.stop() && f.outcome == reason.Unknown {
 		f = j.load.failureOfMove()
 	}
+	if j.interrupted(ctx) {
+		j.endInterrupted(f)
+		return true
+	}
 	j.lastFailure = f
 	ownLinks := j.failedOnOwnLinks(f)
 	if !f.moved && !f.endUnknown && !f.unproven && !ownLinks {
@@ -189,6 +193,8 @@
 		return false
 	case j.prompt.Model != "" && f.unsent():
 		return true // the model may soon be resident elsewhere
+	case !j.headSent && j.outlastsStop():
+		return false
 	case f.outcome == reason.NotRun:
 		if j.attempts >= j.route.MaxAttempts+extraNotRunAttempts {
 			return false
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -82,6 +82,8 @@
 	NoPath              = add(Reason{"no-path", Callers, "The box reaches no backend server, and no other box relays the request.", "Retry later, or use another box.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	BackendUnreachable  = add(Reason{"not-reached", Callers, "No backend server could be reached.", "Retry later.", http.StatusServiceUnavailable, NotRun, 1 * second})
 	BackendRefused      = add(Reason{"backend-refused", Callers, "The backend server reported that it did not run the request.", "Retry later.", http.StatusServiceUnavailable, NotRun, 1 * second})
+	OutlastsStop        = add(Reason{"outlasts-stop", Callers, "This box is shutting down, and the request may not end in time.", "Use another box.", http.StatusServiceUnavailable, NotRun, 1 * second})
+	StopUnanswered      = add(Reason{"stop-unanswered", Callers, "This box shut down before the backend server had responded; the request may have run.", "Assume neither; retry at another box, with the same key if the call has one.", http.StatusGatewayTimeout, Unknown, 0})
 	BackendDisconnected = add(Reason{"backend-broke", Callers, "The connection was lost before a response; the request may have run.", "Assume neither; retry with the same key if the call has one.", http.StatusBadGateway, Unknown, 0})
 	BackendFailed       = add(Reason{"backend-failed", Callers, "The backend server failed to run the request.", "See its own response, which is passed on.", 0, Failed, 0})
 	BackendUnproven     = add(Reason{"backend-unproven", Callers, "The backend server's response does not prove whether it ran the request.", "Assume neither; retry with the same key if the call has one.", http.StatusBadGateway, Unknown, 0})
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -53,7 +53,8 @@
 		{Name: "header-timeout", Type: conf.Duration, Default: "5s", Description: "Time limit for a caller to send the headers."},
 		{Name: "body-timeout", Type: conf.Duration, Default: "30s", Description: "Time limit for a caller to send a complete request."},
 		{Name: "balancer-lag", Type: conf.Duration, Default: "3s", Description: "How long requests are still accepted at a planned stop after the readiness check began to fail."},
-		{Name: "stop-timeout", Type: conf.Duration, Default: "10m", Description: "How long a planned stop waits for requests in flight."},
+		{Name: "stop-timeout", Type: conf.Duration, Default: "10m", Description: "How long a planned stop waits for requests in flight after `balancer-lag`. Those that are left are then answered as unknown, or broken off."},
+		{Name: "grace", Type: conf.Duration, Default: "0s", Description: "How long after the signal of a planned stop the platform kills the process; the stop takes less time, and `balancer-lag` at most half of it. 0s: the platform waits."},
 	}},
 	{Kind: "operator", Required: true, Description: "Operators' traffic, metrics and health.", Keys: []conf.Key{
 		{Name: "listen", Type: conf.Address, Required: true, Description: "Address on which operators reach this box."},
@@ -147,6 +148,8 @@
 	BodyTimeout   time.Duration
 	BalancerLag   time.Duration
 	StopTimeout   time.Duration
+	// Grace is the time from the signal of a planned stop until the process is killed; 0: it is not.
+	Grace time.Duration
 
 	OperatorListen string
 	PlatformListen string
@@ -226,7 +229,7 @@
 		Cluster: cluster.String("name"), FirstMembers: cluster.List("first-members"), Boxes: parsePairs(cluster.List("boxes")),
 		PeerListen: peer.String("listen"), PeerAdvertise: cmp.Or(peer.String("advertise"), peer.String("listen")), AllowPlaintext: peer.String("plain-text") == "anywhere",
 		EntryListen: entry.String("listen"), MaxBody: int64(entry.Bytes("max-body")),
-		HeaderTimeout: entry.Duration("header-timeout"), BodyTimeout: entry.Duration("body-timeout"), BalancerLag: entry.Duration("balancer-lag"), StopTimeout: entry.Duration("stop-timeout"),
+		HeaderTimeout: entry.Duration("header-timeout"), BodyTimeout: entry.Duration("body-timeout"), BalancerLag: entry.Duration("balancer-lag"), StopTimeout: entry.Duration("stop-timeout"), Grace: entry.Duration("grace"),
 		FormCluster: cluster.Bool("form"), Voters: voterCount(cluster.Int("voters"), cluster.Int("tolerate")), VotersNeedDisks: cluster.Bool("voters-need-disks"),
 		Dialect: entry.String("dialect"), ReadyListen: entry.String("ready-listen"), DrainingGrace: entry.Duration("parting"),
 		OperatorListen: operator.String("listen"), PlatformListen: operator.String("platform-listen"), AcceptWait: operator.Duration("accept-wait"), MaxAcceptWait: operator.Duration("accept-most"),
