gateway: a request whose body ends after the box refuses requests is refused, too

What callers saw: an upload that began before a planned stop was passed on whenever its last byte came, also right before the end of the stop, where it was cut or ended as unknown. Cause: whether the box is stopping was asked once, before the body is read. Change: it is asked again when the body has been read. Result: TestPlannedStopRefusesRequestsWhoseBodyEndsLate got 200 instead of 503 before (go test ./box -run BodyEndsLate -count 1), and passes with the change.

--- a/box/planned_stop_test.go
+++ b/box/planned_stop_test.go
@@ -147,6 +147,35 @@
 	g.Expect(<-stopped).To(Succeed())
 }
 
+// Guards against a request that is passed on when its body ends although the box refuses requests by then.
+func TestPlannedStopRefusesRequestsWhoseBodyEndsLate(t *testing.T) {
+	b := startStopBox(t, 300*time.Millisecond, 3*time.Second)
+	g := NewWithT(t)
+	c, err := net.Dial("tcp", b.entry)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	a := stopAnswer{id: "upload", sentAt: time.Now()}
+	_, err = io.WriteString(c, b.rawRequest("upload", "/safe/x", time.Millisecond, 8)+"half")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(b.box.InFlight, testTimeout).Should(BeEquivalentTo(1))
+	stopped := make(chan error, 1)
+	go func() { stopped <- b.box.Stop() }()
+	g.Eventually(func() error { // until the box accepts no connections
+		n, err := net.Dial("tcp", b.entry)
+		if err == nil {
+			n.Close()
+		}
+		return err
+	}, testTimeout).Should(HaveOccurred())
+	_, err = io.WriteString(c, "half")
+	g.Expect(err).NotTo(HaveOccurred())
+	a.read(bufio.NewReader(c))
+	g.Expect(a.status).To(Equal(http.StatusServiceUnavailable), "%v", a.err)
+	g.Expect(a.body).To(ContainSubstring("stopping"))
+	g.Expect(b.server.Runs()).NotTo(HaveKey("upload"))
+	g.Expect(<-stopped).To(Succeed())
+}
+
 func (b *stopBox) readyStatus() int {
 	resp, err := http.Get("http://" + b.ready + "/")
 	if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -253,7 +253,11 @@
 		return
 	}
 	j := g.newJob(w, r, t, route, body, arrived)
-	if j.outlastsStop() {
+	switch { // also while the body was read
+	case g.stopped():
+		g.refuseUnsent(w, r, t, reason.Stopping)
+		return
+	case j.outlastsStop():
 		g.refuseUnsent(w, r, t, reason.OutlastsStop)
 		return
 	}
