--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,6 +71,7 @@
 	"leverdrum/pushback"
 	"leverdrum/rate"
 	"leverdrum/reason"
+	"leverdrum/shutdown"
 	"leverdrum/state"
 	"leverdrum/wire"
 )
@@ -112,6 +113,8 @@
 	Budget    Budget
 	// Dial opens connections to backend servers; nil: over TCP.
 	Dial Dialer
+	// Shutdown is the planned stop of the box; nil: it never begins.
+	Shutdown *shutdown.Plan
 	// OpenRelay asks other boxes to relay requests; nil: none does. Self is the name of this box.
 	OpenRelay OpenRelay
 	Self      string
@@ -256,6 +259,14 @@
 		return
 	}
 	j := g.newJob(w, r, t, route, body, arrived)
+	switch { // also while the body was read
+	case g.stopped():
+		g.refuseUnsent(w, r, t, reason.Stopping)
+		return
+	case j.outlastsStop():
+		g.refuseUnsent(w, r, t, reason.OutlastsStop)
+		return
+	}
 	j.memory = g.opts.Responses.Hold(holdResponse)
 	defer j.memory.Release()
 	j.owner, j.hasWorkspaces = owner, t.fleet.Workspaces != nil
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -141,7 +141,12 @@
 	if err != nil {
 		a.finish(false)
 		j.recordEnd(framing.Truncated)
-		j.abort(s, j.bodyFailure(ctx, err), reason.BackendDisconnected)
+		f := j.bodyFailure(ctx, err)
+		if j.interrupted(ctx) {
+			j.endInterrupted(f)
+			return true
+		}
+		j.abort(s, f, reason.BackendDisconnected)
 		return true
 	}
 	if end := j.judgeEnd(ctx, s, a); !end.IsComplete() {
@@ -294,6 +299,10 @@
 func (j *job) handleBrokenStream(ctx context.Context, s *server, err error, unresponsive bool) (answered bool) {
 	j.recordEnd(framing.Truncated)
 	f := j.bodyFailure(ctx, err)
+	if j.interrupted(ctx) {
+		j.endInterrupted(f)
+		return true
+	}
 	f.unresponsive = unresponsive
 	return j.resumeOrAbort(ctx, s, f)
 }
