gateway: evidence that a server went on needs a connection opened after the end

A server that closes its listener, and then its connections, answers on some of them after it has closed others: the health check on an idle connection then confirmed the end of a part. The probe now always opens a connection; it takes the place of the one that ended, and stays in the pool for the next request where the server names the requests it answers.

--- a/gateway/endcheck.go
+++ b/gateway/endcheck.go
@@ -44,14 +44,17 @@
 // run implements liveness.Probe.
 func (p *endProbe) run(ctx context.Context) liveness.Evidence {
 	path := p.path()
-	for range maxProbeAttempts {
-		id := rand.Text()
-		x, err := p.connect(ctx, path, id)
-		if errors.Is(err, syscall.ECONNREFUSED) {
+	for attempts := 0; attempts < maxProbeAttempts; {
+		x, err := p.connect(ctx)
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
 			return liveness.Ended
-		}
-		if err == nil {
-			if evidence := p.challenge(ctx, x, path, id); evidence != liveness.None {
+		case errors.Is(err, ErrConnectionLimit): // a request of this box may end soon
+		case err != nil:
+			attempts++
+		default:
+			attempts++
+			if evidence := p.challenge(ctx, x, path); evidence != liveness.None {
 				return evidence
 			}
 		}
@@ -62,26 +65,25 @@
 	return liveness.None
 }
 
-// connect returns a connection for a health check with an ID, or a new one if there are none.
-func (p *endProbe) connect(ctx context.Context, path, id string) (*conn, error) {
+// connect opens a connection. An idle one would not do: a server that closes its listener, and then its connections, may answer
+// on some of them after it has closed others. The new connection takes the place of the one that ended.
+func (p *endProbe) connect(ctx context.Context) (*conn, error) {
 	pool := p.server.pool
-	if path != "" {
-		return pool.get(ctx, id, p.names)
-	}
 	if !pool.reserve() && !pool.replaceIdle() {
 		return nil, ErrConnectionLimit
 	}
 	return pool.dial(ctx)
 }
 
-// challenge sends a health check with an ID on a connection and waits for the response until the context ends. Without a path it
-// only waits.
-func (p *endProbe) challenge(ctx context.Context, x *conn, path, id string) liveness.Evidence {
+// challenge sends a health check on a new connection and waits for the response until the context ends. Without a path it only
+// waits.
+func (p *endProbe) challenge(ctx context.Context, x *conn, path string) liveness.Evidence {
 	deadline, _ := ctx.Deadline()
 	if x.SetDeadline(deadline) != nil {
 		x.pool.drop(x)
 		return liveness.None
 	}
+	id := rand.Text()
 	if path != "" {
 		x.history.Begin(id)
 		if _, err := x.Write(p.request(path, id)); err != nil {
@@ -203,8 +205,17 @@
 // waits for evidence.
 func (j *job) judgeEnd(ctx context.Context, s *server, a *response) framing.End {
 	a.finish(true) // a connection that has ended leaves its place to the probe
+	if !a.delimited {
+		return j.judgeUndelimitedEnd(ctx, s, a)
+	}
+	end := framing.Judge(true, io.EOF, nil)
+	j.recordEnd(end)
+	return end
+}
+
+func (j *job) judgeUndelimitedEnd(ctx context.Context, s *server, a *response) framing.End {
 	var evidence endEvidence
-	end := framing.Judge(a.delimited, io.EOF, func() liveness.Evidence {
+	end := framing.Judge(false, io.EOF, func() liveness.Evidence {
 		if a.relay != nil {
 			evidence.Evidence = a.relay.evidence
 		} else {
@@ -213,9 +224,7 @@
 		return evidence.Evidence
 	})
 	j.recordEnd(end)
-	if !a.delimited {
-		j.logUndelimitedEnd(evidence)
-	}
+	j.logUndelimitedEnd(evidence)
 	return end
 }
 
--- a/gateway/ends_test.go
+++ b/gateway/ends_test.go
@@ -21,10 +21,16 @@
 type endingServer struct {
 	*backend
 	listener net.Listener
+	// onCheck is called with each health check and returns whether it is answered; nil: all are.
+	onCheck func(net.Conn, *http.Request) bool
 
-	mu    sync.Mutex
-	ended bool
-	conns map[net.Conn]bool
+	// keepsOpen reports whether the connection of a request stays open after the response; nil: none does.
+	keepsOpen func(*http.Request) bool
+
+	mu       sync.Mutex
+	ended    bool
+	conns    map[net.Conn]bool
+	requests int // that are no health checks
 }
 
 // newEndingServer returns a server that handles each request with a function, which returns whether the server goes on. It
@@ -86,17 +92,36 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/health" && s.onCheck != nil && !s.onCheck(c, r) {
+			continue
+		}
 		if r.URL.Path == "/health" {
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Server-Id: %s\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", s.id, r.Header.Get("X-Request-Id"))
 			continue
 		}
+		s.countRequest()
 		if !respond(c, r) {
 			s.end()
 		}
+		if s.keepsOpen != nil && s.keepsOpen(r) {
+			continue
+		}
 		return
 	}
 }
 
+func (s *endingServer) countRequest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests++
+}
+
+func (s *endingServer) requestCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests
+}
+
 // newHealthSetup is newSetup with health checks on /health.
 func newHealthSetup(t *testing.T, servers ...*endingServer) *setup {
 	var backends []*backend
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -47,7 +47,7 @@
 // stays open.
 type script func(c net.Conn, id string) bool
 
-func newBackend(t *testing.T, id string, s script) *backend {
+func newBackend(t testing.TB, id string, s script) *backend {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -114,21 +114,22 @@
 // /stream/ (resumable) and /once/ (a stream that is not resumable).
 type setup struct {
 	logged         *observer.ObservedLogs
-	t              *testing.T
+	t              testing.TB
 	gate           *gateway.Gateway
 	view           *state.State
 	address        string
 	onCurrentCheck func() // called when the gateway checks whether its state is current
 	notCurrent     atomic.Bool
 	sharesLoad     bool
+	meters         *meter.Meters
 }
 
-func newSetup(t *testing.T, timeout time.Duration, backends ...*backend) *setup {
+func newSetup(t testing.TB, timeout time.Duration, backends ...*backend) *setup {
 	return newLimitedSetup(t, nil, timeout, backends...)
 }
 
 // newLimitedSetup is newSetup with workspace quotas.
-func newLimitedSetup(t *testing.T, quotas *rate.Limiter, timeout time.Duration, backends ...*backend) *setup {
+func newLimitedSetup(t testing.TB, quotas *rate.Limiter, timeout time.Duration, backends ...*backend) *setup {
 	f := fleet.New()
 	f.Number = 1
 	f.Pools["s"] = &fleet.Pool{Name: "s", MaxConnections: 100}
@@ -142,7 +143,7 @@
 			Timeout: timeout, LatencyTarget: timeout / 4, MaxAttempts: 2, Split: []fleet.Share{{Pool: "s", Weight: 1}},
 		})
 	}
-	s := &setup{t: t, view: state.New(), onCurrentCheck: func() {}}
+	s := &setup{t: t, view: state.New(), onCurrentCheck: func() {}, meters: meter.New()}
 	s.view.Fleet, s.view.Version = f, &wire.FleetVersion{Number: 1, Index: 1}
 	for _, b := range backends {
 		s.view.Announcements.Set(b.id, &wire.Announcement{Id: b.id, Service: "s", Address: b.address, Hall: "h", Slots: 8, Version: b.version})
@@ -154,7 +155,7 @@
 	s.gate = gateway.New(gateway.Options{
 		Dialect: own, View: func() *state.State { return s.view }, Current: func() bool { s.onCurrentCheck(); return !s.notCurrent.Load() }, Hall: "h",
 		SharesLoad: func(string) bool { return s.sharesLoad },
-		Budget:     gateway.Budget{Ratio: 1, Slack: 100, Window: 10 * time.Second}, Quotas: quotas, Meters: meter.New(), Log: zap.New(lines), RegionOf: func(hall string) string { return "region-of-" + hall },
+		Budget:     gateway.Budget{Ratio: 1, Slack: 100, Window: 10 * time.Second}, Quotas: quotas, Meters: s.meters, Log: zap.New(lines), RegionOf: func(hall string) string { return "region-of-" + hall },
 	})
 	s.gate.Refresh()
 	server := httptest.NewUnstartedServer(s.gate)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -164,7 +164,7 @@
 
 // relayStream forwards a stream event by event (5).
 func (j *job) relayStream(ctx context.Context, s *server, a *response, onFirstEvent func()) (answered bool) {
-	f := &streamForwarder{job: j, server: s, response: a, onFirstEvent: onFirstEvent, flush: http.NewResponseController(j.w)}
+	f := streamForwarder{job: j, server: s, response: a, onFirstEvent: onFirstEvent, flush: http.NewResponseController(j.w)}
 	buf := make([]byte, relayBuffer)
 	lastRead := time.Now()
 	for {
@@ -214,7 +214,7 @@
 		f.started = true
 	}
 	j.run.Event(readAt)
-	if !j.headSent && !f.response.watch.passHead(func() { j.writeHead(f.response, -1) }) {
+	if a := f.response; !j.headSent && !a.watch.passHead(func() { j.writeHead(a, -1) }) {
 		return errGivenUp
 	}
 	if j.stream.any || j.stream.noIDs {
--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -5,11 +5,12 @@
 //
 //  1. Only what the server did after the close is evidence, so that each probe begins after the ends that wait for it. Bytes
 //     that were sent before the close, or that were read after it, show nothing.
-//  2. An answer of the same instance to a request that was sent after the close shows that the server went on.
-//  3. So does a connection that carried such a request, or was opened after the close, and that is open when the probe ends:
-//     the process of the server still holds it. A server that is full, or frozen, answers no request in time.
-//  4. A server that refuses connections, or whose address another instance has, has ended. Any other failure shows nothing:
-//     servers reset connections beyond their limit, and networks lose them.
+//  2. An answer of the same instance on a connection that was opened after the close shows that the server went on.
+//  3. So does such a connection that is open when the probe ends and has acknowledged all bytes: the process of the server still
+//     holds it. A server that is full, or frozen, answers no request in time.
+//  4. A server that refuses connections, or whose address another instance has, has ended, or takes no more requests: it closes
+//     its connections next. Any other failure shows nothing: servers reset connections beyond their limit, and networks lose
+//     them.
 //  5. All ends that wait for a server share one probe, and a server is probed once at a time. An end that comes during a probe
 //     waits for the next one, unless the probe finds that the server has ended.
 //  6. A probe ends after ProbeTimeout, so that an end waits for at most twice that time.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -386,6 +386,11 @@
 mutant relays-cut-off gateway/gateway.go 's/for g.relayed.Load\(\) > 0/for false/' box 'TestRelayingBoxEnds/stopped'
 mutant brittle-ignored pushback/brittle.go 's/return b.running >= b.window\n\}/return false\n}/' pushback TestBrittleServersDoNotFallOverAtAnySize
 mutant unknown-ends-complete internal/framing/framing.go 's/return !bodyAllowed\(method, r.StatusCode\) \|\|/return true ||/' gateway TestTruncatedResponse
+mutant ends-without-evidence internal/framing/framing.go 's/case evidence == nil:/case evidence != nil:\n\t\treturn Confirmed\n\tcase evidence == nil:/' gateway TestServersEndingAtAnyMoment
+mutant relayed-ends-without-evidence gateway/relayed.go 's/if f.Confirmed \{/if f.End {/' gateway TestEndRelayedByAnEarlierBuild
+mutant connections-opened-before gateway/endcheck.go 's/(\tpool := p.server.pool\n)/$1\tif x := pool.takeIdle(rand.Text(), p.names); x != nil {\n\t\treturn x, nil\n\t}\n/' gateway TestServerThatClosesItsListener
+mutant closed-before-the-bytes internal/framing/framing.go 's/if http.NewResponseController\(u.writer\).Flush\(\) != nil \{/if false {/' internal/framing TestFinishWrites
+mutant ends-probe-each-other internal/liveness/liveness.go 's/if evidence == Ended \{/if false {/' internal/liveness TestEndOfTheServer
 mutant aborts-not-reset internal/framing/framing.go 's/u.conn.SetLinger\(0\)/u.conn.SetLinger(-1)/' gateway TestAbortedUndelimited
 mutant parts-of-events-forwarded gateway/relay.go 's/err == io.EOF && j.stream.insideEvent\(\)/false/' gateway TestStreamEndingInside
 mutant resumes-at-any-version gateway/find.go 's/refusal != nil \|\| !j.pinned/true || !j.pinned/' gateway TestStreamResumesOnly
