--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -164,7 +164,7 @@
 
 // relayStream forwards a stream event by event (5).
 func (j *job) relayStream(ctx context.Context, s *server, a *response, onFirstEvent func()) (answered bool) {
-	f := streamForwarder{job: j, server: s, response: a, onFirstEvent: onFirstEvent, flush: http.NewResponseController(j.w)}
+	f := streamForwarder{job: j, server: s, response: a}
 	buf := make([]byte, relayBuffer)
 	lastRead := time.Now()
 	for {
@@ -180,13 +180,17 @@
 			err = errInsideEvent
 		}
 		if len(out) > 0 {
+			if !f.started {
+				onFirstEvent()
+				f.started = true
+			}
 			if werr := f.forward(out, lastRead); werr != nil {
 				a.finish(false)
 				return f.fail(ctx, werr)
 			}
 		}
 		if err == io.EOF {
-			return f.end(ctx, lastRead)
+			return f.end(ctx, lastRead, onFirstEvent)
 		}
 		if err != nil || j.stream.tooLarge() {
 			unresponsive := a.watch.stop()
@@ -198,21 +202,15 @@
 
 // streamForwarder forwards one stream of a server.
 type streamForwarder struct {
-	job          *job
-	server       *server
-	response     *response
-	onFirstEvent func()
-	flush        *http.ResponseController
-	started      bool // onFirstEvent was called
+	job      *job
+	server   *server
+	response *response
+	started  bool // the first event has been recorded
 }
 
 // forward forwards bytes that were read at a time, after the head. The error is errGivenUp, or that of writing to the caller.
 func (f *streamForwarder) forward(out []byte, readAt time.Time) error {
 	j := f.job
-	if !f.started {
-		f.onFirstEvent()
-		f.started = true
-	}
 	j.run.Event(readAt)
 	if a := f.response; !j.headSent && !a.watch.passHead(func() { j.writeHead(a, -1) }) {
 		return errGivenUp
@@ -223,7 +221,7 @@
 	if _, err := j.w.Write(out); err != nil {
 		return Error.Wrap(err)
 	}
-	_ = f.flush.Flush() // a disconnected caller is detected at the next write
+	_ = http.NewResponseController(j.w).Flush() // a disconnected caller is detected at the next write
 	j.load.forwarded(time.Now())
 	return nil
 }
@@ -239,7 +237,7 @@
 
 // end ends a stream that was read to its end. What follows its last event is forwarded once the end is known, as an event of
 // another server may follow instead.
-func (f *streamForwarder) end(ctx context.Context, readAt time.Time) (answered bool) {
+func (f *streamForwarder) end(ctx context.Context, readAt time.Time, onFirstEvent func()) (answered bool) {
 	j, s := f.job, f.server
 	end := framing.Unknown
 	if f.response.delimited || !j.headSent || j.undelimited != nil {
@@ -252,6 +250,9 @@
 		return j.resumeOrAbort(ctx, s, j.endFailure(ctx, end))
 	}
 	if !j.headSent || len(j.stream.partial) > 0 {
+		if !f.started {
+			onFirstEvent()
+		}
 		if err := f.forward(j.stream.partial, readAt); err != nil {
 			return f.fail(ctx, err)
 		}
