--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -123,6 +123,7 @@
 	notCurrent     atomic.Bool
 	sharesLoad     bool
 	responses      *membudget.Budget
+	meters         *meter.Meters
 }
 
 // responseMemory is the memory of a setup for responses, in bytes.
@@ -147,7 +148,7 @@
 			Timeout: timeout, LatencyTarget: timeout / 4, MaxAttempts: 2, Split: []fleet.Share{{Pool: "s", Weight: 1}},
 		})
 	}
-	s := &setup{t: t, view: state.New(), onCurrentCheck: func() {}, responses: membudget.New(responseMemory, nil)}
+	s := &setup{t: t, view: state.New(), onCurrentCheck: func() {}, responses: membudget.New(responseMemory, nil), meters: meter.New()}
 	s.view.Fleet, s.view.Version = f, &wire.FleetVersion{Number: 1, Index: 1}
 	for _, b := range backends {
 		s.view.Announcements.Set(b.id, &wire.Announcement{Id: b.id, Service: "s", Address: b.address, Hall: "h", Slots: 8, Version: b.version})
@@ -159,7 +160,7 @@
 	s.gate = gateway.New(gateway.Options{
 		Dialect: own, View: func() *state.State { return s.view }, Current: func() bool { s.onCurrentCheck(); return !s.notCurrent.Load() }, Hall: "h",
 		SharesLoad: func(string) bool { return s.sharesLoad }, Responses: s.responses,
-		Budget: gateway.Budget{Ratio: 1, Slack: 100, Window: 10 * time.Second}, Quotas: quotas, Meters: meter.New(), Log: zap.New(lines), RegionOf: func(hall string) string { return "region-of-" + hall },
+		Budget: gateway.Budget{Ratio: 1, Slack: 100, Window: 10 * time.Second}, Quotas: quotas, Meters: s.meters, Log: zap.New(lines), RegionOf: func(hall string) string { return "region-of-" + hall },
 	})
 	s.gate.Refresh()
 	server := httptest.NewUnstartedServer(s.gate)
