proxy: malformed responses are none, and a reset upload has no whole response

On the own interface, a server's status 000 or 099 made the handler panic (invalid WriteHeader code; the caller's connection closed without an answer), 999 and 101 were passed on, and blanks in or after field names, folded values, a length beside chunks, a doubled length, HTTP/1.2, chunks in HTTP/1.0, malformed trailers and malformed interim responses were forwarded as 200, some with another body than the server's.

Cause: as in the gateway: net/http's parser accepts more than the grammar, and the transport's writer takes the error of the reset, so that its reader sees an ordinary end.

Change: the connections of Sender's transports are responsehead.Conns. A Conn follows the framing of what it reads, checks heads, chunk lines and trailers, and returns an error in place of the first byte that is not well-formed; whole responses before it are delivered. It counts what is written of the request. The end of an undelimited response is io.EOF only if all of it was written without an error and acknowledged. Kept connections are followed, too: a surplus response that net/http reads ahead is checked like any other.

The services of these tests accept bodies of 4 MiB in place of 1000 bytes.

--- a/entry/undelimited_test.go
+++ b/entry/undelimited_test.go
@@ -28,6 +28,9 @@
 	"leverdrum/state"
 )
 
+// maxUpload is the largest body in bytes that a rawService accepts.
+const maxUpload = 4 << 20
+
 // rawService is an entry box in front of one backend server.
 type rawService struct{ address string }
 
@@ -58,7 +61,7 @@
 	d.Update(st)
 	s := httptest.NewUnstartedServer(entry.New(entry.Options{
 		Directory: d, View: func() *state.State { return st }, Current: func() bool { return true }, Sender: proxy.NewSender(),
-		Meters: meter.New(), Records: record.NewHistory(100), MaxBody: 1000, BodyTimeout: time.Second, Claims: &oneBoxClaims{},
+		Meters: meter.New(), Records: record.NewHistory(100), MaxBody: maxUpload, BodyTimeout: 5 * time.Second, Claims: &oneBoxClaims{},
 	}))
 	s.Config.ConnContext = framing.ConnContext
 	s.Start()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -16,6 +16,8 @@
 //     attempt of the same request is none to a later one.
 //  5. Calls that may not be repeated use new connections: a reused connection may
 //     already be dead, and then the outcome would be unknown.
+//  6. Bytes that are no well-formed response are none (package responsehead). The end of one without a length or chunks is
+//     an error unless the backend server has received the whole request.
 package proxy
 
 import (
@@ -35,6 +37,7 @@
 	"leverdrum/engine"
 	"leverdrum/internal/attest"
 	"leverdrum/internal/framing"
+	"leverdrum/internal/responsehead"
 	"leverdrum/reason"
 )
 
@@ -134,7 +137,7 @@
 		c.Close()
 		return nil, errInBackoff
 	}
-	return c, nil
+	return responsehead.NewConn(c), nil // (6)
 }
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
@@ -207,7 +210,7 @@
 	if a.NonRepeatable {
 		transport = s.singleUse // (5)
 	}
-	resp, err := transport.RoundTrip(req)
+	resp, err := responsehead.RoundTrip(transport, req)
 	if err != nil {
 		return nil, classify(err, connected.Load())
 	}
