engine, platform: malformed responses to orders and report requests are none

Orders, reports, states and the list of machines are read with net/http's client, which drops malformed lines: an order whose response had a line "X Y: 1" counted as accepted, and reports were believed (TestMalformedHeadsAreNoResponse in platform failed at "X Y: 1": expected an error, got nil).

Change: the connections of these clients are responsehead.Conns, under the guard that checks each write where there is one. An order whose response is malformed has an unknown outcome, as one without a response. RoundTrip returns the kind of the malformed line in place of net/http's error, which quotes its bytes.

Not changed: the operator's command, whose servers are boxes, partly over TLS.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -17,6 +17,7 @@
 	"github.com/zeebo/errs"
 
 	"leverdrum/dialect"
+	"leverdrum/internal/responsehead"
 )
 
 // Error is the class of this package's errors.
@@ -106,9 +107,9 @@
 // NewClient returns a client that writes orders only while allowed returns true. It checks right before each write to a
 // connection. The client honors the servers' pushback, which may be nil.
 func NewClient(allowed func() bool, pushback Pushback) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	reads := &http.Client{Transport: responsehead.NewTransport(&http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: 1})}
 	return &Client{
-		reads:  WithPushback(&http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1}}, pushback, &dialect.Native),
+		reads:  WithPushback(reads, pushback, &dialect.Native),
 		orders: WithPushback(NewGuardedClient(allowed), pushback, &dialect.Native),
 	}
 }
--- a/engine/guard.go
+++ b/engine/guard.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"leverdrum/internal/attest"
+	"leverdrum/internal/responsehead"
 )
 
 // ErrNotAllowed: the box is no longer the leader. Nothing was written.
@@ -29,7 +30,7 @@
 			return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 		}
 		current, _ := ctx.Value(attemptKey{}).(*attempt)
-		return &guardedConn{Conn: c, allowed: allowed, attempt: current}, nil
+		return responsehead.NewConn(&guardedConn{Conn: c, allowed: allowed, attempt: current}), nil
 	}
 	return &guardedTransport{&http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: attest.MaxHeadBytes}}
 }
@@ -52,7 +53,7 @@
 	if c, ok := r.Context().Value(callKey{}).(*call); ok {
 		current.sendable = c.sendable
 	}
-	resp, err := t.Transport.RoundTrip(r.WithContext(context.WithValue(r.Context(), attemptKey{}, current)))
+	resp, err := responsehead.RoundTrip(t.Transport, r.WithContext(context.WithValue(r.Context(), attemptKey{}, current)))
 	switch {
 	case err != nil && current.refused.Load():
 		return nil, ErrNotAllowed
@@ -70,6 +71,9 @@
 	started bool
 }
 
+// NetConn returns the connection that is guarded.
+func (c *guardedConn) NetConn() net.Conn { return c.Conn }
+
 // Write checks the permission right before it writes.
 func (c *guardedConn) Write(b []byte) (int, error) {
 	if !c.allowed() {
--- a/internal/framing/unacknowledged.go
+++ b/internal/framing/unacknowledged.go
@@ -11,6 +11,9 @@
 // acknowledged, 0 if the connection is not a socket. The end of the other side acknowledges all that had arrived by then: if
 // bytes are unacknowledged after it, the other side has closed before it received them.
 func Unacknowledged(c net.Conn) (bytes int) {
+	if outer, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = outer.NetConn()
+	}
 	sock, ok := c.(syscall.Conn)
 	if !ok {
 		return 0
--- a/internal/responsehead/conn.go
+++ b/internal/responsehead/conn.go
@@ -1,12 +1,14 @@
 package responsehead
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"leverdrum/internal/framing"
@@ -60,14 +62,54 @@
 // NewConn returns a Conn over a connection that has carried no request.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
-// RoundTrip is that of a transport whose connections are Conns. Their requests have a body of a known length, or none.
-func RoundTrip(transport http.RoundTripper, r *http.Request) (*http.Response, error) {
+// transport is an http.Transport whose connections are Conns.
+type transport struct{ *http.Transport }
+
+// NewTransport makes the connections of a transport Conns. It changes how the transport dials.
+func NewTransport(t *http.Transport) http.RoundTripper {
+	dial := t.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(c), nil
+	}
+	return transport{t}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return RoundTrip(t.Transport, r)
+}
+
+// RoundTrip is that of a transport whose connections are Conns. Their requests have a body of a known length, or none. The error is
+// an *Error if the head that was read is malformed.
+func RoundTrip(t http.RoundTripper, r *http.Request) (*http.Response, error) {
+	var last atomic.Pointer[Conn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*Conn); ok {
 			c.expect(r.Method, max(0, r.ContentLength))
+			last.Store(c)
 		}
 	}}
-	return transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	resp, err := t.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if c := last.Load(); err != nil && c != nil {
+		if malformed := c.malformed(); malformed != nil {
+			return nil, malformed // net/http may report it in other words
+		}
+	}
+	return resp, err
+}
+
+// malformed returns what is wrong with the bytes that were read; nil if nothing is.
+func (c *Conn) malformed() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
 }
 
 // expect prepares for a request.
@@ -109,10 +151,7 @@
 
 // Read returns an *Error in place of the first byte that is not part of a response.
 func (c *Conn) Read(b []byte) (int, error) {
-	c.mu.Lock()
-	err := c.err
-	c.mu.Unlock()
-	if err != nil {
+	if err := c.malformed(); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
