entry, proxy, stream: responses share one bound over all bytes that a box holds

The own interface buffers plain responses up to 1 MiB and events up to 1 MiB, without a bound over all, and copied an incomplete event with every read.

All attempts of a request share a hold of the box's membudget.Budget (entry.Options.Responses). A response that finds no room is forwarded as it arrives; its beginning is no longer reserved once it was read again. An event that finds none breaks the stream as one above 1 MiB does, and the buffers of a large event are not kept for the rest of its stream.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"leverdrum/admit"
 	"leverdrum/crasher"
+	"leverdrum/internal/membudget"
 	"leverdrum/internal/reply"
 	"leverdrum/meter"
 	"leverdrum/proxy"
@@ -52,6 +53,8 @@
 	Meters  *meter.Meters
 	Records *record.History
 	MaxBody int64
+	// Responses bounds the bytes of responses that the box holds in memory; nil means no limit.
+	Responses *membudget.Budget
 	// BodyTimeout bounds the time to read a request body; 0 means no limit.
 	BodyTimeout time.Duration
 	// ReportCrash reports requests during which servers terminated. It must not block. nil discards
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -81,6 +81,8 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, j *job) {
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline())
 	defer cancel()
+	j.attempt.Memory = e.opts.Responses.Hold("response")
+	defer j.attempt.Memory.Release()
 	j.admission = &admit.Request{Target: j.target, Caller: callerOf(r, j.owner), Urgency: urgencyOf(j.owner), Deadline: j.deadline(), Criteria: route.Criteria{Rank: rankOf(j.owner, j.target), Session: j.session}}
 	if first := j.target.Class.FirstToken; j.stream && first > 0 {
 		j.admission.FirstEventDeadline = j.receivedAt.Add(first)
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -25,6 +25,7 @@
 		return proxy.CopyBody(w, res.response, proxy.CopyOptions{})
 	}
 	relay := stream.New(lastEvent(j))
+	relay.Memory = j.attempt.Memory
 	version := res.response.Version
 	for resumes := 0; ; {
 		err := proxy.CopyBody(w, res.response, e.copyOptions(j, relay, res.backend))
--- a/proxy/copy.go
+++ b/proxy/copy.go
@@ -70,6 +70,9 @@
 	if err := c.write(c.out); err != nil {
 		return err
 	}
+	if cap(c.out) > copyBuffer { // a large event
+		c.out = nil
+	}
 	if relay.Forwarded() > before && c.opts.OnEvents != nil {
 		c.opts.OnEvents()
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -35,6 +35,7 @@
 	"leverdrum/engine"
 	"leverdrum/internal/attest"
 	"leverdrum/internal/framing"
+	"leverdrum/internal/membudget"
 	"leverdrum/reason"
 )
 
@@ -66,6 +67,8 @@
 	// Sendable is called once a new connection is open and reports whether the attempt may still be
 	// sent; nil means yes.
 	Sendable func() bool
+	// Memory is what its response may be buffered in; nil means no limit. The caller releases it once it needs the body no more.
+	Memory *membudget.Hold
 }
 
 // Response is the response to an attempt. Either Body is the complete body, or BodyReader is not nil
@@ -267,30 +270,51 @@
 		response.BodyReader, response.Stream = resp.Body, true
 		return response, nil
 	}
-	return s.buffer(resp, response)
+	return s.buffer(a, resp, response)
 }
 
-// buffer reads a response completely if it is small (3).
-func (s *Sender) buffer(resp *http.Response, response *Response) (*Response, *Failure) {
-	if resp.ContentLength > bufferLimit {
+// buffer reads a response completely if it is small and there is memory for it (3).
+func (s *Sender) buffer(a *Attempt, resp *http.Response, response *Response) (*Response, *Failure) {
+	length := resp.ContentLength
+	switch {
+	case length > bufferLimit:
 		response.BodyReader = resp.Body
 		return response, nil
+	case a.Method == http.MethodHead:
+		length = 0
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, bufferLimit+1))
-	if err != nil {
+	body, err := a.Memory.ReadAll(resp.Body, length, bufferLimit)
+	switch {
+	case errors.Is(err, membudget.ErrTooLong), errors.Is(err, membudget.ErrFull):
+		response.BodyReader = &partlyRead{ReadCloser: resp.Body, memory: a.Memory, begin: body, reserved: cap(body)}
+		return response, nil
+	case err != nil:
+		a.Memory.Shrink(cap(body))
 		resp.Body.Close()
 		return nil, classify(err, true)
 	}
-	if len(body) > bufferLimit {
-		response.BodyReader = readCloser{io.MultiReader(bytes.NewReader(body), resp.Body), resp.Body}
-		return response, nil
-	}
 	resp.Body.Close()
 	response.Body = body
 	return response, nil
 }
 
-type readCloser struct {
-	io.Reader
-	io.Closer
+// partlyRead is a body whose beginning was read into memory, which is returned once it was read again.
+type partlyRead struct {
+	io.ReadCloser
+	memory   *membudget.Hold
+	begin    []byte
+	reserved int
+}
+
+// Read implements io.Reader.
+func (p *partlyRead) Read(b []byte) (int, error) {
+	if len(p.begin) > 0 {
+		n := copy(b, p.begin)
+		p.begin = p.begin[n:]
+		return n, nil
+	}
+	p.begin = nil
+	p.memory.Shrink(p.reserved)
+	p.reserved = 0
+	return p.ReadCloser.Read(b)
 }
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -22,6 +22,8 @@
 	"strconv"
 
 	"github.com/zeebo/errs"
+
+	"leverdrum/internal/membudget"
 )
 
 // Error is the class of this package's errors.
@@ -34,11 +36,17 @@
 	ErrTooLarge = Error.New("an event of the stream exceeds 1 MiB")
 )
 
+// smallEvent is the size in bytes up to which events are forwarded without a reservation for their copy.
+const smallEvent = 16 << 10
+
 // maxEventSize is the maximum size of an event in bytes.
 const maxEventSize = 1 << 20
 
 // Relay forwards one stream to a caller across all its continuations.
 type Relay struct {
+	// Memory is what incomplete events are kept in; nil means no limit.
+	Memory       *membudget.Hold
+	copied       int    // bytes reserved for the copy of large events
 	terminator   []byte // line of the last event; nil if the stream ends with its body
 	partial      []byte
 	position     uint64
@@ -79,15 +87,27 @@
 
 // Continue starts a continuation; a partial event is dropped (1).
 func (r *Relay) Continue() {
-	r.partial = nil
+	r.release()
 	r.resumed = true
 }
 
-// Feed processes bytes of the stream and appends what is to be forwarded to out.
+// release frees the partial event.
+func (r *Relay) release() {
+	r.Memory.Shrink(cap(r.partial))
+	r.partial = nil
+}
+
+// Feed processes bytes of the stream and appends what is to be forwarded to out. It returns ErrTooLarge or membudget.ErrFull for
+// an event that may not be kept.
 func (r *Relay) Feed(out, b []byte) ([]byte, error) {
+	r.Memory.Shrink(r.copied)
+	r.copied = 0
 	data := b
 	if len(r.partial) > 0 {
-		data = append(r.partial, b...)
+		if !r.keep(r.partial, b) {
+			return out, membudget.ErrFull
+		}
+		data = r.partial
 	}
 	for !r.done { // (5)
 		n := eventLength(data)
@@ -98,6 +118,12 @@
 		if err != nil {
 			return out, err
 		}
+		if forward && n > smallEvent {
+			if !r.Memory.Grow(n) {
+				return out, membudget.ErrFull
+			}
+			r.copied += n
+		}
 		if forward {
 			out = append(out, data[:n]...)
 			r.forwarded++
@@ -107,10 +133,26 @@
 	if len(data) > maxEventSize {
 		return out, ErrTooLarge
 	}
-	r.partial = append(r.partial[:0:0], data...)
+	if cap(r.partial) > smallEvent && len(data) <= smallEvent { // a large event is complete
+		data = bytes.Clone(data)
+		r.release()
+	}
+	if !r.keep(nil, data) {
+		return out, membudget.ErrFull
+	}
 	return out, nil
 }
 
+// keep makes the partial event consist of kept, which is its beginning or empty, and more, which may be its end. It reports
+// whether there is memory for it.
+func (r *Relay) keep(kept, more []byte) bool {
+	buf, ok := r.Memory.Extend(r.partial[:len(kept)], len(more))
+	if ok {
+		r.partial = append(buf, more...)
+	}
+	return ok
+}
+
 // accept reports whether an event is to be forwarded.
 func (r *Relay) accept(event []byte) (bool, error) {
 	id, isLast := r.parseEvent(event)
