engine: states and outcomes of orders share one bound over all bytes that a box holds

What was seen: 100 model servers that send a head without end made the box that reads their states keep 331 MiB (one header) and 2867 MiB (header lines, each of which becomes an entry); interim responses 52 MiB; 3 MiB of a state or of an order's outcome, 371 MiB.

Cause: the client that reads states had no limit for heads of its own, so that of net/http held (10 MiB a head; the client for orders had attest.MaxHeadBytes), and bodies of up to 4 MiB had no bound over all.

Both clients now have the limit for heads, and the bodies are read into Client.Memory, a membudget.Budget that the box shares between all that servers send. A state that finds no room counts as not read, as one that came too late.

Heads of responses to orders were under 1 MiB before, too.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -17,6 +17,8 @@
 	"github.com/zeebo/errs"
 
 	"leverdrum/dialect"
+	"leverdrum/internal/attest"
+	"leverdrum/internal/membudget"
 )
 
 // Error is the class of this package's errors.
@@ -96,6 +98,8 @@
 type Client struct {
 	reads  *http.Client
 	orders *http.Client
+	// Memory bounds the bytes of states and outcomes that are being read; nil means no limit.
+	Memory *membudget.Budget
 }
 
 const (
@@ -108,7 +112,7 @@
 func NewClient(allowed func() bool, pushback Pushback) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
-		reads:  WithPushback(&http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1}}, pushback, &dialect.Native),
+		reads:  WithPushback(&http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: attest.MaxHeadBytes}}, pushback, &dialect.Native),
 		orders: WithPushback(NewGuardedClient(allowed), pushback, &dialect.Native),
 	}
 }
@@ -130,7 +134,7 @@
 	}
 	req.Header.Set(HeaderAttemptID, strconv.FormatUint(rand.Uint64(), 36))
 	s := &State{}
-	if _, err := exchange(r.client.reads, req, s); err != nil {
+	if _, err := r.client.exchange(r.client.reads, req, s); err != nil {
 		return nil, err
 	}
 	if s.Incarnation == "" {
@@ -152,7 +156,7 @@
 	}
 	req.ContentLength = int64(len(body))
 	var out Outcome
-	status, err := exchange(r.client.orders, req, &out)
+	status, err := r.client.exchange(r.client.orders, req, &out)
 	if err != nil {
 		return Outcome{}, err
 	}
@@ -162,7 +166,7 @@
 	return out, nil
 }
 
-func exchange(c *http.Client, req *http.Request, into any) (int, error) {
+func (e *Client) exchange(c *http.Client, req *http.Request, into any) (int, error) {
 	resp, err := c.Do(req)
 	if err != nil {
 		return 0, Error.Wrap(err)
@@ -173,7 +177,9 @@
 	if id := resp.Header.Get(HeaderAttemptID); id != "" && id != req.Header.Get(HeaderAttemptID) {
 		return 0, Error.New("the response belongs to another call")
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxStateBytes))
+	memory := e.Memory.Hold("state")
+	defer memory.Release()
+	data, err := memory.ReadAll(resp.Body, resp.ContentLength, maxStateBytes)
 	if err != nil {
 		return 0, Error.Wrap(err)
 	}
