state, control, origin: the software versions of services survive all boxes

Cause: which versions a service lately had was in the memory of the boxes only.

Change, from level 11 (VersionHistory) on: the replicated state records a version whose last server is removed, in the entry that removes it, so that no entry is added for arrivals and departures. The leader ends the record with an entry once it has seen the version departed for two minutes of its own running time; a new leader counts anew. The history is complete from the start in a new cluster whose voters have disks, otherwise after the same time. A box that a leader has confirmed to have everything committed knows the versions of all services, and resumes streams of those with a single one. A box that does not know them sends its records to keepers as for a mixed service.

leverdrum_stream_origins_total counts how the version of resumed streams is known, stream-resumed has known_by.

Tests: the histories of package origin now include kills of all boxes.

--- a/box/origins.go
+++ b/box/origins.go
@@ -43,7 +43,7 @@
 		changed := p.replica.Changed()
 		_, confirmed := p.spread.StateAge() // before the view, which is then at least as new
 		view := p.replica.View()
-		p.origins.Configure(originTopology(view, confirmed, p.replica.Status().Voters))
+		p.origins.Configure(originTopology(view, confirmed))
 		if !confirmed {
 			wait.For(ctx, originConfirmPoll)
 			continue
@@ -58,32 +58,18 @@
 
 // originTopology returns what the registry takes from a state. confirmed is set if a leader has confirmed the state since the box
 // started.
-func originTopology(view *state.State, confirmed bool, voters []string) origin.Topology {
-	t := origin.Topology{Enabled: view.Level >= level.StreamOrigins, Confirmed: confirmed, Versions: map[string][]string{}}
-	t.Unused = view.Fleet == nil && durable(view, voters)
+func originTopology(view *state.State, confirmed bool) origin.Topology {
+	t := origin.Topology{Enabled: view.Level >= level.StreamOrigins, Confirmed: confirmed, Complete: view.Versions.Complete, Versions: map[string][]string{}, Departed: map[string][]string{}}
 	for box, m := range view.Members {
 		t.Boxes = append(t.Boxes, origin.Box{ID: box, Disk: m.Disk, Leaving: m.Leaving})
 	}
-	seen := map[origin.Origin]bool{}
-	for _, a := range view.Announcements.All() {
-		o := origin.Origin{Service: a.Service, Version: a.Version}
-		if !seen[o] {
-			seen[o] = true
-			t.Versions[a.Service] = append(t.Versions[a.Service], a.Version)
-		}
+	for v := range view.Announcements.Versions() {
+		t.Versions[v.Service] = append(t.Versions[v.Service], v.Version)
 	}
-	return t
-}
-
-// durable reports whether all voters have a disk. Others lose the state when all boxes are killed, so that an empty state does not
-// show that the cluster is new.
-func durable(view *state.State, voters []string) bool {
-	for _, id := range voters {
-		if m := view.Members[wire.BoxOf(id)]; m == nil || !m.Disk {
-			return false
-		}
+	for v := range view.Versions.Departed {
+		t.Departed[v.Service] = append(t.Departed[v.Service], v.Version)
 	}
-	return len(voters) > 0
+	return t
 }
 
 // handOverOrigins hands the records that this box keeps to other boxes.
--- a/box/rejoin_test.go
+++ b/box/rejoin_test.go
@@ -92,3 +92,28 @@
 	g.Expect(count.begun).To(Equal(100))
 	g.Expect(count.resumed).To(BeZero())
 }
+
+// Guards against streams of a service of a single version that cannot be resumed after the loss of all boxes, and against streams
+// that are joined from two versions then.
+func TestCallersResumeAfterTheLossOfAllBoxes(t *testing.T) {
+	for name, c := range map[string]struct {
+		versions        []string
+		minResumedShare float64
+	}{
+		"a single version": {[]string{"v1"}, minResumedShare},
+		"two versions":     {[]string{"v1", "v2"}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, versionOf := startVersionedCluster(t, 2, 2, c.versions...)
+			g := NewWithT(t)
+			count := s.resumeElsewhere(100, versionOf, func(n int) int { return n + 1 }, func() {
+				s.restartAll()
+				s.awaitAnswers()
+			})
+			t.Logf("%+v", count)
+			g.Expect(count.begun).To(Equal(100))
+			g.Expect(count.mixed).To(BeZero())
+			g.Expect(float64(count.resumed)).To(BeNumerically(">=", c.minResumedShare*float64(count.begun)))
+		})
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -158,6 +158,7 @@
 	loadedItems         map[crasher.Fingerprint]bool // items that were loaded under this leader
 	suspects            map[crasher.Key]trackedSuspect
 	suspectsCheckedAt   time.Time // when releaseSuspects last ran
+	versions            trackedVersions
 }
 
 type report struct {
@@ -222,6 +223,7 @@
 	c.raiseLevel(ctx, time.Now())
 	c.expireServers(ctx, c.opts.Replica.View())
 	c.releaseSuspects(ctx, c.opts.Replica.View(), time.Now())
+	c.retireVersions(ctx, c.opts.Replica.View(), time.Now())
 	c.watchLoads(ctx, c.opts.Replica.View(), time.Now())
 	view := c.opts.Replica.View()
 	if view.Fleet == nil {
@@ -285,7 +287,7 @@
 		c.loadedItems = map[crasher.Fingerprint]bool{}
 		c.inFlightInitialized = false
 		c.mu.Unlock()
-		c.suspects, c.openLoads = nil, map[uint64]*openLoad{}
+		c.suspects, c.openLoads, c.versions = nil, map[uint64]*openLoad{}, trackedVersions{}
 		c.longTermRates.reset()
 		c.opts.Meters.Count(meter.Elections).Inc()
 	}
--- a/control/levels.go
+++ b/control/levels.go
@@ -90,8 +90,11 @@
 // raiseTo commits a level. Committing the same level twice changes nothing, and an error is retried
 // in the next step.
 func (c *Controller) raiseTo(ctx context.Context, next level.Level) {
-	raise := &wire.Command{Kind: &wire.Command_Raise{Raise: &wire.RaiseLevel{Level: uint32(next)}}}
-	if _, err := c.propose(ctx, raise); err == nil {
+	raise := &wire.RaiseLevel{Level: uint32(next)}
+	if next >= level.VersionHistory {
+		raise.Durable = c.opts.Replica.View().VotersHaveDisks(c.opts.Replica.Status().Voters)
+	}
+	if _, err := c.propose(ctx, &wire.Command{Kind: &wire.Command_Raise{Raise: raise}}); err == nil {
 		event.LevelRaised.Log(c.opts.Log, zap.Stringer("to", next))
 	}
 }
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -15,6 +15,7 @@
 	"leverdrum/internal/attest"
 	"leverdrum/internal/framing"
 	"leverdrum/meter"
+	"leverdrum/origin"
 	"leverdrum/pushback"
 	"leverdrum/rate"
 	"leverdrum/reason"
@@ -52,6 +53,7 @@
 	run             *crasher.Run // the stream in progress; nil: none
 	pinned          bool         // only servers of pinnedVersion may continue the stream
 	pinnedVersion   string
+	originSource    origin.Source        // how pinnedVersion is known, if this request resumes a stream
 	resumes         string               // the request that began the stream, if this one resumes it and names it
 	headSent        bool                 // the head of the response was forwarded
 	end             framing.End          // how the response ended at its server
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -38,7 +38,7 @@
 	if !ok {
 		return
 	}
-	fields := []zap.Field{zap.String("request", j.id), zap.String("route", j.route.Name), zap.String("by", by), zap.String("server", s.id), zap.String("version", s.version), zap.String("began", j.pinnedVersion), zap.String("resumes", j.resumes), zap.Int("skipped", skipped)}
+	fields := []zap.Field{zap.String("request", j.id), zap.String("route", j.route.Name), zap.String("by", by), zap.String("server", s.id), zap.String("version", s.version), zap.String("began", j.pinnedVersion), zap.String("resumes", j.resumes), zap.String("known_by", string(j.originSource)), zap.Int("skipped", skipped)}
 	if j.firstServer != nil {
 		fields = append(fields, zap.String("began_at", j.firstServer.id))
 	}
@@ -84,10 +84,14 @@
 	}
 	j.resumes = j.r.Header.Get(d.Resumes)
 	o, ok := j.originOf(ctx, j.resumes)
+	if !ok {
+		o.Source = origin.SourceUnknown
+	}
+	j.g.opts.Meters.Count(meter.StreamOrigins, string(o.Source)).Inc()
 	if !ok {
 		return reason.VersionUnknown
 	}
-	j.pinned, j.pinnedVersion = true, o.Version
+	j.pinned, j.pinnedVersion, j.originSource = true, o.Version, o.Source
 	if slices.ContainsFunc(j.route.Split, func(s fleet.Share) bool { return s.Pool == o.Service }) {
 		j.poolName = o.Service
 	}
@@ -106,7 +110,7 @@
 	default:
 		o.Version, ok = j.onlyVersion()
 	}
-	o.Service = j.poolName
+	o.Service, o.Source = j.poolName, origin.SourceSingle
 	return o, ok
 }
 
--- a/level/level.go
+++ b/level/level.go
@@ -49,6 +49,9 @@
 	// SharedExposure: boxes report which requests run on, and so refute evidence against prompt parts that others report (package
 	// crasher).
 	SharedExposure
+	// VersionHistory: the software versions of servers that have left are replicated for as long as callers may resume their
+	// streams.
+	VersionHistory
 	// end is one above the newest level.
 	end
 )
@@ -68,6 +71,7 @@
 	PromptParts:       "prompt parts that crash backend servers are blocked",
 	ProvisionalBlocks: "the first block of a suspected crasher is provisional while other servers terminate as well",
 	SharedExposure:    "requests that run on refute evidence against their prompt parts that any box reports",
+	VersionHistory:    "the software versions that services lately had, so that streams can be resumed after the loss of all boxes",
 	Relays:            "requests relayed for boxes that cannot reach the backend servers",
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -71,6 +71,7 @@
 	Connections        = Metric{"leverdrum_connections_total", Counter, "New connections of callers by what became of them: accepted, or refused because the box's link or processor is busy (link, processor).", []string{"result"}}
 	RelaysServed       = Metric{"leverdrum_relays_served_total", Counter, "Attempts of other boxes that this box was asked to relay, by result (sent, declined).", []string{"result"}}
 	StreamsResumed     = Metric{"leverdrum_streams_resumed_total", Counter, "Streams that continued at a server, by who resumed them (box: inside the response; caller: with another request) and whether the server has the software version of the one that began them (same, other).", []string{"by", "version"}}
+	StreamOrigins      = Metric{"leverdrum_stream_origins_total", Counter, "Streams that callers resumed, by how the software version at which they began is known (source): from a record of the box or of another one (keeper), since the service had a single version, or unknown, which is rejected.", []string{"source"}}
 	OriginsLost        = Metric{"leverdrum_stream_origins_lost_total", Counter, "Records of the software version at which a stream began that could not be delivered to a box that keeps them.", nil}
 	Responses          = Metric{"leverdrum_responses_total", Counter, "Responses of backend servers by the attempt that they belong to (this; another: a surplus one; unidentified) and by what they prove about the attempt under way (run, not-run, nothing).", []string{"owner", "proof"}}
 	ResponseEnds       = Metric{"leverdrum_response_ends_total", Counter, "Responses of backend servers by how they ended (complete; unknown: with the connection, without a length or chunks; truncated).", []string{"end"}}
@@ -81,7 +82,7 @@
 func All() []Metric {
 	return []Metric{
 		Refusals, Retries, RetriesDenied, Requests, RequestsInTime, RequestDuration, RequestsInFlight, StateIndex, FleetNumber,
-		IsLeader, Current, Elections, Orders, Ejections, PeerBytes, PeerMessages, PeerAbandonedBytes, CrashReports, CrashExposures, CrashersBlocked, InvalidReports, BuildInfo, ActiveLevel, WorkspaceRequests, LimitedAttempts, ServerLimits, LateRequests, LateWorkspaces, ServerSlowness, LoadFrames, LoadIgnored, LoadPrefixes, LoadHubs, StartHolds, ServerLinks, RelayedAttempts, RelaysServed, Connections, Responses, ResponseEnds, StreamsResumed, OriginsLost, Claims,
+		IsLeader, Current, Elections, Orders, Ejections, PeerBytes, PeerMessages, PeerAbandonedBytes, CrashReports, CrashExposures, CrashersBlocked, InvalidReports, BuildInfo, ActiveLevel, WorkspaceRequests, LimitedAttempts, ServerLimits, LateRequests, LateWorkspaces, ServerSlowness, LoadFrames, LoadIgnored, LoadPrefixes, LoadHubs, StartHolds, ServerLinks, RelayedAttempts, RelaysServed, Connections, Responses, ResponseEnds, StreamsResumed, StreamOrigins, OriginsLost, Claims,
 	}
 }
 
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -11,6 +11,9 @@
 //     includes what it knows of this, and for how long it knows it; a box that has started asks for it. So what a box knows
 //     outlasts a restart as long as one keeper runs. Nothing is concluded from a state that may lack what was committed before
 //     the box started.
+//     3.1 The replicated state has the versions that had servers until lately (package state, versions.go). If it is complete, a
+//     box knows the versions of all services once a leader has confirmed its state, also when all boxes were killed.
+//     3.2 While a box does not know the versions, it sends records as if all services were mixed.
 //  4. The keepers of a record are the keepersPerRecord boxes with the highest hash of the key and their own ID, among at most
 //     maxKeepers boxes that are the same for all records: boxes with a disk come first.
 //  5. A box that does not have a record asks its keepers. One that has it is enough. A second round asks all keepers: the
@@ -22,6 +25,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +40,8 @@
 const (
 	// recordTTL is how long a record is kept. It exceeds the time within which callers resume a stream.
 	recordTTL = 2 * time.Minute
+	// HistoryTTL is how long a software version may have streams that callers resume after its last server was removed.
+	HistoryTTL = recordTTL
 	// maxRecords bounds the records of a box; the oldest are dropped first.
 	maxRecords = 1 << 15
 	// maxIDBytes bounds the length of a key. A stream with a longer one has no record.
@@ -49,10 +55,22 @@
 	confirmTimeout = time.Second
 )
 
+// Source is how the version at which a stream began is known.
+type Source string
+
+// The sources. SourceUnknown is none of them.
+const (
+	SourceRecord  Source = "record"         // this box has the record
+	SourceKeeper  Source = "keeper"         // another box has it
+	SourceSingle  Source = "single-version" // the service had no other version
+	SourceUnknown Source = "unknown"
+)
+
 // Origin is where a stream began.
 type Origin struct {
 	Service string
 	Version string // of the server's software
+	Source  Source // set by Lookup
 }
 
 // Options configures a Registry.
@@ -81,6 +99,7 @@
 	// once it has asked the others for theirs.
 	configured, askedHistory bool
 	knownSince               time.Duration
+	complete                 bool // a topology was complete
 	// ready is closed once the box knows the others, confirmed once its topology is confirmed.
 	ready, confirmed        chan struct{}
 	becomeReady, becomeSure sync.Once
@@ -90,6 +109,7 @@
 type service struct {
 	lastSeen map[string]time.Duration // by version: when a server or stream of it was last seen
 	current  []string                 // versions of the servers now
+	departed []string                 // versions that had servers until lately
 }
 
 // Topology is what a Registry takes from the replicated state.
@@ -99,11 +119,14 @@
 	// Confirmed is set if the state includes everything that was committed before this process started. Before that, the state
 	// may lack servers of any version.
 	Confirmed bool
-	// Unused is set while the cluster has served no request yet. It has no effect unless Confirmed is set.
-	Unused bool
-	Boxes  []Box
+	// Complete is set if Versions and Departed include all versions at which streams began that callers may still resume. It has no
+	// effect unless Confirmed is set.
+	Complete bool
+	Boxes    []Box
 	// Versions are the software versions of the servers of each service.
 	Versions map[string][]string
+	// Departed are the versions of each service that had servers until lately.
+	Departed map[string][]string
 }
 
 // Box is a box of the cluster.
@@ -134,16 +157,19 @@
 	for name, versions := range t.Versions {
 		r.observe(now, name, versions...)
 	}
+	for name := range t.Departed {
+		r.service(name)
+	}
 	for name, s := range r.services {
-		s.current = t.Versions[name]
+		s.current, s.departed = t.Versions[name], t.Departed[name]
 	}
 	switch {
-	case t.Unused && t.Confirmed:
-		r.configured, r.askedHistory, r.knownSince = true, true, now-recordTTL
+	case t.Complete && t.Confirmed && !r.complete: // (3.1)
+		r.configured, r.complete, r.knownSince = true, true, now-recordTTL
 	case !r.configured && len(t.Boxes) > 0 && t.Confirmed:
 		r.configured, r.knownSince = true, now
 	}
-	if t.Enabled && r.configured && !r.askedHistory {
+	if t.Enabled && r.configured && !r.complete && !r.askedHistory {
 		r.askedHistory = true
 		go r.ask(context.Background(), r.others(r.keepers), "")
 	}
@@ -156,14 +182,20 @@
 	}
 }
 
-// observeAt records that a version of a service was seen at a time. If the service becomes mixed, what was kept of it is sent (2).
-// The caller holds the lock.
-func (r *Registry) observeAt(now, at time.Duration, name, version string) {
+// service returns what is known of a service. The caller holds the lock.
+func (r *Registry) service(name string) *service {
 	s := r.services[name]
 	if s == nil {
 		s = &service{lastSeen: map[string]time.Duration{}}
 		r.services[name] = s
 	}
+	return s
+}
+
+// observeAt records that a version of a service was seen at a time. If the service becomes mixed, what was kept of it is sent (2).
+// The caller holds the lock.
+func (r *Registry) observeAt(now, at time.Duration, name, version string) {
+	s := r.service(name)
 	wasMixed := s.mixed(now)
 	if last, ok := s.lastSeen[version]; !ok || at > last {
 		s.lastSeen[version] = at
@@ -176,7 +208,10 @@
 }
 
 // mixed reports whether servers or streams of two versions were seen lately (3).
-func (s *service) mixed(now time.Duration) bool {
+func (s *service) mixed(now time.Duration) bool { return len(s.versions(now)) > 1 }
+
+// versions returns the versions that the service lately had.
+func (s *service) versions(now time.Duration) []string {
 	for _, v := range s.current {
 		s.lastSeen[v] = now
 	}
@@ -185,7 +220,13 @@
 			delete(s.lastSeen, v)
 		}
 	}
-	return len(s.lastSeen) > 1
+	list := slices.Clone(s.departed)
+	for v := range s.lastSeen {
+		if !slices.Contains(list, v) {
+			list = append(list, v)
+		}
+	}
+	return list
 }
 
 // Begin records that a stream began (1, 2).
@@ -199,27 +240,33 @@
 	r.observe(now, o.Service, o.Version)
 	kept := record{id: id, origin: o, at: now}
 	r.records.add(kept, now)
-	if r.services[o.Service].mixed(now) {
+	if r.services[o.Service].mixed(now) || !r.knowsVersions(now) { // (3.2)
 		r.send(kept)
 	}
 }
 
+// knowsVersions reports whether the box knows the versions of services for as long as a record is kept. The caller holds the lock.
+func (r *Registry) knowsVersions(now time.Duration) bool {
+	return r.configured && now-r.knownSince >= recordTTL
+}
+
 // Only returns the only software version that a service had within maxAge, as far as this box knows (6). Where boxes exchange no
 // records, it is the version of the servers that the box knows.
 func (r *Registry) Only(name string, maxAge time.Duration) (version string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, s := r.opts.Now(), r.services[name]
-	if s == nil || s.mixed(now) || !r.topology.Confirmed {
+	if s == nil || !r.topology.Confirmed {
 		return "", false
 	}
-	if r.topology.Enabled && now-r.knownSince < min(maxAge, recordTTL) {
+	versions := s.versions(now)
+	if len(versions) != 1 {
 		return "", false
 	}
-	for v := range s.lastSeen {
-		return v, true
+	if r.topology.Enabled && now-r.knownSince < min(maxAge, recordTTL) {
+		return "", false
 	}
-	return "", false
+	return versions[0], true
 }
 
 // Lookup returns where the stream of a request began. name is the service that it began at if no box has a record, and maxAge how long
@@ -228,6 +275,7 @@
 	waitUntil(ctx, r.ready, askTimeout)
 	o, ok, keepers, all := r.begin(id)
 	if ok {
+		o.Source = SourceRecord
 		return o, true
 	}
 	for n, boxes := range [][]string{keepers, all} {
@@ -236,10 +284,10 @@
 		}
 		kept, answers := r.ask(ctx, boxes, id)
 		if kept != nil {
-			return Origin{kept.Service, kept.Version}, true
+			return Origin{kept.Service, kept.Version, SourceKeeper}, true
 		}
 		if version, only := r.Only(name, maxAge); only && (answers > 0 || len(boxes) == 0) {
-			return Origin{name, version}, true
+			return Origin{name, version, SourceSingle}, true
 		}
 	}
 	return Origin{}, false
@@ -327,7 +375,7 @@
 	for name, s := range r.services {
 		s.mixed(now) // updates lastSeen
 		for v, at := range s.lastSeen {
-			h.Seen = append(h.Seen, record{origin: Origin{name, v}, at: at}.wire(now))
+			h.Seen = append(h.Seen, record{origin: Origin{Service: name, Version: v}, at: at}.wire(now))
 		}
 	}
 	return h
@@ -345,7 +393,7 @@
 			continue
 		}
 		at := now - milliseconds(w.AgeMs)
-		r.records.add(record{id: w.Id, origin: Origin{w.Service, w.Version}, at: at}, now)
+		r.records.add(record{id: w.Id, origin: Origin{Service: w.Service, Version: w.Version}, at: at}, now)
 		r.observeAt(now, at, w.Service, w.Version)
 	}
 	a := &wire.OriginAnswer{History: r.history(now)}
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -38,6 +39,10 @@
 	downDelay time.Duration
 	topology  origin.Topology
 	configure func(b *origin.Registry) // a box that has started
+	// leftAt are the times from which the leaders count that versions have no server any more.
+	leftAt map[string]time.Time
+	// confirmDelay returns the time in which a leader confirms the state of a box that has started.
+	confirmDelay func() time.Duration
 
 	mu    sync.Mutex
 	boxes []*origin.Registry
@@ -85,11 +90,11 @@
 		n.topology.Boxes = append(n.topology.Boxes, origin.Box{ID: fmt.Sprint("b", i), Disk: i < withDisk})
 		n.boxes = append(n.boxes, nil)
 	}
-	n.topology.Unused = true
+	n.topology.Complete = true
 	for i := range size {
 		n.restart(i)
 	}
-	n.topology.Unused = false
+	n.topology.Complete = false
 	n.setVersions(versions...)
 	return n
 }
@@ -97,7 +102,8 @@
 // restart starts a box with nothing in memory.
 func (n *network) restart(i int) {
 	start := time.Now()
-	b := origin.New(origin.Options{
+	var b *origin.Registry
+	b = origin.New(origin.Options{
 		Self: n.topology.Boxes[i].ID, Now: func() time.Duration { return time.Since(start) + time.Hour },
 		Lost: func(records int) {
 			n.mu.Lock()
@@ -106,6 +112,9 @@
 		},
 		Call: func(ctx context.Context, box string, c *wire.OriginCall) (*wire.OriginAnswer, error) {
 			time.Sleep(latency)
+			if !n.runs(b) {
+				return nil, errors.New("the calling box was killed")
+			}
 			to := n.to(box)
 			if to == nil {
 				select {
@@ -306,6 +315,177 @@
 	})
 }
 
+// replaceVersions changes the versions of the servers, for all boxes, and records those that leave.
+func (n *network) replaceVersions(versions ...string) {
+	for _, v := range n.topology.Versions[service] {
+		if !slices.Contains(versions, v) {
+			n.leftAt[v] = time.Now()
+		}
+	}
+	n.updateDeparted()
+	n.setVersions(versions...)
+}
+
+// updateDeparted sets the departed versions of the topology.
+func (n *network) updateDeparted() {
+	var list []string
+	for v, at := range n.leftAt {
+		if time.Since(at) < origin.HistoryTTL {
+			list = append(list, v)
+		}
+	}
+	n.topology.Departed = map[string][]string{service: list}
+}
+
+// killAll kills all boxes and starts them again. Boxes have older states, or all the same one, until a leader confirms theirs. New
+// leaders do not know how long versions have been gone.
+func (n *network) killAll(older []origin.Topology, random *rand.Rand) {
+	for v, at := range n.leftAt {
+		if time.Since(at) < origin.HistoryTTL {
+			n.leftAt[v] = time.Now()
+		}
+	}
+	if random.IntN(2) == 0 {
+		older = older[:1]
+	}
+	n.configure = func(b *origin.Registry) {
+		stale := older[random.IntN(len(older))]
+		stale.Confirmed = false
+		b.Configure(stale)
+		time.AfterFunc(n.confirmDelay(), func() {
+			if n.runs(b) {
+				b.Configure(n.topology)
+			}
+		})
+	}
+	n.restartAll()
+}
+
+func (n *network) runs(b *origin.Registry) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Contains(n.boxes, b)
+}
+
+// newDurableNetwork returns a network whose state has all versions that services lately had.
+func newDurableNetwork(size int, random *rand.Rand, versions ...string) *network {
+	n := newNetwork(size, 1+random.IntN(4), versions...)
+	n.topology.Complete, n.leftAt = true, map[string]time.Time{}
+	n.confirmDelay = func() time.Duration { return time.Duration(random.IntN(900)) * time.Millisecond }
+	n.setVersions(versions...)
+	return n
+}
+
+// Guards against streams that are joined from two software versions after all boxes were killed, and against streams of services of
+// a single version that are rejected then.
+func TestResumedAfterTheLossOfAllBoxes(t *testing.T) {
+	const streams = 1000
+	for name, c := range map[string]struct {
+		before, after []string
+		minServed     int
+	}{
+		"a single version":          {[]string{"v1"}, []string{"v1"}, streams * 95 / 100},
+		"two versions":              {[]string{"v1", "v2"}, []string{"v1", "v2"}, 0},
+		"the old one has just left": {[]string{"v1", "v2"}, []string{"v2"}, 0},
+		"replaced at once":          {[]string{"v1"}, []string{"v2"}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				n := newDurableNetwork(10, rand.New(rand.NewPCG(3, 1)), c.before...)
+				for i := range streams {
+					n.begin(i%10, fmt.Sprint("r", i), c.before[i%len(c.before)])
+				}
+				n.replaceVersions(c.after...)
+				time.Sleep(settle)
+				n.killAll([]origin.Topology{{}, n.topology}, rand.New(rand.NewPCG(3, 2)))
+				time.Sleep(time.Second)
+				served, joined := 0, 0
+				for i := range streams {
+					switch n.lookup((i+1)%10, fmt.Sprint("r", i)) {
+					case "unknown":
+					case c.before[i%len(c.before)]:
+						served++
+					default:
+						joined++
+					}
+				}
+				t.Logf("%d of %d served, %d joined", served, streams, joined)
+				g.Expect(joined).To(BeZero())
+				g.Expect(served).To(BeNumerically(">=", c.minServed))
+			})
+		})
+	}
+}
+
+// Guards against a version that no box remembers after kills of all boxes, and against one that is remembered for ever.
+func TestNeverAnotherVersionAfterTheLossOfAllBoxes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		wrong := ""
+		synctest.Test(t, func(t *testing.T) { wrong = playLosses(rand.New(rand.NewPCG(seed, 2))) })
+		if wrong != "" {
+			rt.Fatal(wrong)
+		}
+	})
+}
+
+// playLosses plays a random history with kills of all boxes and describes the first wrong answer, "" if there is none.
+func playLosses(r *rand.Rand) string {
+	size := 3 + r.IntN(8)
+	n := newDurableNetwork(size, r, "v0")
+	servers, newest := []string{"v0"}, 0
+	began, ids := map[string]string{}, []string(nil)
+	older := []origin.Topology{n.topology}
+	for step := range 60 {
+		time.Sleep(time.Duration(r.IntN(400)) * time.Millisecond)
+		box := r.IntN(size)
+		switch r.IntN(12) {
+		case 0:
+			n.restart(box)
+		case 1, 2:
+			n.killAll(older, r)
+		case 3: // a rollout begins
+			if len(servers) == 1 {
+				newest++
+				servers = append(servers, fmt.Sprint("v", newest))
+				n.replaceVersions(servers...)
+			}
+		case 4: // a rollout ends
+			servers = servers[len(servers)-1:]
+			n.replaceVersions(servers...)
+		case 5: // all servers are replaced at once
+			newest++
+			servers = []string{fmt.Sprint("v", newest)}
+			n.replaceVersions(servers...)
+		case 6: // streams that began can no longer be resumed
+			if r.IntN(4) == 0 {
+				time.Sleep(origin.HistoryTTL + time.Second)
+				ids = nil
+			}
+		case 7, 8, 9:
+			id := fmt.Sprint("r", step)
+			began[id] = servers[r.IntN(len(servers))]
+			n.begin(box, id, began[id])
+			ids = append(ids, id)
+		default:
+			if len(ids) == 0 {
+				continue
+			}
+			id := ids[r.IntN(len(ids))]
+			if got := n.lookup(box, id); got != began[id] && got != "unknown" {
+				return fmt.Sprintf("step %d: %s began at %s, looked up as %s", step, id, began[id], got)
+			}
+		}
+		n.updateDeparted()
+		if older = append(older, n.topology); len(older) > 4 {
+			older = older[1:]
+		}
+	}
+	time.Sleep(10 * time.Second) // what is being sent ends
+	return ""
+}
+
 // playHistory plays a random history and describes the first wrong answer, "" if there is none.
 func playHistory(r *rand.Rand) string {
 	size := 3 + r.IntN(12)
@@ -315,9 +495,11 @@
 	began, ids := map[string]string{}, []string(nil)
 	for step := range 60 {
 		time.Sleep(time.Duration(r.IntN(60)) * time.Millisecond)
-		switch box := r.IntN(size); r.IntN(10) {
+		switch box := r.IntN(size); r.IntN(11) {
 		case 0:
 			n.restart(box)
+		case 10:
+			n.restartAll()
 		case 1:
 			n.setDown(box, !n.isDown(box))
 		case 2: // a rollout begins
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -391,7 +391,10 @@
 mutant resumes-at-any-version gateway/find.go 's/refusal != nil \|\| !j.pinned/true || !j.pinned/' gateway TestStreamResumesOnly
 mutant origins-not-sent origin/keepers.go 's/if !r.topology.Enabled \{\n\t\treturn\n/if true {\n\t\treturn\n/' box TestCallersResumeAfter
 mutant restarted-boxes-know-no-other-version origin/origin.go 's/now-r.knownSince < min\(maxAge, recordTTL\)/false/' origin 'TestLookup|TestNever'
-mutant empty-states-are-unused box/origins.go 's/_, confirmed := p.spread.StateAge\(\)/confirmed := true/' box TestVersionThatHasJustLeft
+mutant unconfirmed-states-are-believed origin/origin.go 's/s == nil \|\| !r.topology.Confirmed/s == nil/' origin TestNeverAnotherVersionAfterTheLossOfAllBoxes
+mutant departed-versions-are-forgotten origin/origin.go 's/slices.Clone\(s.departed\)/[]string(nil)/' origin TestResumedAfterTheLossOfAllBoxes
+mutant departures-are-not-recorded state/versions.go 's/s.Versions.Departed\[v\] = s.Index/_ = v/' state 'TestReplacedVersionDeparts|TestHistoryFollows'
+mutant versions-are-retired-at-once control/versions.go 's/now.Sub\(since\) >= origin.HistoryTTL/true/' control TestLeaderRetiresVersions
 mutant prefixes-of-any-version gateway/cached.go 's/if list\[source\].version != c.server.version/if false/' gateway TestPrefixesAreFetchedOnly
 mutant blocked-requests-relayed gateway/serverelay.go 's/g.relayBlocked\(r, o.header, s\)/false/' gateway TestBlockedRequestIsNotRelayed
 mutant blocks-after-the-choice-ignored gateway/job.go 's/g.refusal\(s, j.blockedAt\(s\)\)/g.refusal(s, false)/' gateway TestRequestBlockedBeforeItIsSent
--- a/state/announcements.go
+++ b/state/announcements.go
@@ -19,6 +19,8 @@
 	draining     *cow.Map[string, bool] // ids with Leaving set
 	cachedCounts *cow.Map[string, int]  // number of servers that have a model cached, by model
 	byService    *cow.Map[serviceID, *wire.Announcement]
+	byVersion    *cow.Map[ServiceVersion, int] // number of servers
+	removed      []ServiceVersion              // versions that lost their last server since takeRemoved was called
 }
 
 // serviceID identifies a server of a service.
@@ -29,7 +31,7 @@
 }
 
 func newAnnouncements() *Announcements {
-	return &Announcements{cow.New[string, *wire.Announcement](), cow.New[string, []string](), cow.New[string, []string](), cow.New[string, bool](), cow.New[string, bool](), cow.New[string, int](), cow.NewFunc[serviceID, *wire.Announcement](compareServices)}
+	return &Announcements{cow.New[string, *wire.Announcement](), cow.New[string, []string](), cow.New[string, []string](), cow.New[string, bool](), cow.New[string, bool](), cow.New[string, int](), cow.NewFunc[serviceID, *wire.Announcement](compareServices), cow.NewFunc[ServiceVersion, int](compareVersions), nil}
 }
 
 // Get returns the announcement of an id, or nil.
@@ -83,6 +85,7 @@
 // Set stores the announcement of an id.
 func (a *Announcements) Set(id string, next *wire.Announcement) {
 	a.updateCachedCounts(a.byID.Get(id), next)
+	a.updateVersionCounts(a.byID.Get(id), next)
 	a.unlink(id, next)
 	a.byID.Set(id, next)
 	if next.Name != "" {
@@ -97,6 +100,7 @@
 // Delete removes an id.
 func (a *Announcements) Delete(id string) {
 	a.updateCachedCounts(a.byID.Get(id), nil)
+	a.updateVersionCounts(a.byID.Get(id), nil)
 	a.unlink(id, &wire.Announcement{})
 	a.byID.Delete(id)
 	setMark(a.inheriting, id, false)
@@ -156,5 +160,5 @@
 }
 
 func (a *Announcements) clone() *Announcements {
-	return &Announcements{a.byID.Clone(), a.byName.Clone(), a.byAddress.Clone(), a.inheriting.Clone(), a.draining.Clone(), a.cachedCounts.Clone(), a.byService.Clone()}
+	return &Announcements{a.byID.Clone(), a.byName.Clone(), a.byAddress.Clone(), a.inheriting.Clone(), a.draining.Clone(), a.cachedCounts.Clone(), a.byService.Clone(), a.byVersion.Clone(), nil}
 }
--- a/state/members.go
+++ b/state/members.go
@@ -35,6 +35,16 @@
 // ProcessID identifies one run of a box.
 func ProcessID(m *wire.Member) string { return m.GetBox() + "/" + m.GetProcess() }
 
+// VotersHaveDisks reports whether all voters are listed with a disk. Others lose the state when all boxes are killed.
+func (s *State) VotersHaveDisks(voters []string) bool {
+	for _, id := range voters {
+		if m := s.Members[wire.BoxOf(id)]; m == nil || !m.Disk || MemberID(m) != id {
+			return false
+		}
+	}
+	return len(voters) > 0
+}
+
 func (s *State) join(m *wire.Member) {
 	old := s.Members[m.Box]
 	if proto.Equal(old, m) {
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -36,6 +36,7 @@
 	for _, k := range slices.Sorted(maps.Keys(s.Evacuations)) {
 		w.Evacuations = append(w.Evacuations, s.Evacuations[k])
 	}
+	s.Versions.encode(w)
 	return w
 }
 
@@ -48,6 +49,7 @@
 	s.Index, s.Version, s.History = w.GetIndex(), w.GetFleet(), w.GetHistory()
 	s.Moves, s.Epochs, s.Roster = w.GetMoves(), w.GetEpochs(), w.GetRoster()
 	s.Crashers = crasher.Decode(w.GetSuspects())
+	s.Versions = decodeVersions(w)
 	for _, a := range w.GetAnnounced() {
 		s.Announcements.Set(a.Id, s.internAnnouncement(a))
 	}
--- a/state/state.go
+++ b/state/state.go
@@ -90,6 +90,9 @@
 	// Crashers are the requests during which servers crashed.
 	Crashers crasher.Registry
 
+	// Versions are the software versions that services had until lately.
+	Versions VersionHistory
+
 	// Moves counts the loads other than the first placement of each item.
 	Moves uint64
 	// MaxCopies is the highest number of copies that each model or adapter ever had, by name. Loading copies count.
@@ -139,6 +142,7 @@
 func (s *State) Clone() *State {
 	c := *s
 	c.Announcements, c.Inventory = s.Announcements.clone(), s.Inventory.Clone()
+	c.Versions = s.Versions.clone()
 	s.shared, c.shared = allShared, allShared
 	return &c
 }
@@ -156,6 +160,7 @@
 	if err := proto.Unmarshal(e.Data, c); err != nil {
 		return Result{Err: Error.New("entry %d cannot be decoded: %v", e.Index, err)}
 	}
+	defer s.recordDepartures()
 	switch k := c.Kind.(type) {
 	case *wire.Command_Apply:
 		return s.applyFleet(k.Apply, c.UnixMs)
@@ -176,7 +181,7 @@
 	case *wire.Command_Crashes:
 		return Result{Blocked: s.Crashers.Apply(k.Crashes, crasher.CommitPosition{Index: e.Index, Term: e.Term, UnixMs: c.UnixMs, PromptParts: s.Level >= level.PromptParts, ProvisionalBlocks: s.Level >= level.ProvisionalBlocks, SharedExposure: s.Level >= level.SharedExposure})}
 	case *wire.Command_Raise:
-		return s.raise(level.Level(k.Raise.Level))
+		return s.raise(level.Level(k.Raise.Level), k.Raise.Durable)
 	case *wire.Command_Limit:
 		s.setLimit(k.Limit, c.UnixMs)
 	case *wire.Command_Evacuate:
@@ -185,6 +190,8 @@
 		return Result{Ruled: s.Crashers.Rule(k.Rule, crasher.CommitPosition{Index: e.Index, Term: e.Term, UnixMs: c.UnixMs})}
 	case *wire.Command_Release:
 		return Result{Released: s.Crashers.Release(k.Release, crasher.CommitPosition{Index: e.Index, Term: e.Term, UnixMs: c.UnixMs})}
+	case *wire.Command_Retire:
+		s.retireVersions(k.Retire)
 	default:
 		return Result{UnknownLevel: Error.New("entry %d is a command that this build does not support", e.Index)}
 	}
@@ -193,11 +200,12 @@
 
 // raise raises the active level, which never decreases (package level, 1). It fails if this build does not support the
 // level.
-func (s *State) raise(to level.Level) Result {
+func (s *State) raise(to level.Level, durable bool) Result {
 	if to > level.Newest {
 		return Result{UnknownLevel: Error.New("entry %d raises the level to %v", s.Index, to)}
 	}
 	s.Level = max(s.Level, to)
+	s.beginVersionHistory(durable)
 	return Result{}
 }
 
