control: commit a changed software version of a server

What callers could see: a server that announces another software version under the ID that it had stays recorded under the old one. Boxes resume streams of the old version at it. Suspected by reading, not seen: on the platform each start of a server has an ID of its own.

Cause: the comparison of an announcement with the committed one left the version out.

Measured: go test ./control -run TestChangedVersionIsCommitted failed before. go test ./control passes.

--- a/control/announce.go
+++ b/control/announce.go
@@ -112,7 +112,7 @@
 		return false, false
 	case contested && !h.reportsPersist(time.Now()):
 		return false, false
-	case known == nil, known.Silent, known.Address != a.Address, known.Service != a.Service, known.Hall != a.Hall, known.Cold != a.Cold:
+	case known == nil, known.Silent, known.Address != a.Address, known.Service != a.Service, known.Hall != a.Hall, known.Cold != a.Cold, known.Version != a.Version:
 		changed = true
 	default:
 		changed = !slices.Equal(known.AtHand, a.AtHand)
--- a/control/versions_test.go
+++ b/control/versions_test.go
@@ -8,6 +8,7 @@
 
 	"leverdrum/origin"
 	"leverdrum/state"
+	"leverdrum/wire"
 )
 
 // Guards against a departed version that is retired before a leader has seen it for as long as its streams can be resumed: a new
@@ -40,3 +41,11 @@
 	view.Versions.Complete = true
 	g.Expect(leader.expired(view, now.Add(origin.HistoryTTL)).Since).To(BeZero(), "it is complete already")
 }
+
+// Guards against a server that runs another software version under its ID: boxes would resume streams of the previous one at it.
+func TestChangedVersionIsCommitted(t *testing.T) {
+	c := New(Options{})
+	known := &wire.Announcement{Id: "s", Service: "s", Address: "10.0.0.1:1", Version: "v1"}
+	changed, _ := c.noteAnnouncement(&wire.Announcement{Id: "s", Service: "s", Address: "10.0.0.1:1", Version: "v2", Sequence: 1}, known, state.New())
+	NewWithT(t).Expect(changed).To(BeTrue())
+}
