--- a/gateway/job.go
+++ b/gateway/job.go
@@ -16,6 +16,7 @@
 	"leverdrum/internal/framing"
 	"leverdrum/internal/membudget"
 	"leverdrum/meter"
+	"leverdrum/origin"
 	"leverdrum/pushback"
 	"leverdrum/rate"
 	"leverdrum/reason"
@@ -54,6 +55,7 @@
 	run             *crasher.Run // the stream in progress; nil: none
 	pinned          bool         // only servers of pinnedVersion may continue the stream
 	pinnedVersion   string
+	originSource    origin.Source        // how pinnedVersion is known, if this request resumes a stream
 	resumes         string               // the request that began the stream, if this one resumes it and names it
 	headSent        bool                 // the head of the response was forwarded
 	end             framing.End          // how the response ended at its server
