--- a/box/planned_stop_test.go
+++ b/box/planned_stop_test.go
@@ -150,16 +150,38 @@
 // Guards against a request that is passed on when its body ends although the box refuses requests by then.
 func TestPlannedStopRefusesRequestsWhoseBodyEndsLate(t *testing.T) {
 	b := startStopBox(t, 300*time.Millisecond, 3*time.Second)
-	g := NewWithT(t)
+	b.expectUploadRefused(func(stop func()) { stop() })
+}
+
+// Guards against a box that is stopped during its start and finds its cluster only then: it passed requests on for as long as it ran.
+func TestPlannedStopDuringStart(t *testing.T) {
+	b := startStopBox(t, 4*time.Second, 5*time.Second)
+	b.box.Kill()
+	b.start()
+	stopped := make(chan error, 1)
+	go func() { stopped <- b.box.Stop() }()
+	n := 0
+	NewWithT(t).Eventually(func() int {
+		n++
+		return b.send(fmt.Sprint("joined ", n), "/brief/x", time.Millisecond).status
+	}, 4*time.Second).Should(Equal(http.StatusOK), "the box joins its cluster before it refuses requests")
+	b.expectUploadRefused(func(func()) {})
+	NewWithT(t).Expect(<-stopped).To(Succeed())
+}
+
+// expectUploadRefused begins an upload, stops the box and completes the upload once the box refuses requests. begin receives what stops
+// the box; it need not call it if the stop has begun.
+func (b *stopBox) expectUploadRefused(begin func(stop func())) {
+	g := NewWithT(b.t)
 	c, err := net.Dial("tcp", b.entry)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer c.Close()
 	a := stopAnswer{id: "upload", sentAt: time.Now()}
-	_, err = io.WriteString(c, b.rawRequest("upload", "/safe/x", time.Millisecond, 8)+"half")
+	_, err = io.WriteString(c, b.rawRequest("upload", "/stream/x", time.Millisecond, 8)+"half")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(b.box.InFlight, testTimeout).Should(BeEquivalentTo(1))
-	stopped := make(chan error, 1)
-	go func() { stopped <- b.box.Stop() }()
+	var stopping sync.WaitGroup
+	begin(func() { stopping.Go(func() { g.Expect(b.box.Stop()).To(Succeed()) }) })
 	g.Eventually(func() error { // until the box accepts no connections
 		n, err := net.Dial("tcp", b.entry)
 		if err == nil {
@@ -173,7 +195,7 @@
 	g.Expect(a.status).To(Equal(http.StatusServiceUnavailable), "%v", a.err)
 	g.Expect(a.body).To(ContainSubstring("stopping"))
 	g.Expect(b.server.Runs()).NotTo(HaveKey("upload"))
-	g.Expect(<-stopped).To(Succeed())
+	stopping.Wait()
 }
 
 func (b *stopBox) readyStatus() int {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,6 +57,7 @@
 			runSoak(t, seed, time.Duration(seconds)*time.Second)
 			runSteady(t, seed)
 			runPromises(t, randomPromiseCase(seed), seed)
+			runStops(t, seed)
 		})
 	}
 }
