shutdown, gateway, entry: an upload that is still being read at the end of a planned stop is refused

What callers saw: an upload that had not ended when the box did got no answer ('unexpected EOF'), on both interfaces. Cause: reads of a body end with the caller or the body timeout only. Change: the stop interrupts them, and the request is refused as not run (stopping). Result: TestPlannedStopRefusesUnfinishedUploads failed before (status 0 instead of 503) and passes; entry TestStopRefusesUnfinishedUploads passes (go test -race ./entry -run TestStop -count 2).

--- a/box/planned_stop_test.go
+++ b/box/planned_stop_test.go
@@ -153,6 +153,23 @@
 	b.expectUploadRefused(func(stop func()) { stop() })
 }
 
+// Guards against an upload that is still being read at the end of a planned stop, and gets no answer.
+func TestPlannedStopRefusesUnfinishedUploads(t *testing.T) {
+	b := startStopBox(t, 100*time.Millisecond, time.Second)
+	g := NewWithT(t)
+	c, err := net.Dial("tcp", b.entry)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	a := stopAnswer{id: "unfinished", sentAt: time.Now()}
+	_, err = io.WriteString(c, b.rawRequest("unfinished", "/stream/x", time.Millisecond, 8)+"half")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(b.box.InFlight, testTimeout).Should(BeEquivalentTo(1))
+	g.Expect(b.box.Stop()).NotTo(Succeed(), "the request was in flight")
+	a.read(bufio.NewReader(c))
+	g.Expect(a.status).To(Equal(http.StatusServiceUnavailable), "%v", a.err)
+	g.Expect(b.server.Runs()).NotTo(HaveKey("unfinished"))
+}
+
 // Guards against a box that is stopped during its start and finds its cluster only then: it passed requests on for as long as it ran.
 func TestPlannedStopDuringStart(t *testing.T) {
 	b := startStopBox(t, 4*time.Second, 5*time.Second)
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -134,7 +134,9 @@
 		// The error is ignored: only writers in tests don't support deadlines.
 		_ = control.SetReadDeadline(time.Now().Add(e.opts.BodyTimeout))
 	}
+	stopWatching := e.opts.Shutdown.InterruptReads(w)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.opts.MaxBody))
+	stopWatching()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -143,6 +145,9 @@
 		// The deadline stays in place: the HTTP server still reads the rest of the body before it
 		// closes the connection.
 		w.Header().Set("Connection", "close")
+		if e.opts.Shutdown.Ended() {
+			return nil, reason.Stopping
+		}
 		return nil, reason.BadRequest
 	}
 	_ = control.SetReadDeadline(time.Time{})
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -58,7 +58,7 @@
 	d.Update(st)
 	f.Entry = entry.New(entry.Options{
 		Directory: d, View: func() *state.State { return st }, Current: func() bool { return true }, Sender: proxy.NewSender(),
-		Meters: meter.New(), Records: record.NewHistory(100), MaxBody: 1000, BodyTimeout: time.Second, Claims: &f.claims, Shutdown: f.plan,
+		Meters: meter.New(), Records: record.NewHistory(100), MaxBody: 1000, BodyTimeout: time.Minute, Claims: &f.claims, Shutdown: f.plan,
 	})
 	s := httptest.NewServer(f.Entry)
 	t.Cleanup(s.Close)
@@ -156,3 +156,22 @@
 	g.Expect(f.call(http.MethodGet, "/items/brief", "").status).To(Equal(http.StatusOK))
 	g.Expect(f.call(http.MethodPost, "/orders", "")).To(Equal(outlasts), "it could not be repeated")
 }
+
+// Guards against an upload that is still being read at the end of a planned stop, and gets no answer.
+func TestStopRefusesUnfinishedUploads(t *testing.T) {
+	g := NewWithT(t)
+	f := newStopFixture(t)
+	c, err := net.Dial("tcp", f.address)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /services/shop/orders HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\nhalf")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(f.InFlight, 10*time.Second).Should(BeEquivalentTo(1))
+	f.Stop()
+	f.plan.End()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(resp.Header.Get(entry.HeaderReason)).To(Equal(reason.Stopping.Code))
+	g.Expect(f.runs.Load()).To(BeZero())
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -247,7 +247,12 @@
 	}
 	reservation := g.bodies.reserve()
 	defer reservation.release()
+	stopWatching := g.opts.Shutdown.InterruptReads(w)
 	body, refusal := readBody(r, t.limits, reservation)
+	stopWatching()
+	if refusal == reason.BadRequest && g.opts.Shutdown.Ended() {
+		refusal = reason.Stopping
+	}
 	if refusal != nil {
 		g.refuseUnsent(w, r, t, refusal)
 		return
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,6 +77,14 @@
 	return context.AfterFunc(p.ended, f)
 }
 
+// InterruptReads makes reads of a request's body fail when the requests in flight are ended. The returned function prevents that. The
+// request must be refused if it is called too late.
+func (p *Plan) InterruptReads(w http.ResponseWriter) (stop func() bool) {
+	return p.OnEnd(func() {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)) // only writers of tests have no deadlines
+	})
+}
+
 // Interrupted reports whether a request with this context was ended by the stop, rather than by its deadline or its caller.
 func (p *Plan) Interrupted(request, caller context.Context) bool {
 	return p.Ended() && request.Err() == context.Canceled && caller.Err() == nil
