origin: tests of records while versions are not known yet, race-free

The histories with kills of all boxes read the topology from timers without a lock; the race detector found it. A row of TestLookup and a mutant show that a box that does not know the versions yet sends its records.

Measured: go test -race ./origin -count=2 passes; it failed before. scripts/mutants.sh new-knowledge-sends-no-records is noticed.

--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -136,7 +136,9 @@
 
 // setVersions changes the versions of the servers, for all boxes.
 func (n *network) setVersions(versions ...string) {
+	n.mu.Lock()
 	n.topology.Versions = map[string][]string{service: versions}
+	n.mu.Unlock()
 	for _, b := range n.boxes {
 		b.Configure(n.topology)
 	}
@@ -161,21 +163,22 @@
 		at       int
 		want     string
 	}{
-		"at the box that began it":                     {[]string{"v1", "v2"}, func(*network) {}, 9, "v2"},
-		"at another box":                               {[]string{"v1", "v2"}, func(*network) {}, 5, "v2"},
-		"the box that began it is down":                {[]string{"v1", "v2"}, func(n *network) { n.setDown(9, true) }, 5, "v2"},
-		"at a box that has just started":               {[]string{"v1", "v2"}, func(n *network) { n.restart(5) }, 5, "v2"},
-		"all boxes were killed":                        {[]string{"v1", "v2"}, func(n *network) { n.restartAll() }, 5, "unknown"},
-		"a single version, all boxes were killed":      {[]string{"v2"}, func(n *network) { n.restartAll() }, 5, "unknown"},
-		"a single version, long after all were killed": {[]string{"v2"}, func(n *network) { n.restartAll(); time.Sleep(maxAge) }, 5, "v2"},
-		"a single version":                             {[]string{"v2"}, func(*network) {}, 5, "v2"},
-		"a single version, at a box that is cut off":   {[]string{"v2"}, func(n *network) { n.allDownBut(5) }, 5, "unknown"},
-		"another version came later":                   {[]string{"v2"}, func(n *network) { n.setVersions("v2", "v3"); time.Sleep(settle); n.setDown(9, true) }, 5, "v2"},
-		"the version has left":                         {[]string{"v1", "v2"}, func(n *network) { n.setVersions("v1") }, 5, "v2"},
-		"the version has left, all boxes were killed":  {[]string{"v1", "v2"}, func(n *network) { time.Sleep(time.Second); n.setVersions("v1"); n.restart(5); n.allDownBut(5, 6) }, 5, "unknown"},
-		"a single version, most keepers are down":      {[]string{"v2"}, func(n *network) { n.allDownBut(5, 6, 7) }, 5, "v2"},
-		"a single version, below the level":            {[]string{"v2"}, func(n *network) { n.topology.Enabled = false; n.restartAll() }, 5, "v2"},
-		"below the level":                              {[]string{"v1", "v2"}, func(n *network) { n.topology.Enabled = false; n.restartAll() }, 5, "unknown"},
+		"at the box that began it":                      {[]string{"v1", "v2"}, func(*network) {}, 9, "v2"},
+		"at another box":                                {[]string{"v1", "v2"}, func(*network) {}, 5, "v2"},
+		"the box that began it is down":                 {[]string{"v1", "v2"}, func(n *network) { n.setDown(9, true) }, 5, "v2"},
+		"at a box that has just started":                {[]string{"v1", "v2"}, func(n *network) { n.restart(5) }, 5, "v2"},
+		"all boxes were killed":                         {[]string{"v1", "v2"}, func(n *network) { n.restartAll() }, 5, "unknown"},
+		"a single version, all boxes were killed":       {[]string{"v2"}, func(n *network) { n.restartAll() }, 5, "unknown"},
+		"a single version, long after all were killed":  {[]string{"v2"}, func(n *network) { n.restartAll(); time.Sleep(maxAge) }, 5, "v2"},
+		"a single version, begun after all were killed": {[]string{"v2"}, func(n *network) { n.restartAll(); n.begin(9, "r", "v2"); time.Sleep(settle); n.setDown(9, true) }, 5, "v2"},
+		"a single version":                              {[]string{"v2"}, func(*network) {}, 5, "v2"},
+		"a single version, at a box that is cut off":    {[]string{"v2"}, func(n *network) { n.allDownBut(5) }, 5, "unknown"},
+		"another version came later":                    {[]string{"v2"}, func(n *network) { n.setVersions("v2", "v3"); time.Sleep(settle); n.setDown(9, true) }, 5, "v2"},
+		"the version has left":                          {[]string{"v1", "v2"}, func(n *network) { n.setVersions("v1") }, 5, "v2"},
+		"the version has left, all boxes were killed":   {[]string{"v1", "v2"}, func(n *network) { time.Sleep(time.Second); n.setVersions("v1"); n.restart(5); n.allDownBut(5, 6) }, 5, "unknown"},
+		"a single version, most keepers are down":       {[]string{"v2"}, func(n *network) { n.allDownBut(5, 6, 7) }, 5, "v2"},
+		"a single version, below the level":             {[]string{"v2"}, func(n *network) { n.topology.Enabled = false; n.restartAll() }, 5, "v2"},
+		"below the level":                               {[]string{"v1", "v2"}, func(n *network) { n.topology.Enabled = false; n.restartAll() }, 5, "unknown"},
 		"the level was raised later": {[]string{"v2"}, func(n *network) {
 			n.topology.Enabled = false
 			n.restartAll()
@@ -334,6 +337,8 @@
 			list = append(list, v)
 		}
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.topology.Departed = map[string][]string{service: list}
 }
 
@@ -354,13 +359,20 @@
 		b.Configure(stale)
 		time.AfterFunc(n.confirmDelay(), func() {
 			if n.runs(b) {
-				b.Configure(n.topology)
+				b.Configure(n.committed())
 			}
 		})
 	}
 	n.restartAll()
 }
 
+// committed returns the topology of the newest state.
+func (n *network) committed() origin.Topology {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.topology
+}
+
 func (n *network) runs(b *origin.Registry) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -392,6 +392,7 @@
 mutant origins-not-sent origin/keepers.go 's/if !r.topology.Enabled \{\n\t\treturn\n/if true {\n\t\treturn\n/' box TestCallersResumeAfter
 mutant restarted-boxes-know-no-other-version origin/origin.go 's/now-r.knownSince < min\(maxAge, recordTTL\)/false/' origin 'TestLookup|TestNever'
 mutant unconfirmed-states-are-believed origin/origin.go 's/s == nil \|\| !r.topology.Confirmed/s == nil/' origin TestNeverAnotherVersionAfterTheLossOfAllBoxes
+mutant new-knowledge-sends-no-records origin/origin.go 's/ \|\| !r.knowsVersions\(now\)//' origin TestLookup
 mutant departed-versions-are-forgotten origin/origin.go 's/slices.Clone\(s.departed\)/[]string(nil)/' origin TestResumedAfterTheLossOfAllBoxes
 mutant departures-are-not-recorded state/versions.go 's/s.Versions.Departed\[v\] = s.Index/_ = v/' state 'TestReplacedVersionDeparts|TestHistoryFollows'
 mutant versions-are-retired-at-once control/versions.go 's/now.Sub\(since\) >= origin.HistoryTTL/true/' control TestLeaderRetiresVersions
