--- a/origin/origin.go
+++ b/origin/origin.go
@@ -101,8 +101,8 @@
 	knownSince               time.Duration
 	complete                 bool // a topology was complete
 	// ready is closed once the box knows the others, confirmed once its topology is confirmed.
-	ready, confirmed        chan struct{}
-	becomeReady, becomeSure sync.Once
+	ready, confirmed             chan struct{}
+	becomeReady, becomeConfirmed sync.Once
 }
 
 // service is what a box knows of the versions of a service.
@@ -151,7 +151,7 @@
 	}
 	t.Confirmed = t.Confirmed || r.topology.Confirmed
 	if t.Confirmed {
-		r.becomeSure.Do(func() { close(r.confirmed) })
+		r.becomeConfirmed.Do(func() { close(r.confirmed) })
 	}
 	r.topology, r.keepers = t, keepersOf(t.Boxes)
 	for name, versions := range t.Versions {
