--- a/entry/malformed_test.go
+++ b/entry/malformed_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -110,7 +111,7 @@
 			var complete atomic.Int64
 			for range uploads {
 				wg.Go(func() {
-					if s.upload(t, maxUpload) {
+					if s.upload(t, 4<<20) {
 						complete.Add(1)
 					}
 				})
@@ -121,6 +122,43 @@
 	}
 }
 
+// Guards against a part of a response that its caller takes for complete, whenever the reset comes and whatever the request's
+// size is.
+func TestResetAtAnyMomentOfAnUploadIsNotAnEnd(t *testing.T) {
+	const uploads, callers, seed = 1000, 4, 20261206
+	random := rand.New(rand.NewPCG(seed, 1))
+	var mu sync.Mutex
+	draw := func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.IntN(n)
+	}
+	s := newScriptedService(t, func(c net.Conn) {
+		defer c.Close()
+		if _, err := io.CopyN(io.Discard, c, int64(16+draw(1<<10))); err != nil {
+			return
+		}
+		contentType := []string{"text/plain", "text/event-stream"}[draw(2)]
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: "+contentType+"\r\n\r\nid: 1\ndata: par\n\n")
+		time.Sleep(time.Duration(draw(20_000)) * time.Microsecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	var wg sync.WaitGroup
+	var next, complete atomic.Int64
+	for range callers {
+		wg.Go(func() {
+			for next.Add(1) <= uploads {
+				size := 1 << (10 + draw(15))
+				if s.upload(t, min(size+draw(size), maxUpload)) {
+					complete.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	NewWithT(t).Expect(complete.Load()).To(BeZero(), "parts that end as complete, of %d", uploads)
+}
+
 // Guards against an early response with a length that is lost because its request is still being written.
 func TestEarlyDelimitedResponseIsForwarded(t *testing.T) {
 	g := NewWithT(t)
@@ -136,7 +174,7 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 	})
 	for range 10 {
-		g.Expect(s.upload(t, maxUpload)).To(BeTrue())
+		g.Expect(s.upload(t, 4<<20)).To(BeTrue())
 	}
 }
 
@@ -145,6 +183,6 @@
 	g := NewWithT(t)
 	s := newRawService(t, "HTTP/1.1 200 OK\r\n\r\nfine", false)
 	for range 50 {
-		g.Expect(s.upload(t, maxUpload)).To(BeTrue())
+		g.Expect(s.upload(t, 4<<20)).To(BeTrue())
 	}
 }
--- a/entry/undelimited_test.go
+++ b/entry/undelimited_test.go
@@ -29,7 +29,7 @@
 )
 
 // maxUpload is the largest body in bytes that a rawService accepts.
-const maxUpload = 4 << 20
+const maxUpload = 16 << 20
 
 // rawService is an entry box in front of one backend server.
 type rawService struct {
--- a/gateway/connend_test.go
+++ b/gateway/connend_test.go
@@ -3,12 +3,14 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"leverdrum/internal/attest"
 	"leverdrum/internal/framing"
 )
 
@@ -70,3 +72,40 @@
 	g.Expect(framing.Unacknowledged(x.Conn)).To(And(BeNumerically(">", 0), BeNumerically("<=", n)))
 	g.Expect((&response{conn: x}).endOfUpload()).To(Equal(errUploadUnfinished))
 }
+
+// Guards against a part of a response that another box relays, and whose end it reports, although the server reset the connection
+// while the request was being written.
+func TestResetDuringUploadIsNotRelayedAsAnEnd(t *testing.T) {
+	const size, attempts = 4 << 20, 20
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.CopyN(io.Discard, c, 16)
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npar") // the connection ends in any case
+				time.Sleep(60 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}()
+		}
+	}()
+	for range attempts {
+		g := NewWithT(t)
+		o := &outgoing{method: http.MethodPost, host: "h", target: "/", body: make([]byte, size)}
+		a, failed := exchange(t.Context(), newConnPool(l.Addr().String()), o, &attest.Headers{RequestID: "X-Request-Id"}, 0, nil)
+		if failed != nil {
+			continue // the reset came first
+		}
+		sent := &recordedFrames{}
+		new(Gateway).forwardRelayed(a, &relayAnswer{to: sent})
+		last := sent.frames[len(sent.frames)-1]
+		g.Expect(last.End).To(BeFalse())
+		g.Expect(last.Failure).NotTo(BeNil())
+	}
+}
