engine: orders and reports follow no redirects

An order whose server answered 301, 302 or 303 was followed by net/http's client as a GET at the Location, and a 202 there counted as "accepted", although no server had taken the order. Reports were read from other servers the same way.

--- a/engine/counted.go
+++ b/engine/counted.go
@@ -56,8 +56,14 @@
 	SendOrder(ctx context.Context, address string, o *CountedOrder) (Verdict, error)
 }
 
+// NewHTTPClient returns a client that follows no redirects: the response of another server says nothing about the one that was
+// called.
+func NewHTTPClient(t http.RoundTripper) *http.Client {
+	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+}
+
 // NewGuardedClient returns a client that sends bytes only while allowed returns true. It
 // checks right before each write. Connections are not reused.
 func NewGuardedClient(allowed func() bool) *http.Client {
-	return &http.Client{Transport: newGuardedTransport(allowed)}
+	return NewHTTPClient(newGuardedTransport(allowed))
 }
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -107,7 +107,7 @@
 // NewClient returns a client that writes orders only while allowed returns true. It checks right before each write to a
 // connection. The client honors the servers' pushback, which may be nil.
 func NewClient(allowed func() bool, pushback Pushback) *Client {
-	reads := &http.Client{Transport: responsehead.NewTransport(&http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: 1})}
+	reads := NewHTTPClient(responsehead.NewTransport(&http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: 1}))
 	return &Client{
 		reads:  WithPushback(reads, pushback, &dialect.Native),
 		orders: WithPushback(NewGuardedClient(allowed), pushback, &dialect.Native),
--- a/engine/pushback.go
+++ b/engine/pushback.go
@@ -46,7 +46,7 @@
 	if p == nil {
 		return c
 	}
-	return &http.Client{Transport: &pushbackTransport{c.Transport, p, d}}
+	return NewHTTPClient(&pushbackTransport{c.Transport, p, d})
 }
 
 // RoundTrip returns ErrInBackoff if it sent nothing because the server is in backoff.
