--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -137,6 +137,7 @@
 	late            lineSampler
 	resumed         lineSampler // of streams
 	undelimitedEnds lineSampler // of responses without a length or chunks
+	malformed       lineSampler // of malformed responses
 	unproven        lineSampler // of responses that prove nothing
 	headers         attest.Headers
 	admission       *admission
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -76,6 +76,7 @@
 	Responses          = Metric{"leverdrum_responses_total", Counter, "Responses of backend servers by the attempt that they belong to (this; another: a surplus one; unidentified) and by what they prove about the attempt under way (run, not-run, nothing).", []string{"owner", "proof"}}
 	ResponseEnds       = Metric{"leverdrum_response_ends_total", Counter, "Responses of backend servers by how they ended (complete; confirmed: with the connection, without a length or chunks, and the server went on; unknown: the same, and nothing shows that the server went on; truncated: a part is missing, or the server has ended).", []string{"end"}}
 	ResponseEndWait    = Metric{"leverdrum_response_end_wait_seconds", Histogram, "How long the ends of responses without a length or chunks waited for evidence that their server went on, by what was found (answered: a health check; open: a connection; ended: the server has ended; none).", []string{"life"}}
+	MalformedResponses = Metric{"leverdrum_responses_malformed_total", Counter, "Malformed responses of backend servers to requests, by the kind of the offending line (status-line, version, status, line-ending, field-name, blank-in-name, field-value, folded, content-length, transfer-encoding, length-and-chunks, too-large; on the product's own interface also chunk, trailer).", []string{"kind"}}
 	Interrupted        = Metric{"leverdrum_stop_interrupted_total", Counter, "Requests in flight at the end of a planned stop, by how they ended (answered: as unknown; broken: the response had begun; cut: without an answer, which is a fault).", []string{"end"}}
 	Claims             = Metric{"leverdrum_claims_total", Counter, "Claims on keyed calls by verdict.", []string{"verdict"}}
 )
@@ -84,7 +85,7 @@
 func All() []Metric {
 	return []Metric{
 		Refusals, Retries, RetriesDenied, Requests, RequestsInTime, RequestDuration, RequestsInFlight, StateIndex, FleetNumber,
-		IsLeader, Current, Elections, Orders, Ejections, PeerBytes, PeerMessages, PeerAbandonedBytes, CrashReports, CrashExposures, CrashersBlocked, InvalidReports, BuildInfo, ActiveLevel, WorkspaceRequests, LimitedAttempts, ServerLimits, LateRequests, LateWorkspaces, ServerSlowness, LoadFrames, LoadIgnored, LoadPrefixes, LoadHubs, StartHolds, ServerLinks, RelayedAttempts, RelaysServed, Connections, Responses, ResponseEnds, ResponseEndWait, StreamsResumed, StreamOrigins, OriginsLost, Interrupted, Claims,
+		IsLeader, Current, Elections, Orders, Ejections, PeerBytes, PeerMessages, PeerAbandonedBytes, CrashReports, CrashExposures, CrashersBlocked, InvalidReports, BuildInfo, ActiveLevel, WorkspaceRequests, LimitedAttempts, ServerLimits, LateRequests, LateWorkspaces, ServerSlowness, LoadFrames, LoadIgnored, LoadPrefixes, LoadHubs, StartHolds, ServerLinks, RelayedAttempts, RelaysServed, Connections, Responses, ResponseEnds, ResponseEndWait, MalformedResponses, StreamsResumed, StreamOrigins, OriginsLost, Interrupted, Claims,
 	}
 }
 
