box: a planned stop keeps idle connections for 0.3 s, not 1 s, after it accepts no new ones

A request that is in transit when the box closes its listener arrives within a round trip; a second more of each stop is a second in which the box does not serve.

go test -race ./box -run 'TestPlannedStop|Shutdown' passes.

--- a/box/stop.go
+++ b/box/stop.go
@@ -17,9 +17,10 @@
 const (
 	// closeTimeout bounds how long Kill waits for operators' calls.
 	closeTimeout = 2 * time.Second
-	// unusedTimeout is how long a stopping box that accepts no further connections keeps those of callers that are idle, or on which
-	// nothing was received. A request may be in transit on them, and is refused.
-	unusedTimeout = time.Second
+	// transitTimeout is how long a stopping box that accepts no further connections keeps idle ones of callers: a request may be in
+	// transit on them, and is refused. unusedTimeout is the same for connections on which nothing was received.
+	transitTimeout = 300 * time.Millisecond
+	unusedTimeout  = time.Second
 	// maxExitTime and maxAnswerTime bound the parts of a planned stop in which the box closes everything, and before that, in which it
 	// answers requests that no server has answered. In a short stop, they are these shares of its time.
 	maxExitTime   = 500 * time.Millisecond
@@ -127,8 +128,10 @@
 		defer relayed.Wait()
 	}
 	_ = b.entryListener.Close() // fails only if it is closed already
-	time.Sleep(min(unusedTimeout, time.Until(times.answer)/2))
-	b.entryListener.CloseUnused()
+	left := time.Until(times.answer)
+	unused := time.AfterFunc(min(unusedTimeout, left/2), b.entryListener.CloseUnused)
+	defer unused.Stop()
+	time.Sleep(min(transitTimeout, left/2))
 	cut := int64(0)
 	if err := b.entryHTTP.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
 		cut = b.requests.Load()
--- a/shutdown/shutdown_test.go
+++ b/shutdown/shutdown_test.go
@@ -75,3 +75,17 @@
 	hangUp()
 	g.Expect(p.Interrupted(request, caller)).To(BeFalse(), "its caller has hung up")
 }
+
+// BenchmarkRequest is what a request costs while no stop is under way.
+func BenchmarkRequest(b *testing.B) {
+	p := New()
+	b.ReportAllocs()
+	for b.Loop() {
+		_, cancel := context.WithCancel(context.Background())
+		stop := p.OnEnd(cancel)
+		_ = p.Admits(Request{Route: "r"}, time.Time{})
+		stop()
+		p.Record("r", time.Second)
+		cancel()
+	}
+}
