entry, proxy: a response without a length or chunks is complete only if its server went on

A server of a service ended within a response that ends with its connection, and the part reached the caller as the whole response; for a call with a key, it was stored and replayed.

Cause: proxy took io.EOF for the end of any body.

A stream whose last event has arrived is complete by its content and needs no probe. Without evidence, a buffered response is a failure of unknown outcome (retried if its call may be repeated, else 502 and recorded as unknown for its key); one whose head was forwarded resumes or is aborted as if it had broken off. Ends are counted here, too.

--- a/entry/serve.go
+++ b/entry/serve.go
@@ -16,6 +16,7 @@
 	"leverdrum/admit"
 	"leverdrum/crasher"
 	"leverdrum/internal/framing"
+	"leverdrum/internal/liveness"
 	"leverdrum/internal/wait"
 	"leverdrum/meter"
 	"leverdrum/proxy"
@@ -260,6 +261,7 @@
 	a.NonRepeatable = !j.repeatable
 	a.Header = attemptHeaders(j.attempt.Header, time.Until(j.deadline()))
 	j.sentAt, j.firstEventAt = time.Now(), time.Time{}
+	a.ObserveEnd = e.observeEnd
 	a.Sendable = func() bool { return e.opts.Pushback.Sendable(b.Name) }
 	response, failure := e.sendWithTimeout(ctx, j, &a)
 	j.inBackoff = e.observe(j, b, response, failure)
@@ -270,6 +272,14 @@
 	return response, failure
 }
 
+// observeEnd counts how a response of a backend server ended.
+func (e *Entry) observeEnd(end framing.End, evidence liveness.Evidence, waited time.Duration) {
+	e.opts.Meters.Count(meter.ResponseEnds, end.String()).Inc()
+	if end != framing.Complete {
+		e.opts.Meters.Observer(meter.ResponseEndWait, evidence.String()).Observe(waited.Seconds())
+	}
+}
+
 // attemptHeaders returns the headers of one attempt. The headers that the caller lists in Connection
 // are removed first, so that they cannot remove the deadline.
 func attemptHeaders(from http.Header, left time.Duration) http.Header {
--- a/entry/undelimited_test.go
+++ b/entry/undelimited_test.go
@@ -29,7 +29,11 @@
 )
 
 // rawService is an entry box in front of one backend server.
-type rawService struct{ address string }
+type rawService struct {
+	address  string
+	listener net.Listener // of its server
+	meters   *meter.Meters
+}
 
 // newRawService returns a rawService whose server sends a fixed response to each call and then closes the connection, with a
 // reset if reset is set.
@@ -56,14 +60,15 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	d := route.NewDirectory("a")
 	d.Update(st)
+	meters := meter.New()
 	s := httptest.NewUnstartedServer(entry.New(entry.Options{
 		Directory: d, View: func() *state.State { return st }, Current: func() bool { return true }, Sender: proxy.NewSender(),
-		Meters: meter.New(), Records: record.NewHistory(100), MaxBody: 1000, BodyTimeout: time.Second, Claims: &oneBoxClaims{},
+		Meters: meters, Records: record.NewHistory(100), MaxBody: 1000, BodyTimeout: time.Second, Claims: &oneBoxClaims{},
 	}))
 	s.Config.ConnContext = framing.ConnContext
 	s.Start()
 	t.Cleanup(s.Close)
-	return &rawService{s.Listener.Addr().String()}
+	return &rawService{s.Listener.Addr().String(), l, meters}
 }
 
 func respond(c net.Conn, response string, reset bool) {
--- a/proxy/copy.go
+++ b/proxy/copy.go
@@ -47,7 +47,7 @@
 			}
 		}
 		if err != nil {
-			return c.finish(err)
+			return c.finish(response, err)
 		}
 	}
 }
@@ -90,7 +90,7 @@
 }
 
 // finish reports whether the response was complete when its body ended with err.
-func (c *copier) finish(err error) error {
+func (c *copier) finish(response *Response, err error) error {
 	switch {
 	case c.opts.Relay != nil && c.opts.Relay.Done():
 		return nil
@@ -99,7 +99,7 @@
 	case c.opts.Relay != nil && !c.opts.Relay.Complete():
 		return ErrTruncated
 	}
-	return nil
+	return response.judgeEnd()
 }
 
 // stallTimer closes a stream that sends nothing.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -9,8 +9,9 @@
 //     byte can have been sent, or if the backend server's response proves it
 //     (package attest).
 //  3. A response is complete when its full length or its final chunk arrived; a
-//     stream also needs its last event. The end of one without a length or
-//     chunks is unknown (package framing), unless it is a stream with a last event.
+//     stream also needs its last event. One without a length or chunks is
+//     complete if its server has shown after the end that it went on (packages
+//     framing and liveness), or if it is a stream with a last event.
 //  4. A response that does not belong to the attempt is dropped with its
 //     connection. Attempts have IDs of their own, so that a response to an earlier
 //     attempt of the same request is none to a later one.
@@ -35,6 +36,7 @@
 	"leverdrum/engine"
 	"leverdrum/internal/attest"
 	"leverdrum/internal/framing"
+	"leverdrum/internal/liveness"
 	"leverdrum/reason"
 )
 
@@ -66,6 +68,8 @@
 	// Sendable is called once a new connection is open and reports whether the attempt may still be
 	// sent; nil means yes.
 	Sendable func() bool
+	// ObserveEnd is called when the body of the response was read to its end; may be nil.
+	ObserveEnd EndObserver
 }
 
 // Response is the response to an attempt. Either Body is the complete body, or BodyReader is not nil
@@ -77,10 +81,14 @@
 	BodyReader io.ReadCloser
 	// Stream is set if BodyReader is an event stream.
 	Stream bool
-	// Undelimited is set if the end of the body is unknown, because it ended, or will end, with the connection.
+	// Undelimited is set if only the end of the connection ended, or will end, the body.
 	Undelimited bool
 	// Version is the version of the weights, "" if the backend does not report it.
 	Version string
+
+	// awaitEvidence returns what is known of the server after now; set if Undelimited is. observe is Attempt.ObserveEnd.
+	awaitEvidence func() liveness.Evidence
+	observe       EndObserver
 }
 
 // Failure describes why there is no response.
@@ -104,6 +112,7 @@
 type Sender struct {
 	reused    *http.Transport
 	singleUse *http.Transport
+	servers   liveness.Group // by address
 }
 
 // NewSender returns a Sender with its own connection pool.
@@ -211,7 +220,7 @@
 	if err != nil {
 		return nil, classify(err, connected.Load())
 	}
-	return s.receive(a, resp, reused.Load())
+	return s.receive(ctx, a, resp, reused.Load())
 }
 
 // classify returns the failure for a transport error. It is not run only if there was no connection
@@ -256,12 +265,15 @@
 	return f
 }
 
-func (s *Sender) receive(a *Attempt, resp *http.Response, reused bool) (*Response, *Failure) {
+func (s *Sender) receive(ctx context.Context, a *Attempt, resp *http.Response, reused bool) (*Response, *Failure) {
 	if f := check(a, resp, reused); f != nil {
 		resp.Body.Close()
 		return nil, f
 	}
-	response := &Response{Status: resp.StatusCode, Header: http.Header{}, Version: resp.Header.Get(engine.HeaderVersion), Undelimited: !framing.Delimited(a.Method, resp)}
+	response := &Response{Status: resp.StatusCode, Header: http.Header{}, Version: resp.Header.Get(engine.HeaderVersion), Undelimited: !framing.Delimited(a.Method, resp), observe: a.ObserveEnd}
+	if response.Undelimited {
+		response.awaitEvidence = func() liveness.Evidence { return s.servers.Await(ctx, a.Address, probe(a.Address)) }
+	}
 	CopyEndToEndHeaders(response.Header, resp.Header)
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		response.BodyReader, response.Stream = resp.Body, true
@@ -286,6 +298,9 @@
 		return response, nil
 	}
 	resp.Body.Close()
+	if err := response.judgeEnd(); err != nil {
+		return nil, endFailure(err)
+	}
 	response.Body = body
 	return response, nil
 }
