gateway: a probe needs no free connection to the server

A box may open few connections to a server (3 each at 40 boxes and a limit of 130). The connection of a response without a length or chunks gave its place up before its end was judged; another request took it, the probe found none for 200 ms, and the whole response of a server that goes on was broken off. The ended connection is now closed but keeps its place until its end is judged, and the probe's connection takes it. Ruled out: waiting for a place, which is what did not come.

--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -206,6 +206,13 @@
 	return true
 }
 
+// reserveBeyondLimit reserves a place that another connection still has, although it is closed.
+func (c *connPool) reserveBeyondLimit() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open++
+}
+
 // hasIdle reports whether the pool has an idle connection that an attempt with this ID can use at once.
 func (c *connPool) hasIdle(now time.Time, id string) bool {
 	c.mu.Lock()
--- a/gateway/endcheck.go
+++ b/gateway/endcheck.go
@@ -44,16 +44,12 @@
 // run implements liveness.Probe.
 func (p *endProbe) run(ctx context.Context) liveness.Evidence {
 	path := p.path()
-	for attempts := 0; attempts < maxProbeAttempts; {
+	for range maxProbeAttempts {
 		x, err := p.connect(ctx)
-		switch {
-		case errors.Is(err, syscall.ECONNREFUSED):
+		if errors.Is(err, syscall.ECONNREFUSED) {
 			return liveness.Ended
-		case errors.Is(err, ErrConnectionLimit): // a request of this box may end soon
-		case err != nil:
-			attempts++
-		default:
-			attempts++
+		}
+		if err == nil {
 			if evidence := p.challenge(ctx, x, path); evidence != liveness.None {
 				return evidence
 			}
@@ -66,13 +62,11 @@
 }
 
 // connect opens a connection. An idle one would not do: a server that closes its listener, and then its connections, may answer
-// on some of them after it has closed others. The new connection takes the place of the one that ended.
+// on some of them after it has closed others. The new connection takes the place of the one that ended, which is counted until
+// its end has been judged.
 func (p *endProbe) connect(ctx context.Context) (*conn, error) {
-	pool := p.server.pool
-	if !pool.reserve() && !pool.replaceIdle() {
-		return nil, ErrConnectionLimit
-	}
-	return pool.dial(ctx)
+	p.server.pool.reserveBeyondLimit()
+	return p.server.pool.dial(ctx)
 }
 
 // challenge sends a health check on a new connection and waits for the response until the context ends. Without a path it only
@@ -201,19 +195,30 @@
 	return e
 }
 
+// endReading closes the connection of an undelimited response that was read to its end. Its place in the pool is kept for the
+// probe until finish is called.
+func (a *response) endReading() {
+	if a.relay == nil {
+		a.watch.stop()
+		a.conn.Close()
+	}
+}
+
 // judgeEnd ends the reading of a response whose body was read to its end, and returns how it ended. The end of an undelimited one
 // waits for evidence.
 func (j *job) judgeEnd(ctx context.Context, s *server, a *response) framing.End {
-	a.finish(true) // a connection that has ended leaves its place to the probe
 	if !a.delimited {
 		return j.judgeUndelimitedEnd(ctx, s, a)
 	}
+	a.finish(true)
 	end := framing.Judge(true, io.EOF, nil)
 	j.recordEnd(end)
 	return end
 }
 
 func (j *job) judgeUndelimitedEnd(ctx context.Context, s *server, a *response) framing.End {
+	a.endReading()
+	defer a.finish(false)
 	var evidence endEvidence
 	end := framing.Judge(false, io.EOF, func() liveness.Evidence {
 		if a.relay != nil {
--- a/gateway/serverelay.go
+++ b/gateway/serverelay.go
@@ -153,7 +153,6 @@
 		}
 		switch {
 		case err == io.EOF:
-			a.finish(true)
 			out.end(g.judgeRelayedEnd(ctx, s, a))
 			return
 		case err != nil:
@@ -164,9 +163,15 @@
 	}
 }
 
-// judgeRelayedEnd returns how the response of a server ended that was read to its end.
+// judgeRelayedEnd ends the reading of a response whose body was read to its end, and returns how it ended.
 func (g *Gateway) judgeRelayedEnd(ctx context.Context, s *server, a *response) framing.End {
-	return framing.Judge(a.delimited, io.EOF, func() liveness.Evidence { return g.awaitEvidence(ctx, s).Evidence })
+	if a.delimited {
+		a.finish(true)
+		return framing.Judge(true, io.EOF, nil)
+	}
+	a.endReading()
+	defer a.finish(false)
+	return framing.Judge(false, io.EOF, func() liveness.Evidence { return g.awaitEvidence(ctx, s).Evidence })
 }
 
 func (g *Gateway) relayFailureKind(f *failure) wire.RelayFailure_Kind {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -388,7 +388,7 @@
 mutant unknown-ends-complete internal/framing/framing.go 's/return !bodyAllowed\(method, r.StatusCode\) \|\|/return true ||/' gateway TestTruncatedResponse
 mutant ends-without-evidence internal/framing/framing.go 's/case evidence == nil:/case evidence != nil:\n\t\treturn Confirmed\n\tcase evidence == nil:/' gateway TestServersEndingAtAnyMoment
 mutant relayed-ends-without-evidence gateway/relayed.go 's/if f.Confirmed \{/if f.End {/' gateway TestEndRelayedByAnEarlierBuild
-mutant connections-opened-before gateway/endcheck.go 's/(\tpool := p.server.pool\n)/$1\tif x := pool.takeIdle(rand.Text(), p.names); x != nil {\n\t\treturn x, nil\n\t}\n/' gateway TestServerThatClosesItsListener
+mutant connections-opened-before gateway/endcheck.go 's/(\tp.server.pool.reserveBeyondLimit\(\)\n)/\tif x := p.server.pool.takeIdle(rand.Text(), p.names); x != nil {\n\t\treturn x, nil\n\t}\n$1/' gateway TestServerThatClosesItsListener
 mutant own-ends-without-evidence proxy/ends.go 's/return ErrEndUnknown/return nil/; s/return ErrServerEnded/return nil/' entry 'TestServerEndingWithin|TestPartIsNotStored'
 mutant closed-before-the-bytes internal/framing/framing.go 's/if http.NewResponseController\(u.writer\).Flush\(\) != nil \{/if false {/' internal/framing TestFinishWrites
 mutant ends-probe-each-other internal/liveness/liveness.go 's/if evidence == Ended \{/if false {/' internal/liveness TestEndOfTheServer
