--- a/entry/undelimited_test.go
+++ b/entry/undelimited_test.go
@@ -33,8 +33,9 @@
 
 // rawService is an entry box in front of one backend server.
 type rawService struct {
-	address string
-	meters  *meter.Meters
+	address  string
+	listener net.Listener // of its server
+	meters   *meter.Meters
 }
 
 // newRawService returns a rawService whose server sends a fixed response to each call and then closes the connection, with a
@@ -70,7 +71,7 @@
 	s.Config.ConnContext = framing.ConnContext
 	s.Start()
 	t.Cleanup(s.Close)
-	return &rawService{s.Listener.Addr().String(), meters}
+	return &rawService{s.Listener.Addr().String(), l, meters}
 }
 
 func respond(c net.Conn, response string, reset bool) {
--- a/gateway/connend_test.go
+++ b/gateway/connend_test.go
@@ -103,7 +103,7 @@
 			continue // the reset came first
 		}
 		sent := &recordedFrames{}
-		new(Gateway).forwardRelayed(a, &relayAnswer{to: sent})
+		new(Gateway).forwardRelayed(t.Context(), nil, a, &relayAnswer{to: sent})
 		last := sent.frames[len(sent.frames)-1]
 		g.Expect(last.End).To(BeFalse())
 		g.Expect(last.Failure).NotTo(BeNil())
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -9,8 +9,9 @@
 //     byte can have been sent, or if the backend server's response proves it
 //     (package attest).
 //  3. A response is complete when its full length or its final chunk arrived; a
-//     stream also needs its last event. The end of one without a length or
-//     chunks is unknown (package framing), unless it is a stream with a last event.
+//     stream also needs its last event. One without a length or chunks is
+//     complete if its server has shown after the end that it went on (packages
+//     framing and liveness), or if it is a stream with a last event.
 //  4. A response that does not belong to the attempt is dropped with its
 //     connection. Attempts have IDs of their own, so that a response to an earlier
 //     attempt of the same request is none to a later one.
@@ -37,6 +38,7 @@
 	"leverdrum/engine"
 	"leverdrum/internal/attest"
 	"leverdrum/internal/framing"
+	"leverdrum/internal/liveness"
 	"leverdrum/internal/membudget"
 	"leverdrum/internal/responsehead"
 	"leverdrum/reason"
@@ -72,6 +74,8 @@
 	Sendable func() bool
 	// Memory is what its response may be buffered in; nil means no limit. The caller releases it once it needs the body no more.
 	Memory *membudget.Hold
+	// ObserveEnd is called when the body of the response was read to its end; may be nil.
+	ObserveEnd EndObserver
 }
 
 // Response is the response to an attempt. Either Body is the complete body, or BodyReader is not nil
@@ -83,10 +87,14 @@
 	BodyReader io.ReadCloser
 	// Stream is set if BodyReader is an event stream.
 	Stream bool
-	// Undelimited is set if the end of the body is unknown, because it ended, or will end, with the connection.
+	// Undelimited is set if only the end of the connection ended, or will end, the body.
 	Undelimited bool
 	// Version is the version of the weights, "" if the backend does not report it.
 	Version string
+
+	// awaitEvidence returns what is known of the server after now; set if Undelimited is. observe is Attempt.ObserveEnd.
+	awaitEvidence func() liveness.Evidence
+	observe       EndObserver
 }
 
 // Failure describes why there is no response.
@@ -110,6 +118,7 @@
 type Sender struct {
 	reused    *http.Transport
 	singleUse *http.Transport
+	servers   liveness.Group // by address
 }
 
 // NewSender returns a Sender with its own connection pool.
@@ -217,7 +226,7 @@
 	if err != nil {
 		return nil, classify(err, connected.Load())
 	}
-	return s.receive(a, resp, reused.Load())
+	return s.receive(ctx, a, resp, reused.Load())
 }
 
 // classify returns the failure for a transport error. It is not run only if there was no connection
@@ -262,12 +271,15 @@
 	return f
 }
 
-func (s *Sender) receive(a *Attempt, resp *http.Response, reused bool) (*Response, *Failure) {
+func (s *Sender) receive(ctx context.Context, a *Attempt, resp *http.Response, reused bool) (*Response, *Failure) {
 	if f := check(a, resp, reused); f != nil {
 		resp.Body.Close()
 		return nil, f
 	}
-	response := &Response{Status: resp.StatusCode, Header: http.Header{}, Version: resp.Header.Get(engine.HeaderVersion), Undelimited: !framing.Delimited(a.Method, resp)}
+	response := &Response{Status: resp.StatusCode, Header: http.Header{}, Version: resp.Header.Get(engine.HeaderVersion), Undelimited: !framing.Delimited(a.Method, resp), observe: a.ObserveEnd}
+	if response.Undelimited {
+		response.awaitEvidence = func() liveness.Evidence { return s.servers.Await(ctx, a.Address, probe(a.Address)) }
+	}
 	CopyEndToEndHeaders(response.Header, resp.Header)
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		response.BodyReader, response.Stream = resp.Body, true
@@ -297,6 +309,9 @@
 		return nil, classify(err, true)
 	}
 	resp.Body.Close()
+	if err := response.judgeEnd(); err != nil {
+		return nil, endFailure(err)
+	}
 	response.Body = body
 	return response, nil
 }
