box, platform: one setting bounds what servers send, messages of servers have an end

What was seen: 100 connections on which a heartbeat, or a deregistration, of 255 KiB begins and does not go on made a box keep 37 and 35 MiB, and stayed open (10 s, when the test ended).

Cause: the bodies were bounded one by one, and nothing bounded the time of a body: only heads had a limit.

The box has one Budget for responses, on both interfaces, states, outcomes of orders, reports and messages: [limits] responses, by default an eighth of [limits] memory (16 MiB of 128 MB), or 64 MiB without one. The metrics leverdrum_response_memory_bytes and leverdrum_response_memory_full_total and the log event responses-full, at most once a minute and kind, show its use.

Not bounded over all: configurations, up to 16 MiB each, which only the operator sends; rejecting one is worse than holding it.

--- a/box/box.go
+++ b/box/box.go
@@ -28,6 +28,7 @@
 	"leverdrum/internal/build"
 	"leverdrum/internal/clock"
 	"leverdrum/internal/framing"
+	"leverdrum/internal/membudget"
 	"leverdrum/keyed"
 	"leverdrum/level"
 	"leverdrum/loadshare"
@@ -90,6 +91,8 @@
 	intakeLog logLimiter
 	// formLog limits the logging of boxes with other first members.
 	formLog logLimiter
+	// memoryLog limits the logging of what finds no memory.
+	memoryLog logLimiter
 	// loadLog limits the logging of ignored input of the load exchange.
 	loadLog logLimiter
 	// reloadedBoxes are the box addresses of the last settings reload, nil before one.
@@ -119,6 +122,7 @@
 	pushback     *pushback.Registry
 	drains       *drainReporter
 	origins      *origin.Registry
+	responses    *membudget.Budget // for what backend servers send
 	sharer       *loadshare.Sharer // nil if the settings do not share load
 	// ackTimeouts bound how long an apply waits for the boxes.
 	ackTimeouts spread.AckTimeouts
@@ -375,11 +379,13 @@
 		Now: clock.New().Now, Throttle: p.throttle, Boxes: func() int { return len(r.View().Members) }, OnDraining: p.drains.add, Log: b.log,
 	})
 	p.directory.SetPushback(p.pushback)
-	engines := engine.NewClient(allowed, p.pushback)
+	p.responses = b.newResponseMemory()
+	engines, counting := engine.NewClient(allowed, p.pushback), platform.NewEngines(allowed, p.pushback)
+	engines.Memory, counting.Memory = p.responses, p.responses
 	p.control = control.New(control.Options{
 		Replica: r, Spread: p.spread, Engines: engines.At,
 		TerminatedServers: p.directory.TerminatedServers, OpenSession: b.openSession, WantedVoters: cmp.Or(s.Voters, len(b.id.firstMembers()), len(s.FirstMembers)), RepairAfter: s.RepairAfter, UpgradeSettleTime: s.UpgradeSettleTime,
-		Counting: platform.NewEngines(allowed, p.pushback), InBackoff: func(server string) bool { return !p.pushback.Sendable(server) }, Holder: s.Box, OrderPause: s.OrderPause, DemandSettleTime: s.DemandSettleTime, VotersNeedDisks: s.VotersNeedDisks, NeverLeads: s.VotersNeedDisks && b.store == nil,
+		Counting: counting, InBackoff: func(server string) bool { return !p.pushback.Sendable(server) }, Holder: s.Box, OrderPause: s.OrderPause, DemandSettleTime: s.DemandSettleTime, VotersNeedDisks: s.VotersNeedDisks, NeverLeads: s.VotersNeedDisks && b.store == nil,
 		Slowness: func() map[string]float64 { return serverSlowness(p) }, Failing: func() map[string]time.Duration { return failingServers(p) },
 		Records: b.records, Meters: b.meters, Log: b.log,
 	})
@@ -387,7 +393,7 @@
 	p.quotas = newSharedLimits(limitKind{minLevel: level.Workspaces, window: s.QuotaWindow}, self, r, p.spread, b.pool)
 	p.entry = entry.New(entry.Options{
 		Directory: p.directory, View: r.View, Current: func() bool { return b.routesInitialized.Load() && p.spread.Current() }, Sender: proxy.NewSender(),
-		Meters: b.meters, Records: b.records, MaxBody: s.MaxBody, BodyTimeout: s.BodyTimeout, Claims: p.claims,
+		Meters: b.meters, Records: b.records, MaxBody: s.MaxBody, BodyTimeout: s.BodyTimeout, Responses: p.responses, Claims: p.claims,
 		ReportCrash: p.crashes.add, Quotas: p.quotas.limiter, Pushback: p.pushback,
 	})
 	p.sharer, p.origins = b.newSharer(self), b.newOrigins()
@@ -396,7 +402,7 @@
 		p.entry.RecordCrashesCommitted()
 		p.gateway.RecordCrashesCommitted()
 	}
-	p.platform = platform.Control(&platformCluster{b, p})
+	p.platform = platform.Control(&platformCluster{b, p}, p.responses)
 	p.admin = admin.New(admin.Options{
 		Box: s.Box, Cluster: &forwarder{b, p}, View: r.View, Ready: b.ready, Records: b.records, Meters: b.meters,
 		QuotaStatus: p.quotas.limiter.Status, Pushback: p.pushback,
--- a/box/reports.go
+++ b/box/reports.go
@@ -24,6 +24,7 @@
 // whether or not a controller leads.
 func (b *Box) pollReports(ctx context.Context, p *components) {
 	client := engine.NewClient(func() bool { return false }, p.pushback)
+	client.Memory = p.responses
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	for {
--- a/event/event.go
+++ b/event/event.go
@@ -80,6 +80,7 @@
 	ServerLinksRegained = add(Event{"server-links-regained", zapcore.InfoLevel, "The box reaches the backend servers again.", "Nothing, unless it happens often; after is how long it reached none."})
 	NoRelay             = add(Event{"no-relay", zapcore.WarnLevel, "The box does not reach a backend server, and no other box relays its requests, which are rejected.", "Check the network between boxes and servers; logged at most once a second."})
 	ConnectionsRefused  = add(Event{"connections-refused", zapcore.WarnLevel, "Callers' connections are refused because the box could not read their requests in time.", "Check whether the load balancer sends this box more than its share; logged at most once a minute for each reason, the metric leverdrum_connections_total counts all."})
+	ResponseMemoryFull  = add(Event{"responses-full", zapcore.WarnLevel, "There is no memory left for what a backend server sends: a response is forwarded as it arrives, an incomplete event breaks its stream, a report or heartbeat is refused.", "Look for servers that send without end (response-end-unknown, request-failed), or raise [limits] responses; logged at most once a minute for each kind, the metric leverdrum_response_memory_full_total counts all."})
 	ServerUnresponsive  = add(Event{"server-silent", zapcore.InfoLevel, "A backend server has not been heard from for a while.", "Check that it is running and can reach a box."})
 )
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -74,6 +74,8 @@
 	OriginsLost        = Metric{"leverdrum_stream_origins_lost_total", Counter, "Records of the software version at which a stream began that could not be delivered to a box that keeps them.", nil}
 	Responses          = Metric{"leverdrum_responses_total", Counter, "Responses of backend servers by the attempt that they belong to (this; another: a surplus one; unidentified) and by what they prove about the attempt under way (run, not-run, nothing).", []string{"owner", "proof"}}
 	ResponseEnds       = Metric{"leverdrum_response_ends_total", Counter, "Responses of backend servers by how they ended (complete; unknown: with the connection, without a length or chunks; truncated).", []string{"end"}}
+	ResponseMemory     = Metric{"leverdrum_response_memory_bytes", Gauge, "Bytes of memory reserved for what backend servers send: buffered responses, incomplete events, reports and heartbeats. [limits] responses bounds them.", nil}
+	ResponseMemoryFull = Metric{"leverdrum_response_memory_full_total", Counter, "Times that there was no memory left for what a backend server sent, by what it was (response, state, report, heartbeat). A plain response is then forwarded as it arrives; the rest is refused.", []string{"kind"}}
 	Claims             = Metric{"leverdrum_claims_total", Counter, "Claims on keyed calls by verdict.", []string{"verdict"}}
 )
 
@@ -81,7 +83,7 @@
 func All() []Metric {
 	return []Metric{
 		Refusals, Retries, RetriesDenied, Requests, RequestsInTime, RequestDuration, RequestsInFlight, StateIndex, FleetNumber,
-		IsLeader, Current, Elections, Orders, Ejections, PeerBytes, PeerMessages, PeerAbandonedBytes, CrashReports, CrashExposures, CrashersBlocked, InvalidReports, BuildInfo, ActiveLevel, WorkspaceRequests, LimitedAttempts, ServerLimits, LateRequests, LateWorkspaces, ServerSlowness, LoadFrames, LoadIgnored, LoadPrefixes, LoadHubs, StartHolds, ServerLinks, RelayedAttempts, RelaysServed, Connections, Responses, ResponseEnds, StreamsResumed, OriginsLost, Claims,
+		IsLeader, Current, Elections, Orders, Ejections, PeerBytes, PeerMessages, PeerAbandonedBytes, CrashReports, CrashExposures, CrashersBlocked, InvalidReports, BuildInfo, ActiveLevel, WorkspaceRequests, LimitedAttempts, ServerLimits, LateRequests, LateWorkspaces, ServerSlowness, LoadFrames, LoadIgnored, LoadPrefixes, LoadHubs, StartHolds, ServerLinks, RelayedAttempts, RelaysServed, Connections, Responses, ResponseEnds, StreamsResumed, OriginsLost, ResponseMemory, ResponseMemoryFull, Claims,
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -81,6 +81,7 @@
 	}},
 	{Kind: "limits", Description: "Resource limits of the process.", Keys: []conf.Key{
 		{Name: "memory", Type: conf.Bytes, Default: "0B", Description: "Maximum memory of the process; 0: no limit. The garbage collector aims to stay below four fifths of it."},
+		{Name: "responses", Type: conf.Bytes, Default: "0B", Description: "Memory for what backend servers send, over all of it: buffered responses, incomplete events, reports and heartbeats; 0: an eighth of `memory`, or 64MiB without one."},
 		{Name: "link", Type: conf.Float, Default: "0", Description: "Bandwidth of the box's network link in Mbit/s; 0: unknown. Reads of a fleet file that takes long to send over the link are redirected to the leader."},
 	}},
 	{Kind: "data", Description: "The data folder.", Keys: []conf.Key{
@@ -109,6 +110,13 @@
 	}},
 }
 
+const (
+	// responseMemoryDivisor limits what backend servers send to 1/8 of the process's memory by default, and
+	// defaultResponseMemory is the limit in bytes where the process has none.
+	responseMemoryDivisor = 8
+	defaultResponseMemory = 64 << 20
+)
+
 // Dialects are sets of header names for requests that are routed by host and path.
 const (
 	DialectOwn      = "own"
@@ -163,6 +171,8 @@
 	// SharesLoad reports whether the box shares the load of backend servers with others where the fleet file asks for it.
 	SharesLoad  bool
 	MemoryLimit int64
+	// ResponseMemory bounds the bytes that backend servers send and the box keeps.
+	ResponseMemory int64
 	// LinkMbps is the bandwidth of the box's network link in Mbit/s; 0: unknown.
 	LinkMbps float64
 
@@ -233,7 +243,7 @@
 		OrderPause: d.Section("orders").Duration("pause"), DemandSettleTime: d.Section("orders").Duration("demand-settles"),
 		BudgetRatio: budget.Float("ratio"), BudgetSlack: budget.Float("slack"), BudgetWindow: budget.Duration("window"), QuotaWindow: d.Section("quotas").Duration("window"), UpgradeSettleTime: d.Section("upgrade").Duration("settles"),
 		SharesLoad:  d.Section("load").String("share") == "auto",
-		MemoryLimit: int64(d.Section("limits").Bytes("memory")), LinkMbps: d.Section("limits").Float("link"),
+		MemoryLimit: int64(d.Section("limits").Bytes("memory")), ResponseMemory: int64(d.Section("limits").Bytes("responses")), LinkMbps: d.Section("limits").Float("link"),
 		DataFolder: data.String("folder"), DataLimit: int64(data.Bytes("limit")), CompactAfter: data.Int("compact-after"),
 		TLS:             TLS{tls.String("certificate"), tls.String("key"), tls.String("authority")},
 		PlatformAddress: platform.String("address"), PlatformInterval: platform.Duration("every"),
@@ -241,6 +251,7 @@
 		ConfigLease: timing.Duration("config-lease"), RepairAfter: timing.Duration("repair-after"),
 		LogLevel: d.Section("log").String("level"),
 	}
+	s.ResponseMemory = cmp.Or(s.ResponseMemory, s.MemoryLimit/responseMemoryDivisor, defaultResponseMemory)
 	s.applySeeds(d, cluster.List("seeds"))
 	return s
 }
