gateway, entry: a caller that does not read no longer holds its request for any time

What was seen: where a caller does not read, a box wrote to it for any time: the request stayed in flight after its deadline, with its slot, its buffer and, on the gateway, the connection to the server.

Cause: the deadline of a request ends the reads from its server, but not a write to its caller, and nothing else does.

Writes of a body above 64 KiB, of a response that is forwarded as it arrives and of a stream now fail 3 s after the context of the request has ended (reply.BoundWrites). Ready responses still have these 3 s. Ruled out: http.Server.WriteTimeout, which would cut long streams.

Not bounded: the last 4 KiB of a response, which net/http writes after the handler has returned; they hold a goroutine and the caller's connection, and nothing else.

--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -180,3 +180,45 @@
 		})
 	}
 }
+
+// Guards against callers that do not read and hold a response and its server's connection for any time.
+func TestCallerThatDoesNotReadHoldsNothing(t *testing.T) {
+	const deadline = 500 * time.Millisecond
+	for name, head := range map[string]string{"body": "\r\n", "stream": "Content-Type: text/event-stream\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var closed atomic.Bool
+			text := []byte(strings.Repeat(": "+strings.Repeat("x", 1000)+"\n\n", 100))
+			server := listenScript(t, func(conn net.Conn) {
+				defer conn.Close()
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s", r.Header.Get("X-Attempt-Id"), head)
+				for err == nil {
+					_, err = conn.Write(text)
+				}
+				closed.Store(true)
+			})
+			st, err := standin.CommittedState(fmt.Sprintf("[fleet]\nnumber = 1\n[hall a]\n[class c]\ndeadline = %s\n[service s]\nclass = c\n[instance i]\nservice = s\naddress = %s\nhall = a\n", deadline, server))
+			g.Expect(err).NotTo(HaveOccurred())
+			d := route.NewDirectory("a")
+			d.Update(st)
+			e := entry.New(entry.Options{
+				Directory: d, View: func() *state.State { return st }, Current: func() bool { return true }, Sender: proxy.NewSender(),
+				Meters: meter.New(), Records: record.NewHistory(100), MaxBody: 1000, BodyTimeout: time.Second, Claims: &oneBoxClaims{},
+			})
+			listening := httptest.NewUnstartedServer(e)
+			listening.Config.ConnContext = framing.ConnContext
+			listening.Start()
+			t.Cleanup(listening.Close)
+			conn, err := net.Dial("tcp", listening.Listener.Addr().String())
+			g.Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			fmt.Fprint(conn, "POST /services/s/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 2\r\n\r\nab")
+			g.Eventually(closed.Load, maxWait).Should(BeTrue(), "the connection to the server is closed")
+			g.Eventually(e.InFlight, maxWait).Should(BeZero(), "requests in flight")
+		})
+	}
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -16,6 +16,7 @@
 	"leverdrum/admit"
 	"leverdrum/crasher"
 	"leverdrum/internal/framing"
+	"leverdrum/internal/reply"
 	"leverdrum/internal/wait"
 	"leverdrum/meter"
 	"leverdrum/proxy"
@@ -293,6 +294,9 @@
 
 // writeResponse sends the response to the caller and releases the backend's slot.
 func (e *Entry) writeResponse(ctx context.Context, w http.ResponseWriter, r *http.Request, j *job, res result) {
+	if res.response.BodyReader != nil || len(res.response.Body) > reply.SmallBody {
+		defer reply.BoundWrites(ctx, http.NewResponseController(w)).Stop()
+	}
 	outcome, undelimited := writeHeader(w, r, j, res.response)
 	if res.response.BodyReader == nil {
 		// The error is ignored: a caller that hung up needs no answer.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -14,6 +14,7 @@
 	"leverdrum/event"
 	"leverdrum/internal/framing"
 	"leverdrum/internal/membudget"
+	"leverdrum/internal/reply"
 	"leverdrum/meter"
 	"leverdrum/reason"
 )
@@ -119,6 +120,9 @@
 	if j.r.Method == http.MethodHead || !a.delimited {
 		length = a.ContentLength
 	}
+	if len(body) > reply.SmallBody {
+		defer reply.BoundWrites(ctx, http.NewResponseController(j.w)).Stop()
+	}
 	j.writeHead(a, length)
 	// A disconnected caller is detected by its context.
 	_, _ = j.w.Write(body)
@@ -142,6 +146,7 @@
 		a.finish(false)
 		return j.handleBrokenStream(ctx, s, errGivenUp, true)
 	}
+	defer reply.BoundWrites(ctx, http.NewResponseController(j.w)).Stop()
 	_, err := j.w.Write(buffered)
 	j.memory.Shrink(cap(buffered))
 	if err == nil {
@@ -195,6 +200,7 @@
 func (j *job) relayStream(ctx context.Context, s *server, a *response, onFirstEvent func()) (answered bool) {
 	flush := http.NewResponseController(j.w)
 	j.stream.memory = j.memory
+	defer reply.BoundWrites(ctx, flush).Stop()
 	buf := make([]byte, relayBuffer)
 	started := false
 	lastRead := time.Now()
