--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -407,6 +407,12 @@
 mutant statuses-promise internal/attest/attest.go 's/case Promises\(status\):/case Promises(status) \&\& false:/' gateway TestPromisesAreTrueOverSequences
 mutant attempts-share-ids entry/serve.go 's/strconv.FormatUint\(rand.Uint64\(\), 36\)/strconv.FormatUint(0*rand.Uint64(), 36)/' entry TestSurplusRefusal
 mutant heads-without-end gateway/head.go 's/x.readingHead, x.headLeft = true, attest.MaxHeadBytes/x.readingHead, x.headLeft = false, attest.MaxHeadBytes/' gateway TestEndlessBytes
+mutant responses-unbounded gateway/gateway.go 's/j.memory = g.opts.Responses.Hold\(holdResponse\)/j.memory = nil/' gateway TestResponsesShareOneMemoryBound
+mutant own-responses-unbounded entry/serve.go 's/j.attempt.Memory = e.opts.Responses.Hold\("response"\)/j.attempt.Memory = nil/' entry TestResponsesShareOneMemoryBound
+mutant state-heads-unbounded engine/engine.go 's/, MaxResponseHeaderBytes: attest.MaxHeadBytes/, MaxResponseHeaderBytes: 64 * attest.MaxHeadBytes/' engine TestStatesShareOneMemoryBound
+mutant reports-unbounded platform/engine.go 's/memory := e.Memory.Hold\("report"\)/memory := (*membudget.Budget)(nil).Hold("report")/' platform TestReportsShareOneMemoryBound
+mutant messages-without-end platform/control.go 's/messageTimeout = 2 \* time.Second/messageTimeout = time.Hour/' platform TestMessagesShareOneMemoryBound
+mutant unread-responses-held internal/reply/write.go 's/lateWriteTimeout = 3 \* time.Second/lateWriteTimeout = time.Hour/' gateway TestCallerThatDoesNotRead
 mutant refusals-read-to-the-end gateway/relay.go 's/discardTimeout = 100 \* time.Millisecond/discardTimeout = time.Hour/' gateway TestEndlessBytes
 mutant empty-successes internal/reply/reply.go 's/if !t.began \{/if false {/' gateway TestCallerThatShutDown
 mutant states-of-other-reads engine/engine.go 's/id != "" && id != req/id != "" \&\& false \&\& id != req/' engine TestCopyOfAnEarlierState
