--- a/engine/memory_test.go
+++ b/engine/memory_test.go
@@ -61,6 +61,7 @@
 		memory          = 8 << 20
 		connectionBytes = 160 << 10 // of a connection: its head and buffers, also the test's
 		measured        = 300 * time.Millisecond
+		samples         = 20 // at least
 		maxWait         = 10 * time.Second
 	)
 	filler := strings.Repeat("x", size)
@@ -110,7 +111,8 @@
 				}
 				g.Eventually(written.Load, maxWait).Should(BeNumerically(">=", calls), "servers that have sent all, or were cut off")
 				kept := int64(math.MaxInt64)
-				for startedAt := time.Now(); time.Since(startedAt) < measured; time.Sleep(measured / 20) {
+				for startedAt, n := time.Now(), 0; time.Since(startedAt) < measured || n < samples; time.Sleep(measured / samples) {
+					n++
 					_, err := client.At("t", sound).State(ctx)
 					g.Expect(err).NotTo(HaveOccurred(), "of a sound server")
 					kept = min(kept, liveHeap()-before)
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -36,8 +36,9 @@
 	// goroutines, of the box as well as of the servers and callers of the test.
 	responseMemory  = 8 << 20
 	connectionBytes = 160 << 10
-	// measured is the time for which the heap is measured once the server pauses, and maxWait bounds the wait for that.
+	// measured is the time for which the heap is measured, and samples the least number of measurements, once the server pauses, and maxWait bounds the wait for that.
 	measured = 300 * time.Millisecond
+	samples  = 20
 	maxWait  = 10 * time.Second
 )
 
@@ -168,7 +169,8 @@
 			})
 			g.Eventually(written.Load, maxWait).Should(BeNumerically(">=", heldConnections), "calls on which the server has sent all, or was cut off")
 			kept := int64(math.MaxInt64) // the least, since other calls make garbage during the collection
-			for startedAt := time.Now(); time.Since(startedAt) < measured; time.Sleep(measured / 20) {
+			for startedAt, n := time.Now(), 0; time.Since(startedAt) < measured || n < samples; time.Sleep(measured / samples) {
+				n++
 				kept = min(kept, liveHeap()-before)
 			}
 			end()
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -26,8 +26,9 @@
 	// connectionBytes bounds what a connection takes beside the memory for responses: heads, read buffers and goroutines, of the
 	// box as well as of the servers and callers of the test.
 	connectionBytes = 160 << 10
-	// measured is the time for which the heap is measured once the servers pause.
+	// measured is the time for which the heap is measured, and samples the least number of measurements, once the servers pause.
 	measured = 300 * time.Millisecond
+	samples  = 20
 )
 
 // liveHeap returns the bytes of the heap that are in use.
@@ -120,7 +121,8 @@
 			// Retried requests are sent more than once.
 			g.Eventually(written.Load, within).Should(BeNumerically(">=", heldConnections), "servers that have sent all, or were cut off")
 			kept := int64(math.MaxInt64) // the least, since other requests make garbage during the collection
-			for startedAt := time.Now(); time.Since(startedAt) < measured; time.Sleep(measured / 20) {
+			for startedAt, n := time.Now(), 0; time.Since(startedAt) < measured || n < samples; time.Sleep(measured / samples) {
+				n++
 				kept = min(kept, liveHeap()-before)
 			}
 			end()
