--- a/entry/serve.go
+++ b/entry/serve.go
@@ -17,6 +17,7 @@
 	"leverdrum/crasher"
 	"leverdrum/internal/framing"
 	"leverdrum/internal/liveness"
+	"leverdrum/internal/reply"
 	"leverdrum/internal/responsehead"
 	"leverdrum/internal/wait"
 	"leverdrum/meter"
@@ -318,6 +319,9 @@
 
 // writeResponse sends the response to the caller and releases the backend's slot.
 func (e *Entry) writeResponse(ctx context.Context, w http.ResponseWriter, r *http.Request, j *job, res result) {
+	if res.response.BodyReader != nil || len(res.response.Body) > reply.SmallBody {
+		defer reply.BoundWrites(ctx, http.NewResponseController(w)).Stop()
+	}
 	outcome, undelimited := writeHeader(w, r, j, res.response)
 	if res.response.BodyReader == nil {
 		// The error is ignored: a caller that hung up needs no answer.
--- a/internal/responsehead/conn.go
+++ b/internal/responsehead/conn.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"leverdrum/internal/attest"
 	"leverdrum/internal/framing"
 )
 
@@ -65,7 +66,8 @@
 // transport is an http.Transport whose connections are Conns.
 type transport struct{ *http.Transport }
 
-// NewTransport makes the connections of a transport Conns. It changes how the transport dials.
+// NewTransport makes the connections of a transport Conns. It changes how the transport dials, and bounds the heads that it reads by
+// attest.MaxHeadBytes unless it has a bound.
 func NewTransport(t *http.Transport) http.RoundTripper {
 	dial := t.DialContext
 	if dial == nil {
@@ -78,6 +80,9 @@
 		}
 		return NewConn(c), nil
 	}
+	if t.MaxResponseHeaderBytes == 0 {
+		t.MaxResponseHeaderBytes = attest.MaxHeadBytes // of a response with its interim ones
+	}
 	return transport{t}
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -78,6 +78,8 @@
 	ResponseEndWait    = Metric{"leverdrum_response_end_wait_seconds", Histogram, "How long the ends of responses without a length or chunks waited for evidence that their server went on, by what was found (answered: a health check; open: a connection; ended: the server has ended; none).", []string{"life"}}
 	MalformedResponses = Metric{"leverdrum_responses_malformed_total", Counter, "Malformed responses of backend servers to requests, by the kind of the offending line (status-line, version, status, line-ending, field-name, blank-in-name, field-value, folded, content-length, transfer-encoding, length-and-chunks, too-large; on the product's own interface also chunk, trailer).", []string{"kind"}}
 	Interrupted        = Metric{"leverdrum_stop_interrupted_total", Counter, "Requests in flight at the end of a planned stop, by how they ended (answered: as unknown; broken: the response had begun; cut: without an answer, which is a fault).", []string{"end"}}
+	ResponseMemory     = Metric{"leverdrum_response_memory_bytes", Gauge, "Bytes of memory reserved for what backend servers send: buffered responses, incomplete events, reports and heartbeats. [limits] responses bounds them.", nil}
+	ResponseMemoryFull = Metric{"leverdrum_response_memory_full_total", Counter, "Times that there was no memory left for what a backend server sent, by what it was (response, state, report, heartbeat). A plain response is then forwarded as it arrives; the rest is refused.", []string{"kind"}}
 	Claims             = Metric{"leverdrum_claims_total", Counter, "Claims on keyed calls by verdict.", []string{"verdict"}}
 )
 
@@ -85,7 +87,7 @@
 func All() []Metric {
 	return []Metric{
 		Refusals, Retries, RetriesDenied, Requests, RequestsInTime, RequestDuration, RequestsInFlight, StateIndex, FleetNumber,
-		IsLeader, Current, Elections, Orders, Ejections, PeerBytes, PeerMessages, PeerAbandonedBytes, CrashReports, CrashExposures, CrashersBlocked, InvalidReports, BuildInfo, ActiveLevel, WorkspaceRequests, LimitedAttempts, ServerLimits, LateRequests, LateWorkspaces, ServerSlowness, LoadFrames, LoadIgnored, LoadPrefixes, LoadHubs, StartHolds, ServerLinks, RelayedAttempts, RelaysServed, Connections, Responses, ResponseEnds, ResponseEndWait, MalformedResponses, StreamsResumed, StreamOrigins, OriginsLost, Interrupted, Claims,
+		IsLeader, Current, Elections, Orders, Ejections, PeerBytes, PeerMessages, PeerAbandonedBytes, CrashReports, CrashExposures, CrashersBlocked, InvalidReports, BuildInfo, ActiveLevel, WorkspaceRequests, LimitedAttempts, ServerLimits, LateRequests, LateWorkspaces, ServerSlowness, LoadFrames, LoadIgnored, LoadPrefixes, LoadHubs, StartHolds, ServerLinks, RelayedAttempts, RelaysServed, Connections, Responses, ResponseEnds, ResponseEndWait, MalformedResponses, StreamsResumed, StreamOrigins, OriginsLost, ResponseMemory, ResponseMemoryFull, Interrupted, Claims,
 	}
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -431,6 +431,11 @@
 mutant uploads-unfinished gateway/exchange.go 's/if !a.delimited \{/if false {/' gateway TestResetDuringUpload
 mutant peeks-swallow-resets gateway/conns.go 's/x.fault.recordLocked\(found\)/_ = found/' gateway TestResetSeenByAPeek
 mutant own-uploads-unfinished internal/responsehead/conn.go 's/return n, c.end\(\)/return n, err/' entry TestResetDuringUpload
+mutant responses-unbounded gateway/gateway.go 's/j.memory = g.opts.Responses.Hold\(holdResponse\)/j.memory = nil/' gateway TestResponsesShareOneMemoryBound
+mutant own-responses-unbounded entry/serve.go 's/j.attempt.Memory = e.opts.Responses.Hold\("response"\)/j.attempt.Memory = nil/' entry TestResponsesShareOneMemoryBound
+mutant reports-unbounded platform/engine.go 's/memory := e.Memory.Hold\("report"\)/memory := (*membudget.Budget)(nil).Hold("report")/' platform TestReportsShareOneMemoryBound
+mutant messages-without-end platform/control.go 's/messageTimeout = 2 \* time.Second/messageTimeout = time.Hour/' platform TestMessagesShareOneMemoryBound
+mutant unread-responses-held internal/reply/write.go 's/lateWriteTimeout = 3 \* time.Second/lateWriteTimeout = time.Hour/' gateway TestCallerThatDoesNotRead
 mutant refusals-read-to-the-end gateway/relay.go 's/discardTimeout = 100 \* time.Millisecond/discardTimeout = time.Hour/' gateway TestEndlessBytes
 mutant empty-successes internal/reply/reply.go 's/if !t.began \{/if false {/' gateway TestCallerThatShutDown
 mutant states-of-other-reads engine/engine.go 's/id != "" && id != req/id != "" \&\& false \&\& id != req/' engine TestCopyOfAnEarlierState
