--- a/box/origins.go
+++ b/box/origins.go
@@ -16,6 +16,8 @@
 const (
 	// originTopologyInterval is the minimum time between two updates of what the registry of origins takes from the state.
 	originTopologyInterval = 500 * time.Millisecond
+	// originConfirmPoll is the time between two updates while no leader has confirmed the state since the box started.
+	originConfirmPoll = 20 * time.Millisecond
 	// handOverTimeout bounds how long a box that stops hands over records of streams.
 	handOverTimeout = time.Second
 )
@@ -39,11 +41,14 @@
 func (b *Box) configureOrigins(ctx context.Context, p *components) {
 	for ctx.Err() == nil {
 		changed := p.replica.Changed()
+		_, confirmed := p.spread.StateAge() // before the view, which is then at least as new
 		view := p.replica.View()
-		p.origins.Configure(originTopology(view))
-		if len(view.Members) > 0 {
-			wait.For(ctx, originTopologyInterval)
+		p.origins.Configure(originTopology(view, confirmed))
+		if !confirmed {
+			wait.For(ctx, originConfirmPoll)
+			continue
 		}
+		wait.For(ctx, originTopologyInterval)
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -51,19 +56,18 @@
 	}
 }
 
-// originTopology returns what the registry takes from a state.
-func originTopology(view *state.State) origin.Topology {
-	t := origin.Topology{Enabled: view.Level >= level.StreamOrigins, Unused: view.Fleet == nil, Versions: map[string][]string{}}
+// originTopology returns what the registry takes from a state. confirmed is set if a leader has confirmed the state since the box
+// started.
+func originTopology(view *state.State, confirmed bool) origin.Topology {
+	t := origin.Topology{Enabled: view.Level >= level.StreamOrigins, Confirmed: confirmed, Complete: view.Versions.Complete, Versions: map[string][]string{}, Departed: map[string][]string{}}
 	for box, m := range view.Members {
 		t.Boxes = append(t.Boxes, origin.Box{ID: box, Disk: m.Disk, Leaving: m.Leaving})
 	}
-	seen := map[origin.Origin]bool{}
-	for _, a := range view.Announcements.All() {
-		o := origin.Origin{Service: a.Service, Version: a.Version}
-		if !seen[o] {
-			seen[o] = true
-			t.Versions[a.Service] = append(t.Versions[a.Service], a.Version)
-		}
+	for v := range view.Announcements.Versions() {
+		t.Versions[v.Service] = append(t.Versions[v.Service], v.Version)
+	}
+	for v := range view.Versions.Departed {
+		t.Departed[v.Service] = append(t.Departed[v.Service], v.Version)
 	}
 	return t
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,7 +34,9 @@
 //     such a region the request is refused at once.
 //  13. A box holds no more bytes of request bodies than its share of its memory. What exceeds it
 //     is refused while it is read, however slowly it arrives. Of each response the box holds one
-//     buffer: it reads on when the caller has taken what has arrived.
+//     buffer: it reads on when the caller has taken what has arrived. All responses share a bound
+//     (package membudget): beyond it, plain ones are forwarded as they arrive, and a stream with an
+//     incomplete event that finds no room is treated as broken.
 //  14. Where boxes share the load of a pool, package overload decides which requests are sent when
 //     the pool is short of capacity. The others wait in the box, or are refused. Where the load is
 //     not known, a stream that would miss its target at every server is refused.
@@ -61,6 +63,7 @@
 	"leverdrum/event"
 	"leverdrum/fleet"
 	"leverdrum/internal/attest"
+	"leverdrum/internal/membudget"
 	"leverdrum/internal/reply"
 	"leverdrum/internal/wait"
 	"leverdrum/loadshare"
@@ -68,6 +71,7 @@
 	"leverdrum/pushback"
 	"leverdrum/rate"
 	"leverdrum/reason"
+	"leverdrum/shutdown"
 	"leverdrum/state"
 	"leverdrum/wire"
 )
@@ -104,9 +108,13 @@
 	DrainingDuration time.Duration
 	// MaxBodies bounds the bytes of request bodies that the box holds in memory; 0: no limit.
 	MaxBodies int64
+	// Responses bounds the bytes of responses that the box holds in memory; nil: no limit.
+	Responses *membudget.Budget
 	Budget    Budget
 	// Dial opens connections to backend servers; nil: over TCP.
 	Dial Dialer
+	// Shutdown is the planned stop of the box; nil: it never begins.
+	Shutdown *shutdown.Plan
 	// OpenRelay asks other boxes to relay requests; nil: none does. Self is the name of this box.
 	OpenRelay OpenRelay
 	Self      string
@@ -116,29 +124,29 @@
 
 // Gateway serves callers' requests at a box whose routes match by host and path.
 type Gateway struct {
-	opts         Options
-	dir          *directory
-	budgets      *budgets
-	demand       *demand
-	prefillRates *prefillRates
-	cachedShares *cachedShares
-	slotTimes    *slotTimes
-	notices      *notices
-	bodies       *bodies
-	crashWatch   *crasher.Watcher
-	late         lineSampler
-	resumed      lineSampler // of streams
-	unknownEnds  lineSampler // of responses whose end is unknown
-	malformed    lineSampler // of malformed responses
-	unproven     lineSampler // of responses that prove nothing
-	headers      attest.Headers
-	admission    *admission
-	startHold    *startHold
-	links        *links
-	relays       *relays
-	relayed      atomic.Int64 // requests of other boxes that this one relays
-	noPathLogged atomic.Int64 // when it was last logged that no box relays, in Unix nanoseconds
-	draining     atomic.Bool
+	opts            Options
+	dir             *directory
+	budgets         *budgets
+	demand          *demand
+	prefillRates    *prefillRates
+	cachedShares    *cachedShares
+	slotTimes       *slotTimes
+	notices         *notices
+	bodies          *bodies
+	crashWatch      *crasher.Watcher
+	late            lineSampler
+	resumed         lineSampler // of streams
+	undelimitedEnds lineSampler // of responses without a length or chunks
+	malformed       lineSampler // of malformed responses
+	unproven        lineSampler // of responses that prove nothing
+	headers         attest.Headers
+	admission       *admission
+	startHold       *startHold
+	links           *links
+	relays          *relays
+	relayed         atomic.Int64 // requests of other boxes that this one relays
+	noPathLogged    atomic.Int64 // when it was last logged that no box relays, in Unix nanoseconds
+	draining        atomic.Bool
 	// stopping is closed when no further request is accepted and waiting ones are refused.
 	stopping chan struct{}
 	stopOnce sync.Once
@@ -166,6 +174,7 @@
 	}
 	d := &opts.Dialect
 	g.headers = attest.Headers{RequestID: d.RequestID, NotRun: d.NotRun, Stamp: d.Stamp}
+	g.dir.dialect, g.dir.headers = &g.opts.Dialect, &g.headers
 	g.budgets = newBudgets(opts.Budget, g.dir.boxes)
 	g.admission = newAdmission(opts.Load, opts.MaxBodies)
 	g.startHold = &startHold{began: time.Now(), current: opts.Current, maxBytes: opts.MaxBodies / waitingBodiesDivisor, meters: opts.Meters}
@@ -245,17 +254,35 @@
 	}
 	reservation := g.bodies.reserve()
 	defer reservation.release()
+	stopWatching := g.opts.Shutdown.InterruptReads(w)
 	body, refusal := readBody(r, t.limits, reservation)
+	stopWatching()
+	if refusal == reason.BadRequest && g.opts.Shutdown.Ended() {
+		refusal = reason.Stopping
+	}
 	if refusal != nil {
 		g.refuseUnsent(w, r, t, refusal)
 		return
 	}
 	j := g.newJob(w, r, t, route, body, arrived)
+	switch { // also while the body was read
+	case g.stopped():
+		g.refuseUnsent(w, r, t, reason.Stopping)
+		return
+	case j.outlastsStop():
+		g.refuseUnsent(w, r, t, reason.OutlastsStop)
+		return
+	}
+	j.memory = g.opts.Responses.Hold(holdResponse)
+	defer j.memory.Release()
 	j.owner, j.hasWorkspaces = owner, t.fleet.Workspaces != nil
 	j.regions = regionsOf(route, owner)
 	j.serve()
 }
 
+// holdResponse is the kind of the memory that responses of backend servers take.
+const holdResponse = "response"
+
 // currentRoute returns the route of a request and the table that has it, or why there is none.
 func (g *Gateway) currentRoute(r *http.Request) (*table, *reason.Reason, *fleet.Route) {
 	current := g.opts.Current() // before the table, which is then at least as new
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -14,7 +14,9 @@
 	"leverdrum/fleet"
 	"leverdrum/internal/attest"
 	"leverdrum/internal/framing"
+	"leverdrum/internal/membudget"
 	"leverdrum/meter"
+	"leverdrum/origin"
 	"leverdrum/pushback"
 	"leverdrum/rate"
 	"leverdrum/reason"
@@ -38,6 +40,7 @@
 	number        uint64 // configuration that routed the request
 	id            string
 	body          []byte
+	memory        *membudget.Hold // of its responses
 	arrived       time.Time
 	deadline      time.Time
 	prompt        dialect.Prompt
@@ -52,6 +55,7 @@
 	run             *crasher.Run // the stream in progress; nil: none
 	pinned          bool         // only servers of pinnedVersion may continue the stream
 	pinnedVersion   string
+	originSource    origin.Source        // how pinnedVersion is known, if this request resumes a stream
 	resumes         string               // the request that began the stream, if this one resumes it and names it
 	headSent        bool                 // the head of the response was forwarded
 	end             framing.End          // how the response ended at its server
@@ -104,6 +108,7 @@
 func (j *job) serve() {
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
 	defer cancel()
+	defer j.g.opts.Shutdown.OnEnd(cancel)()
 	if j.blockedEverywhere() {
 		j.giveUp(j.blockReason())
 		return
@@ -131,6 +136,7 @@
 			if j.status == http.StatusOK && j.forKnownModel() {
 				j.g.slotTimes.record(j.prompt.Model, time.Since(j.arrived)-j.sentAfter)
 			}
+			j.g.opts.Shutdown.Record(j.route.Name, time.Since(j.arrived))
 			j.g.opts.Meters.Observer(meter.RequestDuration, j.route.Name).Observe(time.Since(j.arrived).Seconds())
 			j.recordServed()
 			j.logDone()
@@ -177,6 +183,11 @@
 		j.giveUp(reason.BackendTimeout)
 		return true
 	}
+	if !j.headSent && j.outlastsStop() {
+		j.releasePermit()
+		j.giveUp(reason.OutlastsStop)
+		return true
+	}
 	if j.attempts == 0 {
 		j.queueTime = time.Since(j.arrived)
 		j.recordAdmitted()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -9,10 +9,8 @@
 	"strings"
 	"time"
 
-	"go.uber.org/zap"
-
-	"leverdrum/event"
 	"leverdrum/internal/framing"
+	"leverdrum/internal/membudget"
 	"leverdrum/meter"
 	"leverdrum/reason"
 )
@@ -57,13 +55,6 @@
 func (j *job) recordEnd(end framing.End) {
 	j.end = end
 	j.g.opts.Meters.Count(meter.ResponseEnds, end.String()).Inc()
-	if end != framing.Unknown {
-		return
-	}
-	if skipped, ok := j.g.unknownEnds.admit(time.Now()); ok {
-		event.ResponseEndUnknown.Log(j.g.opts.Log, zap.String("request", j.id), zap.String("route", j.route.Name), zap.String("server", j.current.id), zap.Int("status", j.status),
-			zap.Int("events", j.stream.count), zap.Int("unfinished", len(j.stream.partial)), zap.Int("skipped", skipped))
-	}
 }
 
 // writeHead forwards the status and headers of a response. length is the length of the body, -1
@@ -100,18 +91,21 @@
 		a.discard()
 		return j.handleFailure(ctx, s, unknown(reason.StreamInterrupted, Error.New("stream cannot resume: the server answered with status %d", a.StatusCode)))
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, answerBuffer))
+	body, err := j.readWhole(a)
+	if errors.Is(err, membudget.ErrTooLong) || errors.Is(err, membudget.ErrFull) {
+		onFirstEvent()
+		return j.relayLarge(ctx, s, a, body)
+	}
+	defer j.memory.Shrink(cap(body))
 	if err != nil {
 		a.finish(false)
 		j.recordEnd(framing.Truncated)
 		return j.handleFailure(ctx, s, j.bodyFailure(ctx, err))
 	}
 	onFirstEvent()
-	if len(body) == answerBuffer {
-		return j.relayLarge(ctx, s, a, body)
+	if end := j.judgeEnd(ctx, s, a); !end.IsComplete() {
+		return j.handleFailure(ctx, s, j.endFailure(ctx, end))
 	}
-	a.finish(true)
-	j.recordEnd(framing.EndOf(a.delimited))
 	length := int64(len(body))
 	if j.r.Method == http.MethodHead || !a.delimited {
 		length = a.ContentLength
@@ -123,48 +117,72 @@
 	return true
 }
 
+// readWhole reads a plain response within its limit and the memory of the box for responses (13).
+func (j *job) readWhole(a *response) ([]byte, error) {
+	length := a.ContentLength
+	if j.r.Method == http.MethodHead {
+		length = 0
+	}
+	return j.memory.ReadAll(a.Body, length, answerBuffer)
+}
+
+// relayLarge forwards a plain response as it arrives, because it is too large to be buffered or the box has no memory left for
+// it.
 func (j *job) relayLarge(ctx context.Context, s *server, a *response, buffered []byte) (answered bool) {
 	if !a.watch.passHead(func() { j.writeHead(a, a.ContentLength) }) {
 		a.finish(false)
 		return j.handleBrokenStream(ctx, s, errGivenUp, true)
 	}
 	_, err := j.w.Write(buffered)
+	j.memory.Shrink(cap(buffered))
 	if err == nil {
 		_, err = io.Copy(j.w, a.Body)
 	}
-	a.finish(err == nil)
-	if err == nil {
-		j.recordEnd(framing.EndOf(a.delimited))
-		j.undelimited.Finish()
-	} else {
+	if err != nil {
+		a.finish(false)
 		j.recordEnd(framing.Truncated)
-		j.lastFailure = j.bodyFailure(ctx, err)
-		if !j.failedOnOwnLinks(j.lastFailure) {
-			s.recordFailure(time.Now())
-			j.recordBroken(s, j.lastFailure)
-			j.recordBrokenOutcome(s, j.lastFailure)
+		f := j.bodyFailure(ctx, err)
+		if j.interrupted(ctx) {
+			j.endInterrupted(f)
+			return true
 		}
-		j.giveUp(reason.BackendDisconnected)
+		j.abort(s, f, reason.BackendDisconnected)
+		return true
 	}
+	if end := j.judgeEnd(ctx, s, a); !end.IsComplete() {
+		j.abort(s, j.endFailure(ctx, end), reason.BackendDisconnected)
+		return true
+	}
+	j.undelimited.Finish()
 	return true
 }
 
+// abort aborts a response of which a part was forwarded.
+func (j *job) abort(s *server, f *failure, refusal *reason.Reason) {
+	j.lastFailure = f
+	if !f.endUnknown && !j.failedOnOwnLinks(f) {
+		s.recordFailure(time.Now())
+		if !f.unproven {
+			j.recordBroken(s, f)
+			j.recordBrokenOutcome(s, f)
+		}
+	}
+	j.giveUp(refusal)
+}
+
 // bodyFailure returns the failure for an error while reading a body.
 func (j *job) bodyFailure(ctx context.Context, err error) *failure {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return unknown(reason.BackendTimeout, Error.Wrap(err))
+	case errors.Is(err, membudget.ErrFull):
+		f := unknown(reason.ResponseMemoryFull, Error.Wrap(err))
+		f.unproven = true
+		return f
 	}
 	return unknown(reason.BackendDisconnected, Error.Wrap(err))
 }
 
-// endUnknown returns the failure of a continuation whose end is unknown, where the head that was forwarded promises a
-// known one. It does not count against the server, whose response may be complete.
-func endUnknown() *failure {
-	f := unknown(reason.StreamInterrupted, Error.New("the continuation ended with its connection, without a length or chunks"))
-	f.endUnknown = true
-	return f
-}
-
 // errGivenUp is returned where a response began after its exchange was aborted for silence.
 var errGivenUp = Error.New("the response began after the server was given up")
 
@@ -173,13 +191,13 @@
 
 // relayStream forwards a stream event by event (5).
 func (j *job) relayStream(ctx context.Context, s *server, a *response, onFirstEvent func()) (answered bool) {
-	flush := http.NewResponseController(j.w)
+	f := streamForwarder{job: j, server: s, response: a}
+	j.stream.memory = j.memory
 	buf := make([]byte, relayBuffer)
-	started := false
 	lastRead := time.Now()
 	for {
 		n, err := a.Body.Read(buf)
-		if started && n > 0 {
+		if f.started && n > 0 {
 			j.longestPause = max(j.longestPause, time.Since(lastRead))
 		}
 		lastRead = time.Now()
@@ -189,43 +207,23 @@
 		if err == io.EOF && j.stream.insideEvent() {
 			err = errInsideEvent
 		}
-		if err == io.EOF {
-			out = append(out, j.stream.partial...)
-		}
-		if len(out) > 0 || err == io.EOF {
-			if !started {
+		if len(out) > 0 {
+			if !f.started {
 				onFirstEvent()
-				started = true
-			}
-			j.run.Event(lastRead)
-			if !j.headSent && !a.watch.passHead(func() { j.writeHead(a, -1) }) {
-				a.finish(false)
-				j.stream = events{} // no event reached the caller, so the next server is asked for all
-				return j.handleBrokenStream(ctx, s, errGivenUp, true)
-			}
-			if j.stream.any || j.stream.noIDs {
-				j.pinVersion(s)
+				f.started = true
 			}
-			if _, werr := j.w.Write(out); werr != nil {
+			if werr := f.forward(out, lastRead); werr != nil {
 				a.finish(false)
-				return j.abandon()
+				return f.fail(ctx, werr)
 			}
-			_ = flush.Flush() // a disconnected caller is detected at the next write
-			j.load.forwarded(time.Now())
 		}
 		if err == io.EOF {
-			a.finish(true)
-			j.recordEnd(framing.EndOf(a.delimited))
-			if j.end == framing.Unknown && j.undelimited == nil {
-				return j.handleFailure(ctx, s, endUnknown())
-			}
-			j.undelimited.Finish()
-			if j.route.EventGapTarget > 0 && j.relayedBy == "" {
-				s.recordStream(time.Now(), j.longestPause > j.route.EventGapTarget)
-			}
-			return true
+			return f.end(ctx, lastRead, onFirstEvent)
 		}
 		if err != nil || j.stream.tooLarge() {
+			if j.stream.full {
+				err = membudget.ErrFull
+			}
 			unresponsive := a.watch.stop()
 			a.finish(false)
 			return j.handleBrokenStream(ctx, s, err, unresponsive)
@@ -233,20 +231,87 @@
 	}
 }
 
+// streamForwarder forwards one stream of a server.
+type streamForwarder struct {
+	job      *job
+	server   *server
+	response *response
+	started  bool // the first event has been recorded
+}
+
+// forward forwards bytes that were read at a time, after the head. The error is errGivenUp, or that of writing to the caller.
+func (f *streamForwarder) forward(out []byte, readAt time.Time) error {
+	j := f.job
+	j.run.Event(readAt)
+	if a := f.response; !j.headSent && !a.watch.passHead(func() { j.writeHead(a, -1) }) {
+		return errGivenUp
+	}
+	if j.stream.any || j.stream.noIDs {
+		j.pinVersion(f.server)
+	}
+	if _, err := j.w.Write(out); err != nil {
+		return Error.Wrap(err)
+	}
+	_ = http.NewResponseController(j.w).Flush() // a disconnected caller is detected at the next write
+	j.load.forwarded(time.Now())
+	return nil
+}
+
+// fail ends a stream that could not be forwarded.
+func (f *streamForwarder) fail(ctx context.Context, err error) (answered bool) {
+	if err != errGivenUp {
+		return f.job.abandon()
+	}
+	f.job.stream.dropPartial()
+	f.job.stream = events{} // no event reached the caller, so the next server is asked for all
+	return f.job.handleBrokenStream(ctx, f.server, err, true)
+}
+
+// end ends a stream that was read to its end. What follows its last event is forwarded once the end is known, as an event of
+// another server may follow instead.
+func (f *streamForwarder) end(ctx context.Context, readAt time.Time, onFirstEvent func()) (answered bool) {
+	j, s := f.job, f.server
+	end := framing.Unknown
+	if f.response.delimited || !j.headSent || j.undelimited != nil {
+		end = j.judgeEnd(ctx, s, f.response)
+	} else { // the head that was forwarded promises an end that is known without evidence
+		f.response.finish(true)
+		j.recordEnd(end)
+	}
+	if !end.IsComplete() {
+		return j.resumeOrAbort(ctx, s, j.endFailure(ctx, end))
+	}
+	if !j.headSent || len(j.stream.partial) > 0 {
+		if !f.started {
+			onFirstEvent()
+		}
+		if err := f.forward(j.stream.partial, readAt); err != nil {
+			return f.fail(ctx, err)
+		}
+	}
+	j.undelimited.Finish()
+	if j.route.EventGapTarget > 0 && j.relayedBy == "" {
+		s.recordStream(time.Now(), j.longestPause > j.route.EventGapTarget)
+	}
+	return true
+}
+
 // handleBrokenStream resumes a stream at another server, or aborts it.
 func (j *job) handleBrokenStream(ctx context.Context, s *server, err error, unresponsive bool) (answered bool) {
 	j.recordEnd(framing.Truncated)
 	f := j.bodyFailure(ctx, err)
+	if j.interrupted(ctx) {
+		j.endInterrupted(f)
+		return true
+	}
 	f.unresponsive = unresponsive
-	ownLinks := j.failedOnOwnLinks(f)
+	return j.resumeOrAbort(ctx, s, f)
+}
+
+// resumeOrAbort resumes a stream that did not end in full at another server, or aborts it.
+func (j *job) resumeOrAbort(ctx context.Context, s *server, f *failure) (answered bool) {
 	if j.headSent && (!j.route.Resumable || j.stream.noIDs) {
-		j.lastFailure = f
-		if !ownLinks {
-			s.recordFailure(time.Now())
-			j.recordBroken(s, f)
-			j.recordBrokenOutcome(s, f)
-		}
-		j.giveUp(reason.StreamInterrupted)
+		j.abort(s, f, reason.StreamInterrupted)
 		return true
 	}
 	j.stream.dropPartial()
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -11,10 +11,12 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
 	"leverdrum/internal/framing"
+	"leverdrum/internal/liveness"
 )
 
 func TestDelimited(t *testing.T) {
@@ -101,3 +103,63 @@
 	all, err := io.ReadAll(c)
 	return string(all), err
 }
+
+// Guards against an end that is taken for complete without evidence, and against probes for ends that need none.
+func TestJudge(t *testing.T) {
+	reset := errors.New("reset")
+	for _, c := range []struct {
+		delimited bool
+		err       error
+		evidence  liveness.Evidence
+		end       framing.End
+		asks      bool
+	}{
+		{true, io.EOF, liveness.Ended, framing.Complete, false},
+		{true, reset, liveness.Answered, framing.Truncated, false},
+		{false, reset, liveness.Answered, framing.Truncated, false},
+		{false, io.EOF, liveness.Answered, framing.Confirmed, true},
+		{false, io.EOF, liveness.Open, framing.Confirmed, true},
+		{false, io.EOF, liveness.Relayed, framing.Confirmed, true},
+		{false, io.EOF, liveness.None, framing.Unknown, true},
+		{false, io.EOF, liveness.Ended, framing.Truncated, true},
+	} {
+		g := NewWithT(t)
+		asked := false
+		end := framing.Judge(c.delimited, c.err, func() liveness.Evidence { asked = true; return c.evidence })
+		g.Expect(end.String()).To(Equal(c.end.String()), "%+v", c)
+		g.Expect(asked).To(Equal(c.asks), "%+v", c)
+		g.Expect(end.IsComplete()).To(Equal(c.end == framing.Complete || c.end == framing.Confirmed))
+	}
+	NewWithT(t).Expect(framing.Judge(false, io.EOF, nil)).To(Equal(framing.Unknown))
+}
+
+// Guards against the last bytes of an undelimited response that are lost when the process is killed after Finish: its
+// connection then closes in the ordinary way.
+func TestFinishWritesWhatIsBuffered(t *testing.T) {
+	g := NewWithT(t)
+	finished, checked := make(chan struct{}), make(chan struct{})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		u := framing.BeginUndelimited(w, r, http.StatusOK)
+		w.WriteHeader(http.StatusOK)
+		_, _ = io.WriteString(w, "whole")
+		u.Finish()
+		close(finished)
+		<-checked
+	}))
+	s.Config.ConnContext = framing.ConnContext
+	s.Start()
+	defer s.Close()
+	defer close(checked)
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-finished
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	body := make([]byte, len("whole"))
+	_, err = io.ReadFull(r.Body, body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(body)).To(Equal("whole"))
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -115,7 +115,13 @@
 mutant leaving-ignored route/route.go 's/if b.draining.Load\(\) \|\| /if /; s/return !view.Servers\[p.Server\].GetLeaving\(\) && !d.terminated\[p.Server\]/return true/; s/s == nil \|\| s.Draining/s == nil/' e2e 'TestDrainingServer'
 mutant second-file-wins state/file.go 's/if first := s.accepted\(a.Number\); first != nil \{/if first := s.accepted(a.Number); first != nil \&\& first.Digest == a.Digest {/' e2e 'TestRacing'
 mutant no-stand-in membership/membership.go 's/if added == "" \{/if added != "x" {/' e2e 'TestSecondLoss'
-mutant no-balancer-lag box/stop.go 's/time.Sleep\(b.settings.BalancerLag\)/time.Sleep(0)/' e2e 'TestRolling'
+mutant no-balancer-lag box/stop.go 's/time.Sleep\(time.Until\(times.refuse\)\)/time.Sleep(0)/' e2e 'TestRolling'
+mutant stops-unanswered box/stop.go 's/\t\tb.shutdown.End\(\)\n//' box 'TestPlannedStopAnswers'
+mutant stops-outlasted shutdown/shutdown.go 's/, r.AtMostOnce: /: /' box 'TestPlannedStopRefusesRequestsThat'
+mutant late-bodies-sent gateway/gateway.go 's/\tcase g.stopped\(\):\n\t\tg.refuseUnsent\(w, r, t, reason.Stopping\)\n\t\treturn\n//' box 'TestPlannedStop.*BodyEndsLate'
+mutant late-starters-serve-on box/stop.go 's/\t\tp.stopIfRefusing\(b\)\n/\t\t_ = p\n/' box 'TestPlannedStopDuringStart'
+mutant own-queue-waits-past-a-stop entry/stop.go 's/\tdefer context.AfterFunc\(e.stopped, cancel\)\(\)\n//' entry 'TestStopRefusesQueued'
+mutant own-stops-unanswered entry/serve.go 's/\tdefer e.opts.Shutdown.OnEnd\(cancel\)\(\)\n//' entry 'TestStopAnswers'
 mutant refusal-closes-first peer/server.go 's/\t\ts.awaitClose\(y\)\n//' peer 'TestPeer'
 mutant full-follower-ends replica/loop.go 's/if errors.Is\(err, wal.ErrDiskFull\) \{\n\t\t\treturn r.withdraw\(err\)/if false {\n\t\t\treturn r.withdraw(err)/' e2e 'TestFollowerWithFullDisk'
 mutant any-certificate-name peer/peer.go 's/case certified != "" && certified != h.Self.Box:/case false:/' e2e 'TestDaemonsOverTLS'
@@ -386,11 +392,20 @@
 mutant relays-cut-off gateway/gateway.go 's/for g.relayed.Load\(\) > 0/for false/' box 'TestRelayingBoxEnds/stopped'
 mutant brittle-ignored pushback/brittle.go 's/return b.running >= b.window\n\}/return false\n}/' pushback TestBrittleServersDoNotFallOverAtAnySize
 mutant unknown-ends-complete internal/framing/framing.go 's/return !bodyAllowed\(method, r.StatusCode\) \|\|/return true ||/' gateway TestTruncatedResponse
+mutant ends-without-evidence internal/framing/framing.go 's/case evidence == nil:/case evidence != nil:\n\t\treturn Confirmed\n\tcase evidence == nil:/' gateway TestServersEndingAtAnyMoment
+mutant relayed-ends-without-evidence gateway/relayed.go 's/if f.Confirmed \{/if f.End {/' gateway TestEndRelayedByAnEarlierBuild
+mutant connections-opened-before gateway/endcheck.go 's/(\tpool := p.server.pool\n)/$1\tif x := pool.takeIdle(rand.Text(), p.names); x != nil {\n\t\treturn x, nil\n\t}\n/' gateway TestServerThatClosesItsListener
+mutant closed-before-the-bytes internal/framing/framing.go 's/if http.NewResponseController\(u.writer\).Flush\(\) != nil \{/if false {/' internal/framing TestFinishWrites
+mutant ends-probe-each-other internal/liveness/liveness.go 's/if evidence == Ended \{/if false {/' internal/liveness TestEndOfTheServer
 mutant aborts-not-reset internal/framing/framing.go 's/u.conn.SetLinger\(0\)/u.conn.SetLinger(-1)/' gateway TestAbortedUndelimited
 mutant parts-of-events-forwarded gateway/relay.go 's/err == io.EOF && j.stream.insideEvent\(\)/false/' gateway TestStreamEndingInside
 mutant resumes-at-any-version gateway/find.go 's/refusal != nil \|\| !j.pinned/true || !j.pinned/' gateway TestStreamResumesOnly
 mutant origins-not-sent origin/keepers.go 's/if !r.topology.Enabled \{\n\t\treturn\n/if true {\n\t\treturn\n/' box TestCallersResumeAfter
 mutant restarted-boxes-know-no-other-version origin/origin.go 's/now-r.knownSince < min\(maxAge, recordTTL\)/false/' origin 'TestLookup|TestNever'
+mutant unconfirmed-states-are-believed origin/origin.go 's/s == nil \|\| !r.topology.Confirmed/s == nil/' origin TestNeverAnotherVersionAfterTheLossOfAllBoxes
+mutant departed-versions-are-forgotten origin/origin.go 's/slices.Clone\(s.departed\)/[]string(nil)/' origin TestResumedAfterTheLossOfAllBoxes
+mutant departures-are-not-recorded state/versions.go 's/s.Versions.Departed\[v\] = s.Index/_ = v/' state 'TestReplacedVersionDeparts|TestHistoryFollows'
+mutant versions-are-retired-at-once control/versions.go 's/now.Sub\(since\) >= origin.HistoryTTL/true/' control TestLeaderRetiresVersions
 mutant prefixes-of-any-version gateway/cached.go 's/if list\[source\].version != c.server.version/if false/' gateway TestPrefixesAreFetchedOnly
 mutant blocked-requests-relayed gateway/serverelay.go 's/g.relayBlocked\(r, o.header, s\)/false/' gateway TestBlockedRequestIsNotRelayed
 mutant blocks-after-the-choice-ignored gateway/job.go 's/g.refusal\(s, j.blockedAt\(s\)\)/g.refusal(s, false)/' gateway TestRequestBlockedBeforeItIsSent
