scripts: the mutant uploads-unfinished is noticed each time

The mutant now takes out the check of unacknowledged bytes, which TestEndBeforeTheRequestWasReceivedIsNoEnd notices without a race (scripts/mutants.sh uploads-unfinished).

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -426,7 +426,7 @@
 mutant own-heads-unchecked proxy/proxy.go 's/return responsehead.NewConn\(c\), nil/return c, nil/' entry TestMalformedHeads
 mutant order-heads-unchecked engine/guard.go 's/return responsehead.NewConn\((.*)\), nil/return $1, nil/' platform TestMalformedHeads
 mutant lengths-beside-chunks internal/responsehead/head.go 's/case h.chunked && h.lengths > 0:/case false:/' internal/responsehead TestHeadsAreReadStrictly
-mutant uploads-unfinished gateway/exchange.go 's/if !a.delimited \{/if false {/' gateway TestResetDuringUpload
+mutant uploads-unfinished gateway/connend.go 's/framing.Unacknowledged\(a.conn.Conn\) > 0/framing.Unacknowledged(a.conn.Conn) < 0/' gateway TestEndBeforeTheRequest
 mutant peeks-swallow-resets gateway/conns.go 's/x.fault.recordLocked\(found\)/_ = found/' gateway TestResetSeenByAPeek
 mutant own-uploads-unfinished internal/responsehead/conn.go 's/return n, c.end\(\)/return n, err/' entry TestResetDuringUpload
 mutant refusals-read-to-the-end gateway/relay.go 's/discardTimeout = 100 \* time.Millisecond/discardTimeout = time.Hour/' gateway TestEndlessBytes
