--- a/gateway/connend_test.go
+++ b/gateway/connend_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,8 @@
 
 	"leverdrum/internal/attest"
 	"leverdrum/internal/framing"
+	"leverdrum/internal/liveness"
+	"leverdrum/meter"
 )
 
 // Guards against a reset that reads as the end of a response, because a look for unread bytes has received its error.
@@ -103,7 +106,8 @@
 			continue // the reset came first
 		}
 		sent := &recordedFrames{}
-		new(Gateway).forwardRelayed(t.Context(), nil, a, &relayAnswer{to: sent})
+		to := &server{checker: liveness.NewChecker(func(context.Context) liveness.Evidence { return liveness.Answered })} // the server goes on
+		(&Gateway{opts: Options{Meters: meter.New()}}).forwardRelayed(t.Context(), to, a, &relayAnswer{to: sent})
 		last := sent.frames[len(sent.frames)-1]
 		g.Expect(last.End).To(BeFalse())
 		g.Expect(last.Failure).NotTo(BeNil())
