--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -17,6 +17,8 @@
 //     attempt of the same request is none to a later one.
 //  5. Calls that may not be repeated use new connections: a reused connection may
 //     already be dead, and then the outcome would be unknown.
+//  6. Bytes that are no well-formed response are none (package responsehead). The end of one without a length or chunks is
+//     an error unless the backend server has received the whole request.
 package proxy
 
 import (
@@ -37,6 +39,8 @@
 	"leverdrum/internal/attest"
 	"leverdrum/internal/framing"
 	"leverdrum/internal/liveness"
+	"leverdrum/internal/membudget"
+	"leverdrum/internal/responsehead"
 	"leverdrum/reason"
 )
 
@@ -70,6 +74,8 @@
 	Sendable func() bool
 	// ObserveEnd is called when the body of the response was read to its end; may be nil.
 	ObserveEnd EndObserver
+	// Memory is what its response may be buffered in; nil means no limit. The caller releases it once it needs the body no more.
+	Memory *membudget.Hold
 }
 
 // Response is the response to an attempt. Either Body is the complete body, or BodyReader is not nil
@@ -143,7 +149,7 @@
 		c.Close()
 		return nil, errInBackoff
 	}
-	return c, nil
+	return responsehead.NewConn(c), nil // (6)
 }
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
@@ -216,7 +222,7 @@
 	if a.NonRepeatable {
 		transport = s.singleUse // (5)
 	}
-	resp, err := transport.RoundTrip(req)
+	resp, err := responsehead.RoundTrip(transport, req)
 	if err != nil {
 		return nil, classify(err, connected.Load())
 	}
@@ -279,33 +285,55 @@
 		response.BodyReader, response.Stream = resp.Body, true
 		return response, nil
 	}
-	return s.buffer(resp, response)
+	return s.buffer(a, resp, response)
 }
 
-// buffer reads a response completely if it is small (3).
-func (s *Sender) buffer(resp *http.Response, response *Response) (*Response, *Failure) {
-	if resp.ContentLength > bufferLimit {
+// buffer reads a response completely if it is small and there is memory for it (3).
+func (s *Sender) buffer(a *Attempt, resp *http.Response, response *Response) (*Response, *Failure) {
+	length := resp.ContentLength
+	switch {
+	case length > bufferLimit:
 		response.BodyReader = resp.Body
 		return response, nil
+	case a.Method == http.MethodHead:
+		length = 0
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, bufferLimit+1))
-	if err != nil {
+	body, err := a.Memory.ReadAll(resp.Body, length, bufferLimit)
+	switch {
+	case errors.Is(err, membudget.ErrTooLong), errors.Is(err, membudget.ErrFull):
+		response.BodyReader = &partlyRead{ReadCloser: resp.Body, memory: a.Memory, begin: body, reserved: cap(body)}
+		return response, nil
+	case err != nil:
+		a.Memory.Shrink(cap(body))
 		resp.Body.Close()
 		return nil, classify(err, true)
 	}
-	if len(body) > bufferLimit {
-		response.BodyReader = readCloser{io.MultiReader(bytes.NewReader(body), resp.Body), resp.Body}
-		return response, nil
-	}
 	resp.Body.Close()
 	if err := response.judgeEnd(); err != nil {
+		a.Memory.Shrink(cap(body))
 		return nil, endFailure(err)
 	}
 	response.Body = body
 	return response, nil
 }
 
-type readCloser struct {
-	io.Reader
-	io.Closer
+// partlyRead is a body whose beginning was read into memory, which is returned once it was read again.
+type partlyRead struct {
+	io.ReadCloser
+	memory   *membudget.Hold
+	begin    []byte
+	reserved int
+}
+
+// Read implements io.Reader.
+func (p *partlyRead) Read(b []byte) (int, error) {
+	if len(p.begin) > 0 {
+		n := copy(b, p.begin)
+		p.begin = p.begin[n:]
+		return n, nil
+	}
+	p.begin = nil
+	p.memory.Shrink(p.reserved)
+	p.reserved = 0
+	return p.ReadCloser.Read(b)
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -115,7 +115,13 @@
 mutant leaving-ignored route/route.go 's/if b.draining.Load\(\) \|\| /if /; s/return !view.Servers\[p.Server\].GetLeaving\(\) && !d.terminated\[p.Server\]/return true/; s/s == nil \|\| s.Draining/s == nil/' e2e 'TestDrainingServer'
 mutant second-file-wins state/file.go 's/if first := s.accepted\(a.Number\); first != nil \{/if first := s.accepted(a.Number); first != nil \&\& first.Digest == a.Digest {/' e2e 'TestRacing'
 mutant no-stand-in membership/membership.go 's/if added == "" \{/if added != "x" {/' e2e 'TestSecondLoss'
-mutant no-balancer-lag box/stop.go 's/time.Sleep\(b.settings.BalancerLag\)/time.Sleep(0)/' e2e 'TestRolling'
+mutant no-balancer-lag box/stop.go 's/time.Sleep\(time.Until\(times.refuse\)\)/time.Sleep(0)/' e2e 'TestRolling'
+mutant stops-unanswered box/stop.go 's/\t\tb.shutdown.End\(\)\n//' box 'TestPlannedStopAnswers'
+mutant stops-outlasted shutdown/shutdown.go 's/, r.AtMostOnce: /: /' box 'TestPlannedStopRefusesRequestsThat'
+mutant late-bodies-sent gateway/gateway.go 's/\tcase g.stopped\(\):\n\t\tg.refuseUnsent\(w, r, t, reason.Stopping\)\n\t\treturn\n//' box 'TestPlannedStop.*BodyEndsLate'
+mutant late-starters-serve-on box/stop.go 's/\t\tp.stopIfRefusing\(b\)\n/\t\t_ = p\n/' box 'TestPlannedStopDuringStart'
+mutant own-queue-waits-past-a-stop entry/stop.go 's/\tdefer context.AfterFunc\(e.stopped, cancel\)\(\)\n//' entry 'TestStopRefusesQueued'
+mutant own-stops-unanswered entry/serve.go 's/\tdefer e.opts.Shutdown.OnEnd\(cancel\)\(\)\n//' entry 'TestStopAnswers'
 mutant refusal-closes-first peer/server.go 's/\t\ts.awaitClose\(y\)\n//' peer 'TestPeer'
 mutant full-follower-ends replica/loop.go 's/if errors.Is\(err, wal.ErrDiskFull\) \{\n\t\t\treturn r.withdraw\(err\)/if false {\n\t\t\treturn r.withdraw(err)/' e2e 'TestFollowerWithFullDisk'
 mutant any-certificate-name peer/peer.go 's/case certified != "" && certified != h.Self.Box:/case false:/' e2e 'TestDaemonsOverTLS'
@@ -397,6 +403,10 @@
 mutant resumes-at-any-version gateway/find.go 's/refusal != nil \|\| !j.pinned/true || !j.pinned/' gateway TestStreamResumesOnly
 mutant origins-not-sent origin/keepers.go 's/if !r.topology.Enabled \{\n\t\treturn\n/if true {\n\t\treturn\n/' box TestCallersResumeAfter
 mutant restarted-boxes-know-no-other-version origin/origin.go 's/now-r.knownSince < min\(maxAge, recordTTL\)/false/' origin 'TestLookup|TestNever'
+mutant unconfirmed-states-are-believed origin/origin.go 's/s == nil \|\| !r.topology.Confirmed/s == nil/' origin TestNeverAnotherVersionAfterTheLossOfAllBoxes
+mutant departed-versions-are-forgotten origin/origin.go 's/slices.Clone\(s.departed\)/[]string(nil)/' origin TestResumedAfterTheLossOfAllBoxes
+mutant departures-are-not-recorded state/versions.go 's/s.Versions.Departed\[v\] = s.Index/_ = v/' state 'TestReplacedVersionDeparts|TestHistoryFollows'
+mutant versions-are-retired-at-once control/versions.go 's/now.Sub\(since\) >= origin.HistoryTTL/true/' control TestLeaderRetiresVersions
 mutant prefixes-of-any-version gateway/cached.go 's/if list\[source\].version != c.server.version/if false/' gateway TestPrefixesAreFetchedOnly
 mutant blocked-requests-relayed gateway/serverelay.go 's/g.relayBlocked\(r, o.header, s\)/false/' gateway TestBlockedRequestIsNotRelayed
 mutant blocks-after-the-choice-ignored gateway/job.go 's/g.refusal\(s, j.blockedAt\(s\)\)/g.refusal(s, false)/' gateway TestRequestBlockedBeforeItIsSent
@@ -412,7 +422,7 @@
 mutant any-response-is-its-own internal/attest/attest.go 's/case len\(ids\) == 0 && \(h.attempts <= 1 \|\| !h.identifies\):/case len(ids) == 0:/; s/!identified \|\| h.remembers\(id\)/!identified \&\& false/' gateway TestPromisesAreTrueOverSequences
 mutant statuses-promise internal/attest/attest.go 's/case Promises\(status\):/case Promises(status) \&\& false:/' gateway TestPromisesAreTrueOverSequences
 mutant attempts-share-ids entry/serve.go 's/strconv.FormatUint\(rand.Uint64\(\), 36\)/strconv.FormatUint(0*rand.Uint64(), 36)/' entry TestSurplusRefusal
-mutant heads-without-end gateway/head.go 's/x.readingHead, x.headLeft = true, attest.MaxHeadBytes/x.readingHead, x.headLeft = false, attest.MaxHeadBytes/' gateway TestEndlessBytes
+mutant heads-without-end internal/responsehead/head.go 's/h.size > attest.MaxHeadBytes \{/false {/' gateway TestEndlessBytes
 mutant refusals-read-to-the-end gateway/relay.go 's/discardTimeout = 100 \* time.Millisecond/discardTimeout = time.Hour/' gateway TestEndlessBytes
 mutant empty-successes internal/reply/reply.go 's/if !t.began \{/if false {/' gateway TestCallerThatShutDown
 mutant states-of-other-reads engine/engine.go 's/id != "" && id != req/id != "" \&\& false \&\& id != req/' engine TestCopyOfAnEarlierState
