--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -310,6 +310,7 @@
 	}
 	resp.Body.Close()
 	if err := response.judgeEnd(); err != nil {
+		a.Memory.Shrink(cap(body))
 		return nil, endFailure(err)
 	}
 	response.Body = body
