gateway: a process that only accepts connections is no evidence for its address

Cause: a connection that was opened after the end shows that some process listens, not which one.

Change: where the server has health checks and none was answered, the evidence is a connection from before the end that is still open when the probe ends: the kernel closes the connections of a process that ended, within milliseconds of each other. Servers that are full, frozen or at their limit keep them. Without such a connection nothing is known, and nothing counts against the server.

The row of TestEvidenceOfTheEnd for servers at their limit of connections asked for no evidence; it now asks for the whole response where another connection is open, and keeps the old claim where none is.

--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -53,7 +53,8 @@
 	fault       connFault
 	head        responsehead.Head // checks the head that is being read
 	readingHead bool              // the head of a response is being read
-	idleSince   time.Time         // start of the current idle period
+	openedAt    time.Time
+	idleSince   time.Time // start of the current idle period
 	idleTimeout time.Duration
 }
 
@@ -65,7 +66,8 @@
 	server  string // ID
 
 	mu      sync.Mutex
-	idle    []*conn // most recently used last
+	idle    []*conn        // most recently used last
+	conns   map[*conn]bool // open ones
 	open    int
 	maxOpen int
 	closed  bool
@@ -129,6 +131,7 @@
 	c.closed = true
 	for _, x := range c.idle {
 		x.Close()
+		delete(c.conns, x)
 		c.open--
 	}
 	c.idle = nil
@@ -155,11 +158,30 @@
 		return nil, Error.Wrap(err)
 	}
 	c.lastDial.Store(time.Now().UnixNano())
-	x := &conn{Conn: raw, pool: c, idleTimeout: defaultIdleTimeout}
+	x := &conn{Conn: raw, pool: c, openedAt: time.Now(), idleTimeout: defaultIdleTimeout}
 	x.in = bufio.NewReaderSize(x, readBuffer)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns == nil {
+		c.conns = map[*conn]bool{}
+	}
+	c.conns[x] = true
 	return x, nil
 }
 
+// holdsFromBefore reports whether a connection that was opened before t is still open. The process that accepted it then still runs.
+func (c *connPool) holdsFromBefore(t time.Time) bool {
+	c.mu.Lock()
+	var list []*conn
+	for x := range c.conns {
+		if x.openedAt.Before(t) {
+			list = append(list, x)
+		}
+	}
+	c.mu.Unlock()
+	return slices.ContainsFunc(list, (*conn).isQuiet) // unread bytes may be followed by the end
+}
+
 // probe returns nil if the server accepts a connection now. The connection is kept for a later
 // request.
 func (c *connPool) probe(ctx context.Context) error {
@@ -206,6 +228,7 @@
 		return false
 	}
 	c.idle[0].Close()
+	delete(c.conns, c.idle[0])
 	c.idle = slices.Delete(c.idle, 0, 1)
 	return true
 }
@@ -255,7 +278,10 @@
 // drop closes a connection and frees its place in the pool.
 func (c *connPool) drop(x *conn) {
 	x.Close()
-	c.release()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.conns, x)
+	c.open--
 }
 
 // put returns a connection to the pool, or closes it where it cannot be used again.
--- a/gateway/endcases_test.go
+++ b/gateway/endcases_test.go
@@ -41,29 +41,41 @@
 		onCheck  func(net.Conn, *http.Request) bool
 		ends     bool // the server ends
 		noPath   bool // the service has no health checks
+		alone    bool // no other connection to the server is open
 		evidence liveness.Evidence
 	}{
-		{"goes on", nil, false, false, liveness.Answered},
-		{"ended", nil, true, false, liveness.Ended},
-		{"draining", answerCheck("503 Draining", "X-Server-Id: i1\r\n"), false, false, liveness.Answered},
-		{"full, and says who it is", answerCheck("503 Full", "X-Server-Id: i1\r\nX-Not-Run: 1\r\nX-Request-Id: ID\r\n"), false, false, liveness.Answered},
-		{"full, and does not", answerCheck("503 Full", "X-Not-Run: 1\r\nX-Request-Id: ID\r\n"), false, false, liveness.Open},
-		{"frozen, or without a free slot", silent, false, false, liveness.Open},
-		{"answers for another request", answerCheck("200 OK", "X-Server-Id: i1\r\nX-Request-Id: other\r\n"), false, false, liveness.Open},
-		{"another instance has the address", answerCheck("200 OK", "X-Server-Id: i9\r\nX-Request-Id: ID\r\n"), false, false, liveness.Ended},
-		{"another instance rejects the check", answerCheck("421 Misdirected Request", "X-Request-Id: ID\r\n"), false, false, liveness.Ended},
-		{"at its limit of connections", resets, false, false, liveness.None},
-		{"no health checks", nil, false, true, liveness.Open},
-		{"no health checks, ended", nil, true, true, liveness.Ended},
+		{"goes on", nil, false, false, true, liveness.Answered},
+		{"ended", nil, true, false, false, liveness.Ended},
+		{"draining", answerCheck("503 Draining", "X-Server-Id: i1\r\n"), false, false, true, liveness.Answered},
+		{"full, and says who it is", answerCheck("503 Full", "X-Server-Id: i1\r\nX-Not-Run: 1\r\nX-Request-Id: ID\r\n"), false, false, true, liveness.Answered},
+		{"full, and does not", answerCheck("503 Full", "X-Not-Run: 1\r\nX-Request-Id: ID\r\n"), false, false, false, liveness.Open},
+		{"full, does not, alone", answerCheck("503 Full", "X-Not-Run: 1\r\nX-Request-Id: ID\r\n"), false, false, true, liveness.None},
+		{"frozen, or without a free slot", silent, false, false, false, liveness.Open},
+		{"frozen, alone", silent, false, false, true, liveness.None},
+		{"answers for another request", answerCheck("200 OK", "X-Server-Id: i1\r\nX-Request-Id: other\r\n"), false, false, false, liveness.Open},
+		{"another instance has the address", answerCheck("200 OK", "X-Server-Id: i9\r\nX-Request-Id: ID\r\n"), false, false, false, liveness.Ended},
+		{"another instance rejects the check", answerCheck("421 Misdirected Request", "X-Request-Id: ID\r\n"), false, false, false, liveness.Ended},
+		{"at its limit of connections", resets, false, false, false, liveness.Open},
+		{"resets new connections, alone", resets, false, false, true, liveness.None},
+		{"no health checks", nil, false, true, true, liveness.Open},
+		{"no health checks, ended", nil, true, true, false, liveness.Ended},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
+			var both sync.WaitGroup
+			both.Add(2)
 			server := newEndingServer(t, "i1", func(conn net.Conn, r *http.Request) bool {
+				if isKept(r) {
+					return answerTogether(conn, r, &both)
+				}
 				streamEvents(conn, r, lastEvent)
 				return !c.ends
 			})
-			server.onCheck = c.onCheck
+			server.onCheck, server.keepsOpen = c.onCheck, isKept
 			s := newHealthSetup(t, server)
+			if !c.alone {
+				s.openTwo()
+			}
 			if c.noPath {
 				s.view.Fleet.Pools["s"].HealthCheckPath = ""
 			}
@@ -163,3 +175,52 @@
 	g.Eventually(s.gate.InFlight, within, time.Millisecond).Should(BeZero())
 	g.Expect(server.requestCount()).To(Equal(1), "a stream without a caller is not resumed")
 }
+
+// isKept reports whether a request is one of openTwo.
+func isKept(r *http.Request) bool { return r.URL.Path == "/unsafe/x" }
+
+// openTwo makes the box hold two connections to its only server, one of which stays idle beside the next request.
+func (s *setup) openTwo() {
+	var both sync.WaitGroup
+	for n := range 2 {
+		both.Go(func() { s.receive(withID("/unsafe/x", 100+n)) })
+	}
+	both.Wait()
+}
+
+// answerTogether answers a request of openTwo once both have arrived, each on a connection of its own.
+func answerTogether(c net.Conn, r *http.Request, both *sync.WaitGroup) bool {
+	both.Done()
+	both.Wait()
+	return answerOK(c, r.Header.Get("X-Request-Id"))
+}
+
+// Guards against a part that ends at its caller as the whole response because another process takes the address of the server
+// that ended, and accepts the connection of the health check without an answer.
+func TestSilentProcessAtTheAddressIsNotTheServer(t *testing.T) {
+	g := NewWithT(t)
+	var server *endingServer
+	var both sync.WaitGroup
+	both.Add(2)
+	server = newEndingServer(t, "i1", func(conn net.Conn, r *http.Request) bool {
+		if isKept(r) {
+			return answerTogether(conn, r, &both)
+		}
+		streamEvents(conn, r, 2)
+		address := server.listener.Addr().String()
+		server.listener.Close()
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			t.Error(err)
+			return false
+		}
+		t.Cleanup(func() { l.Close() })
+		return false // ends the server, while the listener accepts
+	})
+	server.keepsOpen = isKept
+	s := newHealthSetup(t, server)
+	s.openTwo()
+	_, body, end := s.receive(withID("/once/x", 1))
+	g.Expect(body).To(Equal(eventList(1, 2)))
+	g.Expect(end).To(Equal(framing.Truncated))
+}
--- a/gateway/endcheck.go
+++ b/gateway/endcheck.go
@@ -41,9 +41,23 @@
 	path func() string
 }
 
-// run implements liveness.Probe.
+// run implements liveness.Probe. A server that does not answer, or resets new connections, shows that it goes on by the connections
+// that it had before: another process may have its address.
 func (p *endProbe) run(ctx context.Context) liveness.Evidence {
-	path := p.path()
+	began, path := time.Now(), p.path()
+	evidence := p.check(ctx, path)
+	if evidence == liveness.Answered || evidence == liveness.Ended || evidence == liveness.Open && path == "" {
+		return evidence
+	}
+	<-ctx.Done() // a process that ends closes its connections one after another
+	if p.server.pool.holdsFromBefore(began) {
+		return liveness.Open
+	}
+	return liveness.None
+}
+
+// check sends health checks until one is answered.
+func (p *endProbe) check(ctx context.Context, path string) liveness.Evidence {
 	for range maxProbeAttempts {
 		x, err := p.connect(ctx)
 		if errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -6,8 +6,9 @@
 //  1. Only what the server did after the close is evidence, so that each probe begins after the ends that wait for it. Bytes
 //     that were sent before the close, or that were read after it, show nothing.
 //  2. An answer of the same instance on a connection that was opened after the close shows that the server went on.
-//  3. So does such a connection that is open when the probe ends and has acknowledged all bytes: the process of the server still
-//     holds it. A server that is full, or frozen, answers no request in time.
+//  3. So does a connection from before the close that is still open when the probe ends: its process holds it. A server that is
+//     full, frozen or at its limit of connections answers no request in time. A connection that was opened after the close shows
+//     less, since another process may have the address: it counts only where the server has no health checks.
 //  4. A server that refuses connections, or whose address another instance has, has ended, or takes no more requests: it closes
 //     its connections next. Any other failure shows nothing: servers reset connections beyond their limit, and networks lose
 //     them.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -395,6 +395,7 @@
 mutant ends-without-evidence internal/framing/framing.go 's/case evidence == nil:/case evidence != nil:\n\t\treturn Confirmed\n\tcase evidence == nil:/' gateway TestServersEndingAtAnyMoment
 mutant relayed-ends-without-evidence gateway/relayed.go 's/if f.Confirmed \{/if f.End {/' gateway TestEndRelayedByAnEarlierBuild
 mutant connections-opened-before gateway/endcheck.go 's/(\tp.server.pool.reserveBeyondLimit\(\)\n)/\tif x := p.server.pool.takeIdle(rand.Text(), p.names); x != nil {\n\t\treturn x, nil\n\t}\n$1/' gateway TestServerThatClosesItsListener
+mutant silent-processes-count gateway/endcheck.go 's/evidence == liveness.Open && path == ""/evidence == liveness.Open/' gateway TestSilentProcessAtTheAddress
 mutant own-ends-without-evidence proxy/ends.go 's/return ErrEndUnknown/return nil/; s/return ErrServerEnded/return nil/' entry 'TestServerEndingWithin|TestPartIsNotStored'
 mutant closed-before-the-bytes internal/framing/framing.go 's/if http.NewResponseController\(u.writer\).Flush\(\) != nil \{/if false {/' internal/framing TestFinishWrites
 mutant ends-probe-each-other internal/liveness/liveness.go 's/if evidence == Ended \{/if false {/' internal/liveness TestEndOfTheServer
