--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -60,7 +60,7 @@
 
 	mu      sync.Mutex
 	probing bool
-	next    *round // that the next probe is for; nil: nobody waits for it
+	next    *round // those that the next probe answers; nil: none
 }
 
 // round is one probe for those who wait for it.
@@ -103,7 +103,7 @@
 	return r
 }
 
-// probeAll probes until nobody waits.
+// probeAll probes until no caller of Await is left.
 func (c *Checker) probeAll() {
 	for r := c.take(); r != nil; r = c.take() {
 		evidence := c.probeOnce()
@@ -120,7 +120,7 @@
 	return c.probe(ctx)
 }
 
-// take returns the next probe; nil if nobody waits for it.
+// take removes and returns the next round; nil if there is none.
 func (c *Checker) take() *round {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/liveness/liveness_test.go
+++ b/internal/liveness/liveness_test.go
@@ -43,7 +43,7 @@
 	})
 }
 
-// Guards against more than one probe of a server at a time, and against probes that go on when nobody waits.
+// Guards against more than one probe of a server at a time, and against probes without a caller of Await.
 func TestServerIsProbedOnceAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/internal/responsehead/head.go
+++ b/internal/responsehead/head.go
@@ -42,7 +42,7 @@
 	Trailer          Kind = "trailer"
 )
 
-// Error is returned for bytes that are no response. It tells the kind of the offending line and none of its bytes.
+// Error is returned for bytes that are no response. It has the kind of the offending line and none of its bytes.
 type Error struct{ Kind Kind }
 
 // Error implements error.
@@ -103,7 +103,7 @@
 	return t
 }()
 
-// isText tells which bytes a value may have.
+// isText reports which bytes a field value may contain.
 var isText = func() (t [256]bool) {
 	for b := range t {
 		t[b] = b >= ' ' && b != 0x7f || b == '\t'
