origin: a lookup waits for the state as long as its caller has time

Change: it waits for up to half of the time that the caller has left, 3 s at most: the rest is for the stream, or for a new one.

TestLookupWaitsForTheConfirmation fails before (unknown after 1 s, with 5 s left). go test ./origin passes.

--- a/origin/origin.go
+++ b/origin/origin.go
@@ -51,8 +51,12 @@
 	// laggardTimeout is how long a round lasts once a box has answered.
 	laggardTimeout = 80 * time.Millisecond
 	roundPause     = 40 * time.Millisecond
-	// confirmTimeout bounds the time that a lookup waits for a confirmed topology.
-	confirmTimeout = time.Second
+	// maxConfirmWait bounds the time that a lookup waits for a confirmed topology. It exceeds the time in which a leader is elected
+	// after the loss of all boxes.
+	maxConfirmWait = 3 * time.Second
+	// confirmWaitDivisor bounds the same time by a fraction of what the caller has left: the rest is for the stream, or for a new
+	// one.
+	confirmWaitDivisor = 2
 )
 
 // Source is how the version at which a stream began is known.
@@ -300,10 +304,19 @@
 	case <-r.confirmed:
 		return boxes > 0 && waitFor(ctx, roundPause) == nil
 	default:
-		return waitUntil(ctx, r.confirmed, confirmTimeout)
+		return waitUntil(ctx, r.confirmed, confirmWait(ctx))
 	}
 }
 
+// confirmWait returns how long a lookup waits for a confirmed topology.
+func confirmWait(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return maxConfirmWait
+	}
+	return min(maxConfirmWait, time.Until(deadline)/confirmWaitDivisor)
+}
+
 // begin returns the own record of a stream, or else the other keepers to ask for it: those of the record, and all.
 func (r *Registry) begin(id string) (o Origin, ok bool, keepers, all []string) {
 	r.mu.Lock()
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -245,6 +245,37 @@
 	})
 }
 
+// Guards against a stream that is rejected right before a leader confirms the state of a box that has started, although its caller
+// has time left, and against one that waits until its caller has none.
+func TestLookupWaitsForTheConfirmation(t *testing.T) {
+	for _, c := range []struct {
+		confirmedAfter, left, waits time.Duration
+		want                        string
+	}{
+		{1500 * time.Millisecond, 5 * time.Second, 1500 * time.Millisecond, "v1"},
+		{2400 * time.Millisecond, 5 * time.Second, 2400 * time.Millisecond, "v1"},
+		{1500 * time.Millisecond, 2 * time.Second, time.Second, "unknown"},
+		{10 * time.Second, time.Minute, 3 * time.Second, "unknown"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			n := newDurableNetwork(10, rand.New(rand.NewPCG(5, 1)), "v1")
+			n.begin(9, "r", "v1")
+			time.Sleep(settle)
+			n.confirmDelay = func() time.Duration { return c.confirmedAfter }
+			n.killAll([]origin.Topology{n.topology}, rand.New(rand.NewPCG(5, 2)))
+			ctx, cancel := context.WithTimeout(t.Context(), c.left)
+			defer cancel()
+			start, got := time.Now(), "unknown"
+			if o, ok := n.boxes[5].Lookup(ctx, "r", service, maxAge); ok {
+				got = o.Version
+			}
+			g.Expect(got).To(Equal(c.want), "%+v", c)
+			g.Expect(time.Since(start)).To(BeNumerically("~", c.waits, 150*time.Millisecond), "%+v", c)
+		})
+	}
+}
+
 // Guards against a box that has just started and rejects a stream without asking for it, since it does not know the others yet.
 func TestLookupWaitsForTheTopology(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
