gateway: an unknown end that another box relays counts against no server

What happened: a relaying box that could not find out whether a server went on told it as a plain failure.

Change: the failure has a kind of its own (END_UNKNOWN), which older boxes take for the plain one. A server that has ended is told as that.

TestRelayKeepsHowAResponseEnds asks for it and fails before, in the row of an unknown end. go test ./gateway -run 'Relay|TestServersEnding|TestEvidence' passes.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -184,6 +184,10 @@
 		f := unknown(reason.ResponseMemoryFull, Error.Wrap(err))
 		f.unproven = true
 		return f
+	case errors.Is(err, errEndUnknown): // at a relaying box
+		f := unknown(reason.BackendDisconnected, Error.Wrap(err))
+		f.endUnknown = true
+		return f
 	}
 	return unknown(reason.BackendDisconnected, Error.Wrap(err))
 }
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -241,6 +241,8 @@
 		case err != nil:
 			x.recordLost()
 			return 0, Error.Wrap(errors.Join(errRelayLost, err))
+		case f.Failure.GetKind() == wire.RelayFailure_END_UNKNOWN:
+			return 0, Error.Wrap(errEndUnknown)
 		case f.Failure != nil:
 			return 0, Error.New("box %s: %s", x.box, f.Failure.Text)
 		}
--- a/gateway/relayend_test.go
+++ b/gateway/relayend_test.go
@@ -77,6 +77,10 @@
 		_, err = io.ReadAll(a.Body)
 		g.Expect(err == nil).To(Equal(c.whole), "%s, %v: %v", c.response, c.evidence, err)
 		g.Expect(x.evidence == liveness.Relayed).To(Equal(c.whole && !c.delimited))
+		if err != nil { // an end that is unknown must not count against the server
+			j := &job{}
+			g.Expect(j.bodyFailure(t.Context(), err).endUnknown).To(Equal(!c.delimited && c.evidence == liveness.None), "%s, %v", c.response, c.evidence)
+		}
 	}
 }
 
--- a/gateway/serverelay.go
+++ b/gateway/serverelay.go
@@ -211,8 +211,12 @@
 
 // end sends the end of a response. A box of an earlier build takes any end for that of the whole response.
 func (a *relayAnswer) end(end framing.End) {
-	if !end.IsComplete() {
-		a.fail(wire.RelayFailure_UNKNOWN, errEndUnknown.Error())
+	switch {
+	case end == framing.Unknown:
+		a.fail(wire.RelayFailure_END_UNKNOWN, errEndUnknown.Error())
+		return
+	case !end.IsComplete():
+		a.fail(wire.RelayFailure_UNKNOWN, errServerEnded.Error())
 		return
 	}
 	a.send(&wire.RelayFrame{End: true, Confirmed: end == framing.Confirmed})
