--- a/wal/wal.go
+++ b/wal/wal.go
@@ -21,10 +21,11 @@
 //     truncated, and ErrDiskFull tells the caller that nothing was stored.
 //  4. A snapshot is written completely to its own file before it replaces the old
 //     one. Segments are removed only after that.
-//  5. Entries of old segments are used only if they connect to the snapshot: the
-//     segment starts right after it, or the log contains the snapshot's last entry.
-//     Otherwise a crash occurred between the two writes of rule 4, and the old log
-//     is discarded.
+//  5. Entries of the log are used only if they connect to the snapshot: a record of
+//     the log names the snapshot that it follows (Base), or the log contains the
+//     snapshot's last entry. Otherwise the snapshot was replaced, but the new segment
+//     was not written, and the old log is discarded. The next batch that is appended
+//     then names the snapshot.
 //  6. A folder of another box, another cluster or a newer format is rejected.
 package wal
 
@@ -93,7 +94,8 @@
 	opts        Options
 	identity    *wire.Identity
 	loaded      Loaded
-	base        *wire.Base // of the newest segment
+	base        *wire.Base // newest one in the log
+	pendingBase *wire.Base // snapshot that the next batch must name, nil if the log connects to it (5)
 	segment     *os.File
 	seq         uint64
 	segmentSize int64 // bytes of the open segment
@@ -205,7 +207,7 @@
 // Reload discards the in-memory state and reads the folder again.
 func (s *Store) Reload() error {
 	s.closeSegment()
-	s.loaded, s.base = Loaded{}, nil
+	s.loaded, s.base, s.pendingBase = Loaded{}, nil, nil
 	if err := s.loadSnapshot(); err != nil {
 		return err
 	}
@@ -286,6 +288,7 @@
 	contained := slices.ContainsFunc(s.loaded.Entries, func(e *wire.Entry) bool { return e.Index == index && e.Term == term })
 	if !adjacent && !contained {
 		s.loaded.Entries = nil
+		s.pendingBase = &wire.Base{Index: index, Term: term}
 	}
 	s.loaded.Entries = slices.DeleteFunc(s.loaded.Entries, func(e *wire.Entry) bool { return e.Index <= index })
 }
@@ -360,6 +363,9 @@
 // Append durably writes a batch. After ErrDiskFull nothing of it was stored. Any other
 // error is fatal.
 func (s *Store) Append(b *wire.Batch) error {
+	if s.pendingBase != nil { // (5)
+		b = &wire.Batch{Entries: b.Entries, HardState: b.HardState, Agreed: b.Agreed, Base: s.pendingBase}
+	}
 	payload, err := proto.Marshal(b)
 	if err != nil {
 		return Error.Wrap(err)
@@ -375,6 +381,7 @@
 		return Error.Wrap(fmt.Errorf("%w: %w", ErrSync, err))
 	}
 	s.segmentSize += int64(len(frame))
+	s.pendingBase = nil
 	return nil
 }
 
@@ -411,6 +418,7 @@
 	}); err != nil {
 		return err
 	}
+	s.pendingBase = nil
 	s.closeSegment()
 	for _, n := range old {
 		if err := os.Remove(s.path(n)); err != nil {
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -193,6 +193,49 @@
 		Expect(open().Loaded().Entries).To(BeEmpty())
 	})
 
+	// crashBetween leaves the folder as after a crash between the snapshot and the new segment of SaveSnapshot.
+	crashBetween := func(s *Store, snapshot *wire.Snapshot) {
+		GinkgoHelper()
+		Expect(s.replace(snapshotName, snapshot)).To(Succeed())
+		s.Close()
+	}
+
+	// Each later start dropped all entries that the member had acknowledged since (review/4).
+	It("keeps what is appended after a crash between a leader's snapshot and the new segment", func() {
+		s := open()
+		add(s, entries(1, 9, 1))
+		crashBetween(s, &wire.Snapshot{Index: 20, Term: 2})
+		s = open()
+		add(s, entries(21, 22, 2))
+		add(s, entries(23, 23, 2))
+		s.Close()
+		for range 2 {
+			s = open()
+			Expect(s.Loaded().Entries).To(HaveLen(3))
+			Expect(lastIndex(s)).To(BeEquivalentTo(23))
+			s.Close()
+		}
+	})
+
+	It("keeps what is appended after a crash in the first snapshot of a new member", func() {
+		s := open()
+		crashBetween(s, &wire.Snapshot{Index: 1, Term: 1})
+		s = open()
+		add(s, entries(2, 3, 1))
+		s.Close()
+		Expect(open().Loaded().Entries).To(HaveLen(2))
+	})
+
+	It("keeps what is appended after the disk was full between a snapshot and the new segment", func() {
+		s := open()
+		add(s, entries(1, 9, 1))
+		Expect(s.replace(snapshotName, &wire.Snapshot{Index: 20, Term: 2})).To(Succeed())
+		Expect(s.Reload()).To(Succeed())
+		add(s, entries(21, 22, 2))
+		Expect(s.Reload()).To(Succeed())
+		Expect(s.Loaded().Entries).To(HaveLen(2))
+	})
+
 	DescribeTable("rejects a folder that belongs elsewhere and writes nothing",
 		func(id *wire.Identity, why string) {
 			s := open()
