--- a/wal/wal.go
+++ b/wal/wal.go
@@ -26,7 +26,9 @@
 //     snapshot's last entry. Otherwise the snapshot was replaced, but the new segment
 //     was not written, and the old log is discarded. The next batch that is appended
 //     then names the snapshot.
-//  6. A folder of another box, another cluster or a newer format is rejected.
+//  6. A batch that names a snapshot replaces all entries before it, those of older
+//     segments too: a crash may have kept segments that were to be removed.
+//  7. A folder of another box, another cluster or a newer format is rejected.
 package wal
 
 import (
@@ -173,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	if reason := s.identityMismatch(id); reason != "" { // (6)
+	if reason := s.identityMismatch(id); reason != "" { // (7)
 		return Error.Wrap(fmt.Errorf("%s: %w: %s", s.opts.Folder, ErrForeign, reason))
 	}
 	s.identity = id
@@ -264,8 +266,9 @@
 	if b.HardState != nil {
 		s.loaded.HardState = b.HardState
 	}
-	if b.Base != nil {
+	if b.Base != nil { // (6)
 		s.base = b.Base
+		s.loaded.Entries, s.loaded.CommittedIndex = nil, b.Base.Index
 	}
 	s.loaded.CommittedIndex = max(s.loaded.CommittedIndex, b.Agreed)
 	if len(b.Entries) == 0 {
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -236,6 +236,22 @@
 		Expect(s.Loaded().Entries).To(HaveLen(2))
 	})
 
+	// Entries that conflict with the snapshot came back: the log then ended in an older term than the snapshot, and the
+	// member could vote for a candidate that lacks committed entries.
+	It("ignores the old log after a crash before its segment was removed", func() {
+		s := open()
+		Expect(s.Append(&wire.Batch{Entries: entries(1, 9, 1), Agreed: 5})).To(Succeed())
+		old, err := os.ReadFile(segmentPath())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.SaveSnapshot(&wire.Snapshot{Index: 6, Term: 2}, &wire.HardState{Term: 2}, nil)).To(Succeed())
+		s.Close()
+		Expect(os.WriteFile(segmentPath(), old, fileMode)).To(Succeed())
+		s = open()
+		Expect(s.Loaded().Entries).To(BeEmpty())
+		Expect(s.Loaded().HardState.Term).To(BeEquivalentTo(2))
+		Expect(s.Loaded().CommittedIndex).To(BeEquivalentTo(6))
+	})
+
 	DescribeTable("rejects a folder that belongs elsewhere and writes nothing",
 		func(id *wire.Identity, why string) {
 			s := open()
