--- a/wal/wal.go
+++ b/wal/wal.go
@@ -275,6 +275,7 @@
 		return nil
 	}
 	first := b.Entries[0].Index
+	s.connectGap(first)
 	keep := slices.IndexFunc(s.loaded.Entries, func(e *wire.Entry) bool { return e.Index >= first })
 	if keep >= 0 {
 		s.loaded.Entries = s.loaded.Entries[:keep]
@@ -283,6 +284,22 @@
 	return nil
 }
 
+// connectGap handles a batch whose first entry does not follow the log. Builds up to 3fc56be appended it to a log that
+// rule 5 had discarded, without naming the snapshot. That is the current one if the batch follows it.
+func (s *Store) connectGap(first uint64) {
+	last := s.base.GetIndex()
+	if n := len(s.loaded.Entries); n > 0 {
+		last = s.loaded.Entries[n-1].Index
+	}
+	if first <= last+1 {
+		return
+	}
+	s.loaded.Entries = nil
+	if index := s.loaded.Snapshot.GetIndex(); index == first-1 {
+		s.base = &wire.Base{Index: index, Term: s.loaded.Snapshot.GetTerm()}
+	}
+}
+
 // dropSnapshotEntries discards the entries that the snapshot includes, or all entries if
 // they do not connect to the snapshot (5).
 func (s *Store) dropSnapshotEntries() {
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -236,6 +236,28 @@
 		Expect(s.Loaded().Entries).To(HaveLen(2))
 	})
 
+	// Builds up to 3fc56be left such folders; an upgrade must not be the restart that drops the entries.
+	It("keeps entries that follow the snapshot after a gap in the log", func() {
+		s := open()
+		add(s, entries(1, 9, 1))
+		add(s, entries(21, 22, 2))
+		add(s, entries(22, 23, 3))
+		crashBetween(s, &wire.Snapshot{Index: 20, Term: 2})
+		s = open()
+		Expect(s.Loaded().Entries).To(HaveLen(3))
+		add(s, entries(24, 24, 3))
+		s.Close()
+		Expect(open().Loaded().Entries).To(HaveLen(4))
+	})
+
+	It("discards entries after a gap that another snapshot had filled", func() {
+		s := open()
+		add(s, entries(1, 9, 1))
+		add(s, entries(21, 22, 2))
+		crashBetween(s, &wire.Snapshot{Index: 30, Term: 4})
+		Expect(open().Loaded().Entries).To(BeEmpty())
+	})
+
 	// Entries that conflict with the snapshot came back: the log then ended in an older term than the snapshot, and the
 	// member could vote for a candidate that lacks committed entries.
 	It("ignores the old log after a crash before its segment was removed", func() {
