spread: read an update's age before its index, and round it up

What callers would see: nothing yet. An update could count as confirmed at a time after which its sender had applied more than the update includes: the index was read first, the age second. Whether a stream has a single possible version is to rest on this order. Not seen; found by reading.

--- a/spread/spread.go
+++ b/spread/spread.go
@@ -244,13 +244,14 @@
 	if err != nil {
 		return nil, err
 	}
+	age, fresh := s.StateAge() // before the index: what a leader confirmed is already applied
 	u := &wire.FollowUpdate{
 		Index: s.opts.Replica.View().Index, Entries: entries, Snapshot: snapshot,
 		Leader: s.Leader(), Path: append(s.currentPath(), s.opts.Self.Box),
 		HeldMs: uint32(time.Since(start).Milliseconds()),
 	}
-	if age, fresh := s.StateAge(); fresh {
-		u.Fresh, u.AgeMs = true, uint32(age.Milliseconds())
+	if fresh {
+		u.Fresh, u.AgeMs = true, uint32((age + time.Millisecond - 1).Milliseconds()) // rounded up: an age is a bound
 	}
 	return u, nil
 }
