origin: a single version is believed only once a leader has confirmed it

Cause: where no keeper had a record, the only version that the box knew counted as the one that began the stream, as soon as another box had answered; nobody asked how old either state was.

Ruled out: records lost on their way (they reach the keepers when these are reached), and laggards alone: without the shortened round the same rows are wrong, since all keepers that answer may be out of step.

Change: rule 8. A lookup needs a state that a leader has confirmed since it began: its own, the leader's, or that of a keeper that asked the leader.

Lookups for a service of a single version send no more calls.

--- a/box/answer.go
+++ b/box/answer.go
@@ -31,7 +31,7 @@
 		}
 		return &wire.Response{Kind: &wire.Response_Quota{Quota: q.grantLeases(from.GetBox(), k.Quota)}}
 	case *wire.Request_Origin:
-		return &wire.Response{Kind: &wire.Response_Origin{Origin: p.origins.Serve(k.Origin)}}
+		return &wire.Response{Kind: &wire.Response_Origin{Origin: p.origins.Serve(ctx, k.Origin)}}
 	}
 	return p.claims.HandleRequest(r)
 }
--- a/box/box.go
+++ b/box/box.go
@@ -403,7 +403,7 @@
 		Meters: b.meters, Records: b.records, MaxBody: s.MaxBody, BodyTimeout: s.BodyTimeout, Responses: p.responses, Claims: p.claims,
 		ReportCrash: p.crashes.add, Quotas: p.quotas.limiter, Pushback: p.pushback, Shutdown: b.shutdown,
 	})
-	p.sharer, p.origins = b.newSharer(self), b.newOrigins()
+	p.sharer, p.origins = b.newSharer(self), b.newOrigins(p)
 	p.gateway = b.newGateway(p)
 	p.crashes.committed = func() {
 		p.entry.RecordCrashesCommitted()
--- a/box/origins.go
+++ b/box/origins.go
@@ -16,16 +16,16 @@
 const (
 	// originTopologyInterval is the minimum time between two updates of what the registry of origins takes from the state.
 	originTopologyInterval = 500 * time.Millisecond
-	// originConfirmPoll is the time between two updates while no leader has confirmed the state since the box started.
+	// originConfirmPoll is the time between two looks at whether a leader has confirmed the state.
 	originConfirmPoll = 20 * time.Millisecond
 	// handOverTimeout bounds how long a box that stops hands over records of streams.
 	handOverTimeout = time.Second
 )
 
 // newOrigins returns the registry of the software versions at which streams began.
-func (b *Box) newOrigins() *origin.Registry {
+func (b *Box) newOrigins(p *components) *origin.Registry {
 	return origin.New(origin.Options{
-		Self: b.settings.Box, Now: clock.New().Now,
+		Self: b.settings.Box, Now: clock.New().Now, Confirm: p.confirmedTopology, Leader: func() string { return wire.BoxOf(p.spread.Leader()) },
 		Call: func(ctx context.Context, box string, c *wire.OriginCall) (*wire.OriginAnswer, error) {
 			r, err := b.pool.Call(ctx, box, &wire.Request{Kind: &wire.Request_Origin{Origin: c}})
 			if err != nil {
@@ -56,10 +56,30 @@
 	}
 }
 
+// confirmedTopology returns a topology from a state that a leader has confirmed after the call (origin.Options.Confirm).
+func (p *components) confirmedTopology(ctx context.Context) (origin.Topology, error) {
+	began := p.replica.Now()
+	for {
+		if p.replica.Leads() == nil {
+			return originTopology(p.replica.View(), true), nil
+		}
+		if age, fresh := p.spread.StateAge(); fresh && p.replica.Now()-age >= began {
+			return originTopology(p.replica.View(), true), nil
+		}
+		wait.For(ctx, originConfirmPoll)
+		if ctx.Err() != nil {
+			return origin.Topology{}, Error.Wrap(ctx.Err())
+		}
+	}
+}
+
 // originTopology returns what the registry takes from a state. confirmed is set if a leader has confirmed the state since the box
 // started.
 func originTopology(view *state.State, confirmed bool) origin.Topology {
-	t := origin.Topology{Enabled: view.Level >= level.StreamOrigins, Confirmed: confirmed, Complete: view.Versions.Complete, Versions: map[string][]string{}, Departed: map[string][]string{}}
+	t := origin.Topology{
+		Enabled: view.Level >= level.StreamOrigins, Confirming: view.Level >= level.ConfirmedVersions, Confirmed: confirmed,
+		Complete: view.Versions.Complete, Versions: map[string][]string{}, Departed: map[string][]string{},
+	}
 	for box, m := range view.Members {
 		t.Boxes = append(t.Boxes, origin.Box{ID: box, Disk: m.Disk, Leaving: m.Leaving})
 	}
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -68,11 +68,9 @@
 type Origins interface {
 	// Begin records that the request with an ID began a stream. It must not block.
 	Begin(id string, o origin.Origin)
-	// Lookup returns where the stream of a request began, within maxAge. service is where it began unless a record says
-	// otherwise. ok is false if its version is unknown.
+	// Lookup returns where the stream of a request began, within maxAge. The ID is empty if the request is not known. service is
+	// where it began unless a record says otherwise. ok is false if its version is unknown.
 	Lookup(ctx context.Context, id, service string, maxAge time.Duration) (o origin.Origin, ok bool)
-	// Only returns the software version of a service that had no other one within maxAge; ok is false if it had, or may have had.
-	Only(service string, maxAge time.Duration) (version string, ok bool)
 }
 
 // pinResumedStream restricts a request that resumes a stream to the software version that began it. It returns a refusal if
@@ -98,19 +96,14 @@
 	return nil
 }
 
-// originOf returns where the stream of a request began. Without a request, or boxes that remember it, it is known only where the
-// service has a single version.
+// originOf returns where the stream of a request began. Without boxes that remember it, it is known only where the service has a
+// single version.
 func (j *job) originOf(ctx context.Context, id string) (o origin.Origin, ok bool) {
-	origins := j.g.opts.Origins
-	switch {
-	case origins != nil && id != "":
+	if origins := j.g.opts.Origins; origins != nil {
 		return origins.Lookup(ctx, id, j.poolName, resumeWindow*j.route.Timeout)
-	case origins != nil:
-		o.Version, ok = origins.Only(j.poolName, resumeWindow*j.route.Timeout)
-	default:
-		o.Version, ok = j.onlyVersion()
 	}
-	o.Service, o.Source = j.poolName, origin.SourceSingle
+	o = origin.Origin{Service: j.poolName, Source: origin.SourceSingle}
+	o.Version, ok = j.onlyVersion()
 	return o, ok
 }
 
--- a/level/level.go
+++ b/level/level.go
@@ -52,6 +52,8 @@
 	// VersionHistory: the software versions of servers that have left are replicated for as long as callers may resume their
 	// streams.
 	VersionHistory
+	// ConfirmedVersions: boxes ask each other whether a leader has confirmed what they know of software versions (package origin).
+	ConfirmedVersions
 	// end is one above the newest level.
 	end
 )
@@ -72,6 +74,7 @@
 	ProvisionalBlocks: "the first block of a suspected crasher is provisional while other servers terminate as well",
 	SharedExposure:    "requests that run on refute evidence against their prompt parts that any box reports",
 	VersionHistory:    "the software versions that services lately had, so that streams can be resumed after the loss of all boxes",
+	ConfirmedVersions: "a stream is resumed at the only software version of its service once a leader has confirmed that there is no other",
 	Relays:            "requests relayed for boxes that cannot reach the backend servers",
 }
 
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -19,8 +19,16 @@
 //  5. A box that does not have a record asks its keepers. One that has it is enough. A second round asks all keepers: the
 //     record may still be on its way, or have been sent before the keepers changed.
 //  6. Where no keeper has the record, the stream began at the only version of its service, if the service is not mixed for the
-//     box, the box knows this for as long as the stream can have lasted, and some keeper answered. Otherwise the version is unknown.
+//     box, the box knows this for as long as the stream can have lasted, some box answered, and rule 8 holds. Otherwise the
+//     version is unknown.
 //  7. A box that stops hands the records that it keeps to the other keepers.
+//  8. "There is no other version" counts only from a state that a leader has confirmed after the lookup began: a box that is cut
+//     off or stands still keeps servers that have been replaced, and its own keepers may be cut off with it. Streams begin at
+//     servers of the replicated state, so a state that is confirmed later includes the version of the stream.
+//     8.1 The state is that of this box, of the leader, or of a keeper that has asked the leader. Lookups that begin while such
+//     a question is under way share the next one.
+//     8.2 Until then a lookup waits, for a part of the time that its caller has. It asks the keepers once more when the state is
+//     confirmed, since a record may lie with boxes that could not be reached before.
 package origin
 
 import (
@@ -51,9 +59,13 @@
 	// laggardTimeout is how long a round lasts once a box has answered.
 	laggardTimeout = 80 * time.Millisecond
 	roundPause     = 40 * time.Millisecond
-	// maxConfirmWait bounds the time that a lookup waits for a confirmed topology. It exceeds the time in which a leader is elected
-	// after the loss of all boxes.
-	maxConfirmWait = 3 * time.Second
+	// lateRounds is the number of further rounds where a keeper did not answer or the state was confirmed late, with retryDelay
+	// before each: boxes that could not reach each other send the records again that they could not deliver.
+	lateRounds = 2
+	// maxConfirmWait bounds the time that a lookup waits for a confirmed state. It exceeds the time in which a leader is elected
+	// after the loss of all boxes. undatedConfirmWait is the bound for callers without a deadline.
+	maxConfirmWait     = 3 * time.Second
+	undatedConfirmWait = 500 * time.Millisecond
 	// confirmWaitDivisor bounds the same time by a fraction of what the caller has left: the rest is for the stream, or for a new
 	// one.
 	confirmWaitDivisor = 2
@@ -83,6 +95,11 @@
 	Self string
 	// Call sends a call to a box.
 	Call func(ctx context.Context, box string, c *wire.OriginCall) (*wire.OriginAnswer, error)
+	// Confirm returns a topology from a state that a leader has confirmed after the call, as soon as this box has one. On the
+	// leader itself that is at once, without a message. It sends none elsewhere either. It fails when the context ends.
+	Confirm func(ctx context.Context) (Topology, error)
+	// Leader returns the name of the box that leads, "" if it is not known.
+	Leader func() string
 	// Now returns the time since a fixed point; it does not jump.
 	Now func() time.Duration
 	// Lost is called with the number of records that were not delivered to a keeper; may be nil.
@@ -104,9 +121,11 @@
 	configured, askedHistory bool
 	knownSince               time.Duration
 	complete                 bool // a topology was complete
-	// ready is closed once the box knows the others, confirmed once its topology is confirmed.
-	ready, confirmed             chan struct{}
-	becomeReady, becomeConfirmed sync.Once
+	// ready is closed once the box knows the others.
+	ready       chan struct{}
+	becomeReady sync.Once
+	// own waits for a confirmed state of this box, leader asks the leader for one (8.1).
+	own, leader *batch
 }
 
 // service is what a box knows of the versions of a service.
@@ -120,6 +139,8 @@
 type Topology struct {
 	// Enabled is set if all boxes exchange records.
 	Enabled bool
+	// Confirming is set if all boxes answer whether a leader has confirmed their state.
+	Confirming bool
 	// Confirmed is set if the state includes everything that was committed before this process started. Before that, the state
 	// may lack servers of any version.
 	Confirmed bool
@@ -142,7 +163,10 @@
 
 // New returns a Registry that exchanges nothing until it is configured.
 func New(opts Options) *Registry {
-	return &Registry{opts: opts, services: map[string]*service{}, outboxes: map[string]*outbox{}, records: newRecords(), ready: make(chan struct{}), confirmed: make(chan struct{})}
+	r := &Registry{opts: opts, services: map[string]*service{}, outboxes: map[string]*outbox{}, records: newRecords(), ready: make(chan struct{})}
+	r.own = &batch{run: r.confirmOwn}
+	r.leader = &batch{run: r.askLeader}
+	return r
 }
 
 // Configure sets the topology.
@@ -154,9 +178,6 @@
 		r.becomeReady.Do(func() { close(r.ready) })
 	}
 	t.Confirmed = t.Confirmed || r.topology.Confirmed
-	if t.Confirmed {
-		r.becomeConfirmed.Do(func() { close(r.confirmed) })
-	}
 	r.topology, r.keepers = t, keepersOf(t.Boxes)
 	for name, versions := range t.Versions {
 		r.observe(now, name, versions...)
@@ -175,7 +196,7 @@
 	}
 	if t.Enabled && r.configured && !r.complete && !r.askedHistory {
 		r.askedHistory = true
-		go r.ask(context.Background(), r.others(r.keepers), "")
+		go r.ask(context.Background(), r.others(r.keepers), &wire.OriginCall{})
 	}
 }
 
@@ -212,7 +233,7 @@
 }
 
 // mixed reports whether servers or streams of two versions were seen lately (3).
-func (s *service) mixed(now time.Duration) bool { return len(s.versions(now)) > 1 }
+func (s *service) mixed(now time.Duration) bool { return s != nil && len(s.versions(now)) > 1 }
 
 // versions returns the versions that the service lately had.
 func (s *service) versions(now time.Duration) []string {
@@ -254,9 +275,9 @@
 	return r.configured && now-r.knownSince >= recordTTL
 }
 
-// Only returns the only software version that a service had within maxAge, as far as this box knows (6). Where boxes exchange no
-// records, it is the version of the servers that the box knows.
-func (r *Registry) Only(name string, maxAge time.Duration) (version string, ok bool) {
+// only returns the only software version that a service had within maxAge, given a confirmed state (6). Where boxes exchange no
+// records, it is the version of the servers that the box knows. answered is whether another box has answered.
+func (r *Registry) only(name string, maxAge time.Duration, c *confirmation, answered bool) (version string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, s := r.opts.Now(), r.services[name]
@@ -264,103 +285,176 @@
 		return "", false
 	}
 	versions := s.versions(now)
-	if len(versions) != 1 {
+	if len(versions) != 1 || slices.ContainsFunc(c.departed[name], func(v string) bool { return v != versions[0] }) {
 		return "", false
 	}
-	if r.topology.Enabled && now-r.knownSince < min(maxAge, recordTTL) {
+	if r.topology.Enabled && (now-r.knownSince < min(maxAge, recordTTL) || !answered && !r.complete && len(r.others(r.keepers)) > 0) {
 		return "", false
 	}
 	return versions[0], true
 }
 
-// Lookup returns where the stream of a request began. name is the service that it began at if no box has a record, and maxAge how long
-// ago it can have begun. ok is false if the version is unknown (6).
+// Lookup returns where the stream of a request began. id may be empty if the request is not known. name is the service that it
+// began at if no box has a record, and maxAge how long ago it can have begun. ok is false if the version is unknown (6).
 func (r *Registry) Lookup(ctx context.Context, id, name string, maxAge time.Duration) (o Origin, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, confirmWait(ctx))
+	defer cancel()
 	waitUntil(ctx, r.ready, askTimeout)
-	o, ok, keepers, all := r.begin(id)
-	if ok {
-		o.Source = SourceRecord
+	if o, ok = r.ownRecord(id); ok {
+		return o, true
+	}
+	l := &lookup{Registry: r, id: id, service: name, maxAge: maxAge, confirmed: r.confirm(ctx)}
+	if o, ok = l.round(ctx, false); ok {
+		return o, true
+	}
+	if o, ok = l.single(ctx, laggardTimeout); ok {
 		return o, true
 	}
-	for n, boxes := range [][]string{keepers, all} {
-		if n > 0 && !r.awaitSecondRound(ctx, len(boxes)) {
+	_ = waitFor(ctx, roundPause)
+	had := l.confirmation != nil
+	if o, ok = l.round(ctx, true); ok || had && !l.unanswered {
+		return o, ok
+	}
+	if o, ok = l.single(ctx, maxConfirmWait); ok {
+		return o, true
+	}
+	for range lateRounds { // (8.2)
+		if waitFor(ctx, retryDelay) != nil {
 			break
 		}
-		kept, answers := r.ask(ctx, boxes, id)
-		if kept != nil {
-			return Origin{kept.Service, kept.Version, SourceKeeper}, true
-		}
-		if version, only := r.Only(name, maxAge); only && (answers > 0 || len(boxes) == 0) {
-			return Origin{name, version, SourceSingle}, true
+		if o, ok = l.round(ctx, true); ok {
+			return o, true
 		}
 	}
 	return Origin{}, false
 }
 
-// awaitSecondRound waits until the second round of questions may begin, or returns false if there is none (5). After a start, it waits
-// for the state that the box lacks.
-func (r *Registry) awaitSecondRound(ctx context.Context, boxes int) bool {
-	select {
-	case <-r.confirmed:
-		return boxes > 0 && waitFor(ctx, roundPause) == nil
-	default:
-		return waitUntil(ctx, r.confirmed, confirmWait(ctx))
+// lookup is one call of Lookup.
+type lookup struct {
+	*Registry
+	id, service  string
+	maxAge       time.Duration
+	answered     bool // by another box
+	confirmed    <-chan *confirmation
+	confirmation *confirmation // nil until a state is confirmed (8)
+	unanswered   bool          // a keeper did not answer
+}
+
+// round asks keepers for the record: those of the record, or all (5).
+func (l *lookup) round(ctx context.Context, all bool) (o Origin, ok bool) {
+	boxes, confirming := l.boxesToAsk(l.id, l.service, all)
+	call := &wire.OriginCall{Id: l.id}
+	if all && confirming && l.confirmation == nil {
+		call.Confirm = wire.OriginConfirm_ORIGIN_CONFIRM_RELAY
+	}
+	a := l.ask(ctx, boxes, call)
+	l.answered = l.answered || a.count > 0
+	if a.confirmation != nil && l.confirmation == nil {
+		l.confirmation = a.confirmation
+	}
+	l.unanswered = l.unanswered || a.count < len(boxes)
+	if a.record == nil {
+		return Origin{}, false
 	}
+	return Origin{a.record.Service, a.record.Version, SourceKeeper}, true
 }
 
-// confirmWait returns how long a lookup waits for a confirmed topology.
+// single returns the only version of the service, once a state is confirmed (6). It waits for that for the given time at most.
+func (l *lookup) single(ctx context.Context, most time.Duration) (o Origin, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	if l.confirmation == nil {
+		select {
+		case l.confirmation = <-l.confirmed:
+		case <-ctx.Done():
+			return Origin{}, false
+		}
+	}
+	version, ok := l.only(l.service, l.maxAge, l.confirmation, l.answered || l.confirmation.fromOther)
+	return Origin{l.service, version, SourceSingle}, ok
+}
+
+// confirmWait returns how long a lookup waits for a confirmed state.
 func confirmWait(ctx context.Context) time.Duration {
 	deadline, ok := ctx.Deadline()
 	if !ok {
-		return maxConfirmWait
+		return undatedConfirmWait
 	}
 	return min(maxConfirmWait, time.Until(deadline)/confirmWaitDivisor)
 }
 
-// begin returns the own record of a stream, or else the other keepers to ask for it: those of the record, and all.
-func (r *Registry) begin(id string) (o Origin, ok bool, keepers, all []string) {
+// ownRecord returns the record that this box has of a stream.
+func (r *Registry) ownRecord(id string) (o Origin, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if kept, found := r.records.get(id, r.opts.Now()); found {
-		return kept.origin, true, nil, nil
+	kept, ok := r.records.get(id, r.opts.Now())
+	if !ok {
+		return Origin{}, false
 	}
-	if !r.topology.Enabled {
-		return Origin{}, false, nil, nil
+	o = kept.origin
+	o.Source = SourceRecord
+	return o, true
+}
+
+// boxesToAsk returns the boxes of one round: the other keepers of a record, or all. Where this box knows a single version, the
+// leader is asked in place of one of them. confirming is set if they answer whether their state is confirmed.
+func (r *Registry) boxesToAsk(id, name string, all bool) (boxes []string, confirming bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case !r.topology.Enabled || id == "":
+		return nil, false
+	case all:
+		return r.others(r.keepers), r.topology.Confirming
 	}
-	return Origin{}, false, r.keepersOf(id), r.others(r.keepers)
+	boxes = r.keepersOf(id)
+	if s := r.services[name]; r.topology.Confirming && len(boxes) == keepersPerRecord && !s.mixed(r.opts.Now()) {
+		boxes = boxes[:keepersPerRecord-1]
+	}
+	return boxes, r.topology.Confirming
+}
+
+// answers is what boxes answered in one round.
+type answers struct {
+	record       *wire.OriginRecord // nil if none has it
+	count        int
+	confirmation *confirmation // the first one, nil if there is none
 }
 
-// ask asks boxes for a record, none if id is "", and for what they know of versions. It returns once one has the record, all have
-// answered or the round is over.
-func (r *Registry) ask(ctx context.Context, boxes []string, id string) (found *wire.OriginRecord, answered int) {
+// ask sends a call to boxes. It returns once one has the record, all have answered or the round is over.
+func (r *Registry) ask(ctx context.Context, boxes []string, c *wire.OriginCall) (all answers) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	over := time.AfterFunc(askTimeout, cancel)
 	defer over.Stop()
-	answers := make(chan *wire.OriginAnswer, len(boxes))
+	received := make(chan *wire.OriginAnswer, len(boxes))
 	for _, box := range boxes {
 		go func() {
-			a, err := r.opts.Call(ctx, box, &wire.OriginCall{Id: id})
+			a, err := r.opts.Call(ctx, box, c)
 			if err != nil {
 				a = nil // an unreachable keeper; the others may answer
 			}
-			answers <- a
+			received <- a
 		}()
 	}
 	for range boxes {
-		a := <-answers
+		a := <-received
 		if a == nil {
 			continue
 		}
-		if answered++; answered == 1 {
+		if all.count++; all.count == 1 {
 			over.Reset(laggardTimeout)
 		}
 		r.learn(a.History)
+		if a.Confirmed && all.confirmation == nil {
+			all.confirmation = confirmationOf(a)
+		}
 		if a.Record != nil {
-			return a.Record, answered
+			all.record = a.Record
+			return all
 		}
 	}
-	return nil, answered
+	return all
 }
 
 // learn adds what another box knows of versions (3).
@@ -386,6 +480,9 @@
 		h.KnownMs = uint32(min(now-r.knownSince, recordTTL).Milliseconds())
 	}
 	for name, s := range r.services {
+		for _, v := range s.departed {
+			h.Departed = append(h.Departed, &wire.OriginRecord{Service: name, Version: v})
+		}
 		s.mixed(now) // updates lastSeen
 		for v, at := range s.lastSeen {
 			h.Seen = append(h.Seen, record{origin: Origin{Service: name, Version: v}, at: at}.wire(now))
@@ -396,8 +493,26 @@
 
 func milliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
-// Serve answers the call of another box.
-func (r *Registry) Serve(c *wire.OriginCall) *wire.OriginAnswer {
+// Serve answers the call of another box. It returns soon, also if the call asks for a confirmed state and there is none.
+func (r *Registry) Serve(ctx context.Context, c *wire.OriginCall) *wire.OriginAnswer {
+	a := r.answer(c)
+	if a.Record != nil || c.Confirm == wire.OriginConfirm_ORIGIN_CONFIRM_NONE {
+		return a
+	}
+	if confirmed := r.confirmFor(ctx, c.Confirm); confirmed != nil {
+		a = r.answer(&wire.OriginCall{Id: c.Id}) // with what the confirmed state has
+		a.Confirmed = true
+		for service, versions := range confirmed.departed {
+			for _, v := range versions {
+				a.History.Departed = append(a.History.Departed, &wire.OriginRecord{Service: service, Version: v})
+			}
+		}
+	}
+	return a
+}
+
+// answer keeps the records of a call and returns what this box has.
+func (r *Registry) answer(c *wire.OriginCall) *wire.OriginAnswer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.opts.Now()
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -43,20 +43,24 @@
 	leftAt map[string]time.Time
 	// confirmDelay returns the time in which a leader confirms the state of a box that has started.
 	confirmDelay func() time.Duration
+	leader       int // the box that leads
 
 	mu    sync.Mutex
 	boxes []*origin.Registry
 	down  map[string]bool
-	calls int
-	lost  int
+	cut   map[string]int // boxes of different numbers do not reach each other
+	// confirmedAt is the time from which a leader can confirm the state of a box.
+	confirmedAt map[*origin.Registry]time.Time
+	calls       int
+	lost        int
 }
 
 // to returns a box that is called, nil if it is down.
-func (n *network) to(box string) *origin.Registry {
+func (n *network) to(from, box string) *origin.Registry {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.calls++
-	if n.down[box] {
+	if !n.reaches(from, box) {
 		return nil
 	}
 	var i int
@@ -64,6 +68,9 @@
 	return n.boxes[i]
 }
 
+// reaches reports whether calls of a box reach another one. The caller holds the lock.
+func (n *network) reaches(from, to string) bool { return !n.down[to] && n.cut[from] == n.cut[to] }
+
 func (n *network) setDown(i int, down bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -83,9 +90,9 @@
 }
 
 func newNetwork(size, withDisk int, versions ...string) *network {
-	n := &network{down: map[string]bool{}, downDelay: latency}
+	n := &network{down: map[string]bool{}, cut: map[string]int{}, confirmedAt: map[*origin.Registry]time.Time{}, downDelay: latency, leader: min(6, size-1)}
 	n.configure = func(b *origin.Registry) { b.Configure(n.topology) }
-	n.topology = origin.Topology{Enabled: true, Confirmed: true, Versions: map[string][]string{service: versions}}
+	n.topology = origin.Topology{Enabled: true, Confirming: true, Confirmed: true, Versions: map[string][]string{service: versions}}
 	for i := range size {
 		n.topology.Boxes = append(n.topology.Boxes, origin.Box{ID: fmt.Sprint("b", i), Disk: i < withDisk})
 		n.boxes = append(n.boxes, nil)
@@ -104,7 +111,8 @@
 	start := time.Now()
 	var b *origin.Registry
 	b = origin.New(origin.Options{
-		Self: n.topology.Boxes[i].ID, Now: func() time.Duration { return time.Since(start) + time.Hour },
+		Self: n.topology.Boxes[i].ID, Leader: func() string { return fmt.Sprint("b", n.leader) },
+		Confirm: func(ctx context.Context) (origin.Topology, error) { return n.confirm(ctx, i, b) }, Now: func() time.Duration { return time.Since(start) + time.Hour },
 		Lost: func(records int) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -115,7 +123,7 @@
 			if !n.runs(b) {
 				return nil, errors.New("the calling box was killed")
 			}
-			to := n.to(box)
+			to := n.to(n.topology.Boxes[i].ID, box)
 			if to == nil {
 				select {
 				case <-ctx.Done():
@@ -123,7 +131,7 @@
 				}
 				return nil, errors.New("the box is down")
 			}
-			a := to.Serve(c)
+			a := to.Serve(ctx, c)
 			time.Sleep(latency)
 			return a, nil
 		},
@@ -134,6 +142,37 @@
 	n.configure(b)
 }
 
+// updateInterval is the time between two updates of a box that does not lead.
+const updateInterval = 400 * time.Millisecond
+
+// confirm returns the newest topology: at once at the leader, elsewhere with the next update if the leader can be reached.
+func (n *network) confirm(ctx context.Context, i int, b *origin.Registry) (origin.Topology, error) {
+	wait := time.Until(n.confirmableFrom(b))
+	if i != n.leader {
+		wait = max(wait, updateInterval)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return origin.Topology{}, ctx.Err()
+		case <-time.After(wait):
+		}
+		n.mu.Lock()
+		updated := slices.Contains(n.boxes, b) && n.reaches(fmt.Sprint("b", i), fmt.Sprint("b", n.leader))
+		n.mu.Unlock()
+		if updated {
+			return n.committed(), nil
+		}
+		wait = updateInterval
+	}
+}
+
+func (n *network) confirmableFrom(b *origin.Registry) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.confirmedAt[b]
+}
+
 // setVersions changes the versions of the servers, for all boxes.
 func (n *network) setVersions(versions ...string) {
 	n.mu.Lock()
@@ -260,6 +299,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			g := NewWithT(t)
 			n := newDurableNetwork(10, rand.New(rand.NewPCG(5, 1)), "v1")
+			defer time.Sleep(settle) // calls under way end
 			n.begin(9, "r", "v1")
 			time.Sleep(settle)
 			n.confirmDelay = func() time.Duration { return c.confirmedAfter }
@@ -388,7 +428,11 @@
 		stale := older[random.IntN(len(older))]
 		stale.Confirmed = false
 		b.Configure(stale)
-		time.AfterFunc(n.confirmDelay(), func() {
+		delay := n.confirmDelay()
+		n.mu.Lock()
+		n.confirmedAt[b] = time.Now().Add(delay)
+		n.mu.Unlock()
+		time.AfterFunc(delay, func() {
 			if n.runs(b) {
 				b.Configure(n.committed())
 			}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -215,6 +215,20 @@
 	return age, s.LeaseHeld && age < r.opts.Core.Lease
 }
 
+// Leads returns nil if this box was certain to lead at some time during the call, and View includes everything that any box had
+// applied when it began. Lease does not ensure the latter: a leader sends out what is committed before it publishes its own View.
+func (r *Replica) Leads() error {
+	if r.Status().Role != consensus.Leader {
+		return ErrNotLeader
+	}
+	return r.ask(func() error {
+		if _, held := r.core.LeaseAge(r.Now()); !held || !r.core.Established() {
+			return ErrNotLeader
+		}
+		return nil
+	})
+}
+
 // Receive passes a peer's message to the core.
 func (r *Replica) Receive(m *wire.Message) {
 	r.post(func() { r.core.Receive(r.Now(), m) })
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -154,6 +154,9 @@
 mutant nothing-fetched gateway/cached.go 's/w.fetchRate > 0 && missing >= minFetch/false && missing > 0/' gateway 'TestCachedPrefixes'
 mutant slow-not-avoided gateway/choose.go 's/ \+ s.stallCost\(now, c.work\)//' gateway 'TestServersThatStall'
 mutant last-order-forgotten state/announce.go 's/, Ordered: s.Servers\[a.Id\].GetOrdered\(\)//' state 'TestLastOrderIndex'
+mutant takeovers-are-not-completed wal/wal.go 's/s.pendingBase = &wire.Base\{Index: index, Term: term\}//' wal 'TestWAL|TestAcknowledged'
+mutant replaced-segments-are-read wal/wal.go 's/s.loaded.Entries, s.loaded.CommittedIndex = nil, b.Base.Index//' wal 'TestWAL|TestAcknowledged'
+mutant gaps-are-dropped wal/wal.go 's/s.connectGap\(first\)//' wal TestWAL
 mutant torn-is-damage wal/frame.go 's/if !containsFrame\(remaining\)/if false/' wal 'Test'
 mutant damage-is-torn wal/frame.go 's/if !containsFrame\(remaining\)/if true/' wal 'Test'
 mutant stop-behind-hangup daemon/daemon.go 's/signal.Notify\(s.reload, syscall.SIGHUP\)/signal.Notify(s.stop, syscall.SIGHUP)/' daemon 'TestHangupReloads'
@@ -405,6 +408,9 @@
 mutant origins-not-sent origin/keepers.go 's/if !r.topology.Enabled \{\n\t\treturn\n/if true {\n\t\treturn\n/' box TestCallersResumeAfter
 mutant restarted-boxes-know-no-other-version origin/origin.go 's/now-r.knownSince < min\(maxAge, recordTTL\)/false/' origin 'TestLookup|TestNever'
 mutant unconfirmed-states-are-believed origin/origin.go 's/s == nil \|\| !r.topology.Confirmed/s == nil/' origin TestNeverAnotherVersionAfterTheLossOfAllBoxes
+mutant unproved-single-versions-are-believed origin/origin.go 's/confirmed: r.confirm\(ctx\)\}/confirmation: \&confirmation{}}/' origin TestResumedAtABoxOutOfStep
+mutant records-sent-again-come-too-late origin/origin.go 's/range lateRounds/range 0/' origin TestResumedAtABoxOutOfStep
+mutant answers-from-before-the-question origin/confirm.go 's/if b.waiting == nil \{/if b.waiting == nil \&\& b.last != nil { return b.last }; if b.waiting == nil {/; s/waiting \*pending/last, waiting *pending/; s/close\(p.done\)/close(p.done); b.last = p/' origin 'TestNeverAnotherVersionInPartitions'
 mutant new-knowledge-sends-no-records origin/origin.go 's/ \|\| !r.knowsVersions\(now\)//' origin TestLookup
 mutant departed-versions-are-forgotten origin/origin.go 's/slices.Clone\(s.departed\)/[]string(nil)/' origin TestResumedAfterTheLossOfAllBoxes
 mutant departures-are-not-recorded state/versions.go 's/s.Versions.Departed\[v\] = s.Index/_ = v/' state 'TestReplacedVersionDeparts|TestHistoryFollows'
--- a/soak/versions_test.go
+++ b/soak/versions_test.go
@@ -101,13 +101,16 @@
 }
 
 // begin begins streams and reads the first event of each.
-func (r *versionRun) begin() (list []brokenStream) {
+func (r *versionRun) begin() []brokenStream { return r.beginAt(len(r.h.boxes)) }
+
+// beginAt is begin at the first boxes.
+func (r *versionRun) beginAt(boxes int) (list []brokenStream) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	for n := range versionStreams {
 		wg.Go(func() {
 			id := fmt.Sprintf("b%d-%d", r.h.seed, n)
-			_, last, servers := r.stream(n, id, "", "", 1)
+			_, last, servers := r.stream(n%boxes, id, "", "", 1)
 			if len(servers) == 0 {
 				return
 			}
@@ -122,11 +125,16 @@
 
 // resume resumes streams at other boxes. It returns how many were served and joined from two versions.
 func (r *versionRun) resume(list []brokenStream) (served, joined int) {
+	return r.resumeAt(list, 0, len(r.h.boxes))
+}
+
+// resumeAt is resume at the boxes from first to end.
+func (r *versionRun) resumeAt(list []brokenStream, first, end int) (served, joined int) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	for n, b := range list {
 		wg.Go(func() {
-			status, _, servers := r.stream(n+1, "resume-"+b.id, b.id, b.last, 1)
+			status, _, servers := r.stream(first+(n+1)%(end-first), "resume-"+b.id, b.id, b.last, 1)
 			mu.Lock()
 			defer mu.Unlock()
 			if status == http.StatusOK && len(servers) > 0 {
@@ -221,3 +229,70 @@
 		})
 	}
 }
+
+const (
+	// outOfStepBoxes is the number of boxes, the last ones, that do not learn of a new version.
+	outOfStepBoxes = 2
+	// joinTime is the time after which the other boxes use new servers.
+	joinTime = 1500 * time.Millisecond
+	// outOfStepTime is how long streams that are resumed wait until the box is in step again.
+	outOfStepTime = 300 * time.Millisecond
+)
+
+// setCutOff cuts the last boxes off from all others, or connects them.
+func (r *versionRun) setCutOff(cutOff bool) {
+	first := len(r.h.boxes) - outOfStepBoxes
+	for _, far := range r.h.boxes[first:] {
+		for _, near := range r.h.boxes[:first] {
+			r.h.links.set(far.ip, near.ip, cutOff, 0)
+			r.h.links.set(near.ip, far.ip, cutOff, 0)
+		}
+	}
+}
+
+// Guards against streams that go on at the only version that two boxes know, while they are cut off from the others, although servers of a newer version had begun them (ORDER).
+func TestStreamsResumeAtBoxesOutOfStep(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		set  func(r *versionRun, outOfStep bool)
+		wait time.Duration // from the first resumed stream until the boxes are in step
+	}{
+		{"cut off", (*versionRun).setCutOff, outOfStepTime},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := &versionRun{h: newBoxes(t, fixedSeed, boxCount, "")}
+			r.startVersion("v1")
+			r.h.eventually("acknowledgement of the configuration", (&endRun{h: r.h}).apply)
+			for i, d := range r.h.boxes {
+				r.h.eventually("box "+d.ip+" serves", func() bool {
+					status, _, _ := r.stream(i, fmt.Sprint("probe-", i), "", "", 1)
+					return status == http.StatusOK
+				})
+			}
+			c.set(r, true)
+			r.startVersion("v2")
+			time.Sleep(joinTime)
+			first := boxCount - outOfStepBoxes
+			begun := r.beginAt(first)
+			time.AfterFunc(c.wait, func() { c.set(r, false) })
+			served, joined := r.resumeAt(begun, first, boxCount)
+			newer := 0
+			for _, b := range begun {
+				if b.version == "v2" {
+					newer++
+				}
+			}
+			t.Logf("%d streams begun, %d of them at v2; %d resumed, %d joined", len(begun), newer, served, joined)
+			if newer < len(begun)/4 {
+				r.h.addFailure("only %d of %d streams began at the new version", newer, len(begun))
+			}
+			if joined > 0 {
+				r.h.addFailure("%d of %d streams are joined from two versions", joined, len(begun))
+			}
+			if float64(served) < minResumedSingle*float64(len(begun)) {
+				r.h.addFailure("%d of %d streams were resumed", served, len(begun))
+			}
+			r.h.reportFailures()
+		})
+	}
+}
