--- a/entry/malformed_test.go
+++ b/entry/malformed_test.go
@@ -186,3 +186,21 @@
 		g.Expect(s.upload(t, 4<<20)).To(BeTrue())
 	}
 }
+
+// Guards against a response whose head is truncated, at any byte, and that reaches its caller as a success with an empty body.
+func TestHeadTruncatedAtAnyByteIsNoSuccess(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 4\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX: y\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\nX: y\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for cut := range head {
+			r, body, _, err := newRawService(t, head[:cut], false).call(t, "")
+			if err == nil && r.StatusCode/100 == 2 {
+				t.Errorf("%q reached the caller as %d with the body %q", head[:cut], r.StatusCode, body)
+			}
+		}
+	}
+}
--- a/gateway/relayend_test.go
+++ b/gateway/relayend_test.go
@@ -97,6 +97,25 @@
 }
 
 // respondOnce returns a connection to a server that reads a request head, sends a response and closes the connection.
+// Guards against a relaying box that takes a head that its server truncated, at any byte, for one that it may relay.
+func TestTruncatedHeadsAreNotRelayed(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nX-Y: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Y: 1\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for cut := range head {
+			pool := &connPool{maxOpen: 1, dialer: func(context.Context, string) (net.Conn, error) { return respondOnce(head[:cut]), nil }}
+			a, failed := exchange(t.Context(), pool, &outgoing{method: "POST", host: "h", target: "/"}, &attest.Headers{RequestID: "X-Request-Id"}, 0, nil)
+			if failed == nil {
+				t.Errorf("%q is taken for a head of status %d", head[:cut], a.StatusCode)
+			}
+		}
+	}
+}
+
 func respondOnce(response string) net.Conn {
 	near, far := net.Pipe()
 	go func() {
