gateway: log lines of resumed streams name the stream and its version

Which of the requests that failed had taken a stream up, and at which software version, no line said. 'request-failed' and 'request-done' now have resumes, began and known_by.

--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -106,9 +106,19 @@
 	if j.owner != nil {
 		fields = append(fields, zap.String("workspace", j.owner.Name))
 	}
+	fields = append(fields, j.resumeFields()...)
 	return append(fields, j.relayFields()...)
 }
 
+// resumeFields returns the log fields of a request that resumes a stream: the request that began it, if it is known, and the
+// software version that may continue it.
+func (j *job) resumeFields() []zap.Field {
+	if j.r.Header.Get(j.g.opts.Dialect.LastEvent) == "" {
+		return nil
+	}
+	return []zap.Field{zap.String("resumes", j.resumes), zap.String("began", j.pinnedVersion), zap.String("known_by", string(j.originSource))}
+}
+
 // logFailure logs why a request was not answered.
 func (j *job) logFailure(outcome string, f *failure) {
 	fields := []zap.Field{
@@ -119,6 +129,7 @@
 	if j.prompt.Model != "" {
 		fields = append(fields, zap.String("model", j.prompt.Model), zap.String("adapter", j.prompt.Adapter))
 	}
+	fields = append(fields, j.resumeFields()...)
 	fields = append(fields, j.quotaFields()...)
 	fields = append(fields, j.admissionFields()...)
 	fields = append(fields, j.blockFields(outcome)...)
