placement, gateway: streams get a copy of their model at their software version

Cause: the leader learned that requests wait for the model, not at which version, and a copy at another version sufficed for it.

--- a/box/platform.go
+++ b/box/platform.go
@@ -47,6 +47,9 @@
 	return gateway.New(gateway.Options{
 		Dial: dialServers(s), OpenRelay: b.openRelay, Self: s.Box, Dialect: own, View: p.replica.View, Current: func() bool { return b.routesInitialized.Load() && p.spread.Current() },
 		Notify: func(n gateway.Notice) {
+			if p.replica.View().Level < level.ConfirmedVersions {
+				n.AwaitedVersion = ""
+			}
 			select {
 			case p.notices <- n:
 			default: // the next request makes a notice again
@@ -115,7 +118,7 @@
 
 func addNotice(call *wire.Forward, n gateway.Notice) {
 	if n.AwaitedItem != "" {
-		call.Wants = append(call.Wants, &wire.Demand{Model: n.AwaitedItem})
+		call.Wants = append(call.Wants, &wire.Demand{Model: n.AwaitedItem, Version: n.AwaitedVersion})
 	}
 	if n.CrowdedAdapter != "" {
 		call.Crowded = append(call.Crowded, &wire.Demand{Model: n.CrowdedAdapter})
--- a/control/announce.go
+++ b/control/announce.go
@@ -11,6 +11,7 @@
 
 	"leverdrum/event"
 	"leverdrum/level"
+	"leverdrum/placement"
 	"leverdrum/replica"
 	"leverdrum/state"
 	"leverdrum/wire"
@@ -209,7 +210,7 @@
 	}
 	c.mu.Lock()
 	for _, d := range f.Wants {
-		c.wanted[d.Model] = time.Now()
+		c.wanted[placement.AwaitedItem{Item: d.Model, Version: d.Version}] = time.Now()
 	}
 	newlyCrowded := c.noteCrowded(f.Crowded, c.opts.Replica.View(), time.Now())
 	c.mu.Unlock()
@@ -226,19 +227,22 @@
 	return nil
 }
 
-// wants returns the models and adapters that requests currently wait for.
-func (c *Controller) wants() map[string]bool {
+// wants returns the models and adapters that requests currently wait for, and those that streams wait for at servers of a version.
+func (c *Controller) wants() (items map[string]bool, atVersions []placement.AwaitedItem) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	current := map[string]bool{}
-	for name, at := range c.wanted {
-		if time.Since(at) > wantTTL {
-			delete(c.wanted, name)
-			continue
+	items = map[string]bool{}
+	for w, at := range c.wanted {
+		switch {
+		case time.Since(at) > wantTTL:
+			delete(c.wanted, w)
+		case w.Version != "":
+			atVersions = append(atVersions, w)
+		default:
+			items[w.Item] = true
 		}
-		current[name] = true
 	}
-	return current
+	return items, atVersions
 }
 
 // unavailable reports whether placement must not count on an announced server.
--- a/control/control.go
+++ b/control/control.go
@@ -33,6 +33,7 @@
 	"leverdrum/event"
 	"leverdrum/internal/wait"
 	"leverdrum/meter"
+	"leverdrum/placement"
 	"leverdrum/record"
 	"leverdrum/replica"
 	"leverdrum/spread"
@@ -135,13 +136,13 @@
 	suspicions  map[string]*suspicion // of servers, see unreachable.go
 	// limitChangedAt is when a server's limit was last committed.
 	limitChangedAt    map[string]time.Time
-	backoffs          map[string]map[string]time.Time // expiry of boxes' reports of long backoffs, by server and box
-	lastOrders        map[string]lastOrder            // by server, see pause.go; nil before the first check
-	withoutCopySince  map[string]time.Time            // by model, see idle.go
-	lastRequested     map[string]time.Time            // by model
-	anyRequestSeen    bool                            // this leader has seen demand for a model
-	wanted            map[string]time.Time            // models and adapters that requests wait for
-	crowded           crowdedAdapters                 // reported by boxes, see crowded.go
+	backoffs          map[string]map[string]time.Time     // expiry of boxes' reports of long backoffs, by server and box
+	lastOrders        map[string]lastOrder                // by server, see pause.go; nil before the first check
+	withoutCopySince  map[string]time.Time                // by model, see idle.go
+	lastRequested     map[string]time.Time                // by model
+	anyRequestSeen    bool                                // this leader has seen demand for a model
+	wanted            map[placement.AwaitedItem]time.Time // models and adapters that requests wait for
+	crowded           crowdedAdapters                     // reported by boxes, see crowded.go
 	longTermRates     longTermRates
 	wake              chan struct{}
 	sessionsRetriedAt time.Time     // when unresponsive boxes were last contacted
@@ -171,7 +172,7 @@
 	return &Controller{
 		opts: opts, reports: map[string]report{}, readsInProgress: map[string]bool{}, quarantine: map[string]time.Time{},
 		ordersInProgress: map[uint64]bool{}, shortages: map[string]string{},
-		contacts: map[string]*contact{}, withoutCopySince: map[string]time.Time{}, lastRequested: map[string]time.Time{}, suspicions: map[string]*suspicion{}, limitChangedAt: map[string]time.Time{}, backoffs: map[string]map[string]time.Time{}, orderCounts: map[string]uint64{}, wanted: map[string]time.Time{}, crowded: newCrowdedAdapters(), incarnationSeenAt: map[string]time.Time{}, openLoads: map[uint64]*openLoad{}, loadedItems: map[crasher.Fingerprint]bool{}, wake: make(chan struct{}, 1),
+		contacts: map[string]*contact{}, withoutCopySince: map[string]time.Time{}, lastRequested: map[string]time.Time{}, suspicions: map[string]*suspicion{}, limitChangedAt: map[string]time.Time{}, backoffs: map[string]map[string]time.Time{}, orderCounts: map[string]uint64{}, wanted: map[placement.AwaitedItem]time.Time{}, crowded: newCrowdedAdapters(), incarnationSeenAt: map[string]time.Time{}, openLoads: map[uint64]*openLoad{}, loadedItems: map[crasher.Fingerprint]bool{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -282,7 +283,7 @@
 		c.anyRequestSeen = false
 		c.withoutCopySince, c.lastRequested = map[string]time.Time{}, map[string]time.Time{}
 		c.orderCounts = map[string]uint64{}
-		c.wanted = map[string]time.Time{}
+		c.wanted = map[placement.AwaitedItem]time.Time{}
 		c.crowded = newCrowdedAdapters()
 		c.loadedItems = map[crasher.Fingerprint]bool{}
 		c.inFlightInitialized = false
--- a/control/decide.go
+++ b/control/decide.go
@@ -74,9 +74,10 @@
 
 // placementInput returns what a placement decision depends on.
 func (c *Controller) placementInput(view *state.State, now time.Time) placement.Input {
+	awaited, atVersions := c.wants()
 	in := placement.Input{
 		State: view, Demand: c.demand(view), Down: c.downServers(view), NoOrders: c.heldServers(view, now),
-		InBackoff: c.serversInBackoff(view, now), Awaited: c.wants(), LeaderFor: time.Since(c.leadingSince), DemandSettleTime: c.opts.DemandSettleTime,
+		InBackoff: c.serversInBackoff(view, now), Awaited: awaited, AwaitedAtVersions: atVersions, LeaderFor: time.Since(c.leadingSince), DemandSettleTime: c.opts.DemandSettleTime,
 		Slowness: c.slowness(), Crowded: c.crowdedNow(now),
 	}
 	c.classifyModels(&in, now)
--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -118,6 +118,7 @@
 // set.
 type Notice struct {
 	AwaitedItem       string // a model or adapter that requests wait for
+	AwaitedVersion    string // of servers, if streams wait for AwaitedItem at servers of that software version
 	CrowdedAdapter    string // an on-demand adapter whose servers would all answer late
 	RefusingServer    string // a server that refuses connections
 	UnreachableServer string // a server that does not answer when a connection is opened
--- a/gateway/find.go
+++ b/gateway/find.go
@@ -156,16 +156,23 @@
 	if j.prompt.Model == "" && !triedAll {
 		return reason.NoServer
 	}
+	notResident := reason.NotResident
+	if j.pinned {
+		notResident = reason.VersionNotResident
+	}
 	if j.remaining() < minRemainingForModel {
-		return reason.NotResident
+		return notResident
 	}
 	pause, giveUp := j.shouldGiveUp(time.Now())
 	switch {
 	case triedAll:
 		pause = retryPause
 		j.tried = nil
+	case j.pinned && time.Since(j.arrived) < j.patience()-minRemainingForModel:
+		pause = waitPoll
+		j.g.notices.send(Notice{AwaitedItem: itemOf(j.prompt), AwaitedVersion: j.pinnedVersion})
 	case giveUp:
-		return reason.NotResident
+		return notResident
 	default:
 		j.g.notices.send(Notice{AwaitedItem: itemOf(j.prompt)})
 	}
@@ -179,7 +186,7 @@
 		return reason.Stopping
 	}
 	if ctx.Err() != nil {
-		return reason.NotResident
+		return notResident
 	}
 	return nil
 }
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -78,7 +78,7 @@
 		return withJitter(refusal.RetryAfter)
 	case reason.ServersInBackoff:
 		return min(j.retryAfter+backoffJitter(j.retryAfter), j.remaining())
-	case reason.NotResident, reason.BackendRefused:
+	case reason.NotResident, reason.VersionNotResident, reason.BackendRefused:
 		return j.retryAfterForModel(refusal, soon)
 	}
 	return soon
--- a/gateway/patience_test.go
+++ b/gateway/patience_test.go
@@ -127,3 +127,31 @@
 		g.Expect(notices).To(Receive(Equal(Notice{AwaitedItem: "m/a1"})))
 	})
 }
+
+// Guards against a stream that is rejected after a second, though its caller has time left and a server of its version may get its
+// model: the leader was not told at which version it is needed (LOST).
+func TestStreamsWaitForTheirModelAtTheirVersion(t *testing.T) {
+	stream := &fleet.Route{Kind: fleet.Streaming, Resumable: true}
+	for _, row := range []struct {
+		name             string
+		pinned           bool
+		deadline, waited time.Duration
+		want             *reason.Reason
+	}{
+		{"a new stream, past its share", false, 10 * time.Second, 2 * time.Second, reason.NotResident},
+		{"a resumed one", true, 10 * time.Second, 2 * time.Second, nil},
+		{"a resumed one, shortly before its deadline", true, 10 * time.Second, 9900 * time.Millisecond, reason.VersionNotResident},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			j, _ := newWaitingJob(stream, row.deadline, row.waited, 0)
+			j.pinned, j.pinnedVersion = row.pinned, "v1"
+			var sent []Notice
+			j.g.notices.notify = func(n Notice) { sent = append(sent, n) }
+			g.Expect(j.waitForUpdate(t.Context(), make(chan struct{}), false)).To(Equal(row.want), row.name)
+			if row.want == nil {
+				g.Expect(sent).To(Equal([]Notice{{AwaitedItem: itemOf(j.prompt), AwaitedVersion: "v1"}}))
+			}
+		})
+	}
+}
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -12,7 +12,6 @@
 	"leverdrum/meter"
 	"leverdrum/origin"
 	"leverdrum/reason"
-	"leverdrum/wire"
 )
 
 // Values of the label and log field "by": who resumes a stream.
@@ -129,14 +128,14 @@
 	return version, ok
 }
 
-// atPinnedVersion returns the servers of a list that may continue the stream. The list may be empty only while the model is
-// being loaded on a server of the version.
+// atPinnedVersion returns the servers of a list that may continue the stream. The list may be empty while a server of the version
+// may get the model.
 func (j *job) atPinnedVersion(list []*server) ([]*server, *reason.Reason) {
 	other := func(s *server) bool { return s.version != j.pinnedVersion }
 	if slices.ContainsFunc(list, other) {
 		list = slices.DeleteFunc(slices.Clone(list), other)
 	}
-	if len(list) == 0 && !j.loadingAtPinnedVersion() {
+	if len(list) == 0 && !j.mayGetModel() {
 		return nil, reason.VersionGone
 	}
 	return list, nil
@@ -174,20 +173,15 @@
 	return p != nil && slices.ContainsFunc(p.servers(), func(s *server) bool { return s.version == j.pinnedVersion })
 }
 
-// loadingAtPinnedVersion reports whether the item that the request needs is being loaded on a server that may continue the
-// stream.
-func (j *job) loadingAtPinnedVersion() bool {
+// mayGetModel reports whether a server that may continue the stream is loading the item that the request needs, or may get it: one
+// that stays.
+func (j *job) mayGetModel() bool {
 	p := j.g.dir.table().pools[j.poolName]
-	if p == nil || j.prompt.Model == "" {
+	if p == nil || p.Kind == nil || j.prompt.Model == "" {
 		return false
 	}
-	adapter := ""
-	if j.prompt.Adapter != "" {
-		adapter = itemOf(j.prompt)
-	}
-	for location, r := range p.view.Residents.ByItem(j.prompt.Model, adapter) {
-		a := p.view.Announcements.Get(location.Server)
-		if r.Phase == wire.Phase_PHASE_LOADING && a.GetService() == p.Name && a.GetVersion() == j.pinnedVersion {
+	for _, a := range p.view.Announcements.ByService(p.Name) {
+		if a.GetVersion() == j.pinnedVersion && !a.GetLeaving() {
 			return true
 		}
 	}
--- a/level/level.go
+++ b/level/level.go
@@ -52,7 +52,8 @@
 	// VersionHistory: the software versions of servers that have left are replicated for as long as callers may resume their
 	// streams.
 	VersionHistory
-	// ConfirmedVersions: boxes ask each other whether a leader has confirmed what they know of software versions (package origin).
+	// ConfirmedVersions: boxes ask each other whether a leader has confirmed what they know of software versions (package origin),
+	// and report at which version streams wait for a model.
 	ConfirmedVersions
 	// end is one above the newest level.
 	end
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -93,6 +93,14 @@
 //     further copy, and else the one with the fewest requests per copy.
 //  25. Where speeds are known, the demand of an on-demand adapter counts on the servers that have it. Only
 //     the rest of its model's demand is assigned to all copies (19).
+//
+// Streams that have begun at one software version of the servers (Input.AwaitedAtVersions):
+//
+//  26. A model that streams wait for at a software version gets a copy on a usable server of that version,
+//     unless one is ready or loading there: where there is memory for it, or else where making room costs
+//     the fewest requests, as for a first copy (5). It comes before other needs, and counts like any copy
+//     afterwards. An on-demand adapter is loaded beside a ready copy at the version, where a slot is free
+//     or an adapter can be evicted that no request waits for.
 package placement
 
 import (
@@ -139,6 +147,8 @@
 	Idle map[string]bool
 	// Awaited names models and on-demand adapters that requests wait for.
 	Awaited map[string]bool
+	// AwaitedAtVersions are what streams wait for at servers of a software version (26).
+	AwaitedAtVersions []AwaitedItem
 	// Crowded names on-demand adapters whose servers would all answer late while another ready copy of
 	// their model would not (22); nil: none.
 	Crowded map[string]bool
@@ -184,6 +194,7 @@
 	p.planUnloads()
 	p.planAdapters()
 	p.planOnDemandAdapters()
+	p.planAwaitedVersions()
 	p.reserveForNeeds()
 	p.loadReserved()
 	p.planCrowdedAdapters() // last: the leader may drop these orders, and models must not wait for them
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -411,6 +411,9 @@
 mutant unproved-single-versions-are-believed origin/origin.go 's/confirmed: r.confirm\(ctx\)\}/confirmation: \&confirmation{}}/' origin TestResumedAtABoxOutOfStep
 mutant records-sent-again-come-too-late origin/origin.go 's/range lateRounds/range 0/' origin TestResumedAtABoxOutOfStep
 mutant answers-from-before-the-question origin/confirm.go 's/if b.waiting == nil \{/if b.waiting == nil \&\& b.last != nil { return b.last }; if b.waiting == nil {/; s/waiting \*pending/last, waiting *pending/; s/close\(p.done\)/close(p.done); b.last = p/' origin 'TestNeverAnotherVersionInPartitions'
+mutant streams-get-no-copy placement/placement.go 's/\tp.planAwaitedVersions\(\)\n//' placement TestStreamsGetACopyAtTheirVersion
+mutant streams-do-not-wait-for-their-model gateway/find.go 's/case j.pinned &&/case false \&\& j.pinned \&\&/' gateway TestStreamsWaitForTheirModelAtTheirVersion
+mutant departed-versions-are-awaited gateway/versions.go 's/if j.g.opts.Origins.Departed\(/if false \&\& j.g.opts.Origins.Departed(/' gateway TestResumedStreamWaitsForServersThatTheBoxLacks
 mutant new-knowledge-sends-no-records origin/origin.go 's/ \|\| !r.knowsVersions\(now\)//' origin TestLookup
 mutant departed-versions-are-forgotten origin/origin.go 's/slices.Clone\(s.departed\)/[]string(nil)/' origin TestResumedAfterTheLossOfAllBoxes
 mutant departures-are-not-recorded state/versions.go 's/s.Versions.Departed\[v\] = s.Index/_ = v/' state 'TestReplacedVersionDeparts|TestHistoryFollows'
