wal: sync what a start truncates; a test of every pair of stops

What callers would see: after a loss of power a box does not start, since its folder is refused as corrupted.

Cause: a start truncated a torn frame and did not sync that.

Files are reached through a small interface, under which TestEveryPairOfStops stops the store after each operation, as a kill or as a loss of power that keeps, loses or tears what was not synced, goes on, and stops it a second time.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -156,6 +156,9 @@
 mutant last-order-forgotten state/announce.go 's/, Ordered: s.Servers\[a.Id\].GetOrdered\(\)//' state 'TestLastOrderIndex'
 mutant takeovers-are-not-completed wal/wal.go 's/s.pendingBase = &wire.Base\{Index: index, Term: term\}//' wal 'TestWAL|TestAcknowledged'
 mutant replaced-segments-are-read wal/wal.go 's/s.loaded.Entries, s.loaded.CommittedIndex = nil, b.Base.Index//' wal 'TestWAL|TestAcknowledged'
+mutant truncations-are-not-synced wal/wal.go 's/if err := f.Sync\(\); err != nil \{ \/\/ \(3\)/if false {/' wal TestEveryPairOfStops
+mutant files-are-not-synced wal/frame.go 's/if err := f.Sync\(\); err != nil \{/if false {/' wal TestEveryPairOfStops
+mutant renames-are-not-synced wal/frame.go 's/return s.syncFolder\(\)/return nil/' wal TestEveryPairOfStops
 mutant gaps-are-dropped wal/wal.go 's/s.connectGap\(first\)//' wal TestWAL
 mutant torn-is-damage wal/frame.go 's/if !containsFrame\(remaining\)/if false/' wal 'Test'
 mutant damage-is-torn wal/frame.go 's/if !containsFrame\(remaining\)/if true/' wal 'Test'
--- a/wal/frame.go
+++ b/wal/frame.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
-	"os"
 
 	"google.golang.org/protobuf/proto"
 )
@@ -83,7 +82,7 @@
 
 // readSingleFrame reads a file that consists of a single frame.
 func (s *Store) readSingleFrame(name string, m proto.Message) error {
-	data, err := os.ReadFile(s.path(name))
+	data, err := s.files.read(s.path(name))
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -109,22 +108,22 @@
 		return Error.Wrap(err)
 	}
 	temp := s.path(name + tempSuffix)
-	if err := writeSynced(temp, encodeFrame(payload)); err != nil {
-		return errors.Join(err, os.Remove(temp))
+	if err := s.writeSynced(temp, encodeFrame(payload)); err != nil {
+		return errors.Join(err, s.files.remove(temp))
 	}
-	if err := os.Rename(temp, s.path(name)); err != nil {
+	if err := s.files.rename(temp, s.path(name)); err != nil {
 		return Error.Wrap(err)
 	}
 	return s.syncFolder()
 }
 
-func writeSynced(path string, data []byte) error {
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+func (s *Store) writeSynced(path string, data []byte) error {
+	f, err := s.files.open(path, true)
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	defer f.Close()
-	if _, err := f.Write(data); err != nil {
+	if _, err := f.WriteAt(data, 0); err != nil {
 		return Error.Wrap(fmt.Errorf("%w: %w", ErrDiskFull, err))
 	}
 	if err := f.Sync(); err != nil {
@@ -134,12 +133,7 @@
 }
 
 func (s *Store) syncFolder() error {
-	d, err := os.Open(s.opts.Folder)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	defer d.Close()
-	if err := d.Sync(); err != nil {
+	if err := s.files.syncFolder(s.opts.Folder); err != nil {
 		return Error.Wrap(fmt.Errorf("%w: %w", ErrSync, err))
 	}
 	return nil
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -94,11 +94,13 @@
 // Store is an open data folder. It is not safe for concurrent use.
 type Store struct {
 	opts        Options
+	files       filesystem
 	identity    *wire.Identity
 	loaded      Loaded
 	base        *wire.Base // newest one in the log
 	pendingBase *wire.Base // snapshot that the next batch must name, nil if the log connects to it (5)
-	segment     *os.File
+	segment     file
+	segmentName string
 	seq         uint64
 	segmentSize int64 // bytes of the open segment
 	otherSize   int64 // bytes of all other files
@@ -117,10 +119,14 @@
 
 // Open opens a data folder, creating it if needed.
 func Open(opts Options) (*Store, error) {
-	if err := os.MkdirAll(opts.Folder, folderMode); err != nil {
+	return open(opts, osFiles{})
+}
+
+func open(opts Options, files filesystem) (*Store, error) {
+	if err := files.makeFolder(opts.Folder); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	s := &Store{opts: opts}
+	s := &Store{opts: opts, files: files}
 	if err := s.openIdentity(); err != nil {
 		return nil, err
 	}
@@ -187,7 +193,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := os.Stat(s.path(snapshotName)); err == nil || len(names) > 0 {
+	if _, err := s.files.read(s.path(snapshotName)); err == nil || len(names) > 0 {
 		return Error.Wrap(fmt.Errorf("%s: %w: records exist, but the identity file is missing", s.opts.Folder, ErrCorrupt))
 	}
 	s.identity = &wire.Identity{Format: Format, Box: s.opts.Box, Cluster: s.opts.Cluster, Incarnation: s.opts.Incarnation}
@@ -240,7 +246,7 @@
 }
 
 func (s *Store) loadSegment(name string, last bool) error {
-	data, err := os.ReadFile(s.path(name))
+	data, err := s.files.read(s.path(name))
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -255,7 +261,23 @@
 		return Error.Wrap(fmt.Errorf("%s: at byte %d: %w", s.path(name), good, ErrCorrupt))
 	}
 	s.loaded.Torn = true
-	return Error.Wrap(os.Truncate(s.path(name), int64(good)))
+	return s.truncateTorn(name, int64(good))
+}
+
+// truncateTorn durably truncates a segment whose last frame is torn.
+func (s *Store) truncateTorn(name string, size int64) error {
+	f, err := s.files.open(s.path(name), false)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer f.Close()
+	if err := f.Truncate(size); err != nil {
+		return Error.Wrap(err)
+	}
+	if err := f.Sync(); err != nil { // (3)
+		return Error.Wrap(fmt.Errorf("%w: %w", ErrSync, err))
+	}
+	return nil
 }
 
 func (s *Store) replay(payload []byte) error {
@@ -315,14 +337,14 @@
 
 // segments returns the names of the segment files, oldest first.
 func (s *Store) segments() ([]string, error) {
-	list, err := os.ReadDir(s.opts.Folder)
+	list, err := s.files.list(s.opts.Folder)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
 	var names []string
-	for _, e := range list {
-		if strings.HasPrefix(e.Name(), segmentPrefix) && !strings.HasSuffix(e.Name(), tempSuffix) {
-			names = append(names, e.Name())
+	for name := range list {
+		if strings.HasPrefix(name, segmentPrefix) && !strings.HasSuffix(name, tempSuffix) {
+			names = append(names, name)
 		}
 	}
 	slices.SortFunc(names, func(a, b string) int { return int(segmentNumber(a)) - int(segmentNumber(b)) })
@@ -342,33 +364,29 @@
 	if len(names) > 0 {
 		s.seq = segmentNumber(names[len(names)-1])
 	}
-	f, err := os.OpenFile(s.path(segmentPrefix+strconv.FormatUint(s.seq, 10)), os.O_CREATE|os.O_RDWR, fileMode)
+	s.segmentName = segmentPrefix + strconv.FormatUint(s.seq, 10)
+	f, err := s.files.open(s.path(s.segmentName), false)
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	s.segment = f
-	if s.segmentSize, err = f.Seek(0, 2); err != nil {
-		return Error.Wrap(err)
-	}
 	if err := s.syncFolder(); err != nil {
 		return err
 	}
-	return s.measureOtherFiles()
+	return s.measureFiles()
 }
 
-// measureOtherFiles computes the total size of all files except the open segment.
-func (s *Store) measureOtherFiles() error {
-	list, err := os.ReadDir(s.opts.Folder)
+// measureFiles sets the size of the open segment and the total size of all other files.
+func (s *Store) measureFiles() error {
+	list, err := s.files.list(s.opts.Folder)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	s.otherSize = 0
-	for _, e := range list {
-		info, err := e.Info()
-		if err != nil || e.Name() == filepath.Base(s.segment.Name()) {
-			continue
+	s.segmentSize, s.otherSize = list[s.segmentName], 0
+	for name, size := range list {
+		if name != s.segmentName {
+			s.otherSize += size
 		}
-		s.otherSize += info.Size()
 	}
 	return nil
 }
@@ -441,7 +459,7 @@
 	s.pendingBase = nil
 	s.closeSegment()
 	for _, n := range old {
-		if err := os.Remove(s.path(n)); err != nil {
+		if err := s.files.remove(s.path(n)); err != nil {
 			return Error.Wrap(err)
 		}
 	}
