consensus: a leader goes back to what a voter still has

Cause: a leader resumed from the newest acknowledged entry whatever the voter reported, got the same rejection, and sent the same for ever.

Change: rule 2.7. A rejection of a later round than the one that raised the match lowers it.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -43,7 +43,10 @@
 //     committed, and only when no other change is in progress.
 //     2.6 A change uses a joint configuration, in which majorities of both the old
 //     and the new voters are required; the leader ends it once it is committed.
-//     2.7 A leader that is no longer a voter steps down when that is committed.
+//     2.7 A leader sends from what a node reports to have, also if that is less than
+//     the node has acknowledged: it has lost the rest, and does not count for it
+//     any more.
+//     2.8 A leader that is no longer a voter steps down when that is committed.
 //  3. Linearizable reads.
 //     3.1 A leader serves none before an entry of its own term is committed.
 //     3.2 A read is served at the index committed on its arrival, once a quorum
@@ -109,6 +112,7 @@
 // progress is a leader's replication state for one other node.
 type progress struct {
 	match, next uint64
+	matchRound  uint64        // the round whose answer raised match last
 	round       uint64        // newest round that the node answered
 	lastReply   time.Duration // when the node last answered
 }
--- a/consensus/consensus_test.go
+++ b/consensus/consensus_test.go
@@ -171,6 +171,39 @@
 	g.Expect(n.Commit()).To(BeEquivalentTo(3))
 }
 
+// Guards against a leader that sends for ever from behind what a voter has lost, and goes on counting on it (review/4).
+func TestLeaderGoesBackToWhatAVoterHas(t *testing.T) {
+	g := NewWithT(t)
+	entries := []*wire.Entry{{Index: 2, Term: 2}, {Index: 3, Term: 2}, {Index: 4, Term: 2}}
+	n := leadOf3(t, 3, entries...)
+	at := time.Hour
+	answer(n, at, 5, roundOf(n.TakeOutput()))
+	g.Expect(n.Commit()).To(BeEquivalentTo(5))
+	reject := func(index, round uint64) {
+		n.Receive(at, &wire.Message{Type: wire.MessageType_MESSAGE_APPEND_REPLY, From: "b1/0", To: "b0/0", Term: n.Term(), Reject: true, Index: index, Round: round})
+	}
+	next := func() (prev uint64) {
+		at += heartbeat
+		n.Tick(at)
+		for _, m := range n.TakeOutput().Messages {
+			if m.To == "b1/0" && m.Type == wire.MessageType_MESSAGE_APPEND {
+				prev = m.Index
+			}
+		}
+		return prev
+	}
+	n.TakeOutput()
+	reject(2, 1)
+	g.Expect(next()).To(BeEquivalentTo(5), "an answer from before the acknowledgement is late")
+	reject(2, 99)
+	g.Expect(next()).To(BeEquivalentTo(2), "it sends again what the voter has lost")
+	_, _, err := n.Propose([]byte("x"))
+	g.Expect(err).NotTo(HaveOccurred())
+	n.TakeOutput()
+	answer(n, at, 6, 100)
+	g.Expect(n.Commit()).To(BeEquivalentTo(6))
+}
+
 func TestReadWaitsForItsRound(t *testing.T) {
 	g := NewWithT(t)
 	n := leadOf3(t, 3)
--- a/consensus/step.go
+++ b/consensus/step.go
@@ -301,7 +301,7 @@
 	if m.Reject {
 		n.rewindNext(m, p)
 	} else if m.Index > p.match {
-		p.match = m.Index
+		p.match, p.matchRound = m.Index, m.Round
 		p.next = max(p.next, m.Index+1)
 		n.advanceCommit()
 	}
@@ -313,8 +313,12 @@
 	}
 }
 
-// rewindNext resumes sending from where the follower reports that its log may still match.
+// rewindNext resumes sending from where the follower reports that its log may still match. An answer to an earlier round than the
+// one that raised match was sent before.
 func (n *Node) rewindNext(m *wire.Message, p *progress) {
+	if m.Index < p.match && m.Round > p.matchRound { // (2.7)
+		p.match = m.Index
+	}
 	if m.Index+1 < p.next {
 		p.next = max(p.match, m.Index) + 1
 		n.wantAppend = true
@@ -343,7 +347,7 @@
 		n.appendConfig(&wire.Config{Voters: c.Voters})
 		return
 	}
-	if !slices.Contains(c.Voters, n.opts.ID) { // (2.7)
+	if !slices.Contains(c.Voters, n.opts.ID) { // (2.8)
 		n.sendAppends(true)
 		n.becomeFollower(n.term, "")
 	}
