consensus: a read waits for the end of the leader's log

What callers would see: a configuration is read back in an older version than another box already shows (CONFIG), after members without a leader have proved an entry to be committed that the leader has not yet counted. Not seen on processes.

Cause: a read was served at the index that the leader knew to be committed on its arrival. By rule 2.3 a majority's log positions may prove more.

Change: rule 3.2. It is served at the end that the log had, once that is committed; the same round brings the acknowledgements.

TestReadWaitsForTheEndOfTheLog is new.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -49,8 +49,10 @@
 //     2.8 A leader that is no longer a voter steps down when that is committed.
 //  3. Linearizable reads.
 //     3.1 A leader serves none before an entry of its own term is committed.
-//     3.2 A read is served at the index committed on its arrival, once a quorum
-//     has answered a round of messages that began after its arrival.
+//     3.2 A read is served at the end that the log had on its arrival, once that is
+//     committed and a quorum has answered a round of messages that began after its
+//     arrival. Other members may have proved more to be committed (2.3) than the
+//     leader knows of, but not more than its log has.
 //  4. The lease.
 //     4.1 It starts before the round is sent.
 //     4.2 It is shorter than ElectionMin, so that by 1.4 and 1.5 no other
@@ -333,7 +335,7 @@
 	if !n.Established() || n.transferred { // (3.1)
 		return ErrNotLeader
 	}
-	n.reads = append(n.reads, read{token: token, index: n.commit, round: n.round + 1}) // (3.2)
+	n.reads = append(n.reads, read{token: token, index: n.log.lastIndex(), round: n.round + 1}) // (3.2)
 	n.wantRound = true
 	return nil
 }
--- a/consensus/consensus_test.go
+++ b/consensus/consensus_test.go
@@ -317,3 +317,19 @@
 		n.TakeOutput()
 	}
 }
+
+// Guards against a read that misses an entry which other members have proved to be committed, while its leader does not know that yet
+// (TestConsensusUnderFailure, seeds 20280117 and 20327268).
+func TestReadWaitsForTheEndOfTheLog(t *testing.T) {
+	g := NewWithT(t)
+	n := leadOf3(t, 3)
+	answer(n, time.Hour, 2, roundOf(n.TakeOutput()))
+	_, _, err := n.Propose([]byte("x"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(n.Read(7)).To(Succeed())
+	round := roundOf(n.TakeOutput())
+	answer(n, time.Hour, 2, round) // b1 has answered the round; b2 may hold the entry
+	g.Expect(n.TakeOutput().Reads).To(BeEmpty())
+	answer(n, time.Hour, 3, round)
+	g.Expect(n.TakeOutput().Reads).To(Equal([]consensus.ReadReady{{Token: 7, Index: 3}}))
+}
--- a/consensus/step.go
+++ b/consensus/step.go
@@ -403,7 +403,7 @@
 		}
 	}
 	n.reads = slices.DeleteFunc(n.reads, func(r read) bool {
-		if r.round > best {
+		if r.round > best || r.index > n.commit {
 			return false
 		}
 		n.out.Reads = append(n.out.Reads, ReadReady{r.token, r.index})
