replica: leading with entries under way is confirmed by a read

A lease says that no other box leads, not that what the leader has applied includes what others have proved to be committed.

--- a/box/origins.go
+++ b/box/origins.go
@@ -60,7 +60,7 @@
 func (p *components) confirmedTopology(ctx context.Context) (origin.Topology, error) {
 	began := p.replica.Now()
 	for {
-		if p.replica.Leads() == nil {
+		if p.replica.Leads(ctx) == nil {
 			return originTopology(p.replica.View(), true), nil
 		}
 		if age, fresh := p.spread.StateAge(); fresh && p.replica.Now()-age >= began {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -8,6 +8,7 @@
 package replica
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -216,17 +217,24 @@
 }
 
 // Leads returns nil if this box was certain to lead at some time during the call, and View includes everything that any box had
-// applied when it began. Lease does not ensure the latter: a leader sends out what is committed before it publishes its own View.
-func (r *Replica) Leads() error {
+// applied when it began. Lease does not ensure the latter: a leader sends out what is committed before it publishes its own View, and
+// others may have proved more to be committed than it knows (package consensus, rule 2.3).
+func (r *Replica) Leads(ctx context.Context) error {
 	if r.Status().Role != consensus.Leader {
 		return ErrNotLeader
 	}
-	return r.ask(func() error {
+	settled := false
+	err := r.ask(func() error {
 		if _, held := r.core.LeaseAge(r.Now()); !held || !r.core.Established() {
 			return ErrNotLeader
 		}
+		settled = r.core.Commit() == r.core.LastIndex()
 		return nil
 	})
+	if err != nil || settled {
+		return err
+	}
+	return r.Barrier(ctx)
 }
 
 // Receive passes a peer's message to the core.
