spread: a box that lost its source asks several boxes at once

Cause: it asked one box after the other, and waited 1.2 s for each that did not answer: sessions that the cut had broken, and the frozen leader at each fourth attempt.

Change: up to four at a time, at least 80 ms apart; the first with a fresh update is the next source. A session on which nothing arrived during a Fetch is closed.

--- a/peer/call.go
+++ b/peer/call.go
@@ -83,11 +83,12 @@
 		}
 	case <-ctx.Done():
 	}
-	// A call that runs out of time is not evidence that the session is broken.
-	if s.unresponsive() {
+	// A call that runs out of time is not evidence that the session is broken. A Fetch during which nothing arrived is.
+	received := s.conn.received.Load() - before
+	if s.unresponsive() || received == 0 && errors.Is(context.Cause(ctx), errStalled) {
 		l.drop(s)
 	}
-	return nil, p.abandoned(ctx, s.conn.received.Load()-before)
+	return nil, p.abandoned(ctx, received)
 }
 
 // abandoned adds the bytes received from the box during an abandoned call to the metrics
--- a/spread/cluster_test.go
+++ b/spread/cluster_test.go
@@ -105,6 +105,7 @@
 	disks         map[string]*disk
 	processes     map[string]*process // running, by box
 	isolated      map[string]bool     // boxes on one side of a partition
+	frozen        map[string]bool     // boxes that answer nobody
 	number        uint64
 	acknowledged  []acknowledgedFile
 	violation     string
@@ -121,7 +122,7 @@
 func (c *cluster) process(from, box string) *process {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isolated[from] != c.isolated[box] {
+	if c.isolated[from] != c.isolated[box] || c.frozen[from] || c.frozen[box] {
 		return nil
 	}
 	return c.processes[box]
@@ -170,7 +171,7 @@
 
 func newCluster(t *testing.T, seed uint64, lease, writeDelay time.Duration, disks, others int) *cluster {
 	c := &cluster{
-		t: t, lease: lease, writeDelay: writeDelay, rng: rand.New(rand.NewPCG(seed, 1)), disks: map[string]*disk{}, processes: map[string]*process{}, isolated: map[string]bool{},
+		t: t, lease: lease, writeDelay: writeDelay, rng: rand.New(rand.NewPCG(seed, 1)), disks: map[string]*disk{}, processes: map[string]*process{}, isolated: map[string]bool{}, frozen: map[string]bool{},
 	}
 	var voters []string
 	for i := range disks + others {
--- a/spread/follow.go
+++ b/spread/follow.go
@@ -33,7 +33,11 @@
 			continue
 		}
 		parent := c.next(list, wire.BoxOf(s.Leader()), time.Now())
-		err := s.requestUpdates(ctx, parent)
+		if c.parent == "" && s.hadUpdates() {
+			s.search(ctx, &c)
+			continue
+		}
+		err := s.requestUpdates(ctx, parent, requestTimeout)
 		s.logParentChange(parent, err)
 		if err == nil {
 			c.recordSuccess(parent, time.Now())
@@ -155,7 +159,8 @@
 }
 
 // requestUpdates sends one request to a parent and applies the updates of its response.
-func (s *Distributor) requestUpdates(ctx context.Context, parent string) error {
+// It fails if nothing is received for idleTimeout.
+func (s *Distributor) requestUpdates(ctx context.Context, parent string, idleTimeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, maxRequestTime)
 	defer cancel()
 	sent := s.opts.Replica.Now()
@@ -164,7 +169,7 @@
 	follow := &wire.Follow{
 		Member: s.opts.Replica.ID(), Index: view.Index, Demand: s.demandIfDue(), Sets: subtree.sets, Subtree: subtree.rows,
 	}
-	response, err := s.opts.Client.Fetch(ctx, parent, &wire.Request{Kind: &wire.Request_Follow{Follow: follow}}, requestTimeout)
+	response, err := s.opts.Client.Fetch(ctx, parent, &wire.Request{Kind: &wire.Request_Follow{Follow: follow}}, idleTimeout)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -280,7 +285,7 @@
 			if n.index > s.opts.Replica.View().Index {
 				// An update need not be fresh to be newer than this box's state. After an error
 				// the next probe finds this box or another.
-				_ = s.requestUpdates(ctx, n.box)
+				_ = s.requestUpdates(ctx, n.box, requestTimeout)
 			}
 		}
 	}
