spread, gateway: updates are trusted for a share of the draining time

Cause: such a box went on answering that there is nothing new until its own confirmation was 1.5 to 3 s old, and a box that learned late counted half of the draining time from then.

Change: spread rule 6. The age at which a parent is left is a share of the draining time, a parent answers held requests when it gets that old, and a server counts as draining from the last confirmation of the state before.

--- a/box/box.go
+++ b/box/box.go
@@ -368,7 +368,7 @@
 	b.id.setLevelSource(func() level.Level { return r.View().Level })
 	p.crashes = newCrashReporter(state.ProcessID(self), b.log, b.meters)
 	p.spread = spread.New(spread.Options{
-		Replica: r, Client: b.pool, Self: self, Seeds: slices.Sorted(maps.Keys(s.Boxes)), ConfigLease: s.ConfigLease,
+		Replica: r, Client: b.pool, Self: self, Seeds: slices.Sorted(maps.Keys(s.Boxes)), ConfigLease: s.ConfigLease, DrainingDuration: s.DrainingGrace,
 		RecentCallers: func() []string {
 			if len(r.View().Members) == 0 {
 				return b.callers.all()
--- a/box/platform.go
+++ b/box/platform.go
@@ -56,7 +56,7 @@
 			}
 		},
 		ReportCrash: p.crashes.add, RecordExposures: p.crashes.recordExposures, Quotas: p.quotas.limiter, Load: p.loadSource(), Origins: p.origins, SharesLoad: p.sharesLoad, Pushback: p.pushback,
-		Hall: s.Hall, DrainingDuration: s.DrainingGrace, MaxBodies: s.MemoryLimit / bodyMemoryDivisor, Responses: p.responses, RegionOf: func(hall string) string { return regionOf(p.replica.View(), s, hall) },
+		Hall: s.Hall, DrainingDuration: s.DrainingGrace, ConfirmedAge: p.spread.ConfirmedAge, MaxBodies: s.MemoryLimit / bodyMemoryDivisor, Responses: p.responses, RegionOf: func(hall string) string { return regionOf(p.replica.View(), s, hall) },
 		Budget:   gateway.Budget{Ratio: s.BudgetRatio, Slack: s.BudgetSlack, Window: s.BudgetWindow},
 		Shutdown: b.shutdown, Meters: b.meters, Log: b.log,
 	})
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -39,12 +39,14 @@
 	regionOf func(hall string) string
 	// drainingDuration is how long a draining server is used as a last resort.
 	drainingDuration time.Duration
-	pushback         *pushback.Registry // nil: servers report no limits or backoff
-	dialer           Dialer
-	dialect          *dialect.Dialect // set once the gateway has them
-	headers          *attest.Headers
-	links            *links // set once the gateway has them
-	relays           *relays
+	// confirmedAge returns how long ago a leader confirmed that there was nothing newer than an index; nil if nobody knows.
+	confirmedAge func(index uint64) (time.Duration, bool)
+	pushback     *pushback.Registry // nil: servers report no limits or backoff
+	dialer       Dialer
+	dialect      *dialect.Dialect // set once the gateway has them
+	headers      *attest.Headers
+	links        *links // set once the gateway has them
+	relays       *relays
 
 	mu            sync.Mutex
 	view          *state.State                  // the newest state
@@ -83,6 +85,7 @@
 	if view.Fleet == nil {
 		return
 	}
+	before := d.view
 	d.view = view
 	t := &table{
 		number: view.Version.GetNumber(), index: view.Version.GetIndex(), limits: view.Fleet.Limits,
@@ -98,7 +101,7 @@
 		t.pools[name] = newPool(p, d, view)
 	}
 	now := time.Now()
-	d.trackDraining(now)
+	d.trackDraining(now, before)
 	d.syncServers(now)
 	d.recordLoading(t, view, now)
 	d.recordEvictions(t, view, now)
@@ -109,19 +112,29 @@
 
 // trackDraining records since when servers have been draining. The time for which a draining
 // server is used counts from there, also at a box that first needs the server later.
-func (d *directory) trackDraining(now time.Time) {
+func (d *directory) trackDraining(now time.Time, before *state.State) {
 	for id := range d.drainingSince {
 		if a := d.view.Announcements.Get(id); a == nil || !a.Leaving {
 			delete(d.drainingSince, id)
 		}
 	}
+	since := now.Add(-d.lateBy(before))
 	for _, id := range d.view.Announcements.Draining() {
 		if _, known := d.drainingSince[id]; !known {
-			d.drainingSince[id] = now
+			d.drainingSince[id] = since
 		}
 	}
 }
 
+// lateBy returns how long ago what is new since an earlier state may have been acknowledged; 0 if that is not known.
+func (d *directory) lateBy(before *state.State) time.Duration {
+	if before == nil || d.confirmedAge == nil {
+		return 0
+	}
+	age, _ := d.confirmedAge(before.Index)
+	return max(0, age)
+}
+
 // syncServers brings the tracked servers in line with the announcements. A server that was removed
 // keeps its requests; its idle connections are closed.
 func (d *directory) syncServers(now time.Time) {
--- a/gateway/directory_test.go
+++ b/gateway/directory_test.go
@@ -44,6 +44,27 @@
 	})
 }
 
+// Guards against a box that learns late that a server leaves and uses it as long as one that learned at once (DRAIN, review/6).
+func TestDrainingTimeIncludesWhatABoxIsLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		d := newDirectory("h", time.Second, nil)
+		confirmed := time.Now()
+		d.confirmedAge = func(index uint64) (time.Duration, bool) { return time.Since(confirmed), index == 7 }
+		before := poolView("i1")
+		before.Index = 7
+		d.update(before)
+		time.Sleep(800 * time.Millisecond)
+		view := poolView("i1")
+		view.Index = 9
+		view.Announcements.Set("i1", &wire.Announcement{Id: "i1", Service: "p", Address: "127.0.0.1:1", Leaving: true})
+		d.update(view)
+		since, draining := d.table().pools["p"].readyServers("m")[0].drainingFor(time.Now())
+		g.Expect(draining).To(BeTrue())
+		g.Expect(since).To(Equal(800 * time.Millisecond))
+	})
+}
+
 // Only servers that a request needed are tracked, their state follows the newest view, and unused
 // ones are removed.
 func TestOnlyRequestedServersAreTracked(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,6 +106,9 @@
 	RegionOf func(hall string) string
 	// DrainingDuration is how long a draining server is used as a last resort.
 	DrainingDuration time.Duration
+	// ConfirmedAge returns how long ago a leader confirmed that there was nothing newer than an index of the state, false if that
+	// is not known. Nil: a server counts as draining from when this box learns of it.
+	ConfirmedAge func(index uint64) (time.Duration, bool)
 	// MaxBodies bounds the bytes of request bodies that the box holds in memory; 0: no limit.
 	MaxBodies int64
 	// Responses bounds the bytes of responses that the box holds in memory; nil: no limit.
@@ -166,6 +169,7 @@
 		opts.Load = (*loadshare.Sharer)(nil)
 	}
 	g := &Gateway{opts: opts, dir: newDirectory(opts.Hall, opts.DrainingDuration*drainingShare/100, opts.Pushback), demand: newDemand(), prefillRates: newPrefillRates(), cachedShares: newCachedShares(), slotTimes: newSlotTimes(), notices: newNotices(opts.Notify), bodies: &bodies{limit: opts.MaxBodies}, stopping: make(chan struct{})}
+	g.dir.confirmedAge = opts.ConfirmedAge
 	if opts.RegionOf != nil {
 		g.dir.regionOf = opts.RegionOf
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -414,6 +414,9 @@
 mutant unproved-single-versions-are-believed origin/origin.go 's/confirmed: r.confirm\(ctx\)\}/confirmation: \&confirmation{}}/' origin TestResumedAtABoxOutOfStep
 mutant records-sent-again-come-too-late origin/origin.go 's/range lateRounds/range 0/' origin TestResumedAtABoxOutOfStep
 mutant answers-from-before-the-question origin/confirm.go 's/if b.waiting == nil \{/if b.waiting == nil \&\& b.last != nil { return b.last }; if b.waiting == nil {/; s/waiting \*pending/last, waiting *pending/; s/close\(p.done\)/close(p.done); b.last = p/' origin 'TestNeverAnotherVersionInPartitions'
+mutant lost-sources-are-sought-one-by-one spread/search.go 's/searchWidth = 4/searchWidth = 1/' spread TestBoxIsCurrentSoonAfterACut
+mutant stale-parents-are-kept spread/chooser.go 's/d := s.opts.DrainingDuration; d > 0/d := s.opts.DrainingDuration; false/' spread TestBoxesBehindACutLearnInTime
+mutant late-boxes-drain-from-now gateway/directory.go 's/since := now.Add\(-d.lateBy\(before\)\)/_, since := before, now/' gateway TestDrainingTimeIncludesWhatABoxIsLate
 mutant streams-get-no-copy placement/placement.go 's/\tp.planAwaitedVersions\(\)\n//' placement TestStreamsGetACopyAtTheirVersion
 mutant streams-do-not-wait-for-their-model gateway/find.go 's/case j.pinned &&/case false \&\& j.pinned \&\&/' gateway TestStreamsWaitForTheirModelAtTheirVersion
 mutant departed-versions-are-awaited gateway/versions.go 's/if j.g.opts.Origins.Departed\(/if false \&\& j.g.opts.Origins.Departed(/' gateway TestResumedStreamWaitsForServersThatTheBoxLacks
--- a/spread/chooser.go
+++ b/spread/chooser.go
@@ -18,7 +18,9 @@
 //     round, so that the new leader is asked soon.
 //  5. The limit on an update's age grows with the distance from the leader. When a link
 //     breaks, the box below it looks for another parent, and the boxes that ask through it
-//     wait for it instead of all asking the leader.
+//     wait for it instead of all asking the leader. Where servers must get no requests for
+//     long after their leaving was acknowledged (Options.DrainingDuration), it is a share of
+//     that time: the rest is for finding another parent (search.go).
 
 const (
 	// alternateParentTTL is how long a box keeps a parent other than the tree's (2).
@@ -38,6 +40,24 @@
 	maxStaleAge = 3 * time.Second
 )
 
+const (
+	// drainingBase and drainingPerHop are staleBase and stalePerHop as percentages of
+	// Options.DrainingDuration, maxDrainingAge is their upper bound (5).
+	drainingBase   = 35
+	drainingPerHop = 8
+	maxDrainingAge = 50
+)
+
+// staleLimit returns the update age from which a box that received it over the given number of
+// hops looks for another parent (5).
+func (s *Distributor) staleLimit(hops int) time.Duration {
+	limit := staleLimit(hops)
+	if d := s.opts.DrainingDuration; d > 0 {
+		limit = min(limit, d*time.Duration(min(maxDrainingAge, drainingBase+drainingPerHop*max(0, hops-1)))/100)
+	}
+	return limit
+}
+
 // parentChooser chooses the next box to ask from a list of candidates.
 type parentChooser struct {
 	parent      string // gave the last update; "": none since the last failure
@@ -93,6 +113,8 @@
 
 // isStale reports whether an update of the given age is too old for a box that received it
 // over the given number of hops (5).
-func isStale(age time.Duration, hops int) bool {
-	return age > min(maxStaleAge, staleBase+stalePerHop*time.Duration(max(0, hops-1)))
+func isStale(age time.Duration, hops int) bool { return age > staleLimit(hops) }
+
+func staleLimit(hops int) time.Duration {
+	return min(maxStaleAge, staleBase+stalePerHop*time.Duration(max(0, hops-1)))
 }
--- a/spread/cluster_test.go
+++ b/spread/cluster_test.go
@@ -106,6 +106,8 @@
 	processes     map[string]*process // running, by box
 	isolated      map[string]bool     // boxes on one side of a partition
 	frozen        map[string]bool     // boxes that answer nobody
+	cut           map[[2]string]bool  // pairs of boxes that do not reach each other
+	draining      time.Duration       // spread.Options.DrainingDuration
 	number        uint64
 	acknowledged  []acknowledgedFile
 	violation     string
@@ -122,7 +124,7 @@
 func (c *cluster) process(from, box string) *process {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isolated[from] != c.isolated[box] || c.frozen[from] || c.frozen[box] {
+	if c.isolated[from] != c.isolated[box] || c.frozen[from] || c.frozen[box] || c.cut[[2]string{from, box}] || c.cut[[2]string{box, from}] {
 		return nil
 	}
 	return c.processes[box]
@@ -171,7 +173,7 @@
 
 func newCluster(t *testing.T, seed uint64, lease, writeDelay time.Duration, disks, others int) *cluster {
 	c := &cluster{
-		t: t, lease: lease, writeDelay: writeDelay, rng: rand.New(rand.NewPCG(seed, 1)), disks: map[string]*disk{}, processes: map[string]*process{}, isolated: map[string]bool{}, frozen: map[string]bool{},
+		t: t, lease: lease, writeDelay: writeDelay, rng: rand.New(rand.NewPCG(seed, 1)), disks: map[string]*disk{}, processes: map[string]*process{}, isolated: map[string]bool{}, frozen: map[string]bool{}, cut: map[[2]string]bool{},
 	}
 	var voters []string
 	for i := range disks + others {
@@ -225,7 +227,7 @@
 		}
 	}
 	p.spread = spread.New(spread.Options{
-		Replica: r, Client: link{c, p}, Self: self, Seeds: seeds, ConfigLease: c.lease, RecentCallers: func() []string { return nil },
+		Replica: r, Client: link{c, p}, Self: self, Seeds: seeds, ConfigLease: c.lease, DrainingDuration: c.draining, RecentCallers: func() []string { return nil },
 		Demand: func() []*wire.Demand { return nil }, Log: zap.NewNop(),
 	})
 	c.mu.Lock()
--- a/spread/follow.go
+++ b/spread/follow.go
@@ -201,13 +201,16 @@
 	if complete && u.Fresh && at < 0 && !s.fresh {
 		s.leader = u.Leader
 	}
+	if complete && u.Fresh && at >= 0 {
+		s.confirmations.add(u.Index, at)
+	}
 	if complete && u.Fresh && at >= 0 && (!s.fresh || at > s.freshAt) {
 		s.fresh, s.freshAt, s.path = true, at, u.Path
 		s.leader = u.Leader
 		close(s.freshUpdate)
 		s.freshUpdate = make(chan struct{})
 	}
-	if !u.Fresh || isStale(age, len(u.Path)) {
+	if !u.Fresh || age > s.staleLimit(len(u.Path)) {
 		return Error.New("box %s has no fresh update", parent)
 	}
 	return nil
--- a/spread/search_test.go
+++ b/spread/search_test.go
@@ -91,3 +91,87 @@
 		})
 	}
 }
+
+// playCutParent cuts the first box without a disk of each hall off from those with one, has a file applied right after, and returns
+// how long the others of the halls lack it.
+func playCutParent(t *testing.T, seed uint64, disks, others int, draining time.Duration) time.Duration {
+	const limit = 10 * time.Second
+	c := newCluster(t, seed, time.Hour, 0, disks, others)
+	c.draining = draining
+	defer c.close()
+	for i := range c.members {
+		c.start(i)
+	}
+	c.advance(4 * time.Second)
+	c.applyUntilAcknowledged(1)
+	c.advance(15*time.Second + time.Duration(seed%11)*90*time.Millisecond) // all have the parents of the tree
+	first := map[string]string{}
+	for _, m := range c.members[disks:] {
+		if b := first[m.Hall]; b == "" || m.Box < b {
+			first[m.Hall] = m.Box
+		}
+	}
+	c.mu.Lock()
+	for _, b := range first {
+		for _, m := range c.members[:disks] {
+			c.cut[[2]string{b, m.Box}] = true
+		}
+	}
+	c.number++
+	number := c.number
+	c.mu.Unlock()
+	leader := c.process("", c.members[c.leader()].Box)
+	c.running.Go(func() { c.applyFile(leader, number) })
+	for waited := time.Duration(0); waited < limit; waited += 10 * time.Millisecond {
+		lacking := slices.ContainsFunc(c.runningProcesses(), func(p *process) bool {
+			return first[p.self.Hall] != p.self.Box && p.replica.View().Version.GetNumber() < number
+		})
+		if !lacking {
+			return waited
+		}
+		c.advance(10 * time.Millisecond)
+	}
+	return limit
+}
+
+// Guards against boxes that go on sending requests to a server whose leaving was acknowledged, since the box that they have their
+// updates from was cut off, and answers that there is nothing new (DRAIN, review/6).
+func TestBoxesBehindACutLearnInTime(t *testing.T) {
+	const (
+		draining = 2 * time.Second
+		most     = 1500 * time.Millisecond
+	)
+	for _, size := range []struct{ disks, others, plays int }{{4, 7, 40}, {6, 76, 4}} {
+		var waits []time.Duration
+		for seed := range uint64(size.plays) {
+			synctest.Test(t, func(t *testing.T) { waits = append(waits, playCutParent(t, seed, size.disks, size.others, draining)) })
+		}
+		slices.Sort(waits)
+		t.Logf("%d boxes: median %v, most %v", size.disks+size.others, waits[len(waits)/2], waits[len(waits)-1])
+		NewWithT(t).Expect(waits[len(waits)-1]).To(BeNumerically("<=", most))
+	}
+}
+
+func TestConfirmedAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newClusterWithFile(t, time.Hour, 1)
+		defer c.close()
+		p := c.runningProcesses()[3]
+		before := p.replica.View().Index
+		age, ok := p.spread.ConfirmedAge(before)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(age).To(BeNumerically("<", time.Second))
+		c.set(c.isolated, 3, true)
+		c.advance(5 * time.Second)
+		c.set(c.isolated, 3, false)
+		c.applyUntilAcknowledged(2)
+		c.advance(time.Second)
+		g.Expect(p.replica.View().Index).To(BeNumerically(">", before))
+		age, ok = p.spread.ConfirmedAge(before)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(age).To(BeNumerically(">", 5*time.Second), "what it learned since may have been committed since the cut began")
+		_, ok = p.spread.ConfirmedAge(0)
+		g.Expect(ok).To(BeFalse())
+	})
+}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -26,7 +26,14 @@
 //     started. A box that has just started has applied some earlier state from its disk, or
 //     nothing, so it may miss an accepted file.
 //     5.3 After a start of all boxes it is current by the voters' log positions (start.go).
-//  6. A file is acknowledged once all recently seen boxes have applied it (inforce.go).
+//  6. With Options.DrainingDuration D, a box uses no server for long after its leaving was acknowledged.
+//     Let C be when the box was last confirmed before it learned of that: it was not acknowledged before C.
+//     6.1 The box's parent answers at once when its own confirmation is older than a share of D, at most half
+//     (chooser.go, 5), even while it holds a request. The box then finds another parent (search.go).
+//     6.2 From when it learns, the box uses the server, as a last resort, until half of D has passed since C
+//     (ConfirmedAge).
+//     6.3 So the last request goes out within D/2 of the acknowledgement and the time of the search.
+//  7. A file is acknowledged once all recently seen boxes have applied it (inforce.go).
 package spread
 
 import (
@@ -95,6 +102,9 @@
 	// nil for none.
 	RecentCallers func() []string
 	ConfigLease   time.Duration
+	// DrainingDuration is the time after the acknowledgement that a server leaves in which it may still get requests; 0 if
+	// there is no such bound.
+	DrainingDuration time.Duration
 	// Demand returns the recent demand at this box.
 	Demand func() []*wire.Demand
 	Log    *zap.Logger
@@ -104,25 +114,26 @@
 type Distributor struct {
 	opts Options
 
-	mu           sync.Mutex
-	freshAt      time.Duration // when a leader was last certain to lead, on the replica's clock
-	fresh        bool
-	leader       string
-	path         []string
-	holdings     map[string]holding
-	committed    committedFile
-	probes       map[string]probe
-	probed       map[string]lastProbe // by box
-	roundBegan   time.Duration        // when the last round of probes began
-	started      time.Time
-	parent       string        // current parent, "" while there is none
-	advanced     chan struct{} // a box of the subtree has applied the newest file
-	ahead        chan aheadBox // found by probes
-	freshUpdate  chan struct{} // closed when a fresher update has been received
-	demand       map[string]childDemand
-	demandSentAt time.Duration // when the subtree's demand was last sent
-	reportSentAt time.Duration // when the subtree's holdings were last sent
-	parentLostAt time.Time     // since when no parent has given updates; zero while one does
+	mu            sync.Mutex
+	freshAt       time.Duration // when a leader was last certain to lead, on the replica's clock
+	confirmations confirmations
+	fresh         bool
+	leader        string
+	path          []string
+	holdings      map[string]holding
+	committed     committedFile
+	probes        map[string]probe
+	probed        map[string]lastProbe // by box
+	roundBegan    time.Duration        // when the last round of probes began
+	started       time.Time
+	parent        string        // current parent, "" while there is none
+	advanced      chan struct{} // a box of the subtree has applied the newest file
+	ahead         chan aheadBox // found by probes
+	freshUpdate   chan struct{} // closed when a fresher update has been received
+	demand        map[string]childDemand
+	demandSentAt  time.Duration // when the subtree's demand was last sent
+	reportSentAt  time.Duration // when the subtree's holdings were last sent
+	parentLostAt  time.Time     // since when no parent has given updates; zero while one does
 
 	loggedEvidence atomic.Int32 // the evidence logged last
 }
@@ -261,14 +272,20 @@
 // started, and the requesting box then learns of the first leader at the same time.
 func (s *Distributor) updatesFor(ctx context.Context, from *wire.Member, index uint64, path []string) ([]*wire.Entry, []byte, error) {
 	age, fresh := s.StateAge()
-	if fresh && isStale(age, len(path)) || slices.Contains(path, from.GetBox()) {
+	left := s.staleLimit(len(path)) - age
+	if fresh && left < 0 || slices.Contains(path, from.GetBox()) {
 		return s.opts.Replica.UpdatesSince(index)
 	}
-	return s.awaitUpdates(ctx, index)
+	if !fresh {
+		left = longPollTimeout
+	}
+	return s.awaitUpdates(ctx, index, min(longPollTimeout, left+time.Millisecond))
 }
 
-func (s *Distributor) awaitUpdates(ctx context.Context, index uint64) ([]*wire.Entry, []byte, error) {
-	timer := time.NewTimer(longPollTimeout)
+// awaitUpdates waits for an update for a time at most, which ends when this box's state becomes stale: the requesting box
+// then looks for another parent.
+func (s *Distributor) awaitUpdates(ctx context.Context, index uint64, timeout time.Duration) ([]*wire.Entry, []byte, error) {
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	s.mu.Lock()
 	freshUpdate := s.freshUpdate
