--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -39,7 +39,7 @@
 	regionOf func(hall string) string
 	// drainingDuration is how long a draining server is used as a last resort.
 	drainingDuration time.Duration
-	// confirmedAge returns how long ago a leader confirmed that there was nothing newer than an index; nil if nobody knows.
+	// confirmedAge returns how long ago a leader confirmed that there was nothing newer than an index; nil if that is not known.
 	confirmedAge func(index uint64) (time.Duration, bool)
 	pushback     *pushback.Registry // nil: servers report no limits or backoff
 	dialer       Dialer
--- a/gateway/patience_test.go
+++ b/gateway/patience_test.go
@@ -129,7 +129,7 @@
 }
 
 // Guards against a stream that is rejected after a second, though its caller has time left and a server of its version may get its
-// model: the leader was not told at which version it is needed (LOST).
+// model: no notice named the version to the leader (LOST).
 func TestStreamsWaitForTheirModelAtTheirVersion(t *testing.T) {
 	stream := &fleet.Route{Kind: fleet.Streaming, Resumable: true}
 	for _, row := range []struct {
--- a/origin/confirm.go
+++ b/origin/confirm.go
@@ -165,7 +165,7 @@
 	}
 }
 
-// loop runs the function until nobody waits.
+// loop runs the function as long as some caller waits for its result.
 func (b *batch) loop() {
 	for {
 		b.mu.Lock()
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -27,8 +27,8 @@
 //     servers of the replicated state, so a state that is confirmed later includes the version of the stream.
 //     8.1 The state is that of this box, of the leader, or of a keeper that has asked the leader. Lookups that begin while such
 //     a question is under way share the next one.
-//     8.2 Until then a lookup waits, for a part of the time that its caller has. It asks the keepers once more when the state is
-//     confirmed, since a record may lie with boxes that could not be reached before.
+//     8.2 Until then a lookup waits, for a part of the time that its caller has. It asks the keepers again afterwards, since a
+//     record may be kept by boxes that could not be reached before.
 package origin
 
 import (
@@ -95,8 +95,8 @@
 	Self string
 	// Call sends a call to a box.
 	Call func(ctx context.Context, box string, c *wire.OriginCall) (*wire.OriginAnswer, error)
-	// Confirm returns a topology from a state that a leader has confirmed after the call, as soon as this box has one. On the
-	// leader itself that is at once, without a message. It sends none elsewhere either. It fails when the context ends.
+	// Confirm returns a topology from a state that a leader has confirmed after the call, as soon as this box has one: on the
+	// leader at once, elsewhere with the next update. It sends no message. It fails when the context ends.
 	Confirm func(ctx context.Context) (Topology, error)
 	// Leader returns the name of the box that leads, "" if it is not known.
 	Leader func() string
--- a/spread/cluster_test.go
+++ b/spread/cluster_test.go
@@ -105,7 +105,7 @@
 	disks         map[string]*disk
 	processes     map[string]*process // running, by box
 	isolated      map[string]bool     // boxes on one side of a partition
-	frozen        map[string]bool     // boxes that answer nobody
+	frozen        map[string]bool     // boxes that answer no calls
 	cut           map[[2]string]bool  // pairs of boxes that do not reach each other
 	draining      time.Duration       // spread.Options.DrainingDuration
 	number        uint64
--- a/spread/search_test.go
+++ b/spread/search_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// set changes which boxes are cut off from all others, or answer nobody.
+// set changes which boxes are cut off from all others, or answer no calls.
 func (c *cluster) set(m map[string]bool, i int, on bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
