origin: a box that has just started waits for a confirmed state of its own

Change: at such a box only its own confirmed state counts; the lookup waits for it.

Evidence: TestLookupWaitsForItsOwnConfirmation failed before (unknown).

--- a/origin/confirm.go
+++ b/origin/confirm.go
@@ -38,7 +38,7 @@
 	for _, b := range []*batch{r.own, r.leader} {
 		go func() {
 			for ctx.Err() == nil {
-				if c := b.next(ctx); c != nil {
+				if c := b.next(ctx); c != nil && r.suffices(c) {
 					first <- c
 					return
 				}
@@ -49,6 +49,14 @@
 	return first
 }
 
+// suffices reports whether a confirmation is enough for a conclusion. A box that has just started needs a confirmed state of its own:
+// another's has not all that this one may have known before.
+func (r *Registry) suffices(c *confirmation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !c.fromOther || r.topology.Confirmed
+}
+
 // Departed reports whether a leader has confirmed, since the call began, that a service has no server of a version any more. It
 // returns false where that cannot be confirmed within a part of the time that the caller has.
 func (r *Registry) Departed(ctx context.Context, name, version string) bool {
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -26,7 +26,7 @@
 //     off or stands still keeps servers that have been replaced, and its own keepers may be cut off with it. Streams begin at
 //     servers of the replicated state, so a state that is confirmed later includes the version of the stream.
 //     8.1 The state is that of this box, of the leader, or of a keeper that has asked the leader. Lookups that begin while such
-//     a question is under way share the next one.
+//     a question is under way share the next one. A box that has just started needs a confirmed state of its own.
 //     8.2 Until then a lookup waits, for a part of the time that its caller has. It asks the keepers again afterwards, since a
 //     record may be kept by boxes that could not be reached before.
 package origin
@@ -349,7 +349,7 @@
 	}
 	a := l.ask(ctx, boxes, call)
 	l.answered = l.answered || a.count > 0
-	if a.confirmation != nil && l.confirmation == nil {
+	if a.confirmation != nil && l.confirmation == nil && l.suffices(a.confirmation) {
 		l.confirmation = a.confirmation
 	}
 	l.unanswered = l.unanswered || a.count < len(boxes)
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -316,6 +316,28 @@
 	}
 }
 
+// Guards against a stream that is rejected at once at a box that has just started, since the leader has confirmed its state and the
+// box's own is not confirmed yet (soak TestStreamsResumeAfterTheLossOfAllBoxes: 120 of 300).
+func TestLookupWaitsForItsOwnConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := newDurableNetwork(10, rand.New(rand.NewPCG(5, 1)), "v1")
+		defer time.Sleep(time.Second) // calls under way end
+		n.begin(9, "r", "v1")
+		time.Sleep(settle)
+		started := -1
+		n.confirmDelay = func() time.Duration {
+			if started++; started == n.leader {
+				return 0
+			}
+			return time.Second
+		}
+		n.killAll([]origin.Topology{n.topology}, rand.New(rand.NewPCG(5, 2)))
+		time.Sleep(settle)
+		g.Expect(n.resume(5, "r")).To(Equal("v1"))
+	})
+}
+
 // Guards against a box that has just started and rejects a stream without asking for it, since it does not know the others yet.
 func TestLookupWaitsForTheTopology(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
